--- /dev/null
+++ b/internal/decide/decide.go
@@ -0,0 +1,1104 @@
+// The decisions of a kestrelspread broker, all of them. Callers use it through Port (port.go): New, the
+// settings, then for each round Begin, the events, End; what is decided at End goes to Out.
+//
+// The ordinary path is LinnOS's, as docs/design.md tells: predict slow replicas, skip them, send to the one
+// with the fewest own calls outstanding, copy a part past pX. Beside it stand at most six mechanisms:
+//  1. aside: a server that is silent, unreachable or quick to fail gets no parts but a metered trial
+//  2. further sub-requests after failures and off dead servers, within every stated limit
+//  3. cold guard: this broker's share of what a server that came back can bear
+//  4. admission: a search that cannot be answered by its latency target is shed, cheapest value first
+//  5. part answers at the latency target where a query type allows them, and giving up in time
+//  6. probes where load reports come only that way, as many as their price allows
+package decide
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math"
+
+	"kestrelspread/internal/window"
+)
+
+const (
+	histSize   = 4      // the design's four latencies
+	histLife   = 1000.0 // the design's expiry
+	lineShare  = 0.90   // the design's line
+	lineFew    = 5      // answers under which a server's own line says less than the fleet's
+	lineFleet  = 1.5    // a lasting slowness must not become its own measure: own line at most so many fleet lines
+	falseCost  = 3.0    // the design's weight for a predicted-fast answer over the line
+	learnRate  = 0.03   // few answers a second: fast enough for a day's first minutes, slow enough for noise
+	featureCap = 4.0    // one hang must not throw the weights
+	copyTop    = 0.95   // the design's pX
+	copyFloor  = 0.90
+	copyShare  = 0.10 // of a search's parts
+	copyFew    = 20   // answers of a query type before its pX means something
+
+	silentLines  = 2.0   // no answer for so many fleet lines, with parts out, is silence
+	silentLeast  = 1.3   // and never under so many, however short the latency target
+	silentAim    = 0.5   // of the shortest latency target
+	errFew       = 2.0   // errors lately before a share of them counts
+	errShare     = 0.3   // a server that fails more is set aside
+	errSpan      = 4000. // lately
+	trialFirst   = 1000. // first trial after so long, then twice as long each time
+	trialLongest = 4000.
+	fullPause    = 150.  // after a full queue: long enough for a few parts to be done
+	coldAfter    = 2000. // silent for longer: it may have restarted unannounced
+	coldSafe     = 0.5   // of the budget that others' load allows: reports, chance and call sizes vary
+
+	admitLow  = 0.55 // share of the latency target that the least valued search may be expected to take
+	admitHigh = 0.90 // and the most valued
+	heldLow   = 0.85 // of the hold limit: beyond, only the most valued
+	overShare = 0.1  // value of a customer's searches past its share, where it can't be known
+	backShare = 0.25 // of the latency target: advice to a shed client
+
+	pollMost  = 0.5   // probes for each part
+	pollPoint = 0.003 // of service, spent on probes
+	margin    = 25.0  // a final answer goes out so long before the client timeout
+	stir      = 10.0  // while searches are held, look again after so long
+)
+
+type verdict uint8
+
+const (
+	pass verdict = iota
+	keep
+	end
+)
+
+// turn is what walks down the chain: a search, then each of its parts.
+type turn struct {
+	q     *search
+	p     *part
+	copy  bool
+	cands []int
+	to    int
+}
+
+type stage struct {
+	down func(*turn) verdict
+	up   func(*try, Outcome)
+}
+
+type queryType struct {
+	aim, timeout, value, tokenFor, need, floor, work float64
+	effect                                           Effect
+	followUp                                         int
+	lat                                              *window.Hist
+}
+
+type customer struct {
+	quota float64
+	came  *window.Counts
+}
+
+type search struct {
+	id, kind, customer, want, step, copies, out int
+	born, until, aim, work                      float64
+	parts                                       []*part
+	admitted, over, firstWhole                  bool
+}
+
+type part struct {
+	id, shard, step int
+	weight, work    float64
+	key             uint64
+	q               *search
+	tries           []*try
+	in, copied      bool
+}
+
+type try struct {
+	p                               *part
+	no, server, load                int
+	at                              float64
+	x                               [2 + 2*histSize]float64
+	fast, out, noted, called, never bool
+	call                            *call
+}
+
+// call is what one round sends to one server: its parts count as one.
+type call struct{ size, left int }
+
+type sample struct{ lat, at, load float64 }
+
+type server struct {
+	listed, known              bool
+	state                      State
+	hall, cell                 int
+	size, started              float64
+	calls                      int
+	tries                      []*try
+	open                       *call
+	openRound                  int
+	hist                       [histSize]sample
+	line                       *window.Hist
+	load, loadAt               float64
+	loadOwn                    int
+	per                        float64
+	errs, oks, sent            *window.Counts
+	answered                   float64
+	aside, dead, probing, sure bool
+	since, trialAt, backoff    float64
+	trial                      *try
+	streak                     int
+	coldFrom                   float64
+	met                        map[uint64]float64
+}
+
+// Broker is one instance.
+type Broker struct {
+	out                                   Out
+	now, lastWake, lastLog                float64
+	seed, draws                           uint64
+	brokers, hall, round, held            int
+	places, span, batch                   int
+	callWork                              float64
+	warmKeys                              bool
+	maxTries, maxHeld                     int
+	canCancel, canCopy                    bool
+	longestAdvice                         float64
+	coldShare, coldLasts, coldMul, coldIn float64
+	budgeted                              bool
+	spare, ratio, budgetSpan              float64
+	taken, further                        *window.Counts
+	onAnswers, mayProbe, ask, subscribe   bool
+	fields                                []Field
+	pollRate, pollCredit                  float64
+	subscribeAt                           float64
+	types                                 []*queryType
+	customers                             []*customer
+	searches                              []*search
+	parts                                 []*part
+	live                                  []*search
+	servers                               []*server
+	stages                                []stage
+	weights                               [2 + 2*histSize]float64
+	pool                                  *window.Hist
+	fastSent, fastSlow, carried           *window.Counts
+	avgLoad, shortAim, topValue           float64
+	shedding                              bool
+}
+
+func New(out Out, seed uint64, self, brokers, hall int) *Broker {
+	b := &Broker{out: out, seed: seed, brokers: max(brokers, 1), hall: hall, places: 1, span: 1, batch: 1,
+		maxTries: 1, shortAim: math.Inf(1), lastWake: math.Inf(-1), lastLog: math.Inf(-1),
+		pool: hist(), fastSent: window.NewCounts(30, 1000), fastSlow: window.NewCounts(30, 1000),
+		carried: window.NewCounts(20, 1000)}
+	// Before it has learnt: slow is who was slow lately, the latest answer first.
+	b.weights = [...]float64{-3, 0.4, 1.2, 0.7, 0.4, 0.3, 0, 0, 0, 0}
+	b.stages = []stage{{b.admit, nil}, {b.gather, b.gathered}, {b.more, nil}, {b.guard, b.judge},
+		{b.pick, b.learn}, {b.send, b.returned}}
+	return b
+}
+
+const wholeStages = 2 // stages that take a search; the others take its parts
+
+func hist() *window.Hist { return window.NewHist(10, 1000, 1, 1.1, 100) }
+
+func (b *Broker) QueryType(aim, timeout, value, late float64, effect Effect, tokenFor float64) {
+	b.types = append(b.types, &queryType{aim: aim, timeout: timeout, value: value, tokenFor: tokenFor,
+		effect: effect, need: 1, floor: 1, lat: hist()})
+	b.topValue = max(b.topValue, value)
+	if aim > 0 {
+		b.shortAim = min(b.shortAim, aim)
+	}
+}
+
+func (b *Broker) Shares(kind int, need, floor, partial float64, followUp int) {
+	k := b.types[kind]
+	k.need, k.floor, k.followUp = need, min(floor, need), followUp
+}
+
+func (b *Broker) Customer(quota float64) {
+	b.customers = append(b.customers, &customer{quota: quota, came: window.NewCounts(5, 1000)})
+}
+
+func (b *Broker) Fleet(places, span, batch int, callWork float64, warmKeys bool) {
+	b.places, b.span, b.batch = max(places, 1), max(span, 1), max(batch, 1)
+	b.callWork, b.warmKeys = callWork, warmKeys
+}
+
+func (b *Broker) Limits(tries, held int, cancel, copies bool) {
+	b.maxTries, b.maxHeld, b.canCancel, b.canCopy = max(tries, 0), held, cancel, copies
+}
+
+func (b *Broker) Advice(longest float64) { b.longestAdvice = longest }
+
+func (b *Broker) Cold(from, lasts, multiple, over float64) {
+	b.coldShare, b.coldLasts, b.coldMul, b.coldIn = from, lasts, multiple, max(over, 1)
+}
+
+func (b *Broker) Budget(spare, ratio, over float64) {
+	b.budgeted, b.spare, b.ratio, b.budgetSpan = true, spare, ratio, max(over, 1)
+	width := b.budgetSpan / 20
+	b.taken, b.further = window.NewCounts(22, width), window.NewCounts(22, width)
+}
+
+func (b *Broker) Reports(onAnswers bool, fields []Field) { b.onAnswers, b.fields = onAnswers, fields }
+
+func (b *Broker) Probes(price float64) {
+	b.mayProbe = true
+	b.pollRate = pollMost
+	if price > 0 {
+		b.pollRate = min(pollMost, pollPoint/price)
+	}
+}
+
+func (b *Broker) Discovery(ask bool) { b.ask, b.subscribe = ask, ask }
+
+func (b *Broker) Begin(now float64) { b.now, b.round = now, b.round+1 }
+
+func (b *Broker) Search(id, kind, customer int, until, work float64, parts int) {
+	q := &search{id: id, kind: kind, customer: customer, born: b.now, until: until, work: work, want: parts}
+	if k := b.kind(q); k != nil {
+		q.aim = b.now + k.aim
+	}
+	b.searches = put(b.searches, id, q)
+	b.live = append(b.live, q)
+	b.held++
+	if b.budgeted {
+		b.taken.Add(b.now, 1)
+	}
+	if q.customer < len(b.customers) {
+		b.customers[q.customer].came.Add(b.now, 1)
+	}
+}
+
+func (b *Broker) Part(search, id, shard int, weight, work float64, key uint64) {
+	if b.budgeted {
+		b.taken.Add(b.now, 1)
+	}
+	q := at(b.searches, search)
+	if q == nil || q.over {
+		return
+	}
+	p := &part{id: id, shard: shard, step: q.step, weight: weight, work: work, key: key, q: q}
+	b.parts = put(b.parts, id, p)
+	q.parts = append(q.parts, p)
+	b.held++
+	if k := b.kind(q); k != nil && work > 0 {
+		if k.work == 0 {
+			k.work = work
+		}
+		k.work += 0.02 * (work - k.work)
+	}
+}
+
+func (b *Broker) Done(id, no int, how Outcome, report []float64) {
+	p := at(b.parts, id)
+	if p == nil || no >= len(p.tries) || !p.tries[no].out {
+		return
+	}
+	t := p.tries[no]
+	b.report(b.servers[t.server], report)
+	for i := len(b.stages) - 1; i >= 0; i-- {
+		if up := b.stages[i].up; up != nil {
+			up(t, how)
+		}
+	}
+	b.forget(p.q)
+}
+
+func (b *Broker) Probed(id int, ok bool, elapsed float64, report []float64) {
+	s := b.servers[id]
+	s.probing = false
+	if ok {
+		b.report(s, report)
+	}
+	if !s.aside || !s.dead {
+		return
+	}
+	if ok {
+		s.sure = true
+	} else {
+		b.retreat(s)
+	}
+}
+
+func (b *Broker) Lapsed(id int) {
+	if q := at(b.searches, id); q != nil && !q.over {
+		b.finish(q)
+		b.forget(q)
+	}
+}
+
+func (b *Broker) Server(id, hall, cell int, state State, size, started float64) {
+	for len(b.servers) <= id {
+		b.servers = append(b.servers, nil)
+	}
+	s := b.servers[id]
+	if s == nil {
+		s = &server{line: hist(), errs: window.NewCounts(8, errSpan/8), oks: window.NewCounts(8, errSpan/8),
+			sent: window.NewCounts(10, max(b.coldIn, 1)/8), loadAt: math.Inf(-1), coldFrom: math.Inf(-1)}
+		b.servers[id] = s
+	}
+	if state != Gone {
+		s.hall, s.cell, s.size = hall, cell, max(size, 0)
+		if started > s.started && started > 0 {
+			s.started = started
+			s.coldFrom = max(s.coldFrom, started)
+			if s.aside && s.dead {
+				s.trialAt, s.backoff = b.now, trialFirst // news of a restart: ask again at once
+			}
+		}
+	}
+	s.listed, s.state = state != Gone, state
+}
+
+func (b *Broker) Unlisted() {
+	if b.ask {
+		b.subscribe, b.subscribeAt = true, b.now+500+500*b.chance()
+	}
+}
+
+func (b *Broker) Bell() { b.lastWake = math.Inf(-1) }
+
+func (b *Broker) End() {
+	if b.subscribe && b.now >= b.subscribeAt {
+		b.subscribe = false
+		b.out.Subscribe()
+	}
+	b.tend()
+	kept := b.live[:0]
+	for _, q := range b.live {
+		b.walk(q)
+		if !q.over {
+			kept = append(kept, q)
+		}
+		b.forget(q)
+	}
+	clear(b.live[len(kept):])
+	b.live = kept
+	if (len(b.live) > 0 || b.subscribe) && b.now >= b.lastWake {
+		b.lastWake = b.now + stir
+		b.out.Wake(stir)
+	}
+}
+
+func (b *Broker) walk(q *search) {
+	t := &turn{q: q}
+	for _, s := range b.stages[:wholeStages] {
+		if q.over || s.down(t) != pass {
+			return
+		}
+	}
+	for _, p := range q.parts {
+		t.p, t.copy, t.to = p, false, -1
+		for _, s := range b.stages[wholeStages:] {
+			if s.down(t) != pass {
+				break
+			}
+		}
+	}
+}
+
+// admit sheds on arrival: later, work is lost with it. What a search will take is told by what servers took
+// lately for each of their calls; a queue that nobody reports shows there, whatever made it.
+func (b *Broker) admit(t *turn) verdict {
+	q, k := t.q, b.kind(t.q)
+	if q.admitted {
+		return pass
+	}
+	if k == nil || q.want <= 0 || b.now >= q.until-margin || b.reach(q) < k.floor-1e-4 {
+		b.giveUp(q)
+		return end
+	}
+	worst := 0.0
+	for _, p := range q.parts {
+		best := math.Inf(1)
+		for _, s := range b.servers {
+			if b.holds(s, p.shard) && !s.aside {
+				best = min(best, b.expect(s))
+			}
+		}
+		if !math.IsInf(best, 1) {
+			worst = max(worst, best)
+		}
+	}
+	rel := b.value(q) / max(b.topValue, 1e-9)
+	if worst > k.aim*(admitLow+(admitHigh-admitLow)*rel) ||
+		b.maxHeld > 0 && rel < 1 && float64(b.held) > heldLow*float64(b.maxHeld) {
+		b.log("shed: expected %.0f ms against a target of %.0f, %d held", worst, k.aim, b.held)
+		b.giveUp(q)
+		return end
+	}
+	q.admitted = true
+	return pass
+}
+
+// value per unit of work, as the goal counts it.
+func (b *Broker) value(q *search) float64 {
+	v := b.types[q.kind].value
+	if q.customer < len(b.customers) {
+		c := b.customers[q.customer]
+		if c.quota > 0 && c.came.Sum(b.now, 4000)*float64(b.brokers) > c.quota*5 {
+			v *= overShare
+		}
+	}
+	return v
+}
+
+// reach is the weight of the parts that some listed server holds.
+func (b *Broker) reach(q *search) float64 {
+	sum := 0.0
+	for _, p := range q.parts {
+		for _, s := range b.servers {
+			if p.in || b.holds(s, p.shard) {
+				sum += p.weight
+				break
+			}
+		}
+	}
+	return sum
+}
+
+// gather ends a search: whole as soon as it is, in part at its latency target where that is worth more than
+// waiting, and given up while the client can still hear of it.
+func (b *Broker) gather(t *turn) verdict {
+	q, k := t.q, b.kind(t.q)
+	got, have, left := 0.0, 0, 0
+	for _, p := range q.parts {
+		if p.step != q.step {
+			continue
+		}
+		if p.in {
+			got, have = got+p.weight, have+1
+		} else if b.alive(p) {
+			left++
+		}
+	}
+	need, floor := k.need, k.floor
+	if q.step > 0 {
+		need = 1
+		if k.floor >= k.need {
+			floor = 1
+		}
+	}
+	all := have >= q.want
+	whole := got >= need-1e-5
+	if q.step > 0 {
+		whole = all
+	}
+	last := b.now >= q.until-margin
+	some := got >= max(floor, 1e-3)-1e-5 && have > 0
+	switch {
+	case whole && have > 0, some && (last || b.now >= q.aim-margin || left == 0 && len(q.parts) > 0):
+		b.out.Answer(q.id, whole && (q.step == 0 || q.firstWhole))
+		if q.step == 0 && k.followUp > 0 {
+			q.firstWhole, q.step, q.want = whole, 1, min(k.followUp, have)
+			b.stop(q)
+			return keep
+		}
+		b.finish(q)
+		return end
+	case last || left == 0 && len(q.parts) > 0 && have < q.want && q.out == 0:
+		b.giveUp(q)
+		return end
+	}
+	return pass
+}
+
+// alive: its answer may still come.
+func (b *Broker) alive(p *part) bool {
+	if len(p.tries) < b.maxTries && b.mayRepeat(p) {
+		return true
+	}
+	for _, t := range p.tries {
+		if t.out {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRepeat keeps an effect from happening twice: only a sub-request proved not to have run may be followed
+// by another, unless a repeat does no harm or is still dropped by whoever holds the shard.
+func (b *Broker) mayRepeat(p *part) bool {
+	k, y := b.kind(p.q), p.mayRun()
+	return k.effect == Idempotent || y == nil || k.effect == Tokened && b.now < y.at+k.tokenFor-margin
+}
+
+// mayRun is the first sub-request that is out or may have run.
+func (p *part) mayRun() *try {
+	for _, y := range p.tries {
+		if !y.never {
+			return y
+		}
+	}
+	return nil
+}
+
+// more decides whether a part gets a sub-request: its first, another after a failure, one off a dead
+// server, or the design's copy.
+func (b *Broker) more(t *turn) verdict {
+	p, q := t.p, t.q
+	if p.in || p.step != q.step || len(p.tries) >= b.maxTries || !b.mayRepeat(p) {
+		return keep
+	}
+	if len(p.tries) > 0 && !b.afford() {
+		return keep
+	}
+	out, dead := 0, 0
+	var last *try
+	for _, y := range p.tries {
+		if y.out {
+			out++
+			last = y
+			if s := b.servers[y.server]; s.aside && s.dead && s.trial != y {
+				dead++
+			}
+		}
+	}
+	k := b.kind(q)
+	switch {
+	case out == 0:
+		return pass
+	case out == dead && out < 2:
+		if b.canCopy {
+			return pass
+		}
+		if b.canCancel && !last.called {
+			last.called = true
+			b.out.Cancel(p.id, last.no) // two at once are not allowed here: the next goes when this one is off
+		}
+		return keep
+	case out > 1 || p.copied || !b.canCopy || k.effect != Idempotent:
+		return keep
+	}
+	x := min(copyTop, 1-b.falseRate())
+	limit, n := k.lat.Quantile(b.now, max(x, copyFloor))
+	if n < copyFew || b.now-last.at < limit || float64(q.copies) >= math.Ceil(copyShare*float64(q.want)-1e-9) {
+		return keep
+	}
+	t.copy = true
+	return pass
+}
+
+// afford keeps the stated budget of further sub-requests: counted long, against searches counted short.
+func (b *Broker) afford() bool {
+	return !b.budgeted ||
+		b.further.Sum(b.now, b.budgetSpan)+1 <= b.spare+b.ratio*b.taken.Inside(b.now, b.budgetSpan)
+}
+
+// guard leaves the servers that may get this part: listed, sound, and with room while cold.
+func (b *Broker) guard(t *turn) verdict {
+	t.cands = t.cands[:0]
+	var again, failing []int
+	for i, s := range b.servers {
+		if !b.holds(s, t.p.shard) || !b.room(s, t.p) {
+			continue
+		}
+		tried, here := false, false
+		for _, y := range t.p.tries {
+			tried = tried || y.server == i
+			here = here || y.server == i && y.out
+		}
+		switch {
+		case here:
+		case s.aside && !b.trialDue(s):
+			if !s.dead && b.now >= s.since+fullPause {
+				failing = append(failing, i)
+			}
+		case tried:
+			again = append(again, i)
+		default:
+			t.cands = append(t.cands, i)
+		}
+	}
+	if len(t.cands) == 0 && !t.copy {
+		if t.cands = append(t.cands, again...); len(t.cands) == 0 {
+			t.cands = append(t.cands, failing...) // some quick errors beat no answer
+		}
+	}
+	if len(t.cands) == 0 {
+		return keep
+	}
+	return pass
+}
+
+func (b *Broker) trialDue(s *server) bool {
+	return b.now >= s.trialAt && s.trial == nil && (s.sure || !s.dead || !b.mayProbe)
+}
+
+// room wards off pushing over a server that has just come back: all brokers together must stay under a
+// multiple of what it can do, and each knows only itself. Servers alike carry this broker's carried work, and
+// less than they could; a part of that, by the share that is warm, is safe whoever else sends the like.
+func (b *Broker) room(s *server, p *part) bool {
+	age := b.now - s.coldFrom
+	if b.coldMul <= 0 || age >= b.coldLasts {
+		return true
+	}
+	sent := s.sent.Sum(b.now, b.coldIn)
+	if sent == 0 {
+		return true
+	}
+	share := b.coldShare + (1-b.coldShare)*max(age, 0)/b.coldLasts
+	size := 0.0
+	for _, o := range b.servers {
+		if o != nil && o.listed && b.now-o.coldFrom >= b.coldLasts {
+			size += max(o.size, 1e-3)
+		}
+	}
+	carry := b.carried.Sum(b.now, 10000) / 10000 / max(size, 1e-3) * max(s.size, 1e-3)
+	return sent+b.workOf(p) <= coldSafe*b.coldMul*share*carry*b.coldIn
+}
+
+func (b *Broker) workOf(p *part) float64 {
+	k := b.kind(p.q)
+	if k.work > 0 {
+		return k.work + b.callWork
+	}
+	return 0.1*k.aim + b.callWork
+}
+
+// pick is the design's: skip the predicted-slow, then the fewest own calls outstanding, also when all look
+// slow. Between equals: a call that is open anyway, less load reported, the own hall, a key met lately.
+func (b *Broker) pick(t *turn) verdict {
+	best, bestSlow, bestCalls, bestTie := -1, false, 0, 0.0
+	for _, i := range t.cands {
+		s := b.servers[i]
+		slow := b.score(b.features(s)) > 0.5
+		calls, join := s.calls+1, b.joins(s)
+		if join {
+			calls--
+		}
+		tie := b.loadOf(s)/(b.avgLoad+1) + b.expect(s)/max(b.typical(), 1) + 0.1*b.chance()
+		if join {
+			tie -= 1
+		}
+		if s.hall != b.hall {
+			tie += 0.3
+		}
+		if b.warmKeys && t.p.key != 0 && b.now-s.met[t.p.key] < 4000 {
+			tie -= 0.3
+		}
+		if s.aside {
+			tie -= 10 // its trial is due
+		}
+		if best < 0 || slow != bestSlow && bestSlow ||
+			slow == bestSlow && (calls < bestCalls || calls == bestCalls && tie < bestTie) {
+			best, bestSlow, bestCalls, bestTie = i, slow, calls, tie
+		}
+	}
+	if t.copy && bestSlow {
+		return keep // a copy to a slow replica is work for nothing
+	}
+	t.to = best
+	return pass
+}
+
+func (b *Broker) joins(s *server) bool {
+	return s.open != nil && s.openRound == b.round && s.open.size < b.batch
+}
+
+func (b *Broker) send(t *turn) verdict {
+	p, q, s := t.p, t.q, b.servers[t.to]
+	y := &try{p: p, no: len(p.tries), server: t.to, load: s.calls, at: b.now, x: b.features(s), out: true}
+	y.fast = b.score(y.x) <= 0.5
+	if !b.joins(s) {
+		s.open, s.openRound = &call{}, b.round
+		s.calls++
+	}
+	s.open.size++
+	s.open.left++
+	y.call = s.open
+	work := b.workOf(p)
+	s.sent.Add(b.now, work)
+	if b.now-s.coldFrom >= b.coldLasts {
+		b.carried.Add(b.now, work)
+	}
+	if len(p.tries) > 0 && b.budgeted {
+		b.further.Add(b.now, 1)
+	}
+	if len(p.tries) == 0 {
+		b.pollCredit = min(b.pollCredit+b.pollRate, float64(len(b.servers)))
+	}
+	if t.copy {
+		p.copied = true
+		q.copies++
+	}
+	if s.aside {
+		s.trial = y
+	}
+	if b.warmKeys && p.key != 0 {
+		if s.met == nil || len(s.met) > 500 {
+			s.met = map[uint64]float64{}
+		}
+		s.met[p.key] = b.now
+	}
+	p.tries = append(p.tries, y)
+	s.tries = append(s.tries, y)
+	q.out++
+	within := 0.0
+	if !b.canCancel && !b.canCopy {
+		within = min(q.until-b.now, 0.5*b.kind(q).aim) // nothing else could take it off a silent server
+	}
+	b.out.Send(p.id, t.to, within)
+	return pass
+}
+
+// returned frees what a sub-request held.
+func (b *Broker) returned(y *try, how Outcome) {
+	s := b.servers[y.server]
+	y.out = false
+	y.p.q.out--
+	if y.call.left--; y.call.left == 0 {
+		s.calls--
+	}
+	for i, o := range s.tries {
+		if o == y {
+			s.tries = append(s.tries[:i], s.tries[i+1:]...)
+			break
+		}
+	}
+	y.never = how.NeverRan()
+}
+
+// learn teaches the predictor what it is told by parts that were sent, and only by answers: errors are no
+// quick answers.
+func (b *Broker) learn(y *try, how Outcome) {
+	if how != Answered {
+		return
+	}
+	s, lat := b.servers[y.server], b.now-y.at
+	if !y.noted {
+		b.teach(y, lat > b.line(s))
+	}
+	copy(s.hist[1:], s.hist[:histSize-1])
+	s.hist[0] = sample{lat, b.now, float64(y.load)}
+	s.line.Add(b.now, lat)
+	b.pool.Add(b.now, lat)
+	b.kind(y.p.q).lat.Add(b.now, lat)
+	per := lat / float64(1+y.load)
+	if s.per == 0 {
+		s.per = per
+	}
+	s.per += 0.2 * (per - s.per)
+}
+
+func (b *Broker) teach(y *try, slow bool) {
+	y.noted = true
+	g := b.score(y.x)
+	if slow {
+		g--
+		if y.fast {
+			g *= falseCost
+		}
+	}
+	for i := range b.weights {
+		b.weights[i] -= learnRate * g * y.x[i]
+	}
+	if y.fast {
+		b.fastSent.Add(b.now, 1)
+		if slow {
+			b.fastSlow.Add(b.now, 1)
+		}
+	}
+}
+
+func (b *Broker) falseRate() float64 {
+	n := b.fastSent.Sum(b.now, 29000)
+	if n < copyFew {
+		return 0
+	}
+	return b.fastSlow.Sum(b.now, 29000) / n
+}
+
+func (b *Broker) line(s *server) float64 {
+	own, n := s.line.Quantile(b.now, lineShare)
+	all, m := b.pool.Quantile(b.now, lineShare)
+	if m == 0 {
+		return math.Inf(1)
+	}
+	if n < lineFew {
+		return all
+	}
+	return min(own, lineFleet*all)
+}
+
+// features are scaled by the server's own line, so that one set of weights learns from all answers.
+func (b *Broker) features(s *server) (x [2 + 2*histSize]float64) {
+	line := b.line(s)
+	x[0] = 1
+	x[1] = min(b.loadOf(s)/(b.avgLoad+1), featureCap)
+	n := 0
+	add := func(lat, load float64) {
+		if n < histSize {
+			x[2+n] = min(lat/line, featureCap)
+			x[2+histSize+n] = min(load/(b.avgLoad+1), featureCap)
+			n++
+		}
+	}
+	// A hang must not read as fast: a part out for longer than the line stands for the latest latency.
+	if len(s.tries) > 0 {
+		if age := b.now - s.tries[0].at; age > line {
+			add(age, float64(s.tries[0].load))
+		}
+	}
+	for _, h := range s.hist {
+		if h.at > 0 && b.now-h.at < histLife {
+			add(h.lat, h.load)
+		}
+	}
+	return x
+}
+
+func (b *Broker) score(x [2 + 2*histSize]float64) float64 {
+	z := 0.0
+	for i, w := range b.weights {
+		z += w * x[i]
+	}
+	return 1 / (1 + math.Exp(-z))
+}
+
+// loadOf is the last reported count with what this broker changed since; its own calls where no server
+// reports; the average for a server that has not reported.
+func (b *Broker) loadOf(s *server) float64 {
+	if len(b.fields) == 0 || !b.onAnswers && !b.mayProbe {
+		return float64(s.calls)
+	}
+	if math.IsInf(s.loadAt, -1) {
+		return b.avgLoad
+	}
+	return max(s.load+float64(len(s.tries)-s.loadOwn), 0)
+}
+
+func (b *Broker) report(s *server, values []float64) {
+	best := Other
+	for i, v := range values {
+		if i < len(b.fields) && b.fields[i] != Other && (best == Other || b.fields[i] == InFlight) {
+			best, s.load, s.loadAt, s.loadOwn = b.fields[i], v, b.now, len(s.tries)
+		}
+	}
+}
+
+func (b *Broker) typical() float64 {
+	v, _ := b.pool.Quantile(b.now, 0.5)
+	return v
+}
+
+func (b *Broker) expect(s *server) float64 {
+	per := s.per
+	if per == 0 {
+		per = b.typical()
+	}
+	return per * float64(1+s.calls)
+}
+
+// judge tells a server's health from what came back, never from the list alone: a list knows late, and only
+// of processes.
+func (b *Broker) judge(y *try, how Outcome) {
+	s := b.servers[y.server]
+	if s.trial == y {
+		s.trial = nil
+		if how != Answered && how != Moot && s.aside {
+			b.retreat(s)
+		}
+	}
+	switch how {
+	case Answered:
+		s.answered = b.now
+		s.oks.Add(b.now, 1)
+		if s.streak++; s.aside && (s.dead || s.streak >= 2) {
+			if s.dead && b.now-s.since > coldAfter {
+				s.coldFrom = max(s.coldFrom, b.now) // a restart that no list has told yet
+			}
+			s.aside = false
+			b.log("server %d back after %.0f ms", y.server, b.now-s.since)
+		}
+	case Errored, TimedOut:
+		s.streak = 0
+		s.errs.Add(b.now, 1)
+		if e := s.errs.Sum(b.now, errSpan); e >= errFew && e > errShare*(e+s.oks.Sum(b.now, errSpan)) {
+			b.setAside(y.server, false, "errors")
+		}
+	case Full:
+		s.streak = 0
+		if !s.aside {
+			b.setAside(y.server, false, "full")
+			s.trialAt = b.now + fullPause
+		}
+	case NoConnect, Reset:
+		s.streak = 0
+		b.setAside(y.server, true, "unreachable")
+	}
+}
+
+func (b *Broker) setAside(id int, dead bool, why string) {
+	s := b.servers[id]
+	if s.aside && (s.dead || !dead) {
+		return
+	}
+	s.aside, s.dead, s.sure, s.since, s.streak = true, dead, false, b.now, 0
+	s.backoff, s.trialAt = trialFirst, b.now+trialFirst
+	b.log("server %d aside: %s", id, why)
+}
+
+func (b *Broker) retreat(s *server) {
+	s.sure = false
+	s.backoff = min(2*s.backoff, trialLongest)
+	s.trialAt = b.now + s.backoff
+}
+
+// tend looks at what has not come: parts older than the line are evidence of slowness, and a server with
+// parts out that answers nothing is silent, hung or lost alike.
+func (b *Broker) tend() {
+	b.avgLoad = 0
+	n, oldest := 0.0, -1
+	fleet, m := b.pool.Quantile(b.now, lineShare)
+	patience := max(silentLeast*fleet, min(silentLines*fleet, silentAim*b.shortAim))
+	if m < copyFew {
+		patience = silentAim * b.shortAim
+	}
+	for i, s := range b.servers {
+		if s == nil {
+			continue
+		}
+		line := b.line(s)
+		for _, y := range s.tries {
+			if b.now-y.at <= line {
+				break
+			}
+			if !y.noted {
+				b.teach(y, true)
+			}
+		}
+		if s.trial != nil && b.now-s.trial.at > patience {
+			s.trial = nil
+			b.retreat(s)
+		} else if !s.aside && len(s.tries) > 0 && b.now-max(s.answered, s.tries[0].at) > patience {
+			b.setAside(i, true, "silent")
+		}
+		if !s.listed || s.state != Ready {
+			continue
+		}
+		if !math.IsInf(s.loadAt, -1) {
+			b.avgLoad += s.load
+			n++
+		}
+		if b.mayProbe && !s.probing && s.aside && s.dead && !s.sure && b.now >= s.trialAt {
+			b.probe(i)
+		}
+		if !s.probing && !s.aside && (oldest < 0 || s.loadAt < b.servers[oldest].loadAt) {
+			oldest = i
+		}
+	}
+	if n > 0 {
+		b.avgLoad /= n
+	}
+	if b.mayProbe && !b.onAnswers && len(b.fields) > 0 && b.pollCredit >= 1 && oldest >= 0 {
+		b.pollCredit--
+		b.probe(oldest)
+	}
+}
+
+func (b *Broker) probe(i int) {
+	b.servers[i].probing = true
+	b.out.Probe(i)
+}
+
+// gathered counts a part once, and stops what its answer made needless.
+func (b *Broker) gathered(y *try, how Outcome) {
+	p := y.p
+	if how != Answered || p.in || p.q.over || p.step != p.q.step {
+		return
+	}
+	p.in = true
+	b.callOff(p)
+}
+
+func (b *Broker) callOff(p *part) {
+	if !b.canCancel {
+		return
+	}
+	for _, y := range p.tries {
+		if y.out && !y.called {
+			y.called = true
+			b.out.Cancel(p.id, y.no)
+		}
+	}
+}
+
+func (b *Broker) stop(q *search) {
+	for _, p := range q.parts {
+		b.callOff(p)
+	}
+}
+
+// giveUp ends a search at once. It may be called harmless to ask again only where nothing can have run.
+func (b *Broker) giveUp(q *search) {
+	harmless := true
+	k := b.kind(q)
+	for _, p := range q.parts {
+		harmless = harmless && (p.mayRun() == nil || k.effect == Idempotent)
+	}
+	if harmless {
+		back := 0.0
+		if k != nil {
+			back = min(b.longestAdvice, backShare*k.aim)
+		}
+		b.out.Shed(q.id, back)
+	} else {
+		b.out.Fail(q.id)
+	}
+	b.finish(q)
+}
+
+func (b *Broker) finish(q *search) {
+	q.over = true
+	b.held -= 1 + len(q.parts)
+	b.stop(q)
+}
+
+// forget lets a search go once it is over and nothing of it is out.
+func (b *Broker) forget(q *search) {
+	if !q.over || q.out > 0 || b.searches[q.id] != q {
+		return
+	}
+	b.searches[q.id] = nil
+	for _, p := range q.parts {
+		b.parts[p.id] = nil
+	}
+	b.out.Forget(q.id)
+}
+
+func (b *Broker) holds(s *server, shard int) bool {
+	return s != nil && s.listed && s.state == Ready && ((s.cell-shard)%b.places+b.places)%b.places < b.span
+}
+
+func (b *Broker) kind(q *search) *queryType {
+	if q.kind < len(b.types) {
+		return b.types[q.kind]
+	}
+	return nil
+}
+
+func (b *Broker) log(form string, args ...any) {
+	if b.now-b.lastLog >= 500 {
+		b.lastLog = b.now
+		b.out.Log(fmt.Sprintf(form, args...))
+	}
+}
+
+func (b *Broker) chance() float64 {
+	b.draws++
+	h := fnv.New64a()
+	h.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, b.seed), b.draws))
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+func put[T any](list []*T, i int, v *T) []*T {
+	for len(list) <= i {
+		list = append(list, nil)
+	}
+	list[i] = v
+	return list
+}
+
+func at[T any](list []*T, i int) *T {
+	if i < len(list) {
+		return list[i]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/decide/port.go
@@ -0,0 +1,88 @@
+// Package decide takes a broker's decisions: which search to take, where its parts go, when it is answered.
+package decide
+
+// Outcome tells how a sub-request ended.
+type Outcome uint8
+
+const (
+	Answered  Outcome = iota
+	Errored           // the server returned an error; it may have run
+	Full              // turned away unseen
+	TimedOut          // no answer in time; it may have run
+	NoConnect         // no connection: it never ran
+	Reset             // the connection broke; it may have run
+	Cancelled         // called off by this broker; it may have run
+	Moot              // never sent
+)
+
+// NeverRan holds where the outcome proves that the sub-request had no effect.
+func (o Outcome) NeverRan() bool { return o == Full || o == NoConnect || o == Moot }
+
+// Effect tells what a second run of a sub-request would do.
+type Effect uint8
+
+const (
+	Idempotent Effect = iota
+	Tokened
+	NonIdempotent
+)
+
+// State of a server as its list tells it.
+type State uint8
+
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Field names a value of a load report.
+type Field uint8
+
+const (
+	Other Field = iota
+	InFlight
+	Queue
+)
+
+// Out takes the decisions. Sub-requests of a part are numbered from 0 in the order of their Send.
+type Out interface {
+	Send(part, server int, within float64) // within: this sub-request's own time limit; 0: until the client gives up
+	Cancel(part, try int)
+	Answer(search int, whole bool)
+	Shed(search int, comeBack float64) // comeBack 0: no advice
+	Fail(search int)
+	Probe(server int)
+	Subscribe()
+	Wake(in float64)
+	Log(text string)
+	Forget(search int) // nothing of this search is held or out any more: its indices may be used again
+}
+
+// Port is the module as its caller sees it: first the settings, then rounds of events between Begin and End.
+// Searches and parts share one space of small indices; servers, query types, customers and halls have their own.
+type Port interface {
+	// Settings, before the first round. A call that is left out means that the setting is absent.
+	QueryType(aim, timeout, value, late float64, effect Effect, window float64)
+	Shares(kind int, need, floor, partial float64, followUp int)
+	Customer(quotaPerSecond float64)
+	Fleet(places, span, batch int, callWork float64, warmKeys bool)
+	Limits(tries, held int, cancel, copies bool)
+	Advice(longest float64)
+	Cold(from, lasts, multiple, over float64)
+	Budget(spare, ratio, over float64)
+	Reports(onAnswers bool, fields []Field)
+	Probes(price float64)
+	Discovery(ask bool)
+
+	Begin(now float64)
+	Search(id, kind, customer int, until, work float64, parts int)
+	Part(search, id, shard int, weight, work float64, key uint64)
+	Done(part, try int, how Outcome, report []float64)
+	Probed(server int, ok bool, elapsed float64, report []float64)
+	Lapsed(search int)
+	Server(id, hall, cell int, state State, size, started float64)
+	Unlisted() // asking for the list failed, or the subscription broke
+	Bell()
+	End()
+}
