--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -40,11 +40,14 @@
 	errFew       = 2.0   // errors lately before a share of them counts
 	errShare     = 0.3   // a server that fails more is set aside
 	errSpan      = 4000. // lately
+	rescueSpan   = 4000. // parts taken off silent servers, lately
+	rescueShare  = 0.15  // of first sub-requests: a fifth of all servers hung at once needs less
+	rescueFew    = 4.0
 	trialFirst   = 1000. // first trial after so long, then twice as long each time
 	trialLongest = 4000.
-	fullPause    = 150.  // after a full queue: long enough for a few parts to be done
+	fullPause    = 300.  // after a full queue: long enough for a few parts to be done
 	coldAfter    = 2000. // silent for longer: it may have restarted unannounced
-	coldSafe     = 0.5   // of the budget that others' load allows: reports, chance and call sizes vary
+	coldSafe     = 0.75  // of the budget that others' load allows: they may carry all they can, and chance varies
 
 	admitLow  = 0.55 // share of the latency target that the least valued search may be expected to take
 	admitHigh = 0.90 // and the most valued
@@ -52,6 +55,7 @@
 	overShare = 0.1  // value of a customer's searches past its share, where it can't be known
 	backShare = 0.25 // of the latency target: advice to a shed client
 
+	probeSlow = 100.  // a failure after so long is no refusal
 	pollMost  = 0.5   // probes for each part
 	pollPoint = 0.003 // of service, spent on probes
 	margin    = 25.0  // a final answer goes out so long before the client timeout
@@ -137,7 +141,7 @@
 	loadOwn                    int
 	per                        float64
 	errs, oks, sent            *window.Counts
-	answered                   float64
+	answered, fullUntil        float64
 	aside, dead, probing, sure bool
 	since, trialAt, backoff    float64
 	trial                      *try
@@ -176,7 +180,8 @@
 	weights                               [2 + 2*histSize]float64
 	pool                                  *window.Hist
 	fastSent, fastSlow, carried           *window.Counts
-	avgLoad, shortAim, topValue           float64
+	firsts, rescues                       *window.Counts
+	avgLoad, shortAim, topValue, carry    float64
 	shedding                              bool
 }
 
@@ -184,7 +189,8 @@
 	b := &Broker{out: out, seed: seed, brokers: max(brokers, 1), hall: hall, places: 1, span: 1, batch: 1,
 		maxTries: 1, shortAim: math.Inf(1), lastWake: math.Inf(-1), lastLog: math.Inf(-1),
 		pool: hist(), fastSent: window.NewCounts(30, 1000), fastSlow: window.NewCounts(30, 1000),
-		carried: window.NewCounts(20, 1000)}
+		carried: window.NewCounts(12, 1000),
+		firsts:  window.NewCounts(10, rescueSpan/8), rescues: window.NewCounts(10, rescueSpan/8)}
 	// Before it has learnt: slow is who was slow lately, the latest answer first.
 	b.weights = [...]float64{-3, 0.4, 1.2, 0.7, 0.4, 0.3, 0, 0, 0, 0}
 	b.stages = []stage{{b.admit, nil}, {b.gather, b.gathered}, {b.more, nil}, {b.guard, b.judge},
@@ -309,8 +315,8 @@
 	if !s.aside || !s.dead {
 		return
 	}
-	if ok {
-		s.sure = true
+	if ok || elapsed >= probeSlow && b.now-s.since > trialLongest {
+		s.sure = true // no answer to a probe that waits in a queue proves nothing for long
 	} else {
 		b.retreat(s)
 	}
@@ -555,6 +561,9 @@
 	case out == 0:
 		return pass
 	case out == dead && out < 2:
+		if b.rescues.Sum(b.now, rescueSpan) >= rescueFew+rescueShare*b.firsts.Sum(b.now, rescueSpan) {
+			return keep // slow everywhere looks like silence everywhere: sending all of it twice would make it last
+		}
 		if b.canCopy {
 			return pass
 		}
@@ -586,7 +595,7 @@
 	t.cands = t.cands[:0]
 	var again, failing []int
 	for i, s := range b.servers {
-		if !b.holds(s, t.p.shard) || !b.room(s, t.p) {
+		if !b.holds(s, t.p.shard) || b.now < s.fullUntil || !b.room(s, t.p) {
 			continue
 		}
 		tried, here := false, false
@@ -597,7 +606,7 @@
 		switch {
 		case here:
 		case s.aside && !b.trialDue(s):
-			if !s.dead && b.now >= s.since+fullPause {
+			if !s.dead {
 				failing = append(failing, i)
 			}
 		case tried:
@@ -634,14 +643,7 @@
 		return true
 	}
 	share := b.coldShare + (1-b.coldShare)*max(age, 0)/b.coldLasts
-	size := 0.0
-	for _, o := range b.servers {
-		if o != nil && o.listed && b.now-o.coldFrom >= b.coldLasts {
-			size += max(o.size, 1e-3)
-		}
-	}
-	carry := b.carried.Sum(b.now, 10000) / 10000 / max(size, 1e-3) * max(s.size, 1e-3)
-	return sent+b.workOf(p) <= coldSafe*b.coldMul*share*carry*b.coldIn
+	return sent+b.workOf(p) <= coldSafe*b.coldMul*share*b.carry*max(s.size, 1e-3)*b.coldIn
 }
 
 func (b *Broker) workOf(p *part) float64 {
@@ -705,13 +707,13 @@
 	y.call = s.open
 	work := b.workOf(p)
 	s.sent.Add(b.now, work)
-	if b.now-s.coldFrom >= b.coldLasts {
-		b.carried.Add(b.now, work)
-	}
 	if len(p.tries) > 0 && b.budgeted {
 		b.further.Add(b.now, 1)
 	}
-	if len(p.tries) == 0 {
+	if n := len(p.tries); n > 0 && p.tries[n-1].out && !t.copy {
+		b.rescues.Add(b.now, 1)
+	} else if n == 0 {
+		b.firsts.Add(b.now, 1)
 		b.pollCredit = min(b.pollCredit+b.pollRate, float64(len(b.servers)))
 	}
 	if t.copy {
@@ -768,6 +770,9 @@
 	copy(s.hist[1:], s.hist[:histSize-1])
 	s.hist[0] = sample{lat, b.now, float64(y.load)}
 	s.line.Add(b.now, lat)
+	if b.now-s.coldFrom >= b.coldLasts {
+		b.carried.Add(b.now, b.workOf(y.p))
+	}
 	b.pool.Add(b.now, lat)
 	b.kind(y.p.q).lat.Add(b.now, lat)
 	per := lat / float64(1+y.load)
@@ -914,11 +919,9 @@
 			b.setAside(y.server, false, "errors")
 		}
 	case Full:
-		s.streak = 0
-		if !s.aside {
-			b.setAside(y.server, false, "full")
-			s.trialAt = b.now + fullPause
-		}
+		// A refusal is quick, and frees this broker's place there at once: the fewest-outstanding choice
+		// would send everything to whoever turns it away.
+		s.fullUntil = b.now + fullPause
 	case NoConnect, Reset:
 		s.streak = 0
 		b.setAside(y.server, true, "unreachable")
@@ -945,7 +948,7 @@
 // parts out that answers nothing is silent, hung or lost alike.
 func (b *Broker) tend() {
 	b.avgLoad = 0
-	n, oldest := 0.0, -1
+	n, size, warm, oldest := 0.0, 0.0, 0.0, -1
 	fleet, m := b.pool.Quantile(b.now, lineShare)
 	patience := max(silentLeast*fleet, min(silentLines*fleet, silentAim*b.shortAim))
 	if m < copyFew {
@@ -973,6 +976,10 @@
 		if !s.listed || s.state != Ready {
 			continue
 		}
+		size += max(s.size, 1e-3)
+		if b.now-s.coldFrom >= b.coldLasts {
+			warm += max(s.size, 1e-3)
+		}
 		if !math.IsInf(s.loadAt, -1) {
 			b.avgLoad += s.load
 			n++
@@ -987,6 +994,9 @@
 	if n > 0 {
 		b.avgLoad /= n
 	}
+	if warm > size/2 { // with few warm left, what they carry tells nothing of what one can
+		b.carry = b.carried.Sum(b.now, 10000) / 10000 / warm
+	}
 	if b.mayProbe && !b.onAnswers && len(b.fields) > 0 && b.pollCredit >= 1 && oldest >= 0 {
 		b.pollCredit--
 		b.probe(oldest)
