--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -35,7 +35,7 @@
 	copyFew    = 20   // answers of a query type before its pX means something
 
 	silentLines  = 2.0   // no answer for so many fleet lines, with parts out, is silence
-	silentLeast  = 1.3   // and never under so many, however short the latency target
+	silentLeast  = 1.6   // and never under so many, however short the latency target
 	silentAim    = 0.5   // of the shortest latency target
 	errFew       = 2.0   // errors lately before a share of them counts
 	errShare     = 0.3   // a server that fails more is set aside
@@ -46,6 +46,7 @@
 	trialFirst   = 1000. // first trial after so long, then twice as long each time
 	trialLongest = 4000.
 	fullPause    = 300.  // after a full queue: long enough for a few parts to be done
+	newsLast     = 5000. // a list tells of a restart within so long
 	coldAfter    = 2000. // silent for longer: it may have restarted unannounced
 	coldSafe     = 0.75  // of the budget that others' load allows: they may carry all they can, and chance varies
 
@@ -146,7 +147,7 @@
 	since, trialAt, backoff    float64
 	trial                      *try
 	streak                     int
-	coldFrom                   float64
+	coldFrom, coldTo           float64
 	met                        map[uint64]float64
 }
 
@@ -336,14 +337,14 @@
 	s := b.servers[id]
 	if s == nil {
 		s = &server{line: hist(), errs: window.NewCounts(8, errSpan/8), oks: window.NewCounts(8, errSpan/8),
-			sent: window.NewCounts(10, max(b.coldIn, 1)/8), loadAt: math.Inf(-1), coldFrom: math.Inf(-1)}
+			sent: window.NewCounts(10, max(b.coldIn, 1)/8), loadAt: math.Inf(-1)}
 		b.servers[id] = s
 	}
 	if state != Gone {
 		s.hall, s.cell, s.size = hall, cell, max(size, 0)
 		if started > s.started && started > 0 {
 			s.started = started
-			s.coldFrom = max(s.coldFrom, started)
+			s.coldFrom, s.coldTo = started, started+b.coldLasts
 			if s.aside && s.dead {
 				s.trialAt, s.backoff = b.now, trialFirst // news of a restart: ask again at once
 			}
@@ -634,10 +635,10 @@
 // multiple of what it can do, and each knows only itself. Servers alike carry this broker's carried work, and
 // less than they could; a part of that, by the share that is warm, is safe whoever else sends the like.
 func (b *Broker) room(s *server, p *part) bool {
-	age := b.now - s.coldFrom
-	if b.coldMul <= 0 || age >= b.coldLasts {
+	if b.coldMul <= 0 || b.now >= s.coldTo {
 		return true
 	}
+	age := b.now - s.coldFrom
 	sent := s.sent.Sum(b.now, b.coldIn)
 	if sent == 0 {
 		return true
@@ -770,7 +771,7 @@
 	copy(s.hist[1:], s.hist[:histSize-1])
 	s.hist[0] = sample{lat, b.now, float64(y.load)}
 	s.line.Add(b.now, lat)
-	if b.now-s.coldFrom >= b.coldLasts {
+	if b.now >= s.coldTo {
 		b.carried.Add(b.now, b.workOf(y.p))
 	}
 	b.pool.Add(b.now, lat)
@@ -906,8 +907,10 @@
 		s.answered = b.now
 		s.oks.Add(b.now, 1)
 		if s.streak++; s.aside && (s.dead || s.streak >= 2) {
-			if s.dead && b.now-s.since > coldAfter {
-				s.coldFrom = max(s.coldFrom, b.now) // a restart that no list has told yet
+			if s.dead && y.at > s.since && b.now-s.since > coldAfter && b.now >= s.coldTo {
+				// It may have restarted and no list has told yet. An answer to what was sent before disproves
+				// that; without news in time it was a hang or a crowd, and the guard lets go.
+				s.coldFrom, s.coldTo = b.now, b.now+newsLast
 			}
 			s.aside = false
 			b.log("server %d back after %.0f ms", y.server, b.now-s.since)
@@ -977,7 +980,7 @@
 			continue
 		}
 		size += max(s.size, 1e-3)
-		if b.now-s.coldFrom >= b.coldLasts {
+		if b.now >= s.coldTo {
 			warm += max(s.size, 1e-3)
 		}
 		if !math.IsInf(s.loadAt, -1) {
