--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -140,7 +140,7 @@
 	line                       *window.Hist
 	load, loadAt               float64
 	loadOwn                    int
-	lat, latLoad               float64
+	per                        float64
 	errs, oks, sent            *window.Counts
 	answered, fullUntil        float64
 	aside, dead, probing, sure bool
@@ -776,11 +776,11 @@
 	}
 	b.pool.Add(b.now, lat)
 	b.kind(y.p.q).lat.Add(b.now, lat)
-	if s.lat == 0 {
-		s.lat, s.latLoad = lat, float64(y.load)
+	per := lat / float64(1+y.load)
+	if s.per == 0 {
+		s.per = per
 	}
-	s.lat += 0.2 * (lat - s.lat)
-	s.latLoad += 0.2 * (float64(y.load) - s.latLoad)
+	s.per += 0.2 * (per - s.per)
 }
 
 func (b *Broker) teach(y *try, slow bool) {
@@ -884,14 +884,12 @@
 	return v
 }
 
-// expect is what the next part would take: what parts took lately, by how many calls are out now and were then.
-// The two stand for others' calls, which this broker cannot see.
 func (b *Broker) expect(s *server) float64 {
-	lat := s.lat
-	if lat == 0 {
-		lat = b.typical()
+	per := s.per
+	if per == 0 {
+		per = b.typical()
 	}
-	return lat * float64(2+s.calls) / (2 + s.latLoad)
+	return per * float64(1+s.calls)
 }
 
 // judge tells a server's health from what came back, never from the list alone: a list knows late, and only
