--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -32,6 +32,7 @@
 	copyTop    = 0.95   // the design's pX
 	copyFloor  = 0.90
 	copyShare  = 0.10 // of a search's parts
+	crowdTimes = 1.5  // the fleet's median latency against the lowest seen
 	copyFew    = 20   // answers of a query type before its pX means something
 
 	silentLines  = 2.0   // no answer for so many fleet lines, with parts out, is silence
@@ -153,37 +154,37 @@
 
 // Broker is one instance.
 type Broker struct {
-	out                                   Out
-	now, lastWake, lastLog                float64
-	seed, draws                           uint64
-	brokers, hall, round, held            int
-	places, span, batch                   int
-	callWork                              float64
-	warmKeys                              bool
-	maxTries, maxHeld                     int
-	canCancel, canCopy                    bool
-	longestAdvice                         float64
-	coldShare, coldLasts, coldMul, coldIn float64
-	budgeted                              bool
-	spare, ratio, budgetSpan              float64
-	taken, further                        *window.Counts
-	onAnswers, mayProbe, ask, subscribe   bool
-	fields                                []Field
-	pollRate, pollCredit                  float64
-	subscribeAt                           float64
-	types                                 []*queryType
-	customers                             []*customer
-	searches                              []*search
-	parts                                 []*part
-	live                                  []*search
-	servers                               []*server
-	stages                                []stage
-	weights                               [2 + 2*histSize]float64
-	pool                                  *window.Hist
-	fastSent, fastSlow, carried           *window.Counts
-	firsts, rescues                       *window.Counts
-	avgLoad, shortAim, topValue, carry    float64
-	shedding                              bool
+	out                                      Out
+	now, lastWake, lastLog                   float64
+	seed, draws                              uint64
+	brokers, hall, round, held               int
+	places, span, batch                      int
+	callWork                                 float64
+	warmKeys                                 bool
+	maxTries, maxHeld                        int
+	canCancel, canCopy                       bool
+	longestAdvice                            float64
+	coldShare, coldLasts, coldMul, coldIn    float64
+	budgeted                                 bool
+	spare, ratio, budgetSpan                 float64
+	taken, further                           *window.Counts
+	onAnswers, mayProbe, ask, subscribe      bool
+	fields                                   []Field
+	pollRate, pollCredit                     float64
+	subscribeAt                              float64
+	types                                    []*queryType
+	customers                                []*customer
+	searches                                 []*search
+	parts                                    []*part
+	live                                     []*search
+	servers                                  []*server
+	stages                                   []stage
+	weights                                  [2 + 2*histSize]float64
+	pool                                     *window.Hist
+	fastSent, fastSlow, carried              *window.Counts
+	firsts, rescues                          *window.Counts
+	avgLoad, shortAim, topValue, carry, calm float64
+	shedding                                 bool
 }
 
 func New(out Out, seed uint64, self, brokers, hall int) *Broker {
@@ -578,13 +579,17 @@
 	}
 	x := min(copyTop, 1-b.falseRate())
 	limit, n := k.lat.Quantile(b.now, max(x, copyFloor))
-	if n < copyFew || b.now-last.at < limit || float64(q.copies) >= math.Ceil(copyShare*float64(q.want)-1e-9) {
+	if n < copyFew || b.crowded() || b.now-last.at < limit || float64(q.copies) >= math.Ceil(copyShare*float64(q.want)-1e-9) {
 		return keep
 	}
 	t.copy = true
 	return pass
 }
 
+// crowded: slowness on most replicas together, where the design assumes short bursts on few. A copy then takes
+// from another part what it gives to its own.
+func (b *Broker) crowded() bool { return b.calm > 0 && b.typical() > crowdTimes*b.calm }
+
 // afford keeps the stated budget of further sub-requests: counted long, against searches counted short.
 func (b *Broker) afford() bool {
 	return !b.budgeted ||
@@ -1000,6 +1005,9 @@
 	if warm > size/2 { // with few warm left, what they carry tells nothing of what one can
 		b.carry = b.carried.Sum(b.now, 10000) / 10000 / warm
 	}
+	if mid, n := b.pool.Quantile(b.now, 0.5); n >= copyFew && (b.calm == 0 || mid < b.calm) {
+		b.calm = mid
+	}
 	if b.mayProbe && !b.onAnswers && len(b.fields) > 0 && b.pollCredit >= 1 && oldest >= 0 {
 		b.pollCredit--
 		b.probe(oldest)
