--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -45,7 +45,7 @@
 	rescueShare  = 0.15  // of first sub-requests: a fifth of all servers hung at once needs less
 	rescueFew    = 4.0
 	trialFirst   = 1000. // first trial after so long, then twice as long each time
-	trialLongest = 4000.
+	trialLongest = 2000.
 	fullPause    = 300.  // after a full queue: long enough for a few parts to be done
 	newsLast     = 5000. // a list tells of a restart within so long
 	coldAfter    = 2000. // silent for longer: it may have restarted unannounced
@@ -317,8 +317,8 @@
 	if !s.aside || !s.dead {
 		return
 	}
-	if ok || elapsed >= probeSlow && b.now-s.since > trialLongest {
-		s.sure = true // no answer to a probe that waits in a queue proves nothing for long
+	if ok || elapsed >= probeSlow {
+		s.sure = true // no answer to a probe that waits in a queue proves nothing
 	} else {
 		b.retreat(s)
 	}
@@ -903,8 +903,8 @@
 	s := b.servers[y.server]
 	if s.trial == y {
 		s.trial = nil
-		if how != Answered && how != Moot && s.aside {
-			b.retreat(s)
+		if how != Answered && how != Moot && how != Cancelled && s.aside {
+			b.retreat(s) // called off by this broker says nothing of the server: the next trial stays due
 		}
 	}
 	switch how {
