--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -59,7 +59,7 @@
 
 	probeSlow = 100.  // a failure after so long is no refusal
 	pollMost  = 0.5   // probes for each part
-	pollPoint = 0.003 // of service, spent on probes
+	pollPoint = 0.006 // of service, spent on probes
 	margin    = 25.0  // a final answer goes out so long before the client timeout
 	stir      = 10.0  // while searches are held, look again after so long
 )
@@ -194,7 +194,7 @@
 		carried: window.NewCounts(12, 1000),
 		firsts:  window.NewCounts(10, rescueSpan/8), rescues: window.NewCounts(10, rescueSpan/8)}
 	// Before it has learnt: slow is who was slow lately, the latest answer first.
-	b.weights = [...]float64{-3, 0.4, 1.2, 0.7, 0.4, 0.3, 0, 0, 0, 0}
+	b.weights = [...]float64{-3.5, 1, 1.2, 0.7, 0.4, 0.3, 0, 0, 0, 0}
 	b.stages = []stage{{b.admit, nil}, {b.gather, b.gathered}, {b.more, nil}, {b.guard, b.judge},
 		{b.pick, b.learn}, {b.send, b.returned}}
 	return b
