--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -59,7 +59,7 @@
 
 	probeSlow = 100.  // a failure after so long is no refusal
 	pollMost  = 0.5   // probes for each part
-	pollPoint = 0.006 // of service, spent on probes
+	pollPoint = 0.003 // of service, spent on probes
 	margin    = 25.0  // a final answer goes out so long before the client timeout
 	stir      = 10.0  // while searches are held, look again after so long
 )
@@ -116,8 +116,8 @@
 
 type try struct {
 	p                               *part
-	no, server, load                int
-	at                              float64
+	no, server                      int
+	at, load                        float64
 	x                               [2 + 2*histSize]float64
 	fast, out, noted, called, never bool
 	call                            *call
@@ -702,7 +702,7 @@
 
 func (b *Broker) send(t *turn) verdict {
 	p, q, s := t.p, t.q, b.servers[t.to]
-	y := &try{p: p, no: len(p.tries), server: t.to, load: s.calls, at: b.now, x: b.features(s), out: true}
+	y := &try{p: p, no: len(p.tries), server: t.to, load: b.loadOf(s), at: b.now, x: b.features(s), out: true}
 	y.fast = b.score(y.x) <= 0.5
 	if !b.joins(s) {
 		s.open, s.openRound = &call{}, b.round
@@ -774,14 +774,14 @@
 		b.teach(y, lat > b.line(s))
 	}
 	copy(s.hist[1:], s.hist[:histSize-1])
-	s.hist[0] = sample{lat, b.now, float64(y.load)}
+	s.hist[0] = sample{lat, b.now, y.load}
 	s.line.Add(b.now, lat)
 	if b.now >= s.coldTo {
 		b.carried.Add(b.now, b.workOf(y.p))
 	}
 	b.pool.Add(b.now, lat)
 	b.kind(y.p.q).lat.Add(b.now, lat)
-	per := lat / float64(1+y.load)
+	per := lat / (2 + y.load)
 	if s.per == 0 {
 		s.per = per
 	}
@@ -844,7 +844,7 @@
 	// A hang must not read as fast: a part out for longer than the line stands for the latest latency.
 	if len(s.tries) > 0 {
 		if age := b.now - s.tries[0].at; age > line {
-			add(age, float64(s.tries[0].load))
+			add(age, s.tries[0].load)
 		}
 	}
 	for _, h := range s.hist {
@@ -892,9 +892,9 @@
 func (b *Broker) expect(s *server) float64 {
 	per := s.per
 	if per == 0 {
-		per = b.typical()
+		per = b.typical() / (2 + b.avgLoad)
 	}
-	return per * float64(1+s.calls)
+	return per * (2 + b.loadOf(s))
 }
 
 // judge tells a server's health from what came back, never from the list alone: a list knows late, and only
