--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -26,6 +26,7 @@
 	lineShare  = 0.90   // the design's line
 	lineFew    = 5      // answers under which a server's own line says less than the fleet's
 	lineFleet  = 1.5    // a lasting slowness must not become its own measure: own line at most so many fleet lines
+	fadeOver   = 3000.0 // past the expiry, what was heard fades over so long
 	falseCost  = 3.0    // the design's weight for a predicted-fast answer over the line
 	learnRate  = 0.03   // few answers a second: fast enough for a day's first minutes, slow enough for noise
 	featureCap = 4.0    // one hang must not throw the weights
@@ -872,7 +873,14 @@
 	if math.IsInf(s.loadAt, -1) {
 		return b.avgLoad
 	}
-	return max(s.load+float64(len(s.tries)-s.loadOwn), 0)
+	w := b.fresh(s.loadAt)
+	return max(w*(s.load+float64(len(s.tries)-s.loadOwn))+(1-w)*b.avgLoad, 0)
+}
+
+// fresh fades what was last heard of a server to the average: a queue that was long is not long for ever, and a
+// server that is skipped for it is not heard of again.
+func (b *Broker) fresh(heard float64) float64 {
+	return min(max(1-(b.now-heard-histLife)/fadeOver, 0), 1)
 }
 
 func (b *Broker) report(s *server, values []float64) {
@@ -890,10 +898,11 @@
 }
 
 func (b *Broker) expect(s *server) float64 {
-	per := s.per
-	if per == 0 {
-		per = b.typical() / (2 + b.avgLoad)
+	w := 0.0
+	if s.per > 0 {
+		w = b.fresh(s.answered)
 	}
+	per := w*s.per + (1-w)*b.typical()/(2+b.avgLoad)
 	return per * (2 + b.loadOf(s))
 }
 
