--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -142,7 +142,7 @@
 	line                       *window.Hist
 	load, loadAt               float64
 	loadOwn                    int
-	per                        float64
+	took                       float64
 	errs, oks, sent            *window.Counts
 	answered, fullUntil        float64
 	aside, dead, probing, sure bool
@@ -782,11 +782,10 @@
 	}
 	b.pool.Add(b.now, lat)
 	b.kind(y.p.q).lat.Add(b.now, lat)
-	per := lat / (2 + y.load)
-	if s.per == 0 {
-		s.per = per
+	if b.now-s.answered > 2*histLife {
+		s.took = lat
 	}
-	s.per += 0.2 * (per - s.per)
+	s.took += 0.3 * (lat - s.took)
 }
 
 func (b *Broker) teach(y *try, slow bool) {
@@ -897,13 +896,17 @@
 	return v
 }
 
+// expect is what answers took lately or, if longer, what has been out for; of a server not heard of for long,
+// what is typical: shedding on old news would keep itself true.
 func (b *Broker) expect(s *server) float64 {
-	w := 0.0
-	if s.per > 0 {
-		w = b.fresh(s.answered)
+	took := s.took
+	if b.now-s.answered > 2*histLife {
+		took = b.typical()
 	}
-	per := w*s.per + (1-w)*b.typical()/(2+b.avgLoad)
-	return per * (2 + b.loadOf(s))
+	if len(s.tries) > 0 {
+		took = max(took, b.now-s.tries[0].at)
+	}
+	return took
 }
 
 // judge tells a server's health from what came back, never from the list alone: a list knows late, and only
