--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -117,7 +117,7 @@
 
 type try struct {
 	p                               *part
-	no, server                      int
+	no, server, calls               int
 	at, load                        float64
 	x                               [2 + 2*histSize]float64
 	fast, out, noted, called, never bool
@@ -142,7 +142,7 @@
 	line                       *window.Hist
 	load, loadAt               float64
 	loadOwn                    int
-	took                       float64
+	took, tookCalls            float64
 	errs, oks, sent            *window.Counts
 	answered, fullUntil        float64
 	aside, dead, probing, sure bool
@@ -415,14 +415,14 @@
 	}
 	worst := 0.0
 	for _, p := range q.parts {
-		best := math.Inf(1)
+		best, calls, then := math.Inf(1), 0.0, 0.0
 		for _, s := range b.servers {
 			if b.holds(s, p.shard) && !s.aside {
-				best = min(best, b.expect(s))
+				best, calls, then = min(best, b.expect(s)), calls+2+float64(s.calls), then+2+s.tookCalls
 			}
 		}
-		if !math.IsInf(best, 1) {
-			worst = max(worst, best)
+		if then > 0 {
+			worst = max(worst, best*calls/then) // more out than when the latest answers were asked for: a queue grows
 		}
 	}
 	rel := b.value(q) / max(b.topValue, 1e-9)
@@ -703,7 +703,7 @@
 
 func (b *Broker) send(t *turn) verdict {
 	p, q, s := t.p, t.q, b.servers[t.to]
-	y := &try{p: p, no: len(p.tries), server: t.to, load: b.loadOf(s), at: b.now, x: b.features(s), out: true}
+	y := &try{p: p, no: len(p.tries), server: t.to, load: b.loadOf(s), calls: s.calls, at: b.now, x: b.features(s), out: true}
 	y.fast = b.score(y.x) <= 0.5
 	if !b.joins(s) {
 		s.open, s.openRound = &call{}, b.round
@@ -783,9 +783,10 @@
 	b.pool.Add(b.now, lat)
 	b.kind(y.p.q).lat.Add(b.now, lat)
 	if b.now-s.answered > 2*histLife {
-		s.took = lat
+		s.took, s.tookCalls = lat, float64(y.calls)
 	}
 	s.took += 0.3 * (lat - s.took)
+	s.tookCalls += 0.3 * (float64(y.calls) - s.tookCalls)
 }
 
 func (b *Broker) teach(y *try, slow bool) {
