--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -649,7 +649,7 @@
 	if sent == 0 {
 		return true
 	}
-	share := b.coldShare + (1-b.coldShare)*max(age, 0)/b.coldLasts
+	share := b.coldShare + (1-b.coldShare)*max(age, 0)/(s.coldTo-s.coldFrom)
 	return sent+b.workOf(p) <= coldSafe*b.coldMul*share*b.carry*max(s.size, 1e-3)*b.coldIn
 }
 
