What servers carried at their best bounds a return, not what a held-back fleet carries

The guard fed on its own effect: throttled servers made the fleet carry little, and so stay throttled.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -47,10 +47,11 @@
 	rescueFew    = 4.0
 	trialFirst   = 1000. // first trial after so long, then twice as long each time
 	trialLongest = 2000.
-	fullPause    = 300.  // after a full queue: long enough for a few parts to be done
-	newsLast     = 5000. // a list tells of a restart within so long
-	coldAfter    = 2000. // silent for longer: it may have restarted unannounced
-	coldSafe     = 0.75  // of the budget that others' load allows: they may carry all they can, and chance varies
+	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
+	carryLasts   = 30000. // what servers carried at their best is remembered so long
+	newsLast     = 5000.  // a list tells of a restart within so long
+	coldAfter    = 2000.  // silent for longer: it may have restarted unannounced
+	coldSafe     = 0.75   // of the budget that others' load allows: they may carry all they can, and chance varies
 
 	admitLow  = 0.55 // share of the latency target that the least valued search may be expected to take
 	admitHigh = 0.90 // and the most valued
@@ -155,37 +156,37 @@
 
 // Broker is one instance.
 type Broker struct {
-	out                                      Out
-	now, lastWake, lastLog                   float64
-	seed, draws                              uint64
-	brokers, hall, round, held               int
-	places, span, batch                      int
-	callWork                                 float64
-	warmKeys                                 bool
-	maxTries, maxHeld                        int
-	canCancel, canCopy                       bool
-	longestAdvice                            float64
-	coldShare, coldLasts, coldMul, coldIn    float64
-	budgeted                                 bool
-	spare, ratio, budgetSpan                 float64
-	taken, further                           *window.Counts
-	onAnswers, mayProbe, ask, subscribe      bool
-	fields                                   []Field
-	pollRate, pollCredit                     float64
-	subscribeAt                              float64
-	types                                    []*queryType
-	customers                                []*customer
-	searches                                 []*search
-	parts                                    []*part
-	live                                     []*search
-	servers                                  []*server
-	stages                                   []stage
-	weights                                  [2 + 2*histSize]float64
-	pool                                     *window.Hist
-	fastSent, fastSlow, carried              *window.Counts
-	firsts, rescues                          *window.Counts
-	avgLoad, shortAim, topValue, carry, calm float64
-	shedding                                 bool
+	out                                              Out
+	now, lastWake, lastLog                           float64
+	seed, draws                                      uint64
+	brokers, hall, round, held                       int
+	places, span, batch                              int
+	callWork                                         float64
+	warmKeys                                         bool
+	maxTries, maxHeld                                int
+	canCancel, canCopy                               bool
+	longestAdvice                                    float64
+	coldShare, coldLasts, coldMul, coldIn            float64
+	budgeted                                         bool
+	spare, ratio, budgetSpan                         float64
+	taken, further                                   *window.Counts
+	onAnswers, mayProbe, ask, subscribe              bool
+	fields                                           []Field
+	pollRate, pollCredit                             float64
+	subscribeAt                                      float64
+	types                                            []*queryType
+	customers                                        []*customer
+	searches                                         []*search
+	parts                                            []*part
+	live                                             []*search
+	servers                                          []*server
+	stages                                           []stage
+	weights                                          [2 + 2*histSize]float64
+	pool                                             *window.Hist
+	fastSent, fastSlow, carried                      *window.Counts
+	firsts, rescues                                  *window.Counts
+	avgLoad, shortAim, topValue, carry, calm, tended float64
+	shedding                                         bool
 }
 
 func New(out Out, seed uint64, self, brokers, hall int) *Broker {
@@ -1015,8 +1016,11 @@
 	if n > 0 {
 		b.avgLoad /= n
 	}
-	if warm > size/2 { // with few warm left, what they carry tells nothing of what one can
-		b.carry = b.carried.Sum(b.now, 10000) / 10000 / warm
+	// With few warm left, what they carry tells nothing of what one can; and a fleet that is held back carries
+	// little, which must not hold it back further.
+	b.carry *= math.Exp((b.tended - b.now) / carryLasts)
+	if b.tended = b.now; warm > size/2 {
+		b.carry = max(b.carry, b.carried.Inside(b.now, 10000)/10000/warm)
 	}
 	if mid, n := b.pool.Quantile(b.now, 0.5); n >= copyFew && (b.calm == 0 || mid < b.calm) {
 		b.calm = mid
