--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -932,9 +932,6 @@
 				s.coldFrom, s.coldTo = b.now, b.now+newsLast
 			}
 			s.aside = false
-			if len(s.tries) > 0 && (s.tries[0].p.in || s.tries[0].p.q.over) {
-				b.callOff(s.tries[0].p) // the witness has nothing more to tell
-			}
 			b.log("server %d back after %.0f ms", y.server, b.now-s.since)
 		}
 	case Errored, TimedOut:
@@ -1054,9 +1051,7 @@
 		return
 	}
 	for _, y := range p.tries {
-		// The oldest part at a silent server stays as a witness: its answer tells a stall from a restart, which
-		// would have lost it.
-		if s := b.servers[y.server]; y.out && !y.called && !(s.aside && s.dead && s.tries[0] == y) {
+		if y.out && !y.called {
 			y.called = true
 			b.out.Cancel(p.id, y.no)
 		}
