--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -50,7 +50,7 @@
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
 	carryLasts   = 30000. // what servers carried at their best is remembered so long
 	newsLast     = 5000.  // a list tells of a restart within so long
-	coldAfter    = 2000.  // silent for longer: it may have restarted unannounced
+	coldAfter    = 5000.  // silent for longer: it may have restarted unannounced
 	coldSafe     = 0.75   // of the budget that others' load allows: they may carry all they can, and chance varies
 
 	admitLow  = 0.55 // share of the latency target that the least valued search may be expected to take
@@ -131,27 +131,27 @@
 type sample struct{ lat, at, load float64 }
 
 type server struct {
-	listed, known              bool
-	state                      State
-	hall, cell                 int
-	size, started              float64
-	calls                      int
-	tries                      []*try
-	open                       *call
-	openRound                  int
-	hist                       [histSize]sample
-	line                       *window.Hist
-	load, loadAt               float64
-	loadOwn                    int
-	took, tookCalls            float64
-	errs, oks, sent            *window.Counts
-	answered, fullUntil        float64
-	aside, dead, probing, sure bool
-	since, trialAt, backoff    float64
-	trial                      *try
-	streak                     int
-	coldFrom, coldTo           float64
-	met                        map[uint64]float64
+	listed, known                     bool
+	state                             State
+	hall, cell                        int
+	size, started                     float64
+	calls                             int
+	tries                             []*try
+	open                              *call
+	openRound                         int
+	hist                              [histSize]sample
+	line                              *window.Hist
+	load, loadAt                      float64
+	loadOwn                           int
+	took, tookCalls                   float64
+	errs, oks, sent                   *window.Counts
+	answered, fullUntil               float64
+	aside, dead, broke, probing, sure bool
+	since, trialAt, backoff           float64
+	trial                             *try
+	streak                            int
+	coldFrom, coldTo                  float64
+	met                               map[uint64]float64
 }
 
 // Broker is one instance.
@@ -926,12 +926,12 @@
 		s.answered = b.now
 		s.oks.Add(b.now, 1)
 		if s.streak++; s.aside && (s.dead || s.streak >= 2) {
-			if s.dead && y.at > s.since && b.now-s.since > coldAfter && b.now >= s.coldTo {
+			if y.at > s.since && (s.broke || s.dead && b.now-s.since > coldAfter) && b.now >= s.coldTo {
 				// It may have restarted and no list has told yet. An answer to what was sent before disproves
 				// that; without news in time it was a hang or a crowd, and the guard lets go.
 				s.coldFrom, s.coldTo = b.now, b.now+newsLast
 			}
-			s.aside = false
+			s.aside, s.broke = false, false
 			b.log("server %d back after %.0f ms", y.server, b.now-s.since)
 		}
 	case Errored, TimedOut:
@@ -947,6 +947,7 @@
 	case NoConnect, Reset:
 		s.streak = 0
 		b.setAside(y.server, true, "unreachable")
+		s.broke = true
 	}
 }
 
