--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -79,6 +79,7 @@
 	q     *search
 	p     *part
 	copy  bool
+	spare bool // it has a sub-request out: another is worth it only at a server that looks fast
 	cands []int
 	to    int
 }
@@ -394,7 +395,7 @@
 		}
 	}
 	for _, p := range q.parts {
-		t.p, t.copy, t.to = p, false, -1
+		t.p, t.copy, t.spare, t.to = p, false, false, -1
 		for _, s := range b.stages[wholeStages:] {
 			if s.down(t) != pass {
 				break
@@ -569,6 +570,7 @@
 			return keep // slow everywhere looks like silence everywhere: sending all of it twice would make it last
 		}
 		if b.canCopy {
+			t.spare = true
 			return pass
 		}
 		if b.canCancel && !last.called {
@@ -584,7 +586,7 @@
 	if n < copyFew || b.crowded() || b.now-last.at < limit || float64(q.copies) >= math.Ceil(copyShare*float64(q.want)-1e-9) {
 		return keep
 	}
-	t.copy = true
+	t.copy, t.spare = true, true
 	return pass
 }
 
@@ -691,8 +693,8 @@
 			best, bestSlow, bestCalls, bestTie = i, slow, calls, tie
 		}
 	}
-	if t.copy && bestSlow {
-		return keep // a copy to a slow replica is work for nothing
+	if t.spare && bestSlow {
+		return keep // two in slow places are work for nothing, and in a crowd keep it up
 	}
 	t.to = best
 	return pass
