--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -1046,6 +1046,7 @@
 		return
 	}
 	p.in = true
+	b.held--
 	b.callOff(p)
 }
 
@@ -1088,7 +1089,12 @@
 
 func (b *Broker) finish(q *search) {
 	q.over = true
-	b.held -= 1 + len(q.parts)
+	b.held--
+	for _, p := range q.parts {
+		if !p.in {
+			b.held--
+		}
+	}
 	b.stop(q)
 }
 
