--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -12,9 +12,7 @@
 package decide
 
 import (
-	"encoding/binary"
 	"fmt"
-	"hash/fnv"
 	"math"
 
 	"kestrelspread/internal/window"
@@ -53,11 +51,12 @@
 	coldAfter    = 5000.  // silent for longer: it may have restarted unannounced
 	coldSafe     = 0.75   // of the budget that others' load allows: they may carry all they can, and chance varies
 
-	admitLow  = 0.55 // share of the latency target that the least valued search may be expected to take
-	admitHigh = 0.90 // and the most valued
-	heldLow   = 0.85 // of the hold limit: beyond, only the most valued
-	overShare = 0.1  // value of a customer's searches past its share, where it can't be known
-	backShare = 0.25 // of the latency target: advice to a shed client
+	admitLow  = 0.55  // share of the latency target that the least valued search may be expected to take
+	admitHigh = 0.90  // and the most valued
+	heldLow   = 0.85  // of the hold limit: beyond, only the most valued
+	quotaSpan = 4000. // a customer's share is watched over so long
+	quotaOver = 1.25  // and passed beyond so much: brokers see unequal parts
+	backShare = 0.25  // of the latency target: advice to a shed client
 
 	probeSlow = 100.  // a failure after so long is no refusal
 	pollMost  = 0.5   // probes for each part
@@ -66,233 +65,53 @@
 	stir      = 10.0  // while searches are held, look again after so long
 )
 
-type verdict uint8
+// start is what a new instance knows: slow is who was slow lately, the latest answer first.
+var start = vector{-3.5, 1, 1.2, 0.7, 0.4, 0.3}
 
-const (
-	pass verdict = iota
-	keep
-	end
-)
-
-// turn is what walks down the chain: a search, then each of its parts.
-type turn struct {
-	q     *search
-	p     *part
-	copy  bool
-	spare bool // it has a sub-request out: another is worth it only at a server that looks fast
-	cands []int
-	to    int
-}
-
-type stage struct {
-	down func(*turn) verdict
-	up   func(*try, Outcome)
-}
-
-type queryType struct {
-	aim, timeout, value, tokenFor, need, floor, work float64
-	effect                                           Effect
-	followUp                                         int
-	lat                                              *window.Hist
-}
-
-type customer struct {
-	quota float64
-	came  *window.Counts
-}
-
-type search struct {
-	id, kind, customer, want, step, copies, out int
-	born, until, aim, work                      float64
-	parts                                       []*part
-	admitted, over, firstWhole                  bool
-}
-
-type part struct {
-	id, shard, step int
-	weight, work    float64
-	key             uint64
-	q               *search
-	tries           []*try
-	in, copied      bool
-}
-
-type try struct {
-	p                               *part
-	no, server, calls               int
-	at, load                        float64
-	x                               [2 + 2*histSize]float64
-	fast, out, noted, called, never bool
-	call                            *call
-}
-
-// call is what one round sends to one server: its parts count as one.
-type call struct{ size, left int }
-
-type sample struct{ lat, at, load float64 }
-
-type server struct {
-	listed, known                     bool
-	state                             State
-	hall, cell                        int
-	size, started                     float64
-	calls                             int
-	tries                             []*try
-	open                              *call
-	openRound                         int
-	hist                              [histSize]sample
-	line                              *window.Hist
-	load, loadAt                      float64
-	loadOwn                           int
-	took, tookCalls                   float64
-	errs, oks, sent                   *window.Counts
-	answered, fullUntil               float64
-	aside, dead, broke, probing, sure bool
-	since, trialAt, backoff           float64
-	trial                             *try
-	streak                            int
-	coldFrom, coldTo                  float64
-	met                               map[uint64]float64
-}
+const wholeStages = 2 // stages that take a search; the others take its parts
 
-// Broker is one instance.
+// Broker is one instance. Each of its parts holds its own settings.
 type Broker struct {
-	out                                              Out
-	now, lastWake, lastLog                           float64
-	seed, draws                                      uint64
-	brokers, hall, round, held                       int
-	places, span, batch                              int
-	callWork                                         float64
-	warmKeys                                         bool
-	maxTries, maxHeld                                int
-	canCancel, canCopy                               bool
-	longestAdvice                                    float64
-	coldShare, coldLasts, coldMul, coldIn            float64
-	budgeted                                         bool
-	spare, ratio, budgetSpan                         float64
-	taken, further                                   *window.Counts
-	onAnswers, mayProbe, ask, subscribe              bool
-	fields                                           []Field
-	pollRate, pollCredit                             float64
-	subscribeAt                                      float64
-	types                                            []*queryType
-	customers                                        []*customer
-	searches                                         []*search
-	parts                                            []*part
-	live                                             []*search
-	servers                                          []*server
-	stages                                           []stage
-	weights                                          [2 + 2*histSize]float64
-	pool                                             *window.Hist
-	fastSent, fastSlow, carried                      *window.Counts
-	firsts, rescues                                  *window.Counts
-	avgLoad, shortAim, topValue, carry, calm, tended float64
-	shedding                                         bool
+	out                    Out
+	now, lastWake, lastLog float64
+	brokers, hall, round   int
+	dice                   dice
+	fleet                  fleet
+	limits                 limits
+	longestAdvice          float64
+	cold                   coldGuard
+	budget                 budget
+	reports                reports
+	lister                 lister
+	predict                predictor
+	types                  []*queryType
+	customers              []*customer
+	searches               []*search
+	parts                  []*part
+	live                   []*search
+	servers                []*server
+	stages                 []stage
+	firsts, rescues        *window.Counts
+	shortAim, topValue     float64
 }
 
 func New(out Out, seed uint64, self, brokers, hall int) *Broker {
-	b := &Broker{out: out, seed: seed, brokers: max(brokers, 1), hall: hall, places: 1, span: 1, batch: 1,
-		maxTries: 1, shortAim: math.Inf(1), lastWake: math.Inf(-1), lastLog: math.Inf(-1),
-		pool: hist(), fastSent: window.NewCounts(30, 1000), fastSlow: window.NewCounts(30, 1000),
-		carried: window.NewCounts(12, 1000),
-		firsts:  window.NewCounts(10, rescueSpan/8), rescues: window.NewCounts(10, rescueSpan/8)}
-	// Before it has learnt: slow is who was slow lately, the latest answer first.
-	b.weights = [...]float64{-3.5, 1, 1.2, 0.7, 0.4, 0.3, 0, 0, 0, 0}
+	b := &Broker{out: out, dice: dice{seed: seed}, brokers: max(brokers, 1), hall: hall,
+		lastWake: math.Inf(-1), lastLog: math.Inf(-1), shortAim: math.Inf(1),
+		firsts: window.NewCounts(10, rescueSpan/8), rescues: window.NewCounts(10, rescueSpan/8)}
+	b.Fleet(1, 1, 1, 0, false)
+	b.Limits(1, 0, false, false)
+	b.predict = predictor{weights: start, pool: hist(), fast: window.NewCounts(30, 1000),
+		wrong: window.NewCounts(30, 1000)}
 	b.stages = []stage{{b.admit, nil}, {b.gather, b.gathered}, {b.more, nil}, {b.guard, b.judge},
 		{b.pick, b.learn}, {b.send, b.returned}}
 	return b
 }
 
-const wholeStages = 2 // stages that take a search; the others take its parts
-
-func hist() *window.Hist { return window.NewHist(10, 1000, 1, 1.1, 100) }
-
-func (b *Broker) QueryType(aim, timeout, value, late float64, effect Effect, tokenFor float64) {
-	b.types = append(b.types, &queryType{aim: aim, timeout: timeout, value: value, tokenFor: tokenFor,
-		effect: effect, need: 1, floor: 1, lat: hist()})
-	b.topValue = max(b.topValue, value)
-	if aim > 0 {
-		b.shortAim = min(b.shortAim, aim)
-	}
-}
-
-func (b *Broker) Shares(kind int, need, floor, partial float64, followUp int) {
-	k := b.types[kind]
-	k.need, k.floor, k.followUp = need, min(floor, need), followUp
-}
-
-func (b *Broker) Customer(quota float64) {
-	b.customers = append(b.customers, &customer{quota: quota, came: window.NewCounts(5, 1000)})
-}
-
-func (b *Broker) Fleet(places, span, batch int, callWork float64, warmKeys bool) {
-	b.places, b.span, b.batch = max(places, 1), max(span, 1), max(batch, 1)
-	b.callWork, b.warmKeys = callWork, warmKeys
-}
-
-func (b *Broker) Limits(tries, held int, cancel, copies bool) {
-	b.maxTries, b.maxHeld, b.canCancel, b.canCopy = max(tries, 0), held, cancel, copies
-}
-
-func (b *Broker) Advice(longest float64) { b.longestAdvice = longest }
-
-func (b *Broker) Cold(from, lasts, multiple, over float64) {
-	b.coldShare, b.coldLasts, b.coldMul, b.coldIn = from, lasts, multiple, max(over, 1)
-}
-
-func (b *Broker) Budget(spare, ratio, over float64) {
-	b.budgeted, b.spare, b.ratio, b.budgetSpan = true, spare, ratio, max(over, 1)
-	width := b.budgetSpan / 20
-	b.taken, b.further = window.NewCounts(22, width), window.NewCounts(22, width)
-}
-
-func (b *Broker) Reports(onAnswers bool, fields []Field) { b.onAnswers, b.fields = onAnswers, fields }
-
 func (b *Broker) Probes(price float64) {
-	b.mayProbe = true
-	b.pollRate = pollMost
+	b.reports.mayProbe, b.reports.rate = true, pollMost
 	if price > 0 {
-		b.pollRate = min(pollMost, pollPoint/price)
-	}
-}
-
-func (b *Broker) Discovery(ask bool) { b.ask, b.subscribe = ask, ask }
-
-func (b *Broker) Begin(now float64) { b.now, b.round = now, b.round+1 }
-
-func (b *Broker) Search(id, kind, customer int, until, work float64, parts int) {
-	q := &search{id: id, kind: kind, customer: customer, born: b.now, until: until, work: work, want: parts}
-	if k := b.kind(q); k != nil {
-		q.aim = b.now + k.aim
-	}
-	b.searches = put(b.searches, id, q)
-	b.live = append(b.live, q)
-	b.held++
-	if b.budgeted {
-		b.taken.Add(b.now, 1)
-	}
-	if q.customer < len(b.customers) {
-		b.customers[q.customer].came.Add(b.now, 1)
-	}
-}
-
-func (b *Broker) Part(search, id, shard int, weight, work float64, key uint64) {
-	if b.budgeted {
-		b.taken.Add(b.now, 1)
-	}
-	q := at(b.searches, search)
-	if q == nil || q.over {
-		return
-	}
-	p := &part{id: id, shard: shard, step: q.step, weight: weight, work: work, key: key, q: q}
-	b.parts = put(b.parts, id, p)
-	q.parts = append(q.parts, p)
-	b.held++
-	if k := b.kind(q); k != nil && work > 0 {
-		if k.work == 0 {
-			k.work = work
-		}
-		k.work += 0.02 * (work - k.work)
+		b.reports.rate = min(pollMost, pollPoint/price)
 	}
 }
 
@@ -341,14 +160,14 @@
 	s := b.servers[id]
 	if s == nil {
 		s = &server{line: hist(), errs: window.NewCounts(8, errSpan/8), oks: window.NewCounts(8, errSpan/8),
-			sent: window.NewCounts(10, max(b.coldIn, 1)/8), loadAt: math.Inf(-1)}
+			sent: window.NewCounts(10, max(b.cold.over, 1)/8), loadAt: math.Inf(-1)}
 		b.servers[id] = s
 	}
 	if state != Gone {
 		s.hall, s.cell, s.size = hall, cell, max(size, 0)
 		if started > s.started && started > 0 {
 			s.started = started
-			s.coldFrom, s.coldTo = started, started+b.coldLasts
+			s.coldFrom, s.coldTo = started, started+b.cold.lasts
 			if s.aside && s.dead {
 				s.trialAt, s.backoff = b.now, trialFirst // news of a restart: ask again at once
 			}
@@ -358,16 +177,16 @@
 }
 
 func (b *Broker) Unlisted() {
-	if b.ask {
-		b.subscribe, b.subscribeAt = true, b.now+500+500*b.chance()
+	if b.lister.ask {
+		b.lister.due, b.lister.at = true, b.now+500+500*b.dice.roll()
 	}
 }
 
 func (b *Broker) Bell() { b.lastWake = math.Inf(-1) }
 
 func (b *Broker) End() {
-	if b.subscribe && b.now >= b.subscribeAt {
-		b.subscribe = false
+	if b.lister.due && b.now >= b.lister.at {
+		b.lister.due = false
 		b.out.Subscribe()
 	}
 	b.tend()
@@ -381,7 +200,7 @@
 	}
 	clear(b.live[len(kept):])
 	b.live = kept
-	if (len(b.live) > 0 || b.subscribe) && b.now >= b.lastWake {
+	if (len(b.live) > 0 || b.lister.due) && b.now >= b.lastWake {
 		b.lastWake = b.now + stir
 		b.out.Wake(stir)
 	}
@@ -407,7 +226,7 @@
 // admit sheds on arrival: later, work is lost with it. What a search will take is told by what servers took
 // lately for each of their calls; a queue that nobody reports shows there, whatever made it.
 func (b *Broker) admit(t *turn) verdict {
-	q, k := t.q, b.kind(t.q)
+	q, k := t.q, t.q.k
 	if q.admitted {
 		return pass
 	}
@@ -429,8 +248,8 @@
 	}
 	rel := b.value(q) / max(b.topValue, 1e-9)
 	if worst > k.aim*(admitLow+(admitHigh-admitLow)*rel) ||
-		b.maxHeld > 0 && rel < 1 && float64(b.held) > heldLow*float64(b.maxHeld) {
-		b.log("shed: expected %.0f ms against a target of %.0f, %d held", worst, k.aim, b.held)
+		b.limits.most > 0 && rel < 1 && float64(b.limits.held) > heldLow*float64(b.limits.most) {
+		b.log("shed: expected %.0f ms against a target of %.0f, %d held", worst, k.aim, b.limits.held)
 		b.giveUp(q)
 		return end
 	}
@@ -440,14 +259,12 @@
 
 // value per unit of work, as the goal counts it.
 func (b *Broker) value(q *search) float64 {
-	v := b.types[q.kind].value
-	if q.customer < len(b.customers) {
-		c := b.customers[q.customer]
-		if c.quota > 0 && c.came.Sum(b.now, 4000)*float64(b.brokers) > c.quota*5 {
-			v *= overShare
-		}
+	c := at(b.customers, q.customer)
+	if c != nil && c.quota > 0 &&
+		c.came.Sum(b.now, quotaSpan)*float64(b.brokers) > quotaOver*c.quota*quotaSpan/1000 {
+		return q.k.value * c.beyond
 	}
-	return v
+	return q.k.value
 }
 
 // reach is the weight of the parts that some listed server holds.
@@ -467,7 +284,7 @@
 // gather ends a search: whole as soon as it is, in part at its latency target where that is worth more than
 // waiting, and given up while the client can still hear of it.
 func (b *Broker) gather(t *turn) verdict {
-	q, k := t.q, b.kind(t.q)
+	q, k := t.q, t.q.k
 	got, have, left := 0.0, 0, 0
 	for _, p := range q.parts {
 		if p.step != q.step {
@@ -494,7 +311,7 @@
 	last := b.now >= q.until-margin
 	some := got >= max(floor, 1e-3)-1e-5 && have > 0
 	switch {
-	case whole && have > 0, some && (last || b.now >= q.aim-margin || left == 0 && len(q.parts) > 0):
+	case whole && have > 0, some && (last || left == 0 && len(q.parts) > 0 || b.now >= q.aim-margin && k.partial*got >= k.late*need):
 		b.out.Answer(q.id, whole && (q.step == 0 || q.firstWhole))
 		if q.step == 0 && k.followUp > 0 {
 			q.firstWhole, q.step, q.want = whole, 1, min(k.followUp, have)
@@ -512,7 +329,7 @@
 
 // alive: its answer may still come.
 func (b *Broker) alive(p *part) bool {
-	if len(p.tries) < b.maxTries && b.mayRepeat(p) {
+	if len(p.tries) < b.limits.tries && b.mayRepeat(p) {
 		return true
 	}
 	for _, t := range p.tries {
@@ -526,28 +343,18 @@
 // mayRepeat keeps an effect from happening twice: only a sub-request proved not to have run may be followed
 // by another, unless a repeat does no harm or is still dropped by whoever holds the shard.
 func (b *Broker) mayRepeat(p *part) bool {
-	k, y := b.kind(p.q), p.mayRun()
+	k, y := p.q.k, p.mayRun()
 	return k.effect == Idempotent || y == nil || k.effect == Tokened && b.now < y.at+k.tokenFor-margin
 }
 
-// mayRun is the first sub-request that is out or may have run.
-func (p *part) mayRun() *try {
-	for _, y := range p.tries {
-		if !y.never {
-			return y
-		}
-	}
-	return nil
-}
-
 // more decides whether a part gets a sub-request: its first, another after a failure, one off a dead
 // server, or the design's copy.
 func (b *Broker) more(t *turn) verdict {
 	p, q := t.p, t.q
-	if p.in || p.step != q.step || len(p.tries) >= b.maxTries || !b.mayRepeat(p) {
+	if p.in || p.step != q.step || len(p.tries) >= b.limits.tries || !b.mayRepeat(p) {
 		return keep
 	}
-	if len(p.tries) > 0 && !b.afford() {
+	if len(p.tries) > 0 && !b.budget.affords(b.now) {
 		return keep
 	}
 	out, dead := 0, 0
@@ -561,7 +368,7 @@
 			}
 		}
 	}
-	k := b.kind(q)
+	k := q.k
 	switch {
 	case out == 0:
 		return pass
@@ -569,35 +376,48 @@
 		if b.rescues.Sum(b.now, rescueSpan) >= rescueFew+rescueShare*b.firsts.Sum(b.now, rescueSpan) {
 			return keep // slow everywhere looks like silence everywhere: sending all of it twice would make it last
 		}
-		if b.canCopy {
+		if b.limits.copies {
 			t.spare = true
 			return pass
 		}
-		if b.canCancel && !last.called {
+		if b.limits.cancel && !last.called {
 			last.called = true
 			b.out.Cancel(p.id, last.no) // two at once are not allowed here: the next goes when this one is off
 		}
 		return keep
-	case out > 1 || p.copied || !b.canCopy || k.effect != Idempotent:
+	case out > 1 || p.copied || !b.limits.copies || k.effect != Idempotent:
 		return keep
 	}
-	x := min(copyTop, 1-b.falseRate())
+	x := min(copyTop, 1-b.predict.falseRate(b.now))
 	limit, n := k.lat.Quantile(b.now, max(x, copyFloor))
-	if n < copyFew || b.crowded() || b.now-last.at < limit || float64(q.copies) >= math.Ceil(copyShare*float64(q.want)-1e-9) {
+	if n < copyFew || b.predict.crowded(b.now) || b.now-last.at < limit || float64(q.copies) >= math.Ceil(copyShare*float64(q.want)-1e-9) {
 		return keep
 	}
 	t.copy, t.spare = true, true
 	return pass
 }
 
-// crowded: slowness on most replicas together, where the design assumes short bursts on few. A copy then takes
-// from another part what it gives to its own.
-func (b *Broker) crowded() bool { return b.calm > 0 && b.typical() > crowdTimes*b.calm }
+// budget is the stated one for further sub-requests, where over is set: they are counted long, the searches
+// and parts that earn them short, so that no window of its length can be overdrawn.
+type budget struct {
+	spare, ratio, over float64
+	taken, further     *window.Counts
+}
+
+func (g *budget) take(now float64) {
+	if g.over > 0 {
+		g.taken.Add(now, 1)
+	}
+}
 
-// afford keeps the stated budget of further sub-requests: counted long, against searches counted short.
-func (b *Broker) afford() bool {
-	return !b.budgeted ||
-		b.further.Sum(b.now, b.budgetSpan)+1 <= b.spare+b.ratio*b.taken.Inside(b.now, b.budgetSpan)
+func (g *budget) spend(now float64) {
+	if g.over > 0 {
+		g.further.Add(now, 1)
+	}
+}
+
+func (g *budget) affords(now float64) bool {
+	return g.over == 0 || g.further.Sum(now, g.over)+1 <= g.spare+g.ratio*g.taken.Inside(now, g.over)
 }
 
 // guard leaves the servers that may get this part: listed, sound, and with room while cold.
@@ -605,7 +425,7 @@
 	t.cands = t.cands[:0]
 	var again, failing []int
 	for i, s := range b.servers {
-		if !b.holds(s, t.p.shard) || b.now < s.fullUntil || !b.room(s, t.p) {
+		if !b.holds(s, t.p.shard) || b.now < s.fullUntil || !b.cold.room(b.now, s, b.workOf(t.p)) {
 			continue
 		}
 		tried, here := false, false
@@ -637,31 +457,50 @@
 }
 
 func (b *Broker) trialDue(s *server) bool {
-	return b.now >= s.trialAt && s.trial == nil && (s.sure || !s.dead || !b.mayProbe)
+	return b.now >= s.trialAt && s.trial == nil && (s.sure || !s.dead || !b.reports.mayProbe)
 }
 
-// room wards off pushing over a server that has just come back: all brokers together must stay under a
-// multiple of what it can do, and each knows only itself. Servers alike carry this broker's carried work, and
-// less than they could; a part of that, by the share that is warm, is safe whoever else sends the like.
-func (b *Broker) room(s *server, p *part) bool {
-	if b.coldMul <= 0 || b.now >= s.coldTo {
-		return true
+// coldGuard wards off pushing over a server that has just come back: all brokers together must stay under a
+// multiple of what it can do, and each knows only itself. Warm servers carry what this broker sends them, and
+// could carry more; the same by the share that is warm, with some of the multiple, is safe whoever else sends
+// the like. What they carried at their best counts: a fleet that is held back must not hold itself back further.
+type coldGuard struct {
+	share, lasts, multiple, over, carry, at float64
+	carried                                 *window.Counts
+}
+
+func (g *coldGuard) room(now float64, s *server, work float64) bool {
+	sent := 0.0
+	if g.multiple > 0 && now < s.coldTo {
+		sent = s.sent.Sum(now, g.over)
 	}
-	age := b.now - s.coldFrom
-	sent := s.sent.Sum(b.now, b.coldIn)
 	if sent == 0 {
 		return true
 	}
-	share := b.coldShare + (1-b.coldShare)*max(age, 0)/(s.coldTo-s.coldFrom)
-	return sent+b.workOf(p) <= coldSafe*b.coldMul*share*b.carry*max(s.size, 1e-3)*b.coldIn
+	share := g.share + (1-g.share)*max(now-s.coldFrom, 0)/(s.coldTo-s.coldFrom)
+	return sent+work <= coldSafe*g.multiple*share*g.carry*max(s.size, 1e-3)*g.over
+}
+
+func (g *coldGuard) learn(now, work float64, s *server) {
+	if g.multiple > 0 && now >= s.coldTo {
+		g.carried.Add(now, work)
+	}
+}
+
+// tend takes the measure while most servers are warm: what the last few carry tells nothing of what one can.
+func (g *coldGuard) tend(now, warm, size float64) {
+	g.carry *= math.Exp((g.at - now) / carryLasts)
+	if g.at = now; g.multiple > 0 && warm > size/2 {
+		g.carry = max(g.carry, g.carried.Inside(now, 10000)/10000/warm)
+	}
 }
 
 func (b *Broker) workOf(p *part) float64 {
-	k := b.kind(p.q)
+	k := p.q.k
 	if k.work > 0 {
-		return k.work + b.callWork
+		return k.work + b.fleet.callWork
 	}
-	return 0.1*k.aim + b.callWork
+	return 0.1*k.aim + b.fleet.callWork
 }
 
 // pick is the design's: skip the predicted-slow, then the fewest own calls outstanding, also when all look
@@ -670,19 +509,19 @@
 	best, bestSlow, bestCalls, bestTie := -1, false, 0, 0.0
 	for _, i := range t.cands {
 		s := b.servers[i]
-		slow := b.score(b.features(s)) > 0.5
+		slow := b.predict.score(b.predict.features(b.now, s, b.loadOf(s))) > 0.5
 		calls, join := s.calls+1, b.joins(s)
 		if join {
 			calls--
 		}
-		tie := b.loadOf(s)/(b.avgLoad+1) + b.expect(s)/max(b.typical(), 1) + 0.1*b.chance()
+		tie := b.loadOf(s)/(b.predict.avgLoad+1) + b.expect(s)/max(b.predict.typical(b.now), 1) + 0.1*b.dice.roll()
 		if join {
 			tie -= 1
 		}
 		if s.hall != b.hall {
 			tie += 0.3
 		}
-		if b.warmKeys && t.p.key != 0 && b.now-s.met[t.p.key] < 4000 {
+		if b.fleet.warmKeys && t.p.key != 0 && b.now-s.met[t.p.key] < 4000 {
 			tie -= 0.3
 		}
 		if s.aside {
@@ -701,13 +540,13 @@
 }
 
 func (b *Broker) joins(s *server) bool {
-	return s.open != nil && s.openRound == b.round && s.open.size < b.batch
+	return s.open != nil && s.openRound == b.round && s.open.size < b.fleet.batch
 }
 
 func (b *Broker) send(t *turn) verdict {
 	p, q, s := t.p, t.q, b.servers[t.to]
-	y := &try{p: p, no: len(p.tries), server: t.to, load: b.loadOf(s), calls: s.calls, at: b.now, x: b.features(s), out: true}
-	y.fast = b.score(y.x) <= 0.5
+	y := &try{p: p, no: len(p.tries), server: t.to, load: b.loadOf(s), calls: s.calls, at: b.now, x: b.predict.features(b.now, s, b.loadOf(s)), out: true}
+	y.fast = b.predict.score(y.x) <= 0.5
 	if !b.joins(s) {
 		s.open, s.openRound = &call{}, b.round
 		s.calls++
@@ -717,14 +556,14 @@
 	y.call = s.open
 	work := b.workOf(p)
 	s.sent.Add(b.now, work)
-	if len(p.tries) > 0 && b.budgeted {
-		b.further.Add(b.now, 1)
-	}
-	if n := len(p.tries); n > 0 && p.tries[n-1].out && !t.copy {
-		b.rescues.Add(b.now, 1)
-	} else if n == 0 {
+	if n := len(p.tries); n > 0 {
+		b.budget.spend(b.now)
+		if p.tries[n-1].out && !t.copy {
+			b.rescues.Add(b.now, 1)
+		}
+	} else {
 		b.firsts.Add(b.now, 1)
-		b.pollCredit = min(b.pollCredit+b.pollRate, float64(len(b.servers)))
+		b.reports.credit = min(b.reports.credit+b.reports.rate, float64(len(b.servers)))
 	}
 	if t.copy {
 		p.copied = true
@@ -733,7 +572,7 @@
 	if s.aside {
 		s.trial = y
 	}
-	if b.warmKeys && p.key != 0 {
+	if b.fleet.warmKeys && p.key != 0 {
 		if s.met == nil || len(s.met) > 500 {
 			s.met = map[uint64]float64{}
 		}
@@ -743,8 +582,8 @@
 	s.tries = append(s.tries, y)
 	q.out++
 	within := 0.0
-	if !b.canCancel && !b.canCopy {
-		within = min(q.until-b.now, 0.5*b.kind(q).aim) // nothing else could take it off a silent server
+	if !b.limits.cancel && !b.limits.copies {
+		within = min(q.until-b.now, 0.5*q.k.aim) // nothing else could take it off a silent server
 	}
 	b.out.Send(p.id, t.to, within)
 	return pass
@@ -775,16 +614,14 @@
 	}
 	s, lat := b.servers[y.server], b.now-y.at
 	if !y.noted {
-		b.teach(y, lat > b.line(s))
+		b.predict.teach(b.now, y, lat > b.predict.line(b.now, s))
 	}
 	copy(s.hist[1:], s.hist[:histSize-1])
 	s.hist[0] = sample{lat, b.now, y.load}
 	s.line.Add(b.now, lat)
-	if b.now >= s.coldTo {
-		b.carried.Add(b.now, b.workOf(y.p))
-	}
-	b.pool.Add(b.now, lat)
-	b.kind(y.p.q).lat.Add(b.now, lat)
+	b.cold.learn(b.now, b.workOf(y.p), s)
+	b.predict.pool.Add(b.now, lat)
+	y.p.q.k.lat.Add(b.now, lat)
 	if b.now-s.answered > 2*histLife {
 		s.took, s.tookCalls = lat, float64(y.calls)
 	}
@@ -792,37 +629,45 @@
 	s.tookCalls += 0.3 * (float64(y.calls) - s.tookCalls)
 }
 
-func (b *Broker) teach(y *try, slow bool) {
+// predictor is the design's score, online: one set of weights for all servers.
+type predictor struct {
+	weights       vector
+	pool          *window.Hist // all servers' latencies
+	fast, wrong   *window.Counts
+	avgLoad, calm float64
+}
+
+func (g *predictor) teach(now float64, y *try, slow bool) {
 	y.noted = true
-	g := b.score(y.x)
+	e := g.score(y.x)
 	if slow {
-		g--
+		e--
 		if y.fast {
-			g *= falseCost
+			e *= falseCost
 		}
 	}
-	for i := range b.weights {
-		b.weights[i] -= learnRate * g * y.x[i]
+	for i := range g.weights {
+		g.weights[i] -= learnRate * e * y.x[i]
 	}
 	if y.fast {
-		b.fastSent.Add(b.now, 1)
+		g.fast.Add(now, 1)
 		if slow {
-			b.fastSlow.Add(b.now, 1)
+			g.wrong.Add(now, 1)
 		}
 	}
 }
 
-func (b *Broker) falseRate() float64 {
-	n := b.fastSent.Sum(b.now, 29000)
+func (g *predictor) falseRate(now float64) float64 {
+	n := g.fast.Sum(now, 29000)
 	if n < copyFew {
 		return 0
 	}
-	return b.fastSlow.Sum(b.now, 29000) / n
+	return g.wrong.Sum(now, 29000) / n
 }
 
-func (b *Broker) line(s *server) float64 {
-	own, n := s.line.Quantile(b.now, lineShare)
-	all, m := b.pool.Quantile(b.now, lineShare)
+func (g *predictor) line(now float64, s *server) float64 {
+	own, n := s.line.Quantile(now, lineShare)
+	all, m := g.pool.Quantile(now, lineShare)
 	if m == 0 {
 		return math.Inf(1)
 	}
@@ -833,51 +678,58 @@
 }
 
 // features are scaled by the server's own line, so that one set of weights learns from all answers.
-func (b *Broker) features(s *server) (x [2 + 2*histSize]float64) {
-	line := b.line(s)
+func (g *predictor) features(now float64, s *server, load float64) (x vector) {
+	line := g.line(now, s)
 	x[0] = 1
-	x[1] = min(b.loadOf(s)/(b.avgLoad+1), featureCap)
+	x[1] = min(load/(g.avgLoad+1), featureCap)
 	n := 0
 	add := func(lat, load float64) {
 		if n < histSize {
 			x[2+n] = min(lat/line, featureCap)
-			x[2+histSize+n] = min(load/(b.avgLoad+1), featureCap)
+			x[2+histSize+n] = min(load/(g.avgLoad+1), featureCap)
 			n++
 		}
 	}
 	// A hang must not read as fast: a part out for longer than the line stands for the latest latency.
 	if len(s.tries) > 0 {
-		if age := b.now - s.tries[0].at; age > line {
+		if age := now - s.tries[0].at; age > line {
 			add(age, s.tries[0].load)
 		}
 	}
 	for _, h := range s.hist {
-		if h.at > 0 && b.now-h.at < histLife {
+		if h.at > 0 && now-h.at < histLife {
 			add(h.lat, h.load)
 		}
 	}
 	return x
 }
 
-func (b *Broker) score(x [2 + 2*histSize]float64) float64 {
+func (g *predictor) score(x vector) float64 {
 	z := 0.0
-	for i, w := range b.weights {
+	for i, w := range g.weights {
 		z += w * x[i]
 	}
 	return 1 / (1 + math.Exp(-z))
 }
 
+// reports tells where load reports come from, and what probes for them may cost.
+type reports struct {
+	onAnswers, mayProbe bool
+	fields              []Field
+	rate, credit        float64
+}
+
 // loadOf is the last reported count with what this broker changed since; its own calls where no server
 // reports; the average for a server that has not reported.
 func (b *Broker) loadOf(s *server) float64 {
-	if len(b.fields) == 0 || !b.onAnswers && !b.mayProbe {
+	if len(b.reports.fields) == 0 || !b.reports.onAnswers && !b.reports.mayProbe {
 		return float64(s.calls)
 	}
 	if math.IsInf(s.loadAt, -1) {
-		return b.avgLoad
+		return b.predict.avgLoad
 	}
 	w := b.fresh(s.loadAt)
-	return max(w*(s.load+float64(len(s.tries)-s.loadOwn))+(1-w)*b.avgLoad, 0)
+	return max(w*(s.load+float64(len(s.tries)-s.loadOwn))+(1-w)*b.predict.avgLoad, 0)
 }
 
 // fresh fades what was last heard of a server to the average: a queue that was long is not long for ever, and a
@@ -889,14 +741,20 @@
 func (b *Broker) report(s *server, values []float64) {
 	best := Other
 	for i, v := range values {
-		if i < len(b.fields) && b.fields[i] != Other && (best == Other || b.fields[i] == InFlight) {
-			best, s.load, s.loadAt, s.loadOwn = b.fields[i], v, b.now, len(s.tries)
+		if i < len(b.reports.fields) && b.reports.fields[i] != Other && (best == Other || b.reports.fields[i] == InFlight) {
+			best, s.load, s.loadAt, s.loadOwn = b.reports.fields[i], v, b.now, len(s.tries)
 		}
 	}
 }
 
-func (b *Broker) typical() float64 {
-	v, _ := b.pool.Quantile(b.now, 0.5)
+// crowded: slowness on most replicas together, where the design assumes short bursts on few. A copy then takes
+// from another part what it gives to its own.
+func (g *predictor) crowded(now float64) bool {
+	return g.calm > 0 && g.typical(now) > crowdTimes*g.calm
+}
+
+func (g *predictor) typical(now float64) float64 {
+	v, _ := g.pool.Quantile(now, 0.5)
 	return v
 }
 
@@ -905,7 +763,7 @@
 func (b *Broker) expect(s *server) float64 {
 	took := s.took
 	if b.now-s.answered > 2*histLife {
-		took = b.typical()
+		took = b.predict.typical(b.now)
 	}
 	if len(s.tries) > 0 {
 		took = max(took, b.now-s.tries[0].at)
@@ -972,9 +830,9 @@
 // tend looks at what has not come: parts older than the line are evidence of slowness, and a server with
 // parts out that answers nothing is silent, hung or lost alike.
 func (b *Broker) tend() {
-	b.avgLoad = 0
+	b.predict.avgLoad = 0
 	n, size, warm, oldest := 0.0, 0.0, 0.0, -1
-	fleet, m := b.pool.Quantile(b.now, lineShare)
+	fleet, m := b.predict.pool.Quantile(b.now, lineShare)
 	patience := max(silentLeast*fleet, min(silentLines*fleet, silentAim*b.shortAim))
 	if m < copyFew {
 		patience = silentAim * b.shortAim
@@ -983,13 +841,13 @@
 		if s == nil {
 			continue
 		}
-		line := b.line(s)
+		line := b.predict.line(b.now, s)
 		for _, y := range s.tries {
 			if b.now-y.at <= line {
 				break
 			}
 			if !y.noted {
-				b.teach(y, true)
+				b.predict.teach(b.now, y, true)
 			}
 		}
 		if s.trial != nil && b.now-s.trial.at > patience {
@@ -1006,10 +864,10 @@
 			warm += max(s.size, 1e-3)
 		}
 		if !math.IsInf(s.loadAt, -1) {
-			b.avgLoad += s.load
+			b.predict.avgLoad += s.load
 			n++
 		}
-		if b.mayProbe && !s.probing && s.aside && s.dead && !s.sure && b.now >= s.trialAt {
+		if b.reports.mayProbe && !s.probing && s.aside && s.dead && !s.sure && b.now >= s.trialAt {
 			b.probe(i)
 		}
 		if !s.probing && !s.aside && (oldest < 0 || s.loadAt < b.servers[oldest].loadAt) {
@@ -1017,19 +875,14 @@
 		}
 	}
 	if n > 0 {
-		b.avgLoad /= n
+		b.predict.avgLoad /= n
 	}
-	// With few warm left, what they carry tells nothing of what one can; and a fleet that is held back carries
-	// little, which must not hold it back further.
-	b.carry *= math.Exp((b.tended - b.now) / carryLasts)
-	if b.tended = b.now; warm > size/2 {
-		b.carry = max(b.carry, b.carried.Inside(b.now, 10000)/10000/warm)
+	b.cold.tend(b.now, warm, size)
+	if mid, n := b.predict.pool.Quantile(b.now, 0.5); n >= copyFew && (b.predict.calm == 0 || mid < b.predict.calm) {
+		b.predict.calm = mid
 	}
-	if mid, n := b.pool.Quantile(b.now, 0.5); n >= copyFew && (b.calm == 0 || mid < b.calm) {
-		b.calm = mid
-	}
-	if b.mayProbe && !b.onAnswers && len(b.fields) > 0 && b.pollCredit >= 1 && oldest >= 0 {
-		b.pollCredit--
+	if b.reports.mayProbe && !b.reports.onAnswers && len(b.reports.fields) > 0 && b.reports.credit >= 1 && oldest >= 0 {
+		b.reports.credit--
 		b.probe(oldest)
 	}
 }
@@ -1046,12 +899,12 @@
 		return
 	}
 	p.in = true
-	b.held--
+	b.limits.held--
 	b.callOff(p)
 }
 
 func (b *Broker) callOff(p *part) {
-	if !b.canCancel {
+	if !b.limits.cancel {
 		return
 	}
 	for _, y := range p.tries {
@@ -1071,7 +924,7 @@
 // giveUp ends a search at once. It may be called harmless to ask again only where nothing can have run.
 func (b *Broker) giveUp(q *search) {
 	harmless := true
-	k := b.kind(q)
+	k := q.k
 	for _, p := range q.parts {
 		harmless = harmless && (p.mayRun() == nil || k.effect == Idempotent)
 	}
@@ -1089,10 +942,10 @@
 
 func (b *Broker) finish(q *search) {
 	q.over = true
-	b.held--
+	b.limits.held--
 	for _, p := range q.parts {
 		if !p.in {
-			b.held--
+			b.limits.held--
 		}
 	}
 	b.stop(q)
@@ -1111,14 +964,8 @@
 }
 
 func (b *Broker) holds(s *server, shard int) bool {
-	return s != nil && s.listed && s.state == Ready && ((s.cell-shard)%b.places+b.places)%b.places < b.span
-}
-
-func (b *Broker) kind(q *search) *queryType {
-	if q.kind < len(b.types) {
-		return b.types[q.kind]
-	}
-	return nil
+	f := &b.fleet
+	return s != nil && s.listed && s.state == Ready && ((s.cell-shard)%f.places+f.places)%f.places < f.span
 }
 
 func (b *Broker) log(form string, args ...any) {
@@ -1127,25 +974,3 @@
 		b.out.Log(fmt.Sprintf(form, args...))
 	}
 }
-
-func (b *Broker) chance() float64 {
-	b.draws++
-	h := fnv.New64a()
-	h.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, b.seed), b.draws))
-	return float64(h.Sum64()>>11) / (1 << 53)
-}
-
-func put[T any](list []*T, i int, v *T) []*T {
-	for len(list) <= i {
-		list = append(list, nil)
-	}
-	list[i] = v
-	return list
-}
-
-func at[T any](list []*T, i int) *T {
-	if i < len(list) {
-		return list[i]
-	}
-	return nil
-}
--- a/internal/decide/port.go
+++ b/internal/decide/port.go
@@ -63,9 +63,9 @@
 // Searches and parts share one space of small indices; servers, query types, customers and halls have their own.
 type Port interface {
 	// Settings, before the first round. A call that is left out means that the setting is absent.
-	QueryType(aim, timeout, value, late float64, effect Effect, window float64)
+	QueryType(aim, value, late float64, effect Effect, tokenFor float64) // the next kind, from 0
 	Shares(kind int, need, floor, partial float64, followUp int)
-	Customer(quotaPerSecond float64)
+	Customer(quotaPerSecond, beyond float64) // beyond: what a search past the quota is worth
 	Fleet(places, span, batch int, callWork float64, warmKeys bool)
 	Limits(tries, held int, cancel, copies bool)
 	Advice(longest float64)
@@ -76,7 +76,7 @@
 	Discovery(ask bool)
 
 	Begin(now float64)
-	Search(id, kind, customer int, until, work float64, parts int)
+	Search(id, kind, customer int, until float64, parts int)
 	Part(search, id, shard int, weight, work float64, key uint64)
 	Done(part, try int, how Outcome, report []float64)
 	Probed(server int, ok bool, elapsed float64, report []float64)
--- /dev/null
+++ b/internal/decide/state.go
@@ -0,0 +1,232 @@
+package decide
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+
+	"kestrelspread/internal/window"
+)
+
+// What a broker remembers, and how settings and arrivals are put down. Nothing is decided here.
+
+type verdict uint8
+
+const (
+	pass verdict = iota
+	keep
+	end
+)
+
+// turn is what walks down the chain: a search, then each of its parts.
+type turn struct {
+	q     *search
+	p     *part
+	copy  bool
+	spare bool // it has a sub-request out: another is worth it only at a server that looks fast
+	cands []int
+	to    int
+}
+
+type stage struct {
+	down func(*turn) verdict
+	up   func(*try, Outcome)
+}
+
+type queryType struct {
+	aim, value, late, partial, tokenFor float64
+	need, floor, work, hints            float64
+	effect                              Effect
+	followUp                            int
+	lat                                 *window.Hist
+}
+
+type customer struct {
+	quota, beyond float64
+	came          *window.Counts
+}
+
+type search struct {
+	id, customer, want, step, copies, out int
+	until, aim                            float64
+	k                                     *queryType
+	parts                                 []*part
+	admitted, over, firstWhole            bool
+}
+
+type part struct {
+	id, shard, step int
+	weight          float64
+	key             uint64
+	q               *search
+	tries           []*try
+	in, copied      bool
+}
+
+type vector [2 + 2*histSize]float64
+
+type try struct {
+	p                               *part
+	no, server, calls               int
+	at, load                        float64
+	x                               vector
+	fast, out, noted, called, never bool
+	call                            *call
+}
+
+// call is what one round sends to one server: its parts count as one.
+type call struct{ size, left int }
+
+type sample struct{ lat, at, load float64 }
+
+type server struct {
+	listed                            bool
+	state                             State
+	hall, cell                        int
+	size, started                     float64
+	calls                             int
+	tries                             []*try
+	open                              *call
+	openRound                         int
+	hist                              [histSize]sample
+	line                              *window.Hist
+	load, loadAt                      float64
+	loadOwn                           int
+	took, tookCalls                   float64
+	errs, oks, sent                   *window.Counts
+	answered, fullUntil               float64
+	aside, dead, broke, probing, sure bool
+	since, trialAt, backoff           float64
+	trial                             *try
+	streak                            int
+	coldFrom, coldTo                  float64
+	met                               map[uint64]float64
+}
+
+type fleet struct {
+	places, span, batch int
+	callWork            float64
+	warmKeys            bool
+}
+
+type limits struct {
+	tries, most, held int
+	cancel, copies    bool
+}
+
+type lister struct {
+	ask, due bool
+	at       float64
+}
+
+func hist() *window.Hist { return window.NewHist(10, 1000, 1, 1.1, 100) }
+
+func (b *Broker) QueryType(aim, value, late float64, effect Effect, tokenFor float64) {
+	b.types = append(b.types, &queryType{aim: aim, value: value, late: late, tokenFor: tokenFor, effect: effect,
+		need: 1, floor: 1, lat: hist()})
+	b.topValue = max(b.topValue, value)
+	if aim > 0 {
+		b.shortAim = min(b.shortAim, aim)
+	}
+}
+
+func (b *Broker) Shares(kind int, need, floor, partial float64, followUp int) {
+	k := b.types[kind]
+	k.need, k.floor, k.partial, k.followUp = need, min(floor, need), partial, followUp
+}
+
+func (b *Broker) Customer(quota, beyond float64) {
+	b.customers = append(b.customers, &customer{quota, beyond, window.NewCounts(5, quotaSpan/4)})
+}
+
+func (b *Broker) Fleet(places, span, batch int, callWork float64, warmKeys bool) {
+	b.fleet = fleet{max(places, 1), max(span, 1), max(batch, 1), callWork, warmKeys}
+}
+
+func (b *Broker) Limits(tries, held int, cancel, copies bool) {
+	b.limits = limits{tries: tries, most: held, cancel: cancel, copies: copies}
+}
+
+func (b *Broker) Advice(longest float64) { b.longestAdvice = longest }
+
+func (b *Broker) Cold(from, lasts, multiple, over float64) {
+	b.cold = coldGuard{share: from, lasts: lasts, multiple: multiple, over: max(over, 1),
+		carried: window.NewCounts(12, 1000)}
+}
+
+func (b *Broker) Budget(spare, ratio, over float64) {
+	over = max(over, 1)
+	b.budget = budget{spare, ratio, over, window.NewCounts(22, over/20), window.NewCounts(22, over/20)}
+}
+
+func (b *Broker) Reports(onAnswers bool, fields []Field) {
+	b.reports.onAnswers, b.reports.fields = onAnswers, fields
+}
+
+func (b *Broker) Discovery(ask bool) { b.lister = lister{ask: ask, due: ask} }
+
+func (b *Broker) Begin(now float64) { b.now, b.round = now, b.round+1 }
+
+func (b *Broker) Search(id, kind, customer int, until float64, parts int) {
+	q := &search{id: id, customer: customer, until: until, want: parts, k: at(b.types, kind)}
+	if q.k != nil {
+		q.aim = b.now + q.k.aim
+	}
+	b.searches = put(b.searches, id, q)
+	b.live = append(b.live, q)
+	b.limits.held++
+	b.budget.take(b.now)
+	if c := at(b.customers, customer); c != nil {
+		c.came.Add(b.now, 1)
+	}
+}
+
+func (b *Broker) Part(search, id, shard int, weight, work float64, key uint64) {
+	b.budget.take(b.now)
+	q := at(b.searches, search)
+	if q == nil || q.over {
+		return
+	}
+	p := &part{id: id, shard: shard, step: q.step, weight: weight, key: key, q: q}
+	b.parts = put(b.parts, id, p)
+	q.parts = append(q.parts, p)
+	b.limits.held++
+	if q.k != nil && work > 0 {
+		q.k.hints++
+		q.k.work += (work - q.k.work) / q.k.hints
+	}
+}
+
+// mayRun is the first sub-request that is out or may have run.
+func (p *part) mayRun() *try {
+	for _, y := range p.tries {
+		if !y.never {
+			return y
+		}
+	}
+	return nil
+}
+
+// dice draws from an instance's seed and a counter alone.
+type dice struct{ seed, draws uint64 }
+
+func (d *dice) roll() float64 {
+	d.draws++
+	h := fnv.New64a()
+	h.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, d.seed), d.draws))
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+func put[T any](list []*T, i int, v *T) []*T {
+	for len(list) <= i {
+		list = append(list, nil)
+	}
+	list[i] = v
+	return list
+}
+
+func at[T any](list []*T, i int) *T {
+	if i >= 0 && i < len(list) {
+		return list[i]
+	}
+	return nil
+}
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -50,13 +50,13 @@
 		case b.settings[at+"effect"] == "by_key" && b.settings[at+"group"] == "all":
 			effect = decide.Tokened
 		}
-		p.QueryType(b.num64(at+"aim-ms", 0), b.num64(at+"deadline-ms", 0), b.num64(at+"importance", 1),
+		p.QueryType(b.num64(at+"aim-ms", 0), b.num64(at+"importance", 1),
 			b.num64(at+"late-value", 0), effect, b.num64(at+"window-ms", 0))
 		p.Shares(i, b.nth(fam+"class-need", i, 1), b.nth(fam+"class-floor", i, 1),
 			b.nth(fam+"incomplete-worth", i, 0), int(b.nth(fam+"follow-up", i, 0)))
 	}
 	for i := range min(b.whole("customers.count", 0), maxListed) {
-		p.Customer(b.num64("customers."+strconv.Itoa(i)+".quota-per-s", 0))
+		p.Customer(b.num64("customers."+strconv.Itoa(i)+".quota-per-s", 0), b.num64("over-share-worth", 1))
 	}
 	p.Fleet(b.whole(fam+"places", 1), b.whole(fam+"span", 1), b.whole(fam+"batch", 1),
 		b.num64(fam+"call-ms", 0), b.flag(fam+"warm-keys"))
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -356,7 +356,7 @@
 	if segment < 0 {
 		at := b.take(id)
 		b.jobs[job], b.jobOf[at] = at, job
-		b.port.Search(at, kind, customer, until, work, int(share))
+		b.port.Search(at, kind, customer, until, int(share))
 		return
 	}
 	if search, held := b.jobs[job]; held {
