--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -47,9 +47,10 @@
 	trialLongest = 2000.
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
 	carryLasts   = 30000. // what servers carried at their best is remembered so long
-	newsLast     = 5000.  // a list tells of a restart within so long
-	coldAfter    = 5000.  // silent for longer: it may have restarted unannounced
-	coldSafe     = 0.75   // of the budget that others' load allows: they may carry all they can, and chance varies
+	carrySpan    = 10000.
+	newsLast     = 5000. // a list tells of a restart within so long
+	coldAfter    = 5000. // silent for longer: it may have restarted unannounced
+	coldSafe     = 0.75  // of the budget that others' load allows: they may carry all they can, and chance varies
 
 	admitLow  = 0.55  // share of the latency target that the least valued search may be expected to take
 	admitHigh = 0.90  // and the most valued
@@ -160,7 +161,7 @@
 	s := b.servers[id]
 	if s == nil {
 		s = &server{line: hist(), errs: window.NewCounts(8, errSpan/8), oks: window.NewCounts(8, errSpan/8),
-			sent: window.NewCounts(10, max(b.cold.over, 1)/8), loadAt: math.Inf(-1)}
+			did: window.NewCounts(12, carrySpan/10), sent: window.NewCounts(10, max(b.cold.over, 1)/8), loadAt: math.Inf(-1)}
 		b.servers[id] = s
 	}
 	if state != Gone {
@@ -466,7 +467,6 @@
 // the like. What they carried at their best counts: a fleet that is held back must not hold itself back further.
 type coldGuard struct {
 	share, lasts, multiple, over, carry, at float64
-	carried                                 *window.Counts
 }
 
 func (g *coldGuard) room(now float64, s *server, work float64) bool {
@@ -481,17 +481,11 @@
 	return sent+work <= coldSafe*g.multiple*share*g.carry*max(s.size, 1e-3)*g.over
 }
 
-func (g *coldGuard) learn(now, work float64, s *server) {
-	if g.multiple > 0 && now >= s.coldTo {
-		g.carried.Add(now, work)
-	}
-}
-
 // tend takes the measure while most servers are warm: what the last few carry tells nothing of what one can.
-func (g *coldGuard) tend(now, warm, size float64) {
+func (g *coldGuard) tend(now, work, warm, size float64) {
 	g.carry *= math.Exp((g.at - now) / carryLasts)
-	if g.at = now; g.multiple > 0 && warm > size/2 {
-		g.carry = max(g.carry, g.carried.Inside(now, 10000)/10000/warm)
+	if g.at = now; warm > size/2 {
+		g.carry = max(g.carry, work/carrySpan/warm)
 	}
 }
 
@@ -619,7 +613,7 @@
 	copy(s.hist[1:], s.hist[:histSize-1])
 	s.hist[0] = sample{lat, b.now, y.load}
 	s.line.Add(b.now, lat)
-	b.cold.learn(b.now, b.workOf(y.p), s)
+	s.did.Add(b.now, b.workOf(y.p))
 	b.predict.pool.Add(b.now, lat)
 	y.p.q.k.lat.Add(b.now, lat)
 	if b.now-s.answered > 2*histLife {
@@ -719,10 +713,12 @@
 	rate, credit        float64
 }
 
+func (r *reports) any() bool { return len(r.fields) > 0 && (r.onAnswers || r.mayProbe) }
+
 // loadOf is the last reported count with what this broker changed since; its own calls where no server
 // reports; the average for a server that has not reported.
 func (b *Broker) loadOf(s *server) float64 {
-	if len(b.reports.fields) == 0 || !b.reports.onAnswers && !b.reports.mayProbe {
+	if !b.reports.any() {
 		return float64(s.calls)
 	}
 	if math.IsInf(s.loadAt, -1) {
@@ -831,7 +827,7 @@
 // parts out that answers nothing is silent, hung or lost alike.
 func (b *Broker) tend() {
 	b.predict.avgLoad = 0
-	n, size, warm, oldest := 0.0, 0.0, 0.0, -1
+	n, size, warm, work, oldest := 0.0, 0.0, 0.0, 0.0, -1
 	fleet, m := b.predict.pool.Quantile(b.now, lineShare)
 	patience := max(silentLeast*fleet, min(silentLines*fleet, silentAim*b.shortAim))
 	if m < copyFew {
@@ -862,8 +858,12 @@
 		size += max(s.size, 1e-3)
 		if b.now >= s.coldTo {
 			warm += max(s.size, 1e-3)
+			work += s.did.Inside(b.now, carrySpan)
 		}
-		if !math.IsInf(s.loadAt, -1) {
+		if !b.reports.any() {
+			b.predict.avgLoad += float64(s.calls)
+			n++
+		} else if !math.IsInf(s.loadAt, -1) {
 			b.predict.avgLoad += s.load
 			n++
 		}
@@ -877,7 +877,7 @@
 	if n > 0 {
 		b.predict.avgLoad /= n
 	}
-	b.cold.tend(b.now, warm, size)
+	b.cold.tend(b.now, work, warm, size)
 	if mid, n := b.predict.pool.Quantile(b.now, 0.5); n >= copyFew && (b.predict.calm == 0 || mid < b.predict.calm) {
 		b.predict.calm = mid
 	}
--- /dev/null
+++ b/internal/decide/decide_test.go
@@ -0,0 +1,374 @@
+package decide
+
+import (
+	"math"
+	"testing"
+)
+
+// FuzzRules plays random runs over random settings, failures and lists, and looks at the rules after every step.
+func FuzzRules(f *testing.F) {
+	for seed := int64(1); seed <= 150; seed++ {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed int64) {
+		w := newWorld(t, seed)
+		for i := 0; i < 1500 && len(w.faults) == 0; i++ {
+			w.step()
+			if w.rnd.Intn(700) == 0 {
+				w.start()
+			}
+		}
+		if len(w.faults) > 0 {
+			t.Fatal(w.faults[0])
+		}
+	})
+}
+
+// The checker must be able to fail: each of these breaks a decision on its way out.
+func TestCheckerTrips(t *testing.T) {
+	for _, tamper := range []string{"drained", "twice", "whole", "late"} {
+		tripped := false
+		for seed := int64(1); seed <= 40 && !tripped; seed++ {
+			w := newWorld(t, seed)
+			w.tamper = tamper
+			for i := 0; i < 400 && !tripped; i++ {
+				w.step()
+				tripped = len(w.faults) > 0
+			}
+		}
+		if !tripped {
+			t.Errorf("nothing noticed that a decision was broken: %s", tamper)
+		}
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	for seed := int64(1); seed <= 20; seed++ {
+		a, b := newWorld(t, seed), newWorld(t, seed)
+		for i := 0; i < 500; i++ {
+			a.step()
+			b.step()
+			if a.sends != b.sends || a.finals != b.finals || a.waits != b.waits {
+				t.Fatalf("seed %d, round %d: two runs of the same events differ", seed, i)
+			}
+		}
+	}
+}
+
+// note writes down what a broker decides, for plain cases.
+type note struct {
+	sent, cancelled, answered, shed, failed, probed, forgot []int
+	to                                                      []int
+	back                                                    float64
+	whole                                                   bool
+}
+
+func (n *note) Send(part, server int, within float64) {
+	n.sent, n.to = append(n.sent, part), append(n.to, server)
+}
+func (n *note) Cancel(part, try int) { n.cancelled = append(n.cancelled, part) }
+func (n *note) Answer(search int, whole bool) {
+	n.answered, n.whole = append(n.answered, search), whole
+}
+func (n *note) Shed(search int, back float64) { n.shed, n.back = append(n.shed, search), back }
+func (n *note) Fail(search int)               { n.failed = append(n.failed, search) }
+func (n *note) Probe(server int)              { n.probed = append(n.probed, server) }
+func (n *note) Subscribe()                    {}
+func (n *note) Wake(in float64)               {}
+func (n *note) Log(text string)               {}
+func (n *note) Forget(search int)             { n.forgot = append(n.forgot, search) }
+
+// plain is a broker with one idempotent query type and servers that all hold shard 0.
+func plain(servers int, set func(*Broker)) (*Broker, *note) {
+	n := &note{}
+	b := New(n, 1, 0, 2, 0)
+	b.QueryType(1000, 1, 0.3, Idempotent, 0)
+	b.Fleet(1, 1, 4, 10, false)
+	b.Limits(4, 0, true, true)
+	if set != nil {
+		set(b)
+	}
+	b.Begin(1000)
+	for i := range servers {
+		b.Server(i, 0, 0, Ready, 1, 0)
+	}
+	b.End()
+	return b, n
+}
+
+// ask hands over a search of so many parts, numbered on from its id.
+func ask(b *Broker, now float64, id, parts int) {
+	b.Begin(now)
+	b.Search(id, 0, 0, now+3000, parts)
+	for i := range parts {
+		b.Part(id, id+1+i, 0, 1/float64(parts), 100, 0)
+	}
+	b.End()
+}
+
+func finish(b *Broker, now float64, how Outcome, parts ...int) {
+	b.Begin(now)
+	for _, id := range parts {
+		if p := at(b.parts, id); p != nil {
+			b.Done(id, len(p.tries)-1, how, nil)
+		}
+	}
+	b.End()
+}
+
+// warm answers so many one-part searches of 100 ms; it returns the time after.
+func warm(b *Broker, now float64, searches int) float64 {
+	for range searches {
+		ask(b, now, 500, 1)
+		finish(b, now+100, Answered, 501)
+		now += 110
+	}
+	return now
+}
+
+func same(t *testing.T, what string, got []int, want ...int) {
+	t.Helper()
+	if len(got) != len(want) {
+		t.Fatalf("%s: %v, want %v", what, got, want)
+	}
+	for i := range got {
+		if got[i] != want[i] {
+			t.Fatalf("%s: %v, want %v", what, got, want)
+		}
+	}
+}
+
+func TestPartsOfOneRoundShareACall(t *testing.T) {
+	b, n := plain(2, nil)
+	ask(b, 1000, 0, 4)
+	for _, to := range n.to[1:] {
+		if to != n.to[0] {
+			t.Fatalf("parts went to %v: joining an open call adds nothing outstanding", n.to)
+		}
+	}
+	if s := b.servers[n.to[0]]; s.calls != 1 {
+		t.Fatalf("%d calls outstanding, want 1", s.calls)
+	}
+	ask(b, 1001, 10, 1)
+	if n.to[4] == n.to[0] {
+		t.Fatal("the next round went to the server with more calls outstanding")
+	}
+}
+
+func TestSlowReplicaIsSkippedUntilItsHistoryExpires(t *testing.T) {
+	b, n := plain(2, nil)
+	now := warm(b, 1000, 30)
+	s := b.servers[0]
+	for i := range s.hist {
+		s.hist[i] = sample{900, now, 0}
+	}
+	b.servers[1].calls = 5
+	n.to = nil
+	ask(b, now+1, 0, 1)
+	same(t, "sent past the slow replica to", n.to, 1)
+	finish(b, now+2, Answered, 1)
+	ask(b, now+histLife+50, 10, 1)
+	same(t, "sent after the expiry to", n.to, 1, 0)
+	for _, o := range b.servers {
+		for i := range o.hist {
+			o.hist[i] = sample{900, now + histLife + 100, 0}
+		}
+	}
+	ask(b, now+histLife+101, 20, 1)
+	same(t, "sent when all look slow to", n.to, 1, 0, 0)
+}
+
+// A hang must not read as fast: nothing comes back from it, and nothing outstanding is the fewest.
+func TestUnansweredPartReadsAsSlow(t *testing.T) {
+	b, _ := plain(1, nil)
+	now := warm(b, 1000, 30)
+	ask(b, now, 0, 1)
+	s, g := b.servers[0], &b.predict
+	if x := g.features(now+50, s, 0); g.score(x) > 0.5 {
+		t.Fatal("a part just sent reads as slow")
+	}
+	if x := g.features(now+900, s, 0); x[2] != featureCap || g.score(x) <= 0.5 {
+		t.Fatalf("a part out for nine lines reads as fast: %v", x)
+	}
+}
+
+func TestLineIsTheServersOwnUnderTheFleets(t *testing.T) {
+	b, _ := plain(2, nil)
+	for i := 1; i <= 100; i++ {
+		b.predict.pool.Add(1000, float64(i))
+		b.servers[0].line.Add(1000, 1000)
+		b.servers[1].line.Add(1000, 50)
+	}
+	if got := b.predict.line(1000, b.servers[0]); got < 130 || got > 140 {
+		t.Fatalf("line of a server that is always slow: %.0f, want one and a half times the fleet's 90", got)
+	}
+	if got := b.predict.line(1000, b.servers[1]); got > 55 {
+		t.Fatalf("line of a fast server: %.0f, want its own", got)
+	}
+}
+
+func TestCopyPastTheLatencyShareAndItsLoserCancelled(t *testing.T) {
+	b, n := plain(3, nil)
+	now := warm(b, 1000, 30)
+	n.sent, n.to, n.cancelled = nil, nil, nil
+	ask(b, now, 0, 4)
+	finish(b, now+90, Answered)
+	same(t, "before the share", n.sent, 1, 2, 3, 4)
+	finish(b, now+140, Answered)
+	if len(n.sent) != 5 || n.to[4] == n.to[0] {
+		t.Fatalf("sent %v to %v: want one copy for a tenth of four parts, rounded up, elsewhere", n.sent, n.to)
+	}
+	finish(b, now+150, Answered, n.sent[4])
+	same(t, "cancelled", n.cancelled, n.sent[4])
+}
+
+func TestFalseSubmitsLowerTheCopyShare(t *testing.T) {
+	b, _ := plain(1, nil)
+	for i := range 100 {
+		b.predict.teach(1000, &try{x: vector{1}, fast: true}, i < 7)
+	}
+	if got := b.predict.falseRate(1000); math.Abs(got-0.07) > 1e-9 {
+		t.Fatalf("false-submit rate %.3f, want 0.07", got)
+	}
+}
+
+// Refusals are quick, and free their place at once: without a rest everything goes to whoever refuses.
+func TestFullServerRests(t *testing.T) {
+	b, n := plain(2, nil)
+	ask(b, 1000, 0, 1)
+	finish(b, 1002, Full, 1)
+	if len(n.to) != 2 || n.to[1] == n.to[0] {
+		t.Fatalf("sent to %v: want the other server after a refusal", n.to)
+	}
+	ask(b, 1003, 10, 1)
+	if n.to[2] == n.to[0] {
+		t.Fatal("sent to a full server again at once")
+	}
+}
+
+func TestSilentServerIsSetAsideAndItsPartTakenOff(t *testing.T) {
+	b, n := plain(2, nil)
+	now := warm(b, 1000, 30)
+	n.sent, n.to = nil, nil
+	ask(b, now, 0, 1)
+	finish(b, now+600, Answered)
+	if s := b.servers[n.to[0]]; !s.aside || !s.dead {
+		t.Fatal("a server that answers nothing is not set aside")
+	}
+	if len(n.to) != 2 || n.to[1] == n.to[0] {
+		t.Fatalf("sent to %v: want the part taken off the silent server", n.to)
+	}
+}
+
+// A trial that this broker called off told nothing, yet kept a sound server aside for most of a day.
+func TestCalledOffTrialStaysDue(t *testing.T) {
+	b, n := plain(1, nil)
+	b.setAside(0, true, "test")
+	s := b.servers[0]
+	ask(b, 2500, 0, 1)
+	same(t, "trial", n.sent, 1)
+	due := s.trialAt
+	finish(b, 2600, Cancelled, 1)
+	if s.trialAt != due {
+		t.Fatal("a trial called off counts as failed")
+	}
+}
+
+// A crowd read as silence came back throttled as cold for long; a broken connection may mean a restart.
+func TestReturnIsGentleOnlyWhereARestartIsLikely(t *testing.T) {
+	for _, broke := range []bool{false, true} {
+		b, _ := plain(1, func(b *Broker) { b.Cold(0.2, 10000, 2, 2000) })
+		b.setAside(0, true, "test")
+		b.servers[0].broke = broke
+		ask(b, 2500, 0, 1)
+		finish(b, 2600, Answered, 1)
+		s := b.servers[0]
+		if s.aside || (s.coldTo > 2600) != broke || s.coldTo > 2600+newsLast {
+			t.Fatalf("broken connection %v: aside %v, cold until %.0f", broke, s.aside, s.coldTo)
+		}
+	}
+}
+
+func TestColdServerGetsOnePartUntilSomethingIsKnown(t *testing.T) {
+	b, n := plain(1, func(b *Broker) { b.Cold(0.2, 10000, 2, 2000) })
+	b.Begin(1001)
+	b.Server(0, 0, 0, Ready, 1, 900)
+	b.End()
+	ask(b, 1002, 0, 3)
+	same(t, "sent to a cold server", n.sent, 1)
+}
+
+// The guard must not feed on its own effect: a fleet that is held back carries little.
+func TestCarryIsRemembered(t *testing.T) {
+	g := coldGuard{multiple: 2}
+	g.tend(1500, 5000, 4, 4)
+	best := g.carry
+	g.tend(15000, 0, 4, 4)
+	if best <= 0 || g.carry < best/2 {
+		t.Fatalf("carry %.3f after 13 s, %.3f before", g.carry, best)
+	}
+}
+
+func TestPartAnswerAtTheLatencyTarget(t *testing.T) {
+	b, n := plain(2, func(b *Broker) { b.Shares(0, 1, 0.5, 0.8, 0) })
+	ask(b, 1000, 0, 4)
+	finish(b, 1100, Answered, 1, 2, 3)
+	same(t, "before the target", n.answered)
+	finish(b, 1000+1000-margin, Answered)
+	same(t, "at the target", n.answered, 0)
+	if n.whole {
+		t.Fatal("three of four parts marked whole")
+	}
+}
+
+func TestOddSettingsAndArrivals(t *testing.T) {
+	for name, play := range map[string]func() *note{
+		"no server": func() *note { b, n := plain(0, nil); ask(b, 1000, 0, 2); return n },
+		"no part":   func() *note { b, n := plain(1, nil); ask(b, 1000, 0, 0); return n },
+		"no try allowed": func() *note {
+			b, n := plain(1, func(b *Broker) { b.Limits(0, 0, true, true) })
+			ask(b, 1000, 0, 2)
+			return n
+		},
+		"no holder": func() *note {
+			b, n := plain(1, func(b *Broker) { b.Fleet(4, 1, 1, 0, false) })
+			b.Begin(1000)
+			b.Search(0, 0, 0, 4000, 1)
+			b.Part(0, 1, 2, 1, 100, 0)
+			b.End()
+			return n
+		},
+		"past on arrival": func() *note {
+			b, n := plain(1, nil)
+			b.Begin(1000)
+			b.Search(0, 0, 0, 900, 1)
+			b.Part(0, 1, 0, 1, 100, 0)
+			b.End()
+			return n
+		},
+		"unknown query type": func() *note {
+			b, n := plain(1, nil)
+			b.Begin(1000)
+			b.Search(0, 9, 9, 4000, 1)
+			b.Part(0, 1, 0, 1, 100, 0)
+			b.End()
+			return n
+		},
+	} {
+		n := play()
+		if len(n.shed)+len(n.failed) != 1 || len(n.forgot) != 1 || len(n.sent) != 0 {
+			t.Errorf("%s: shed %v, failed %v, sent %v: want one prompt final answer", name, n.shed, n.failed, n.sent)
+		}
+	}
+}
+
+func TestShedNamesATimeToComeBack(t *testing.T) {
+	b, n := plain(1, func(b *Broker) { b.Advice(200) })
+	now := warm(b, 1000, 30)
+	b.servers[0].took = 5000
+	ask(b, now, 0, 1)
+	same(t, "shed", n.shed, 0)
+	if n.back != 200 {
+		t.Fatalf("come back in %.0f ms, want the longest advice", n.back)
+	}
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -92,7 +92,7 @@
 	load, loadAt                      float64
 	loadOwn                           int
 	took, tookCalls                   float64
-	errs, oks, sent                   *window.Counts
+	errs, oks, sent, did              *window.Counts
 	answered, fullUntil               float64
 	aside, dead, broke, probing, sure bool
 	since, trialAt, backoff           float64
@@ -149,8 +149,7 @@
 func (b *Broker) Advice(longest float64) { b.longestAdvice = longest }
 
 func (b *Broker) Cold(from, lasts, multiple, over float64) {
-	b.cold = coldGuard{share: from, lasts: lasts, multiple: multiple, over: max(over, 1),
-		carried: window.NewCounts(12, 1000)}
+	b.cold = coldGuard{share: from, lasts: lasts, multiple: multiple, over: max(over, 1)}
 }
 
 func (b *Broker) Budget(spare, ratio, over float64) {
