--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -513,7 +513,7 @@
 			tie -= 1
 		}
 		if s.hall != b.hall {
-			tie += 0.3
+			tie += 0.8
 		}
 		if b.fleet.warmKeys && t.p.key != 0 && b.now-s.met[t.p.key] < 4000 {
 			tie -= 0.3
