--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -52,8 +52,10 @@
 	coldAfter    = 5000. // silent for longer: it may have restarted unannounced
 	coldSafe     = 0.75  // of the budget that others' load allows: they may carry all they can, and chance varies
 
-	admitLow  = 0.55  // share of the latency target that the least valued search may be expected to take
-	admitHigh = 0.90  // and the most valued
+	admitLow  = 0.55 // share of the latency target that the least valued search may be expected to take
+	admitHigh = 0.90 // and the most valued
+	leftFew   = 5    // clients that left early before their patience counts
+	leftShare = 0.25
 	heldLow   = 0.85  // of the hold limit: beyond, only the most valued
 	quotaSpan = 4000. // a customer's share is watched over so long
 	quotaOver = 1.25  // and passed beyond so much: brokers see unequal parts
@@ -149,6 +151,9 @@
 
 func (b *Broker) Lapsed(id int) {
 	if q := at(b.searches, id); q != nil && !q.over {
+		if q.admitted && b.now < q.until-margin {
+			q.k.left.Add(b.now, b.now-q.born)
+		}
 		b.finish(q)
 		b.forget(q)
 	}
@@ -247,10 +252,15 @@
 			worst = max(worst, best*calls/then) // more out than when the latest answers were asked for: a queue grows
 		}
 	}
+	// Clients that leave before their stated time take the work with them and ask again: what they bear counts.
+	aim := k.aim
+	if borne, n := k.left.Quantile(b.now, leftShare); n >= leftFew {
+		aim = min(aim, borne)
+	}
 	rel := b.value(q) / max(b.topValue, 1e-9)
-	if worst > k.aim*(admitLow+(admitHigh-admitLow)*rel) ||
+	if worst > aim*(admitLow+(admitHigh-admitLow)*rel) ||
 		b.limits.most > 0 && rel < 1 && float64(b.limits.held) > heldLow*float64(b.limits.most) {
-		b.log("shed: expected %.0f ms against a target of %.0f, %d held", worst, k.aim, b.limits.held)
+		b.log("shed: expected %.0f ms against a target of %.0f, %d held", worst, aim, b.limits.held)
 		b.giveUp(q)
 		return end
 	}
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -372,3 +372,18 @@
 		t.Fatalf("come back in %.0f ms, want the longest advice", n.back)
 	}
 }
+
+// Clients left a second before their stated time and asked again: the work was done for nobody.
+func TestAdmissionGoesByWhatClientsBear(t *testing.T) {
+	b, n := plain(1, nil)
+	now := warm(b, 1000, 30)
+	for i := range leftFew {
+		ask(b, now, 20*i, 1)
+		b.Begin(now + 50)
+		b.Lapsed(20 * i)
+		b.End()
+	}
+	n.shed = nil
+	ask(b, now+60, 900, 1)
+	same(t, "shed where clients bear 50 ms and answers take 100", n.shed, 900)
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -37,7 +37,7 @@
 	need, floor, work, hints            float64
 	effect                              Effect
 	followUp                            int
-	lat                                 *window.Hist
+	lat, left                           *window.Hist
 }
 
 type customer struct {
@@ -47,7 +47,7 @@
 
 type search struct {
 	id, customer, want, step, copies, out int
-	until, aim                            float64
+	born, until, aim                      float64
 	k                                     *queryType
 	parts                                 []*part
 	admitted, over, firstWhole            bool
@@ -122,7 +122,7 @@
 
 func (b *Broker) QueryType(aim, value, late float64, effect Effect, tokenFor float64) {
 	b.types = append(b.types, &queryType{aim: aim, value: value, late: late, tokenFor: tokenFor, effect: effect,
-		need: 1, floor: 1, lat: hist()})
+		need: 1, floor: 1, lat: hist(), left: hist()})
 	b.topValue = max(b.topValue, value)
 	if aim > 0 {
 		b.shortAim = min(b.shortAim, aim)
@@ -166,7 +166,7 @@
 func (b *Broker) Begin(now float64) { b.now, b.round = now, b.round+1 }
 
 func (b *Broker) Search(id, kind, customer int, until float64, parts int) {
-	q := &search{id: id, customer: customer, until: until, want: parts, k: at(b.types, kind)}
+	q := &search{id: id, born: b.now, customer: customer, until: until, want: parts, k: at(b.types, kind)}
 	if q.k != nil {
 		q.aim = b.now + q.k.aim
 	}
