--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -46,6 +46,7 @@
 	trialFirst   = 1000. // first trial after so long, then twice as long each time
 	trialLongest = 2000.
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
+	fullMost     = 6      // times, for one that only refuses
 	carryLasts   = 30000. // what servers carried at their best is remembered so long
 	carrySpan    = 10000.
 	newsLast     = 5000. // a list tells of a restart within so long
@@ -789,7 +790,7 @@
 	}
 	switch how {
 	case Answered:
-		s.answered = b.now
+		s.answered, s.fulls = b.now, 0
 		s.oks.Add(b.now, 1)
 		if s.streak++; s.aside && (s.dead || s.streak >= 2) {
 			if y.at > s.since && (s.broke || s.dead && b.now-s.since > coldAfter) && b.now >= s.coldTo {
@@ -809,7 +810,9 @@
 	case Full:
 		// A refusal is quick, and frees this broker's place there at once: the fewest-outstanding choice
 		// would send everything to whoever turns it away.
-		s.fullUntil = b.now + fullPause
+		// One that only refuses may be draining, or worse, and no list tells yet: it rests longer each time.
+		s.fulls = min(s.fulls+1, fullMost)
+		s.fullUntil = b.now + fullPause*s.fulls
 	case NoConnect, Reset:
 		s.streak = 0
 		b.setAside(y.server, true, "unreachable")
