--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -53,8 +53,8 @@
 	coldAfter    = 5000. // silent for longer: it may have restarted unannounced
 	coldSafe     = 0.75  // of the budget that others' load allows: they may carry all they can, and chance varies
 
-	admitLow  = 0.45 // share of the latency target that the least valued search may be expected to take
-	admitHigh = 0.80 // and the most valued
+	admitLow  = 0.5  // share of the latency target that the least valued search may be expected to take
+	admitHigh = 0.85 // and the most valued
 	leftFew   = 5    // clients that left early before their patience counts
 	leftShare = 0.25
 	heldLow   = 0.85  // of the hold limit: beyond, only the most valued
@@ -245,7 +245,7 @@
 	for _, p := range q.parts {
 		best, calls, then := math.Inf(1), 0.0, 0.0
 		for _, s := range b.servers {
-			if b.holds(s, p.shard) && !s.aside {
+			if b.holds(s, p.shard) && !s.aside && b.cold.room(b.now, s, b.workOf(p)) {
 				best, calls, then = min(best, b.expect(s)), calls+2+float64(s.calls), then+2+s.tookCalls
 			}
 		}
