--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -44,14 +44,14 @@
 	rescueShare  = 0.15  // of first sub-requests: a fifth of all servers hung at once needs less
 	rescueFew    = 4.0
 	trialFirst   = 1000. // first trial after so long, then twice as long each time
-	trialLongest = 2000.
+	trialLongest = 1500.
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
 	fullMost     = 6      // times, for one that only refuses
 	carryLasts   = 30000. // what servers carried at their best is remembered so long
 	carrySpan    = 10000.
-	newsLast     = 5000. // a list tells of a restart within so long
+	newsLast     = 4000. // a list tells of a restart within so long
 	coldAfter    = 5000. // silent for longer: it may have restarted unannounced
-	coldSafe     = 0.75  // of the budget that others' load allows: they may carry all they can, and chance varies
+	coldSafe     = 0.9   // of the budget that others' load allows: they may carry all they can, and chance varies
 
 	admitLow  = 0.5  // share of the latency target that the least valued search may be expected to take
 	admitHigh = 0.85 // and the most valued
