--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -44,7 +44,7 @@
 	rescueShare  = 0.15  // of first sub-requests: a fifth of all servers hung at once needs less
 	rescueFew    = 4.0
 	trialFirst   = 1000. // first trial after so long, then twice as long each time
-	trialLongest = 1500.
+	trialLongest = 2000.
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
 	fullMost     = 6      // times, for one that only refuses
 	carryLasts   = 30000. // what servers carried at their best is remembered so long
