--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -48,10 +48,12 @@
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
 	fullMost     = 6      // times, for one that only refuses
 	carryLasts   = 30000. // what servers carried at their best is remembered so long
+	busyTaken    = 0.67   // where no server says: at worst they are wholly busy, and the budget still holds
+	busyLeast    = 0.3
 	carrySpan    = 10000.
 	newsLast     = 4000. // a list tells of a restart within so long
 	coldAfter    = 5000. // silent for longer: it may have restarted unannounced
-	coldSafe     = 0.9   // of the budget that others' load allows: they may carry all they can, and chance varies
+	coldSafe     = 0.6   // of the budget: what servers say comes late, and chance varies
 
 	admitLow  = 0.5  // share of the latency target that the least valued search may be expected to take
 	admitHigh = 0.85 // and the most valued
@@ -473,11 +475,13 @@
 }
 
 // coldGuard wards off pushing over a server that has just come back: all brokers together must stay under a
-// multiple of what it can do, and each knows only itself. Warm servers carry what this broker sends them, and
-// could carry more; the same by the share that is warm, with some of the multiple, is safe whoever else sends
-// the like. What they carried at their best counts: a fleet that is held back must not hold itself back further.
+// multiple of what it can do, and each knows only itself. What warm servers carry for this broker, by how busy
+// they say they are, is its part of what one can do, so that the brokers' parts add up to no more; where none
+// says, they are taken as fairly busy. What was so found at best counts: a fleet that is held back must not hold
+// itself back further.
 type coldGuard struct {
 	share, lasts, multiple, over, carry, at float64
+	busy, heard                             *window.Counts // what warm servers said of their cores
 }
 
 func (g *coldGuard) room(now float64, s *server, work float64) bool {
@@ -496,7 +500,11 @@
 func (g *coldGuard) tend(now, work, warm, size float64) {
 	g.carry *= math.Exp((g.at - now) / carryLasts)
 	if g.at = now; warm > size/2 {
-		g.carry = max(g.carry, work/carrySpan/warm)
+		busy := busyTaken
+		if n := g.heard.Inside(now, carrySpan); n >= copyFew {
+			busy = min(max(g.busy.Inside(now, carrySpan)/n, busyLeast), 1)
+		}
+		g.carry = max(g.carry, work/carrySpan/warm/busy)
 	}
 }
 
@@ -748,7 +756,12 @@
 func (b *Broker) report(s *server, values []float64) {
 	best := Other
 	for i, v := range values {
-		if i < len(b.reports.fields) && b.reports.fields[i] != Other && (best == Other || b.reports.fields[i] == InFlight) {
+		if i < len(b.reports.fields) && b.reports.fields[i] == Busy && b.cold.multiple > 0 && b.now >= s.coldTo {
+			b.cold.busy.Add(b.now, v)
+			b.cold.heard.Add(b.now, 1)
+			continue
+		}
+		if i < len(b.reports.fields) && b.reports.fields[i] > Busy && (best == Other || b.reports.fields[i] == InFlight) {
 			best, s.load, s.loadAt, s.loadOwn = b.reports.fields[i], v, b.now, len(s.tries)
 		}
 	}
@@ -890,7 +903,9 @@
 	if n > 0 {
 		b.predict.avgLoad /= n
 	}
-	b.cold.tend(b.now, work, warm, size)
+	if b.cold.multiple > 0 {
+		b.cold.tend(b.now, work, warm, size)
+	}
 	if mid, n := b.predict.pool.Quantile(b.now, 0.5); n >= copyFew && (b.predict.calm == 0 || mid < b.predict.calm) {
 		b.predict.calm = mid
 	}
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -300,7 +300,8 @@
 
 // The guard must not feed on its own effect: a fleet that is held back carries little.
 func TestCarryIsRemembered(t *testing.T) {
-	g := coldGuard{multiple: 2}
+	b, _ := plain(1, func(b *Broker) { b.Cold(0.2, 10000, 2, 2000) })
+	g := &b.cold
 	g.tend(1500, 5000, 4, 4)
 	best := g.carry
 	g.tend(15000, 0, 4, 4)
--- a/internal/decide/port.go
+++ b/internal/decide/port.go
@@ -41,6 +41,7 @@
 
 const (
 	Other Field = iota
+	Busy        // share of its cores in use
 	InFlight
 	Queue
 )
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -149,7 +149,8 @@
 func (b *Broker) Advice(longest float64) { b.longestAdvice = longest }
 
 func (b *Broker) Cold(from, lasts, multiple, over float64) {
-	b.cold = coldGuard{share: from, lasts: lasts, multiple: multiple, over: max(over, 1)}
+	b.cold = coldGuard{share: from, lasts: lasts, multiple: multiple, over: max(over, 1),
+		busy: window.NewCounts(12, carrySpan/10), heard: window.NewCounts(12, carrySpan/10)}
 }
 
 func (b *Broker) Budget(spare, ratio, over float64) {
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -78,6 +78,8 @@
 		switch name {
 		case "active":
 			field = decide.InFlight
+		case "cpu":
+			field = decide.Busy
 		case "waiting":
 			field = decide.Queue
 		}
