--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -243,14 +243,20 @@
 		b.giveUp(q)
 		return end
 	}
-	worst := 0.0
+	worst, usable := 0.0, 0.0
 	for _, p := range q.parts {
-		best, calls, then := math.Inf(1), 0.0, 0.0
+		best, calls, then, some := math.Inf(1), 0.0, 0.0, false
 		for _, s := range b.servers {
-			if b.holds(s, p.shard) && !s.aside && b.cold.room(b.now, s, b.workOf(p)) {
+			if !b.holds(s, p.shard) || s.aside && !b.trialDue(s) || !b.cold.room(b.now, s, b.workOf(p)) {
+				continue
+			}
+			if some = true; !s.aside {
 				best, calls, then = min(best, b.expect(s)), calls+2+float64(s.calls), then+2+s.tookCalls
 			}
 		}
+		if some {
+			usable += p.weight
+		}
 		if then > 0 {
 			worst = max(worst, best*calls/then) // more out than when the latest answers were asked for: a queue grows
 		}
@@ -261,7 +267,7 @@
 		aim = min(aim, borne)
 	}
 	rel := b.value(q) / max(b.topValue, 1e-9)
-	if worst > aim*(admitLow+(admitHigh-admitLow)*rel) ||
+	if usable < k.floor-1e-4 || worst > aim*(admitLow+(admitHigh-admitLow)*rel) ||
 		b.limits.most > 0 && rel < 1 && float64(b.limits.held) > heldLow*float64(b.limits.most) {
 		b.log("shed: expected %.0f ms against a target of %.0f, %d held", worst, aim, b.limits.held)
 		b.giveUp(q)
