--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -47,13 +47,13 @@
 	trialLongest = 2000.
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
 	fullMost     = 6      // times, for one that only refuses
-	carryLasts   = 30000. // what servers carried at their best is remembered so long
+	carryLasts   = 90000. // what servers carried at their best is remembered so long
 	busyTaken    = 0.67   // where no server says: at worst they are wholly busy, and the budget still holds
 	busyLeast    = 0.3
 	carrySpan    = 10000.
 	newsLast     = 4000. // a list tells of a restart within so long
 	coldAfter    = 5000. // silent for longer: it may have restarted unannounced
-	coldSafe     = 0.6   // of the budget: what servers say comes late, and chance varies
+	coldSafe     = 0.75  // of the budget: what servers say comes late, and chance varies
 
 	admitLow  = 0.5  // share of the latency target that the least valued search may be expected to take
 	admitHigh = 0.85 // and the most valued
