--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -43,8 +43,6 @@
 	rescueSpan   = 4000. // parts taken off silent servers, lately
 	rescueShare  = 0.15  // of first sub-requests: a fifth of all servers hung at once needs less
 	rescueFew    = 4.0
-	passedFew    = 4     // answers to later sub-requests of the same server
-	passedLines  = 2.0   // its lines, before one passed so often is given up
 	trialFirst   = 1000. // first trial after so long, then twice as long each time
 	trialLongest = 2000.
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
@@ -379,20 +377,14 @@
 	if len(p.tries) > 0 && !b.budget.affords(b.now) {
 		return keep
 	}
-	out, dead, lost := 0, 0, false
-	var first, last *try
+	out, dead := 0, 0
+	var last *try
 	for _, y := range p.tries {
 		if y.out {
-			if out++; first == nil {
-				first = y
-			}
+			out++
 			last = y
-			s := b.servers[y.server]
-			if s.aside && s.dead && s.trial != y {
+			if s := b.servers[y.server]; s.aside && s.dead && s.trial != y {
 				dead++
-			} else if y.passed >= passedFew && b.now-y.at > passedLines*b.predict.line(b.now, s) {
-				dead++ // the server answers, but not this: it was swallowed, and waiting is for nothing
-				lost = true
 			}
 		}
 	}
@@ -401,19 +393,16 @@
 	case out == 0:
 		return pass
 	case out == dead && out < 2:
-		if !lost && b.predict.crowded(b.now) &&
-			b.rescues.Sum(b.now, rescueSpan) >= rescueFew+rescueShare*b.firsts.Sum(b.now, rescueSpan) {
+		if b.rescues.Sum(b.now, rescueSpan) >= rescueFew+rescueShare*b.firsts.Sum(b.now, rescueSpan) {
 			return keep // slow everywhere looks like silence everywhere: sending all of it twice would make it last
 		}
 		if b.limits.copies {
 			t.spare = true
 			return pass
 		}
-		fallthrough
-	case out == dead:
-		if b.limits.cancel && !first.called && (lost || !b.limits.copies || !b.predict.crowded(b.now)) {
-			first.called = true
-			b.out.Cancel(p.id, first.no) // no more at once are allowed: the next goes when this one is off
+		if b.limits.cancel && !last.called {
+			last.called = true
+			b.out.Cancel(p.id, last.no) // two at once are not allowed here: the next goes when this one is off
 		}
 		return keep
 	case out > 1 || p.copied || !b.limits.copies || k.effect != Idempotent:
@@ -622,13 +611,6 @@
 // returned frees what a sub-request held.
 func (b *Broker) returned(y *try, how Outcome) {
 	s := b.servers[y.server]
-	if how == Answered {
-		for _, o := range s.tries {
-			if o.at < y.at {
-				o.passed++
-			}
-		}
-	}
 	y.out = false
 	y.p.q.out--
 	if y.call.left--; y.call.left == 0 {
