--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -68,6 +68,7 @@
 	pollMost  = 0.5   // probes for each part
 	pollPoint = 0.003 // of service, spent on probes
 	margin    = 25.0  // a final answer goes out so long before the client timeout
+	stall     = 100.  // a wake-up so late is a stall
 	stir      = 10.0  // while searches are held, look again after so long
 )
 
@@ -78,27 +79,27 @@
 
 // Broker is one instance. Each of its parts holds its own settings.
 type Broker struct {
-	out                    Out
-	now, lastWake, lastLog float64
-	brokers, hall, round   int
-	dice                   dice
-	fleet                  fleet
-	limits                 limits
-	longestAdvice          float64
-	cold                   coldGuard
-	budget                 budget
-	reports                reports
-	lister                 lister
-	predict                predictor
-	types                  []*queryType
-	customers              []*customer
-	searches               []*search
-	parts                  []*part
-	live                   []*search
-	servers                []*server
-	stages                 []stage
-	firsts, rescues        *window.Counts
-	shortAim, topValue     float64
+	out                           Out
+	now, lastWake, lastLog, awake float64
+	brokers, hall, round          int
+	dice                          dice
+	fleet                         fleet
+	limits                        limits
+	longestAdvice                 float64
+	cold                          coldGuard
+	budget                        budget
+	reports                       reports
+	lister                        lister
+	predict                       predictor
+	types                         []*queryType
+	customers                     []*customer
+	searches                      []*search
+	parts                         []*part
+	live                          []*search
+	servers                       []*server
+	stages                        []stage
+	firsts, rescues               *window.Counts
+	shortAim, topValue            float64
 }
 
 func New(out Out, seed uint64, self, brokers, hall int) *Broker {
@@ -185,6 +186,15 @@
 	s.listed, s.state = state != Gone, state
 }
 
+func (b *Broker) Begin(now float64) {
+	// A wake-up that comes late means that this broker stood still: what it did not hear meanwhile, it must not
+	// take for the silence of servers.
+	if !math.IsInf(b.lastWake, 0) && now > b.lastWake+stall {
+		b.awake = now
+	}
+	b.now, b.round = now, b.round+1
+}
+
 func (b *Broker) Unlisted() {
 	if b.lister.ask {
 		b.lister.due, b.lister.at = true, b.now+500+500*b.dice.roll()
@@ -871,17 +881,17 @@
 		}
 		line := b.predict.line(b.now, s)
 		for _, y := range s.tries {
-			if b.now-y.at <= line {
+			if b.now-max(y.at, b.awake) <= line {
 				break
 			}
 			if !y.noted {
 				b.predict.teach(b.now, y, true)
 			}
 		}
-		if s.trial != nil && b.now-s.trial.at > patience {
+		if s.trial != nil && b.now-max(s.trial.at, b.awake) > patience {
 			s.trial = nil
 			b.retreat(s)
-		} else if !s.aside && len(s.tries) > 0 && b.now-max(s.answered, s.tries[0].at) > patience {
+		} else if !s.aside && len(s.tries) > 0 && b.now-max(s.answered, s.tries[0].at, b.awake) > patience {
 			b.setAside(i, true, "silent")
 		}
 		if !s.listed || s.state != Ready {
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -164,8 +164,6 @@
 
 func (b *Broker) Discovery(ask bool) { b.lister = lister{ask: ask, due: ask} }
 
-func (b *Broker) Begin(now float64) { b.now, b.round = now, b.round+1 }
-
 func (b *Broker) Search(id, kind, customer int, until float64, parts int) {
 	q := &search{id: id, born: b.now, customer: customer, until: until, want: parts, k: at(b.types, kind)}
 	if q.k != nil {
