--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -276,9 +276,15 @@
 	if borne, n := k.left.Quantile(b.now, leftShare); n >= leftFew {
 		aim = min(aim, borne)
 	}
-	rel := b.value(q) / max(b.topValue, 1e-9)
-	if usable < k.floor-1e-4 || worst > aim*(admitLow+(admitHigh-admitLow)*rel) ||
-		b.limits.most > 0 && rel < 1 && float64(b.limits.held) > heldLow*float64(b.limits.most) {
+	limit := admitLow + (admitHigh-admitLow)*b.value(q)/max(b.topValue, 1e-9)
+	top := b.value(q) >= b.topValue
+	// One that waited while this broker stood still may be too late for its target: it is worth what late ones are.
+	limit *= aim
+	if left := q.aim - b.now; worst > admitHigh*left && b.now == b.awake {
+		limit *= k.late
+	}
+	if usable < k.floor-1e-4 || worst > limit ||
+		b.limits.most > 0 && !top && float64(b.limits.held) > heldLow*float64(b.limits.most) {
 		b.log("shed: expected %.0f ms against a target of %.0f, %d held", worst, aim, b.limits.held)
 		b.giveUp(q)
 		return end
@@ -638,8 +644,8 @@
 // learn teaches the predictor what it is told by parts that were sent, and only by answers: errors are no
 // quick answers.
 func (b *Broker) learn(y *try, how Outcome) {
-	if how != Answered {
-		return
+	if how != Answered || b.now == b.awake {
+		return // what waited for this broker to move tells nothing of its server
 	}
 	s, lat := b.servers[y.server], b.now-y.at
 	if !y.noted {
