--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -23,7 +23,7 @@
 	histLife   = 1000.0 // the design's expiry
 	lineShare  = 0.90   // the design's line
 	lineFew    = 5      // answers under which a server's own line says less than the fleet's
-	lineFleet  = 1.5    // a lasting slowness must not become its own measure: own line at most so many fleet lines
+	lineFleet  = 1.5    // own line at most so many fleet lines, or a lasting slowness becomes its own measure
 	fadeOver   = 3000.0 // past the expiry, what was heard fades over so long
 	falseCost  = 3.0    // the design's weight for a predicted-fast answer over the line
 	learnRate  = 0.03   // few answers a second: fast enough for a day's first minutes, slow enough for noise
@@ -77,31 +77,6 @@
 
 const wholeStages = 2 // stages that take a search; the others take its parts
 
-// Broker is one instance. Each of its parts holds its own settings.
-type Broker struct {
-	out                           Out
-	now, lastWake, lastLog, awake float64
-	brokers, hall, round          int
-	dice                          dice
-	fleet                         fleet
-	limits                        limits
-	longestAdvice                 float64
-	cold                          coldGuard
-	budget                        budget
-	reports                       reports
-	lister                        lister
-	predict                       predictor
-	types                         []*queryType
-	customers                     []*customer
-	searches                      []*search
-	parts                         []*part
-	live                          []*search
-	servers                       []*server
-	stages                        []stage
-	firsts, rescues               *window.Counts
-	shortAim, topValue            float64
-}
-
 func New(out Out, seed uint64, self, brokers, hall int) *Broker {
 	b := &Broker{out: out, dice: dice{seed: seed}, brokers: max(brokers, 1), hall: hall,
 		lastWake: math.Inf(-1), lastLog: math.Inf(-1), shortAim: math.Inf(1),
@@ -170,7 +145,8 @@
 	s := b.servers[id]
 	if s == nil {
 		s = &server{line: hist(), errs: window.NewCounts(8, errSpan/8), oks: window.NewCounts(8, errSpan/8),
-			did: window.NewCounts(12, carrySpan/10), sent: window.NewCounts(10, max(b.cold.over, 1)/8), loadAt: math.Inf(-1)}
+			did: window.NewCounts(12, carrySpan/10), sent: window.NewCounts(10, max(b.cold.over, 1)/8),
+			loadAt: math.Inf(-1)}
 		b.servers[id] = s
 	}
 	if state != Gone {
@@ -278,7 +254,7 @@
 	}
 	limit := admitLow + (admitHigh-admitLow)*b.value(q)/max(b.topValue, 1e-9)
 	top := b.value(q) >= b.topValue
-	// One that waited while this broker stood still may be too late for its target: it is worth what late ones are.
+	// One that waited while this broker stood still may be too late for its target, and worth what late ones are.
 	limit *= aim
 	if left := q.aim - b.now; worst > admitHigh*left && b.now == b.awake {
 		limit *= k.late
@@ -346,8 +322,10 @@
 	}
 	last := b.now >= q.until-margin
 	some := got >= max(floor, 1e-3)-1e-5 && have > 0
+	over := left == 0 && len(q.parts) > 0
+	due := b.now >= q.aim-margin && k.partial*got >= k.late*need
 	switch {
-	case whole && have > 0, some && (last || left == 0 && len(q.parts) > 0 || b.now >= q.aim-margin && k.partial*got >= k.late*need):
+	case whole && have > 0, some && (last || over || due):
 		b.out.Answer(q.id, whole && (q.step == 0 || q.firstWhole))
 		if q.step == 0 && k.followUp > 0 {
 			q.firstWhole, q.step, q.want = whole, 1, min(k.followUp, have)
@@ -356,7 +334,7 @@
 		}
 		b.finish(q)
 		return end
-	case last || left == 0 && len(q.parts) > 0 && have < q.want && q.out == 0:
+	case last || over && have < q.want && q.out == 0:
 		b.giveUp(q)
 		return end
 	}
@@ -426,7 +404,8 @@
 	}
 	x := min(copyTop, 1-b.predict.falseRate(b.now))
 	limit, n := k.lat.Quantile(b.now, max(x, copyFloor))
-	if n < copyFew || b.predict.crowded(b.now) || b.now-last.at < limit || float64(q.copies) >= math.Ceil(copyShare*float64(q.want)-1e-9) {
+	if most := math.Ceil(copyShare*float64(q.want) - 1e-9); n < copyFew || b.now-last.at < limit ||
+		float64(q.copies) >= most || b.predict.crowded(b.now) {
 		return keep
 	}
 	t.copy, t.spare = true, true
@@ -435,11 +414,6 @@
 
 // budget is the stated one for further sub-requests, where over is set: they are counted long, the searches
 // and parts that earn them short, so that no window of its length can be overdrawn.
-type budget struct {
-	spare, ratio, over float64
-	taken, further     *window.Counts
-}
-
 func (g *budget) take(now float64) {
 	if g.over > 0 {
 		g.taken.Add(now, 1)
@@ -496,16 +470,11 @@
 	return b.now >= s.trialAt && s.trial == nil && (s.sure || !s.dead || !b.reports.mayProbe)
 }
 
-// coldGuard wards off pushing over a server that has just come back: all brokers together must stay under a
-// multiple of what it can do, and each knows only itself. What warm servers carry for this broker, by how busy
-// they say they are, is its part of what one can do, so that the brokers' parts add up to no more; where none
-// says, they are taken as fairly busy. What was so found at best counts: a fleet that is held back must not hold
-// itself back further.
-type coldGuard struct {
-	share, lasts, multiple, over, carry, at float64
-	busy, heard                             *window.Counts // what warm servers said of their cores
-}
-
+// room wards off pushing over a server that has just come back: all brokers together must stay under a
+// multiple of what it can do, and each knows only itself. What warm servers carry for this broker, by how
+// busy they say they are, is its part of what one can do, so that the brokers' parts add up to no more; where
+// none says, they are taken as fairly busy. What was so found at best counts: a fleet that is held back must
+// not hold itself back further.
 func (g *coldGuard) room(now float64, s *server, work float64) bool {
 	sent := 0.0
 	if g.multiple > 0 && now < s.coldTo {
@@ -580,7 +549,8 @@
 
 func (b *Broker) send(t *turn) verdict {
 	p, q, s := t.p, t.q, b.servers[t.to]
-	y := &try{p: p, no: len(p.tries), server: t.to, load: b.loadOf(s), calls: s.calls, at: b.now, x: b.predict.features(b.now, s, b.loadOf(s)), out: true}
+	y := &try{p: p, no: len(p.tries), server: t.to, load: b.loadOf(s), calls: s.calls, at: b.now, out: true}
+	y.x = b.predict.features(b.now, s, y.load)
 	y.fast = b.predict.score(y.x) <= 0.5
 	if !b.joins(s) {
 		s.open, s.openRound = &call{}, b.round
@@ -664,14 +634,6 @@
 	s.tookCalls += 0.3 * (float64(y.calls) - s.tookCalls)
 }
 
-// predictor is the design's score, online: one set of weights for all servers.
-type predictor struct {
-	weights       vector
-	pool          *window.Hist // all servers' latencies
-	fast, wrong   *window.Counts
-	avgLoad, calm float64
-}
-
 func (g *predictor) teach(now float64, y *try, slow bool) {
 	y.noted = true
 	e := g.score(y.x)
@@ -747,13 +709,6 @@
 	return 1 / (1 + math.Exp(-z))
 }
 
-// reports tells where load reports come from, and what probes for them may cost.
-type reports struct {
-	onAnswers, mayProbe bool
-	fields              []Field
-	rate, credit        float64
-}
-
 func (r *reports) any() bool { return len(r.fields) > 0 && (r.onAnswers || r.mayProbe) }
 
 // loadOf is the last reported count with what this broker changed since; its own calls where no server
@@ -769,22 +724,21 @@
 	return max(w*(s.load+float64(len(s.tries)-s.loadOwn))+(1-w)*b.predict.avgLoad, 0)
 }
 
-// fresh fades what was last heard of a server to the average: a queue that was long is not long for ever, and a
-// server that is skipped for it is not heard of again.
+// fresh fades what was last heard of a server to the average: a queue that was long is not long for ever, and
+// a server that is skipped for it is not heard of again.
 func (b *Broker) fresh(heard float64) float64 {
 	return min(max(1-(b.now-heard-histLife)/fadeOver, 0), 1)
 }
 
 func (b *Broker) report(s *server, values []float64) {
 	best := Other
-	for i, v := range values {
-		if i < len(b.reports.fields) && b.reports.fields[i] == Busy && b.cold.multiple > 0 && b.now >= s.coldTo {
+	for i, v := range values[:min(len(values), len(b.reports.fields))] {
+		switch field := b.reports.fields[i]; {
+		case field == Busy && b.cold.multiple > 0 && b.now >= s.coldTo:
 			b.cold.busy.Add(b.now, v)
 			b.cold.heard.Add(b.now, 1)
-			continue
-		}
-		if i < len(b.reports.fields) && b.reports.fields[i] > Busy && (best == Other || b.reports.fields[i] == InFlight) {
-			best, s.load, s.loadAt, s.loadOwn = b.reports.fields[i], v, b.now, len(s.tries)
+		case field > Busy && (best == Other || field == InFlight):
+			best, s.load, s.loadAt, s.loadOwn = field, v, b.now, len(s.tries)
 		}
 	}
 }
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -102,6 +102,56 @@
 	met                               map[uint64]float64
 }
 
+// Broker is one instance. Each of its parts holds its own settings.
+type Broker struct {
+	out                           Out
+	now, lastWake, lastLog, awake float64
+	brokers, hall, round          int
+	dice                          dice
+	fleet                         fleet
+	limits                        limits
+	longestAdvice                 float64
+	cold                          coldGuard
+	budget                        budget
+	reports                       reports
+	lister                        lister
+	predict                       predictor
+	types                         []*queryType
+	customers                     []*customer
+	searches                      []*search
+	parts                         []*part
+	live                          []*search
+	servers                       []*server
+	stages                        []stage
+	firsts, rescues               *window.Counts
+	shortAim, topValue            float64
+}
+
+type coldGuard struct {
+	share, lasts, multiple, over, carry, at float64
+	busy, heard                             *window.Counts // what warm servers said of their cores
+}
+
+type budget struct {
+	spare, ratio, over float64
+	taken, further     *window.Counts
+}
+
+// predictor is the design's score, online: one set of weights for all servers.
+type predictor struct {
+	weights       vector
+	pool          *window.Hist // all servers' latencies
+	fast, wrong   *window.Counts
+	avgLoad, calm float64
+}
+
+// reports tells where load reports come from, and what probes for them may cost.
+type reports struct {
+	onAnswers, mayProbe bool
+	fields              []Field
+	rate, credit        float64
+}
+
 type fleet struct {
 	places, span, batch int
 	callWork            float64
