--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -34,6 +34,16 @@
 	crowdTimes = 1.5  // the fleet's median latency against the lowest seen
 	copyFew    = 20   // answers of a query type before its pX means something
 
+	// Between equals, in average loads: a choice that saves work is worth less than one that saves a wait.
+	tieJoin   = 1.0 // a call that is open anyway
+	tieHall   = 0.8 // the own hall
+	tieKey    = 0.3 // a key met lately
+	tieTrial  = 10. // a trial that is due
+	tieChance = 0.1
+	keyLife   = 4000. // how long servers remember is told nowhere: the shorter end
+	keyMost   = 500
+	tookNew   = 0.3 // weight of the newest answer in what a server takes
+
 	silentLines  = 2.0   // no answer for so many fleet lines, with parts out, is silence
 	silentLeast  = 1.6   // and never under so many, however short the latency target
 	silentAim    = 0.5   // of the shortest latency target
@@ -163,8 +173,8 @@
 }
 
 func (b *Broker) Begin(now float64) {
-	// A wake-up that comes late means that this broker stood still: what it did not hear meanwhile, it must not
-	// take for the silence of servers.
+	// A wake-up that comes late means that this broker stood still: what it did not hear meanwhile is no
+	// silence of servers.
 	if !math.IsInf(b.lastWake, 0) && now > b.lastWake+stall {
 		b.awake = now
 	}
@@ -225,6 +235,12 @@
 	if q.admitted {
 		return pass
 	}
+	if k != nil {
+		// Of what came while this broker stood still, the time that is missing tells how long it waited.
+		if k.given = max(k.given, q.until-b.now); b.now == b.awake {
+			q.aim = q.until - k.given + k.aim
+		}
+	}
 	if k == nil || q.want <= 0 || b.now >= q.until-margin || b.reach(q) < k.floor-1e-4 {
 		b.giveUp(q)
 		return end
@@ -244,17 +260,18 @@
 			usable += p.weight
 		}
 		if then > 0 {
-			worst = max(worst, best*calls/then) // more out than when the latest answers were asked for: a queue grows
+			// With more out than when the latest answers were asked for, a queue grows.
+			worst = max(worst, best*calls/then)
 		}
 	}
-	// Clients that leave before their stated time take the work with them and ask again: what they bear counts.
+	// Clients that leave before their stated time waste the work and ask again: what they bear counts.
 	aim := k.aim
 	if borne, n := k.left.Quantile(b.now, leftShare); n >= leftFew {
 		aim = min(aim, borne)
 	}
 	limit := admitLow + (admitHigh-admitLow)*b.value(q)/max(b.topValue, 1e-9)
 	top := b.value(q) >= b.topValue
-	// One that waited while this broker stood still may be too late for its target, and worth what late ones are.
+	// One that waited while this broker stood still may be too late for its target: it is worth less.
 	limit *= aim
 	if left := q.aim - b.now; worst > admitHigh*left && b.now == b.awake {
 		limit *= k.late
@@ -388,7 +405,7 @@
 		return pass
 	case out == dead && out < 2:
 		if b.rescues.Sum(b.now, rescueSpan) >= rescueFew+rescueShare*b.firsts.Sum(b.now, rescueSpan) {
-			return keep // slow everywhere looks like silence everywhere: sending all of it twice would make it last
+			return keep // slow everywhere looks like silence everywhere: all of it twice would make it last
 		}
 		if b.limits.copies {
 			t.spare = true
@@ -396,7 +413,7 @@
 		}
 		if b.limits.cancel && !last.called {
 			last.called = true
-			b.out.Cancel(p.id, last.no) // two at once are not allowed here: the next goes when this one is off
+			b.out.Cancel(p.id, last.no) // no two at once here: the next goes when this one is off
 		}
 		return keep
 	case out > 1 || p.copied || !b.limits.copies || k.effect != Idempotent:
@@ -518,18 +535,19 @@
 		if join {
 			calls--
 		}
-		tie := b.loadOf(s)/(b.predict.avgLoad+1) + b.expect(s)/max(b.predict.typical(b.now), 1) + 0.1*b.dice.roll()
+		tie := b.loadOf(s)/(b.predict.avgLoad+1) + b.expect(s)/max(b.predict.typical(b.now), 1)
+		tie += tieChance * b.dice.roll()
 		if join {
-			tie -= 1
+			tie -= tieJoin
 		}
 		if s.hall != b.hall {
-			tie += 0.8
+			tie += tieHall
 		}
-		if b.fleet.warmKeys && t.p.key != 0 && b.now-s.met[t.p.key] < 4000 {
-			tie -= 0.3
+		if b.fleet.warmKeys && t.p.key != 0 && b.now-s.met[t.p.key] < keyLife {
+			tie -= tieKey
 		}
 		if s.aside {
-			tie -= 10 // its trial is due
+			tie -= tieTrial
 		}
 		if best < 0 || slow != bestSlow && bestSlow ||
 			slow == bestSlow && (calls < bestCalls || calls == bestCalls && tie < bestTie) {
@@ -578,7 +596,7 @@
 		s.trial = y
 	}
 	if b.fleet.warmKeys && p.key != 0 {
-		if s.met == nil || len(s.met) > 500 {
+		if s.met == nil || len(s.met) > keyMost {
 			s.met = map[uint64]float64{}
 		}
 		s.met[p.key] = b.now
@@ -630,8 +648,8 @@
 	if b.now-s.answered > 2*histLife {
 		s.took, s.tookCalls = lat, float64(y.calls)
 	}
-	s.took += 0.3 * (lat - s.took)
-	s.tookCalls += 0.3 * (float64(y.calls) - s.tookCalls)
+	s.took += tookNew * (lat - s.took)
+	s.tookCalls += tookNew * (float64(y.calls) - s.tookCalls)
 }
 
 func (g *predictor) teach(now float64, y *try, slow bool) {
@@ -743,8 +761,8 @@
 	}
 }
 
-// crowded: slowness on most replicas together, where the design assumes short bursts on few. A copy then takes
-// from another part what it gives to its own.
+// crowded: slowness on most replicas together, where the design assumes short bursts on few. A copy then
+// takes from another part what it gives to its own.
 func (g *predictor) crowded(now float64) bool {
 	return g.calm > 0 && g.typical(now) > crowdTimes*g.calm
 }
@@ -882,10 +900,11 @@
 	if b.cold.multiple > 0 {
 		b.cold.tend(b.now, work, warm, size)
 	}
-	if mid, n := b.predict.pool.Quantile(b.now, 0.5); n >= copyFew && (b.predict.calm == 0 || mid < b.predict.calm) {
-		b.predict.calm = mid
+	g := &b.predict
+	if mid, n := g.pool.Quantile(b.now, 0.5); n >= copyFew && (g.calm == 0 || mid < g.calm) {
+		g.calm = mid
 	}
-	if b.reports.mayProbe && !b.reports.onAnswers && len(b.reports.fields) > 0 && b.reports.credit >= 1 && oldest >= 0 {
+	if r := &b.reports; r.mayProbe && !r.onAnswers && len(r.fields) > 0 && r.credit >= 1 && oldest >= 0 {
 		b.reports.credit--
 		b.probe(oldest)
 	}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -218,10 +218,6 @@
 	q := &search{id: id, born: b.now, customer: customer, until: until, want: parts, k: at(b.types, kind)}
 	if q.k != nil {
 		q.aim = b.now + q.k.aim
-		// Of what came while this broker stood still, the time that is missing tells how long it waited.
-		if q.k.given = max(q.k.given, until-b.now); b.now == b.awake {
-			q.aim = until - q.k.given + q.k.aim
-		}
 	}
 	b.searches = put(b.searches, id, q)
 	b.live = append(b.live, q)
