--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -32,7 +32,9 @@
 	copyFloor  = 0.90
 	copyShare  = 0.10 // of a search's parts
 	crowdTimes = 1.5  // the fleet's median latency against the lowest seen
-	copyFew    = 20   // answers of a query type before its pX means something
+	heftLeast  = 0.5  // hints are rough
+	heftMost   = 2.0
+	copyFew    = 20 // answers of a query type before its pX means something
 
 	// Between equals, in average loads: a choice that saves work is worth less than one that saves a wait.
 	tieJoin   = 1.0 // a call that is open anyway
@@ -421,7 +423,7 @@
 	}
 	x := min(copyTop, 1-b.predict.falseRate(b.now))
 	limit, n := k.lat.Quantile(b.now, max(x, copyFloor))
-	if most := math.Ceil(copyShare*float64(q.want) - 1e-9); n < copyFew || b.now-last.at < limit ||
+	if most := math.Ceil(copyShare*float64(q.want) - 1e-9); n < copyFew || (b.now-last.at)/b.heft(p) < limit ||
 		float64(q.copies) >= most || b.predict.crowded(b.now) {
 		return keep
 	}
@@ -516,6 +518,14 @@
 	}
 }
 
+// heft is a part's hinted work against its query type's: a big part takes long without being slow.
+func (b *Broker) heft(p *part) float64 {
+	if k := p.q.k; p.work > 0 && k.work > 0 {
+		return min(max((p.work+b.fleet.callWork)/(k.work+b.fleet.callWork), heftLeast), heftMost)
+	}
+	return 1
+}
+
 func (b *Broker) workOf(p *part) float64 {
 	k := p.q.k
 	if k.work > 0 {
@@ -644,7 +654,7 @@
 	s.line.Add(b.now, lat)
 	s.did.Add(b.now, b.workOf(y.p))
 	b.predict.pool.Add(b.now, lat)
-	y.p.q.k.lat.Add(b.now, lat)
+	y.p.q.k.lat.Add(b.now, lat/b.heft(y.p))
 	if b.now-s.answered > 2*histLife {
 		s.took, s.tookCalls = lat, float64(y.calls)
 	}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -55,7 +55,7 @@
 
 type part struct {
 	id, shard, step int
-	weight          float64
+	weight, work    float64
 	key             uint64
 	q               *search
 	tries           []*try
@@ -234,7 +234,7 @@
 	if q == nil || q.over {
 		return
 	}
-	p := &part{id: id, shard: shard, step: q.step, weight: weight, key: key, q: q}
+	p := &part{id: id, shard: shard, step: q.step, weight: weight, work: work, key: key, q: q}
 	b.parts = put(b.parts, id, p)
 	q.parts = append(q.parts, p)
 	b.limits.held++
