--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -578,6 +578,7 @@
 func (b *Broker) send(t *turn) verdict {
 	p, q, s := t.p, t.q, b.servers[t.to]
 	y := &try{p: p, no: len(p.tries), server: t.to, load: b.loadOf(s), calls: s.calls, at: b.now, out: true}
+	y.heft = b.heft(p)
 	y.x = b.predict.features(b.now, s, y.load)
 	y.fast = b.predict.score(y.x) <= 0.5
 	if !b.joins(s) {
@@ -645,7 +646,7 @@
 	if how != Answered || b.now == b.awake {
 		return // what waited for this broker to move tells nothing of its server
 	}
-	s, lat := b.servers[y.server], b.now-y.at
+	s, lat := b.servers[y.server], (b.now-y.at)/y.heft
 	if !y.noted {
 		b.predict.teach(b.now, y, lat > b.predict.line(b.now, s))
 	}
@@ -654,7 +655,7 @@
 	s.line.Add(b.now, lat)
 	s.did.Add(b.now, b.workOf(y.p))
 	b.predict.pool.Add(b.now, lat)
-	y.p.q.k.lat.Add(b.now, lat/b.heft(y.p))
+	y.p.q.k.lat.Add(b.now, lat)
 	if b.now-s.answered > 2*histLife {
 		s.took, s.tookCalls = lat, float64(y.calls)
 	}
@@ -717,7 +718,7 @@
 	}
 	// A hang must not read as fast: a part out for longer than the line stands for the latest latency.
 	if len(s.tries) > 0 {
-		if age := now - s.tries[0].at; age > line {
+		if age := (now - s.tries[0].at) / s.tries[0].heft; age > line {
 			add(age, s.tries[0].load)
 		}
 	}
@@ -790,7 +791,7 @@
 		took = b.predict.typical(b.now)
 	}
 	if len(s.tries) > 0 {
-		took = max(took, b.now-s.tries[0].at)
+		took = max(took, (b.now-s.tries[0].at)/s.tries[0].heft)
 	}
 	return took
 }
@@ -869,17 +870,14 @@
 		}
 		line := b.predict.line(b.now, s)
 		for _, y := range s.tries {
-			if b.now-max(y.at, b.awake) <= line {
-				break
-			}
-			if !y.noted {
+			if !y.noted && b.now-max(y.at, b.awake) > line*y.heft {
 				b.predict.teach(b.now, y, true)
 			}
 		}
-		if s.trial != nil && b.now-max(s.trial.at, b.awake) > patience {
+		if s.trial != nil && b.now-max(s.trial.at, b.awake) > patience*max(s.trial.heft, 1) {
 			s.trial = nil
 			b.retreat(s)
-		} else if !s.aside && len(s.tries) > 0 && b.now-max(s.answered, s.tries[0].at, b.awake) > patience {
+		} else if !s.aside && len(s.tries) > 0 && b.now-max(s.answered, s.tries[0].at, b.awake) > patience*max(s.tries[0].heft, 1) {
 			b.setAside(i, true, "silent")
 		}
 		if !s.listed || s.state != Ready {
