--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -32,9 +32,8 @@
 	copyFloor  = 0.90
 	copyShare  = 0.10 // of a search's parts
 	crowdTimes = 1.5  // the fleet's median latency against the lowest seen
-	heftLeast  = 0.5  // hints are rough
-	heftMost   = 2.0
-	copyFew    = 20 // answers of a query type before its pX means something
+	hintTrust  = 0.5  // hints are rough: a small part is taken to be at least so big
+	copyFew    = 20   // answers of a query type before its pX means something
 
 	// Between equals, in average loads: a choice that saves work is worth less than one that saves a wait.
 	tieJoin   = 1.0 // a call that is open anyway
@@ -423,7 +422,7 @@
 	}
 	x := min(copyTop, 1-b.predict.falseRate(b.now))
 	limit, n := k.lat.Quantile(b.now, max(x, copyFloor))
-	if most := math.Ceil(copyShare*float64(q.want) - 1e-9); n < copyFew || (b.now-last.at)/b.heft(p) < limit ||
+	if most := math.Ceil(copyShare*float64(q.want) - 1e-9); n < copyFew || b.now-last.at-last.extra < limit ||
 		float64(q.copies) >= most || b.predict.crowded(b.now) {
 		return keep
 	}
@@ -518,12 +517,13 @@
 	}
 }
 
-// heft is a part's hinted work against its query type's: a big part takes long without being slow.
-func (b *Broker) heft(p *part) float64 {
-	if k := p.q.k; p.work > 0 && k.work > 0 {
-		return min(max((p.work+b.fleet.callWork)/(k.work+b.fleet.callWork), heftLeast), heftMost)
+// extra is a part's hinted work over its query type's: a big part takes longer without being slow, by its work
+// and not by what it waits.
+func (b *Broker) extra(p *part) float64 {
+	if k := p.q.k; p.work > 0 {
+		return min(max(p.work-k.work, -hintTrust*k.work), k.work)
 	}
-	return 1
+	return 0
 }
 
 func (b *Broker) workOf(p *part) float64 {
@@ -578,7 +578,7 @@
 func (b *Broker) send(t *turn) verdict {
 	p, q, s := t.p, t.q, b.servers[t.to]
 	y := &try{p: p, no: len(p.tries), server: t.to, load: b.loadOf(s), calls: s.calls, at: b.now, out: true}
-	y.heft = b.heft(p)
+	y.extra = b.extra(p)
 	y.x = b.predict.features(b.now, s, y.load)
 	y.fast = b.predict.score(y.x) <= 0.5
 	if !b.joins(s) {
@@ -646,7 +646,7 @@
 	if how != Answered || b.now == b.awake {
 		return // what waited for this broker to move tells nothing of its server
 	}
-	s, lat := b.servers[y.server], (b.now-y.at)/y.heft
+	s, lat := b.servers[y.server], max(b.now-y.at-y.extra, 1)
 	if !y.noted {
 		b.predict.teach(b.now, y, lat > b.predict.line(b.now, s))
 	}
@@ -718,7 +718,7 @@
 	}
 	// A hang must not read as fast: a part out for longer than the line stands for the latest latency.
 	if len(s.tries) > 0 {
-		if age := (now - s.tries[0].at) / s.tries[0].heft; age > line {
+		if age := now - s.tries[0].at - s.tries[0].extra; age > line {
 			add(age, s.tries[0].load)
 		}
 	}
@@ -791,7 +791,7 @@
 		took = b.predict.typical(b.now)
 	}
 	if len(s.tries) > 0 {
-		took = max(took, (b.now-s.tries[0].at)/s.tries[0].heft)
+		took = max(took, b.now-s.tries[0].at-s.tries[0].extra)
 	}
 	return took
 }
@@ -870,14 +870,14 @@
 		}
 		line := b.predict.line(b.now, s)
 		for _, y := range s.tries {
-			if !y.noted && b.now-max(y.at, b.awake) > line*y.heft {
+			if !y.noted && b.now-max(y.at, b.awake)-y.extra > line {
 				b.predict.teach(b.now, y, true)
 			}
 		}
-		if s.trial != nil && b.now-max(s.trial.at, b.awake) > patience*max(s.trial.heft, 1) {
+		if s.trial != nil && b.now-max(s.trial.at, b.awake) > patience {
 			s.trial = nil
 			b.retreat(s)
-		} else if !s.aside && len(s.tries) > 0 && b.now-max(s.answered, s.tries[0].at, b.awake) > patience*max(s.tries[0].heft, 1) {
+		} else if !s.aside && len(s.tries) > 0 && b.now-max(s.answered, s.tries[0].at, b.awake) > patience {
 			b.setAside(i, true, "silent")
 		}
 		if !s.listed || s.state != Ready {
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -67,7 +67,7 @@
 type try struct {
 	p                               *part
 	no, server, calls               int
-	at, load, heft                  float64
+	at, load, extra                 float64
 	x                               vector
 	fast, out, noted, called, never bool
 	call                            *call
