--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -31,7 +31,7 @@
 	copyTop    = 0.95   // the design's pX
 	copyFloor  = 0.90
 	copyShare  = 0.10 // of a search's parts
-	crowdTimes = 1.5  // the fleet's median latency against the lowest seen
+	crowdTimes = 1.3  // the fleet's median latency against the lowest seen
 	hintTrust  = 0.5  // hints are rough: a small part is taken to be at least so big
 	copyFew    = 20   // answers of a query type before its pX means something
 
@@ -51,9 +51,6 @@
 	errFew       = 2.0   // errors lately before a share of them counts
 	errShare     = 0.3   // a server that fails more is set aside
 	errSpan      = 4000. // lately
-	rescueSpan   = 4000. // parts taken off silent servers, lately
-	rescueShare  = 0.15  // of first sub-requests: a fifth of all servers hung at once needs less
-	rescueFew    = 4.0
 	trialFirst   = 1000. // first trial after so long, then twice as long each time
 	trialLongest = 2000.
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
@@ -90,8 +87,7 @@
 
 func New(out Out, seed uint64, self, brokers, hall int) *Broker {
 	b := &Broker{out: out, dice: dice{seed: seed}, brokers: max(brokers, 1), hall: hall,
-		lastWake: math.Inf(-1), lastLog: math.Inf(-1), shortAim: math.Inf(1),
-		firsts: window.NewCounts(10, rescueSpan/8), rescues: window.NewCounts(10, rescueSpan/8)}
+		lastWake: math.Inf(-1), lastLog: math.Inf(-1), shortAim: math.Inf(1)}
 	b.Fleet(1, 1, 1, 0, false)
 	b.Limits(1, 0, false, false)
 	b.predict = predictor{weights: start, pool: hist(), fast: window.NewCounts(30, 1000),
@@ -405,9 +401,6 @@
 	case out == 0:
 		return pass
 	case out == dead && out < 2:
-		if b.rescues.Sum(b.now, rescueSpan) >= rescueFew+rescueShare*b.firsts.Sum(b.now, rescueSpan) {
-			return keep // slow everywhere looks like silence everywhere: all of it twice would make it last
-		}
 		if b.limits.copies {
 			t.spare = true
 			return pass
@@ -590,13 +583,9 @@
 	y.call = s.open
 	work := b.workOf(p)
 	s.sent.Add(b.now, work)
-	if n := len(p.tries); n > 0 {
+	if len(p.tries) > 0 {
 		b.budget.spend(b.now)
-		if p.tries[n-1].out && !t.copy {
-			b.rescues.Add(b.now, 1)
-		}
 	} else {
-		b.firsts.Add(b.now, 1)
 		b.reports.credit = min(b.reports.credit+b.reports.rate, float64(len(b.servers)))
 	}
 	if t.copy {
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -123,7 +123,6 @@
 	live                          []*search
 	servers                       []*server
 	stages                        []stage
-	firsts, rescues               *window.Counts
 	shortAim, topValue            float64
 }
 
