--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -510,8 +510,8 @@
 	}
 }
 
-// extra is a part's hinted work over its query type's: a big part takes longer without being slow, by its work
-// and not by what it waits.
+// extra is a part's hinted work over its query type's: a big part takes longer without being slow, by its
+// work and not by what it waits.
 func (b *Broker) extra(p *part) float64 {
 	if k := p.q.k; p.work > 0 {
 		return min(max(p.work-k.work, -hintTrust*k.work), k.work)
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -128,13 +128,16 @@
 
 func same(t *testing.T, what string, got []int, want ...int) {
 	t.Helper()
-	if len(got) != len(want) {
-		t.Fatalf("%s: %v, want %v", what, got, want)
-	}
+	failIf(t, len(got) != len(want), "%s: %v, want %v", what, got, want)
 	for i := range got {
-		if got[i] != want[i] {
-			t.Fatalf("%s: %v, want %v", what, got, want)
-		}
+		failIf(t, got[i] != want[i], "%s: %v, want %v", what, got, want)
+	}
+}
+
+func failIf(t *testing.T, wrong bool, form string, args ...any) {
+	t.Helper()
+	if wrong {
+		t.Fatalf(form, args...)
 	}
 }
 
@@ -142,17 +145,13 @@
 	b, n := plain(2, nil)
 	ask(b, 1000, 0, 4)
 	for _, to := range n.to[1:] {
-		if to != n.to[0] {
-			t.Fatalf("parts went to %v: joining an open call adds nothing outstanding", n.to)
-		}
+		failIf(t, to != n.to[0], "parts went to %v: joining an open call adds nothing outstanding", n.to)
 	}
 	if s := b.servers[n.to[0]]; s.calls != 1 {
 		t.Fatalf("%d calls outstanding, want 1", s.calls)
 	}
 	ask(b, 1001, 10, 1)
-	if n.to[4] == n.to[0] {
-		t.Fatal("the next round went to the server with more calls outstanding")
-	}
+	failIf(t, n.to[4] == n.to[0], "the next round went to the server with more calls outstanding")
 }
 
 func TestSlowReplicaIsSkippedUntilItsHistoryExpires(t *testing.T) {
@@ -215,9 +214,7 @@
 	finish(b, now+90, Answered)
 	same(t, "before the share", n.sent, 1, 2, 3, 4)
 	finish(b, now+140, Answered)
-	if len(n.sent) != 5 || n.to[4] == n.to[0] {
-		t.Fatalf("sent %v to %v: want one copy for a tenth of four parts, rounded up, elsewhere", n.sent, n.to)
-	}
+	failIf(t, len(n.sent) != 5 || n.to[4] == n.to[0], "sent %v to %v: want one copy for a tenth of four parts, rounded up, elsewhere", n.sent, n.to)
 	finish(b, now+150, Answered, n.sent[4])
 	same(t, "cancelled", n.cancelled, n.sent[4])
 }
@@ -237,13 +234,9 @@
 	b, n := plain(2, nil)
 	ask(b, 1000, 0, 1)
 	finish(b, 1002, Full, 1)
-	if len(n.to) != 2 || n.to[1] == n.to[0] {
-		t.Fatalf("sent to %v: want the other server after a refusal", n.to)
-	}
+	failIf(t, len(n.to) != 2 || n.to[1] == n.to[0], "sent to %v: want the other server after a refusal", n.to)
 	ask(b, 1003, 10, 1)
-	if n.to[2] == n.to[0] {
-		t.Fatal("sent to a full server again at once")
-	}
+	failIf(t, n.to[2] == n.to[0], "sent to a full server again at once")
 }
 
 func TestSilentServerIsSetAsideAndItsPartTakenOff(t *testing.T) {
@@ -259,9 +252,7 @@
 	if s := b.servers[n.to[0]]; !s.aside || !s.dead {
 		t.Fatal("a server that answers nothing is not set aside")
 	}
-	if len(n.to) != 2 || n.to[1] == n.to[0] {
-		t.Fatalf("sent to %v: want the part taken off the silent server", n.to)
-	}
+	failIf(t, len(n.to) != 2 || n.to[1] == n.to[0], "sent to %v: want the part taken off the silent server", n.to)
 }
 
 // A trial that this broker called off told nothing, yet kept a sound server aside for most of a day.
@@ -273,9 +264,7 @@
 	same(t, "trial", n.sent, 1)
 	due := s.trialAt
 	finish(b, 2600, Cancelled, 1)
-	if s.trialAt != due {
-		t.Fatal("a trial called off counts as failed")
-	}
+	failIf(t, s.trialAt != due, "a trial called off counts as failed")
 }
 
 // A crowd read as silence came back throttled as cold for long; a broken connection may mean a restart.
@@ -287,9 +276,7 @@
 		ask(b, 2500, 0, 1)
 		finish(b, 2600, Answered, 1)
 		s := b.servers[0]
-		if s.aside || (s.coldTo > 2600) != broke || s.coldTo > 2600+newsLast {
-			t.Fatalf("broken connection %v: aside %v, cold until %.0f", broke, s.aside, s.coldTo)
-		}
+		failIf(t, s.aside || (s.coldTo > 2600) != broke || s.coldTo > 2600+newsLast, "broken connection %v: aside %v, cold until %.0f", broke, s.aside, s.coldTo)
 	}
 }
 
@@ -309,9 +296,7 @@
 	g.tend(1500, 5000, 4, 4)
 	best := g.carry
 	g.tend(15000, 0, 4, 4)
-	if best <= 0 || g.carry < best/2 {
-		t.Fatalf("carry %.3f after 13 s, %.3f before", g.carry, best)
-	}
+	failIf(t, best <= 0 || g.carry < best/2, "carry %.3f after 13 s, %.3f before", g.carry, best)
 }
 
 func TestPartAnswerAtTheLatencyTarget(t *testing.T) {
@@ -321,61 +306,68 @@
 	same(t, "before the target", n.answered)
 	finish(b, 1000+1000-margin, Answered)
 	same(t, "at the target", n.answered, 0)
-	if n.whole {
-		t.Fatal("three of four parts marked whole")
-	}
+	failIf(t, n.whole, "three of four parts marked whole")
 }
 
 func TestOddSettingsAndArrivals(t *testing.T) {
-	for name, play := range map[string]func() *note{
-		"no server": func() *note { b, n := plain(0, nil); ask(b, 1000, 0, 2); return n },
-		"no part":   func() *note { b, n := plain(1, nil); ask(b, 1000, 0, 0); return n },
-		"no try allowed": func() *note {
-			b, n := plain(1, func(b *Broker) { b.Limits(0, 0, true, true) })
-			ask(b, 1000, 0, 2)
-			return n
-		},
-		"no holder": func() *note {
-			b, n := plain(1, func(b *Broker) { b.Fleet(4, 1, 1, 0, false) })
-			b.Begin(1000)
-			b.Search(0, 0, 0, 4000, 1)
-			b.Part(0, 1, 2, 1, 100, 0)
-			b.End()
-			return n
-		},
-		"past on arrival": func() *note {
-			b, n := plain(1, nil)
-			b.Begin(1000)
-			b.Search(0, 0, 0, 900, 1)
-			b.Part(0, 1, 0, 1, 100, 0)
-			b.End()
-			return n
-		},
-		"unknown query type": func() *note {
-			b, n := plain(1, nil)
-			b.Begin(1000)
-			b.Search(0, 9, 9, 4000, 1)
-			b.Part(0, 1, 0, 1, 100, 0)
-			b.End()
-			return n
-		},
+	for _, c := range []struct {
+		name                         string
+		servers, kind, parts, places int
+		tries, held, shard           int
+		until                        float64
+	}{
+		{"no server", 0, 0, 2, 1, 4, 0, 0, 4000},
+		{"no part", 1, 0, 0, 1, 4, 0, 0, 4000},
+		{"no try allowed", 1, 0, 2, 1, 0, 0, 0, 4000},
+		{"no holder", 1, 0, 1, 4, 4, 0, 2, 4000},
+		{"past on arrival", 1, 0, 1, 1, 4, 0, 0, 900},
+		{"unknown query type and customer", 1, 9, 1, 1, 4, 0, 0, 4000},
+		{"negative numbers", 1, -1, -1, 1, -1, -1, -3, -1},
 	} {
-		n := play()
+		b, n := plain(c.servers, func(b *Broker) {
+			b.Fleet(c.places, 1, 1, 0, false)
+			b.Limits(c.tries, c.held, true, true)
+		})
+		b.Begin(1000)
+		b.Search(0, c.kind, c.kind, c.until, c.parts)
+		for i := range c.parts {
+			b.Part(0, 1+i, c.shard, 1/float64(c.parts), 100, 0)
+		}
+		b.End()
 		if len(n.shed)+len(n.failed) != 1 || len(n.forgot) != 1 || len(n.sent) != 0 {
-			t.Errorf("%s: shed %v, failed %v, sent %v: want one prompt final answer", name, n.shed, n.failed, n.sent)
+			t.Errorf("%s: shed %v, failed %v, sent %v: want one prompt final answer", c.name, n.shed, n.failed, n.sent)
 		}
 	}
 }
 
+// One search may be more than the hold limit; where nothing else is held it is served all the same.
+func TestHoldLimitSmallerThanASearch(t *testing.T) {
+	b, n := plain(2, func(b *Broker) { b.Limits(4, 2, true, true) })
+	ask(b, 1000, 0, 4)
+	failIf(t, len(n.sent) != 4, "sent %v, want all four parts of the most valued search", n.sent)
+}
+
+// A big part takes long without being slow, and must not teach that its server is.
+func TestHintedWorkIsTakenOffLatencies(t *testing.T) {
+	b, _ := plain(1, nil)
+	now := warm(b, 1000, 30)
+	b.Begin(now)
+	b.Search(0, 0, 0, now+3000, 1)
+	b.Part(0, 1, 0, 1, 180, 0)
+	b.End()
+	finish(b, now+180, Answered, 1)
+	if got := b.servers[0].hist[0].lat; got > 110 {
+		t.Fatalf("a part of 180 ms work, answered in 180, counts as %.0f against the usual 100", got)
+	}
+}
+
 func TestShedNamesATimeToComeBack(t *testing.T) {
 	b, n := plain(1, func(b *Broker) { b.Advice(200) })
 	now := warm(b, 1000, 30)
 	b.servers[0].took = 5000
 	ask(b, now, 0, 1)
 	same(t, "shed", n.shed, 0)
-	if n.back != 200 {
-		t.Fatalf("come back in %.0f ms, want the longest advice", n.back)
-	}
+	failIf(t, n.back != 200, "come back in %.0f ms, want the longest advice", n.back)
 }
 
 // Clients left a second before their stated time and asked again: the work was done for nobody.
--- a/internal/decide/world_test.go
+++ b/internal/decide/world_test.go
@@ -220,7 +220,7 @@
 	if w.tamper == "late" {
 		w.now += 1e6
 	}
-	if w.now > q.until+20 && !q.client && w.tamper == "late" {
+	if w.now > q.until+20 && !q.client {
 		w.fault("search %d answered too late", id)
 	}
 	return q
