--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -37,7 +37,7 @@
 
 	// Between equals, in average loads: a choice that saves work is worth less than one that saves a wait.
 	tieJoin   = 1.0 // a call that is open anyway
-	tieHall   = 0.8 // the own hall
+	tieHall   = 1.5 // the own hall
 	tieKey    = 0.3 // a key met lately
 	tieTrial  = 10. // a trial that is due
 	tieChance = 0.1
