--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -63,9 +63,9 @@
 	coldAfter    = 5000. // silent for longer: it may have restarted unannounced
 	coldSafe     = 0.75  // of the budget: what servers say comes late, and chance varies
 
-	admitLow  = 0.5  // share of the latency target that the least valued search may be expected to take
-	admitHigh = 0.85 // and the most valued
-	leftFew   = 5    // clients that left early before their patience counts
+	admitLow  = 0.4 // share of the latency target that the least valued search may be expected to take
+	admitHigh = 0.7 // and the most valued
+	leftFew   = 5   // clients that left early before their patience counts
 	leftShare = 0.25
 	heldLow   = 0.85  // of the hold limit: beyond, only the most valued
 	quotaSpan = 4000. // a customer's share is watched over so long
