--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -63,14 +63,15 @@
 	coldAfter    = 5000. // silent for longer: it may have restarted unannounced
 	coldSafe     = 0.75  // of the budget: what servers say comes late, and chance varies
 
-	admitLow  = 0.4 // share of the latency target that the least valued search may be expected to take
-	admitHigh = 0.7 // and the most valued
-	leftFew   = 5   // clients that left early before their patience counts
-	leftShare = 0.25
-	heldLow   = 0.85  // of the hold limit: beyond, only the most valued
-	quotaSpan = 4000. // a customer's share is watched over so long
-	quotaOver = 1.25  // and passed beyond so much: brokers see unequal parts
-	backShare = 0.25  // of the latency target: advice to a shed client
+	admitLow   = 0.52 // share of the latency target that the least valued search may be expected to take
+	admitHigh  = 0.88 // and the most valued
+	crowdTight = 0.75 // of that in a crowd: a full server does no more for a longer queue, only later
+	leftFew    = 5    // clients that left early before their patience counts
+	leftShare  = 0.25
+	heldLow    = 0.85  // of the hold limit: beyond, only the most valued
+	quotaSpan  = 4000. // a customer's share is watched over so long
+	quotaOver  = 1.25  // and passed beyond so much: brokers see unequal parts
+	backShare  = 0.25  // of the latency target: advice to a shed client
 
 	probeSlow = 100.  // a failure after so long is no refusal
 	pollMost  = 0.5   // probes for each part
@@ -269,7 +270,9 @@
 	limit := admitLow + (admitHigh-admitLow)*b.value(q)/max(b.topValue, 1e-9)
 	top := b.value(q) >= b.topValue
 	// One that waited while this broker stood still may be too late for its target: it is worth less.
-	limit *= aim
+	if limit *= aim; b.predict.crowded(b.now) {
+		limit *= crowdTight
+	}
 	if left := q.aim - b.now; worst > admitHigh*left && b.now == b.awake {
 		limit *= k.late
 	}
