--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -65,7 +65,7 @@
 
 	admitLow   = 0.52 // share of the latency target that the least valued search may be expected to take
 	admitHigh  = 0.88 // and the most valued
-	crowdTight = 0.75 // of that in a crowd: a full server does no more for a longer queue, only later
+	crowdTight = 0.8  // of that in a crowd: a full server does no more for a longer queue, only later
 	leftFew    = 5    // clients that left early before their patience counts
 	leftShare  = 0.25
 	heldLow    = 0.85  // of the hold limit: beyond, only the most valued
