--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -811,9 +811,16 @@
 			s.aside, s.broke = false, false
 			b.log("server %d back after %.0f ms", y.server, b.now-s.since)
 		}
-	case Errored, TimedOut:
+	case Errored, TimedOut, Reset:
+		// Parts that share a connection break together: that is one event, and no proof that the server is gone.
+		// If it is, the next connection fails.
 		s.streak = 0
-		s.errs.Add(b.now, 1)
+		if how != Reset || s.resetAt != b.now {
+			s.errs.Add(b.now, 1)
+		}
+		if how == Reset {
+			s.resetAt = b.now
+		}
 		if e := s.errs.Sum(b.now, errSpan); e >= errFew && e > errShare*(e+s.oks.Sum(b.now, errSpan)) {
 			b.setAside(y.server, false, "errors")
 		}
@@ -823,7 +830,7 @@
 		// One that only refuses may be draining, or worse, and no list tells yet: it rests longer each time.
 		s.fulls = min(s.fulls+1, fullMost)
 		s.fullUntil = b.now + fullPause*s.fulls
-	case NoConnect, Reset:
+	case NoConnect:
 		s.streak = 0
 		b.setAside(y.server, true, "unreachable")
 		s.broke = true
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -395,3 +395,14 @@
 		t.Fatal("a server is set aside for this broker's own stall")
 	}
 }
+
+// Connections that broke here and there set sound servers aside as dead, and throttled them as restarted.
+func TestBrokenConnectionIsOneErrorAndNoDeath(t *testing.T) {
+	b, _ := plain(2, nil)
+	now := warm(b, 1000, 30)
+	ask(b, now, 0, 4)
+	finish(b, now+10, Reset, 1, 2, 3, 4)
+	for i, s := range b.servers {
+		failIf(t, s.aside, "server %d is set aside for one broken connection", i)
+	}
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -93,7 +93,8 @@
 	loadOwn                           int
 	took, tookCalls                   float64
 	errs, oks, sent, did              *window.Counts
-	answered, fullUntil, fulls        float64
+	answered, resetAt                 float64
+	fullUntil, fulls                  float64
 	aside, dead, broke, probing, sure bool
 	since, trialAt, backoff           float64
 	trial                             *try
