--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -47,6 +47,7 @@
 
 	silentLines  = 2.0   // no answer for so many fleet lines, with parts out, is silence
 	silentLeast  = 1.6   // and never under so many, however short the latency target
+	silentOwn    = 1.5   // nor under so many times what it took lately
 	silentAim    = 0.5   // of the shortest latency target
 	errFew       = 2.0   // errors lately before a share of them counts
 	errShare     = 0.3   // a server that fails more is set aside
@@ -867,7 +868,10 @@
 		if s == nil {
 			continue
 		}
-		line := b.predict.line(b.now, s)
+		line, patience := b.predict.line(b.now, s), patience
+		if len(s.tries) > 0 && b.now-s.answered < fadeOver {
+			patience = max(patience, silentOwn*s.took) // slow in answering is not silent: its peers bear no more
+		}
 		for _, y := range s.tries {
 			if !y.noted && b.now-max(y.at, b.awake)-y.extra > line {
 				b.predict.teach(b.now, y, true)
