--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -731,8 +731,6 @@
 	return 1 / (1 + math.Exp(-z))
 }
 
-func (r *reports) any() bool { return len(r.fields) > 0 && (r.onAnswers || r.mayProbe) }
-
 // loadOf is the last reported count with what this broker changed since; its own calls where no server
 // reports; the average for a server that has not reported.
 func (b *Broker) loadOf(s *server) float64 {
@@ -813,8 +811,8 @@
 			b.log("server %d back after %.0f ms", y.server, b.now-s.since)
 		}
 	case Errored, TimedOut, Reset:
-		// Parts that share a connection break together: that is one event, and no proof that the server is gone.
-		// If it is, the next connection fails.
+		// Parts that share a connection break together: that is one event, and no proof that the server is
+		// gone. If it is, the next connection fails.
 		s.streak = 0
 		if how != Reset || s.resetAt != b.now {
 			s.errs.Add(b.now, 1)
@@ -870,7 +868,7 @@
 		}
 		line, patience := b.predict.line(b.now, s), patience
 		if len(s.tries) > 0 && b.now-s.answered < fadeOver {
-			patience = max(patience, silentOwn*s.took) // slow in answering is not silent: its peers bear no more
+			patience = max(patience, silentOwn*s.took) // slow in answering is not silent
 		}
 		for _, y := range s.tries {
 			if !y.noted && b.now-max(y.at, b.awake)-y.extra > line {
@@ -985,23 +983,6 @@
 	b.stop(q)
 }
 
-// forget lets a search go once it is over and nothing of it is out.
-func (b *Broker) forget(q *search) {
-	if !q.over || q.out > 0 || b.searches[q.id] != q {
-		return
-	}
-	b.searches[q.id] = nil
-	for _, p := range q.parts {
-		b.parts[p.id] = nil
-	}
-	b.out.Forget(q.id)
-}
-
-func (b *Broker) holds(s *server, shard int) bool {
-	f := &b.fleet
-	return s != nil && s.listed && s.state == Ready && ((s.cell-shard)%f.places+f.places)%f.places < f.span
-}
-
 func (b *Broker) log(form string, args ...any) {
 	if b.now-b.lastLog >= 500 {
 		b.lastLog = b.now
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -244,6 +244,25 @@
 	}
 }
 
+// forget lets a search go once it is over and nothing of it is out.
+func (b *Broker) forget(q *search) {
+	if !q.over || q.out > 0 || b.searches[q.id] != q {
+		return
+	}
+	b.searches[q.id] = nil
+	for _, p := range q.parts {
+		b.parts[p.id] = nil
+	}
+	b.out.Forget(q.id)
+}
+
+func (b *Broker) holds(s *server, shard int) bool {
+	f := &b.fleet
+	return s != nil && s.listed && s.state == Ready && ((s.cell-shard)%f.places+f.places)%f.places < f.span
+}
+
+func (r *reports) any() bool { return len(r.fields) > 0 && (r.onAnswers || r.mayProbe) }
+
 // mayRun is the first sub-request that is out or may have run.
 func (p *part) mayRun() *try {
 	for _, y := range p.tries {
