--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -52,6 +52,7 @@
 	errFew       = 2.0   // errors lately before a share of them counts
 	errShare     = 0.3   // a server that fails more is set aside
 	errSpan      = 4000. // lately
+	spareGain    = 0.5   // off a silent server: the next must be expected to take at most so much of the wait
 	trialFirst   = 1000. // first trial after so long, then twice as long each time
 	trialLongest = 2000.
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
@@ -561,8 +562,16 @@
 			best, bestSlow, bestCalls, bestTie = i, slow, calls, tie
 		}
 	}
-	if t.spare && bestSlow {
-		return keep // two in slow places are work for nothing, and in a crowd keep it up
+	// Two in slow places are work for nothing, and in a crowd keep it up: where the holders of a shard are all
+	// busy, sending a part again takes from another what it gives to its own.
+	if t.spare {
+		worth := b.now - t.p.tries[len(t.p.tries)-1].at
+		if !t.copy {
+			worth *= spareGain
+		}
+		if bestSlow || b.expect(b.servers[best]) > worth {
+			return keep
+		}
 	}
 	t.to = best
 	return pass
