--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -88,7 +88,7 @@
 
 const wholeStages = 2 // stages that take a search; the others take its parts
 
-func New(out Out, seed uint64, self, brokers, hall int) *Broker {
+func New(out Out, seed uint64, brokers, hall int) *Broker {
 	b := &Broker{out: out, dice: dice{seed: seed}, brokers: max(brokers, 1), hall: hall,
 		lastWake: math.Inf(-1), lastLog: math.Inf(-1), shortAim: math.Inf(1)}
 	b.Fleet(1, 1, 1, 0, false)
@@ -562,8 +562,8 @@
 			best, bestSlow, bestCalls, bestTie = i, slow, calls, tie
 		}
 	}
-	// Two in slow places are work for nothing, and in a crowd keep it up: where the holders of a shard are all
-	// busy, sending a part again takes from another what it gives to its own.
+	// Two in slow places are work for nothing, and keep a crowd up: where the holders of a shard are all busy,
+	// sending a part again takes from another what it gives to its own.
 	if last := len(t.p.tries) - 1; t.spare && (bestSlow ||
 		b.expect(b.servers[best]) > spareGain*(b.now-t.p.tries[last].at)) {
 		return keep
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -81,7 +81,7 @@
 // plain is a broker with one idempotent query type and servers that all hold shard 0.
 func plain(servers int, set func(*Broker)) (*Broker, *note) {
 	n := &note{}
-	b := New(n, 1, 0, 2, 0)
+	b := New(n, 1, 2, 0)
 	b.QueryType(1000, 1, 0.3, Idempotent, 0)
 	b.Fleet(1, 1, 4, 10, false)
 	b.Limits(4, 0, true, true)
--- a/internal/decide/world_test.go
+++ b/internal/decide/world_test.go
@@ -92,7 +92,7 @@
 func (w *world) start() {
 	w.searches, w.parts, w.order, w.steps, w.probing = map[int]*searchOut{}, map[int]*partOut{}, nil, nil, nil
 	w.taken, w.further, w.wake, w.peak = nil, nil, -1, 0
-	b := New(w, w.rnd.Uint64(), 0, 1+w.rnd.Intn(4), 0)
+	b := New(w, w.rnd.Uint64(), 1+w.rnd.Intn(4), 0)
 	for i, e := range w.effects {
 		b.QueryType(w.aim, float64(1+i), 0.3, e, w.tokenFor)
 		b.Shares(i, w.need[i], w.floor[i], 0.8, w.follow*(i%2))
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -40,7 +40,7 @@
 
 func (b *broker) configure(seed uint64) decide.Port {
 	const fam, safe, lim = "family-info.", "safety.", "limits."
-	p := decide.New(b, seed, b.whole("self-index", 0), b.whole("balancers", 1), b.whole("zone", 0))
+	p := decide.New(b, seed, b.whole("balancers", 1), b.whole("zone", 0))
 	for i := range min(b.whole("classes.count", 0), maxListed) {
 		at := "classes." + strconv.Itoa(i) + "."
 		effect := decide.NonIdempotent
