--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -3,12 +3,12 @@
 //
 // The ordinary path is LinnOS's, as docs/design.md tells: predict slow replicas, skip them, send to the one
 // with the fewest own calls outstanding, copy a part past pX. Beside it stand at most six mechanisms:
-//  1. aside: a server that is silent, unreachable or quick to fail gets no parts but a metered trial
+//  1. aside: a server that is silent, unreachable or quick to fail gets no parts but a metered trial,
+//     and where probes are allowed a probe before it
 //  2. further sub-requests after failures and off dead servers, within every stated limit
 //  3. cold guard: this broker's share of what a server that came back can bear
 //  4. admission: a search that cannot be answered by its latency target is shed, cheapest value first
 //  5. part answers at the latency target where a query type allows them, and giving up in time
-//  6. probes where load reports come only that way, as many as their price allows
 package decide
 
 import (
@@ -75,12 +75,10 @@
 	quotaOver  = 1.25  // and passed beyond so much: brokers see unequal parts
 	backShare  = 0.25  // of the latency target: advice to a shed client
 
-	probeSlow = 100.  // a failure after so long is no refusal
-	pollMost  = 0.5   // probes for each part
-	pollPoint = 0.003 // of service, spent on probes
-	margin    = 25.0  // a final answer goes out so long before the client timeout
-	stall     = 100.  // a wake-up so late is a stall
-	stir      = 10.0  // while searches are held, look again after so long
+	probeSlow = 100. // a failure after so long is no refusal
+	margin    = 25.0 // a final answer goes out so long before the client timeout
+	stall     = 100. // a wake-up so late is a stall
+	stir      = 10.0 // while searches are held, look again after so long
 )
 
 // start is what a new instance knows: slow is who was slow lately, the latest answer first.
@@ -100,13 +98,6 @@
 	return b
 }
 
-func (b *Broker) Probes(price float64) {
-	b.reports.mayProbe, b.reports.rate = true, pollMost
-	if price > 0 {
-		b.reports.rate = min(pollMost, pollPoint/price)
-	}
-}
-
 func (b *Broker) Done(id, no int, how Outcome, report []float64) {
 	p := at(b.parts, id)
 	if p == nil || no >= len(p.tries) || !p.tries[no].out {
@@ -593,8 +584,6 @@
 	s.sent.Add(b.now, work)
 	if len(p.tries) > 0 {
 		b.budget.spend(b.now)
-	} else {
-		b.reports.credit = min(b.reports.credit+b.reports.rate, float64(len(b.servers)))
 	}
 	if t.copy {
 		p.copied = true
@@ -735,8 +724,9 @@
 	return 1 / (1 + math.Exp(-z))
 }
 
-// loadOf is the last reported count with what this broker changed since; its own calls where no server
-// reports; the average for a server that has not reported.
+// loadOf is the last reported count with what this broker changed since; its own calls where no report comes
+// with answers, as a probe for one tells of a queue that has passed and has its price; the average for a server
+// that has not reported.
 func (b *Broker) loadOf(s *server) float64 {
 	if !b.reports.any() {
 		return float64(s.calls)
@@ -860,7 +850,7 @@
 // parts out that answers nothing is silent, hung or lost alike.
 func (b *Broker) tend() {
 	b.predict.avgLoad = 0
-	n, size, warm, work, oldest := 0.0, 0.0, 0.0, 0.0, -1
+	n, size, warm, work := 0.0, 0.0, 0.0, 0.0
 	fleet, m := b.predict.pool.Quantile(b.now, lineShare)
 	patience := max(silentLeast*fleet, min(silentLines*fleet, silentAim*b.shortAim))
 	if m < copyFew {
@@ -903,9 +893,6 @@
 		if b.reports.mayProbe && !s.probing && s.aside && s.dead && !s.sure && b.now >= s.trialAt {
 			b.probe(i)
 		}
-		if !s.probing && !s.aside && (oldest < 0 || s.loadAt < b.servers[oldest].loadAt) {
-			oldest = i
-		}
 	}
 	if n > 0 {
 		b.predict.avgLoad /= n
@@ -917,10 +904,6 @@
 	if mid, n := g.pool.Quantile(b.now, 0.5); n >= copyFew && (g.calm == 0 || mid < g.calm) {
 		g.calm = mid
 	}
-	if r := &b.reports; r.mayProbe && !r.onAnswers && len(r.fields) > 0 && r.credit >= 1 && oldest >= 0 {
-		b.reports.credit--
-		b.probe(oldest)
-	}
 }
 
 func (b *Broker) probe(i int) {
--- a/internal/decide/port.go
+++ b/internal/decide/port.go
@@ -73,7 +73,7 @@
 	Cold(from, lasts, multiple, over float64)
 	Budget(spare, ratio, over float64)
 	Reports(onAnswers bool, fields []Field)
-	Probes(price float64)
+	Probes()
 	Discovery(ask bool)
 
 	Begin(now float64)
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -145,11 +145,10 @@
 	avgLoad, calm float64
 }
 
-// reports tells where load reports come from, and what probes for them may cost.
+// reports tells where load reports come from.
 type reports struct {
 	onAnswers, mayProbe bool
 	fields              []Field
-	rate, credit        float64
 }
 
 type fleet struct {
@@ -196,6 +195,8 @@
 	b.limits = limits{tries: tries, most: held, cancel: cancel, copies: copies}
 }
 
+func (b *Broker) Probes() { b.reports.mayProbe = true }
+
 func (b *Broker) Advice(longest float64) { b.longestAdvice = longest }
 
 func (b *Broker) Cold(from, lasts, multiple, over float64) {
@@ -261,7 +262,7 @@
 	return s != nil && s.listed && s.state == Ready && ((s.cell-shard)%f.places+f.places)%f.places < f.span
 }
 
-func (r *reports) any() bool { return len(r.fields) > 0 && (r.onAnswers || r.mayProbe) }
+func (r *reports) any() bool { return len(r.fields) > 0 && r.onAnswers }
 
 // mayRun is the first sub-request that is out or may have run.
 func (p *part) mayRun() *try {
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -87,7 +87,7 @@
 	}
 	p.Reports(b.settings["report.via"] == "answers", fields)
 	if b.flag(lim + "may-probe") {
-		p.Probes(b.num64("tariffs.probe", 0))
+		p.Probes()
 	}
 	p.Discovery(b.settings["discovery"] == "ask")
 	return p
