--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -55,7 +55,6 @@
 	}
 }
 
-// note writes down what a broker decides, for plain cases.
 type note struct {
 	sent, cancelled, answered, shed, failed, probed, forgot []int
 	to                                                      []int
@@ -78,7 +77,6 @@
 func (n *note) Log(text string)               {}
 func (n *note) Forget(search int)             { n.forgot = append(n.forgot, search) }
 
-// plain is a broker with one idempotent query type and servers that all hold shard 0.
 func plain(servers int, set func(*Broker)) (*Broker, *note) {
 	n := &note{}
 	b := New(n, 1, 2, 0)
@@ -96,7 +94,6 @@
 	return b, n
 }
 
-// ask hands over a search of so many parts, numbered on from its id.
 func ask(b *Broker, now float64, id, parts int) {
 	b.Begin(now)
 	b.Search(id, 0, 0, now+3000, parts)
@@ -116,7 +113,6 @@
 	b.End()
 }
 
-// warm answers so many one-part searches of 100 ms; it returns the time after.
 func warm(b *Broker, now float64, searches int) float64 {
 	for range searches {
 		ask(b, now, 500, 1)
