Holders by index, upkeep only where something is out or due

Work for one event grew with the fleet: every part and every round looked at all servers. Holders of a shard are found by an index dropped on list changes; upkeep visits servers with something out or due.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -61,6 +61,7 @@
 	busyTaken    = 0.67   // where no server says: at worst they are wholly busy, and the budget still holds
 	busyLeast    = 0.3
 	carrySpan    = 10000.
+	carryEvery   = 500.
 	newsLast     = 4000. // a list tells of a restart within so long
 	coldAfter    = 5000. // silent for longer: it may have restarted unannounced
 	coldSafe     = 0.75  // of the budget: what servers say comes late, and chance varies
@@ -146,10 +147,18 @@
 	s := b.servers[id]
 	if s == nil {
 		s = &server{line: hist(), errs: window.NewCounts(8, errSpan/8), oks: window.NewCounts(8, errSpan/8),
-			did: window.NewCounts(12, carrySpan/10), sent: window.NewCounts(10, max(b.cold.over, 1)/8),
-			loadAt: math.Inf(-1)}
+			sent: window.NewCounts(10, max(b.cold.over, 1)/8), loadAt: math.Inf(-1)}
 		b.servers[id] = s
 	}
+	if was, is := s.listed && s.state == Ready, state == Ready; was != is || s.cell != cell {
+		b.unindex(s.cell)
+		b.unindex(cell)
+		if was && !is {
+			b.ready--
+		} else if is && !was {
+			b.ready++
+		}
+	}
 	if state != Gone {
 		s.hall, s.cell, s.size = hall, cell, max(size, 0)
 		if started > s.started && started > 0 {
@@ -160,7 +169,11 @@
 			}
 		}
 	}
-	s.listed, s.state = state != Gone, state
+	if s.listed, s.state = state != Gone, state; state == Gone && !math.IsInf(s.loadAt, -1) {
+		b.predict.heard--
+		b.predict.loads -= s.load
+		s.load, s.loadAt = 0, math.Inf(-1)
+	}
 }
 
 func (b *Broker) Begin(now float64) {
@@ -239,8 +252,9 @@
 	worst, usable := 0.0, 0.0
 	for _, p := range q.parts {
 		best, calls, then, some := math.Inf(1), 0.0, 0.0, false
-		for _, s := range b.servers {
-			if !b.holds(s, p.shard) || s.aside && !b.trialDue(s) || !b.cold.room(b.now, s, b.workOf(p)) {
+		for _, i := range b.holds(p.shard) {
+			s := b.servers[i]
+			if s.aside && !b.trialDue(s) || !b.cold.room(b.now, s, b.workOf(p)) {
 				continue
 			}
 			if some = true; !s.aside {
@@ -263,7 +277,7 @@
 	limit := admitLow + (admitHigh-admitLow)*b.value(q)/max(b.topValue, 1e-9)
 	top := b.value(q) >= b.topValue
 	// One that waited while this broker stood still may be too late for its target: it is worth less.
-	if limit *= aim; b.predict.crowded(b.now) {
+	if limit *= aim; b.predict.crowded() {
 		limit *= crowdTight
 	}
 	if left := q.aim - b.now; worst > admitHigh*left && b.now == b.awake {
@@ -293,11 +307,8 @@
 func (b *Broker) reach(q *search) float64 {
 	sum := 0.0
 	for _, p := range q.parts {
-		for _, s := range b.servers {
-			if p.in || b.holds(s, p.shard) {
-				sum += p.weight
-				break
-			}
+		if p.in || len(b.holds(p.shard)) > 0 {
+			sum += p.weight
 		}
 	}
 	return sum
@@ -412,7 +423,7 @@
 	x := min(copyTop, 1-b.predict.falseRate(b.now))
 	limit, n := k.lat.Quantile(b.now, max(x, copyFloor))
 	if most := math.Ceil(copyShare*float64(q.want) - 1e-9); n < copyFew || b.now-last.at-last.extra < limit ||
-		float64(q.copies) >= most || b.predict.crowded(b.now) {
+		float64(q.copies) >= most || b.predict.crowded() {
 		return keep
 	}
 	t.copy, t.spare = true, true
@@ -441,8 +452,9 @@
 func (b *Broker) guard(t *turn) verdict {
 	t.cands = t.cands[:0]
 	var again, failing []int
-	for i, s := range b.servers {
-		if !b.holds(s, t.p.shard) || b.now < s.fullUntil || !b.cold.room(b.now, s, b.workOf(t.p)) {
+	for _, i := range b.holds(t.p.shard) {
+		s := b.servers[i]
+		if b.now < s.fullUntil || !b.cold.room(b.now, s, b.workOf(t.p)) {
 			continue
 		}
 		tried, here := false, false
@@ -534,7 +546,7 @@
 		if join {
 			calls--
 		}
-		tie := b.loadOf(s)/(b.predict.avgLoad+1) + b.expect(s)/max(b.predict.typical(b.now), 1)
+		tie := b.loadOf(s)/(b.predict.avgLoad+1) + b.expect(s)/max(b.predict.mid, 1)
 		tie += tieChance * b.dice.roll()
 		if join {
 			tie -= tieJoin
@@ -576,6 +588,7 @@
 	if !b.joins(s) {
 		s.open, s.openRound = &call{}, b.round
 		s.calls++
+		b.calls++
 	}
 	s.open.size++
 	s.open.left++
@@ -600,6 +613,7 @@
 	}
 	p.tries = append(p.tries, y)
 	s.tries = append(s.tries, y)
+	b.watch(t.to)
 	q.out++
 	within := 0.0
 	if !b.limits.cancel && !b.limits.copies {
@@ -616,6 +630,7 @@
 	y.p.q.out--
 	if y.call.left--; y.call.left == 0 {
 		s.calls--
+		b.calls--
 	}
 	for i, o := range s.tries {
 		if o == y {
@@ -639,7 +654,9 @@
 	copy(s.hist[1:], s.hist[:histSize-1])
 	s.hist[0] = sample{lat, b.now, y.load}
 	s.line.Add(b.now, lat)
-	s.did.Add(b.now, b.workOf(y.p))
+	if b.cold.multiple > 0 && b.now >= s.coldTo {
+		b.cold.did.Add(b.now, b.workOf(y.p))
+	}
 	b.predict.pool.Add(b.now, lat)
 	y.p.q.k.lat.Add(b.now, lat)
 	if b.now-s.answered > 2*histLife {
@@ -679,14 +696,13 @@
 
 func (g *predictor) line(now float64, s *server) float64 {
 	own, n := s.line.Quantile(now, lineShare)
-	all, m := g.pool.Quantile(now, lineShare)
-	if m == 0 {
+	if g.seen == 0 {
 		return math.Inf(1)
 	}
 	if n < lineFew {
-		return all
+		return g.top
 	}
-	return min(own, lineFleet*all)
+	return min(own, lineFleet*g.top)
 }
 
 // features are scaled by the server's own line, so that one set of weights learns from all answers.
@@ -752,6 +768,10 @@
 			b.cold.busy.Add(b.now, v)
 			b.cold.heard.Add(b.now, 1)
 		case field > Busy && (best == Other || field == InFlight):
+			if math.IsInf(s.loadAt, -1) {
+				b.predict.heard++
+			}
+			b.predict.loads += v - s.load
 			best, s.load, s.loadAt, s.loadOwn = field, v, b.now, len(s.tries)
 		}
 	}
@@ -759,13 +779,8 @@
 
 // crowded: slowness on most replicas together, where the design assumes short bursts on few. A copy then
 // takes from another part what it gives to its own.
-func (g *predictor) crowded(now float64) bool {
-	return g.calm > 0 && g.typical(now) > crowdTimes*g.calm
-}
-
-func (g *predictor) typical(now float64) float64 {
-	v, _ := g.pool.Quantile(now, 0.5)
-	return v
+func (g *predictor) crowded() bool {
+	return g.calm > 0 && g.mid > crowdTimes*g.calm
 }
 
 // expect is what answers took lately or, if longer, what has been out for; of a server not heard of for long,
@@ -773,7 +788,7 @@
 func (b *Broker) expect(s *server) float64 {
 	took := s.took
 	if b.now-s.answered > 2*histLife {
-		took = b.predict.typical(b.now)
+		took = b.predict.mid
 	}
 	if len(s.tries) > 0 {
 		took = max(took, b.now-s.tries[0].at-s.tries[0].extra)
@@ -837,6 +852,7 @@
 	}
 	s.aside, s.dead, s.sure, s.since, s.streak = true, dead, false, b.now, 0
 	s.backoff, s.trialAt = trialFirst, b.now+trialFirst
+	b.watch(id)
 	b.log("server %d aside: %s", id, why)
 }
 
@@ -849,17 +865,22 @@
 // tend looks at what has not come: parts older than the line are evidence of slowness, and a server with
 // parts out that answers nothing is silent, hung or lost alike.
 func (b *Broker) tend() {
-	b.predict.avgLoad = 0
-	n, size, warm, work := 0.0, 0.0, 0.0, 0.0
-	fleet, m := b.predict.pool.Quantile(b.now, lineShare)
-	patience := max(silentLeast*fleet, min(silentLines*fleet, silentAim*b.shortAim))
-	if m < copyFew {
+	g := &b.predict
+	g.mid, _ = g.pool.Quantile(b.now, 0.5)
+	g.top, g.seen = g.pool.Quantile(b.now, lineShare)
+	if g.seen >= copyFew && (g.calm == 0 || g.mid < g.calm) {
+		g.calm = g.mid
+	}
+	if g.avgLoad = float64(b.calls) / float64(max(b.ready, 1)); b.reports.any() {
+		g.avgLoad = g.loads / max(g.heard, 1)
+	}
+	patience := max(silentLeast*g.top, min(silentLines*g.top, silentAim*b.shortAim))
+	if g.seen < copyFew {
 		patience = silentAim * b.shortAim
 	}
-	for i, s := range b.servers {
-		if s == nil {
-			continue
-		}
+	kept := b.tending[:0]
+	for _, i := range b.tending {
+		s := b.servers[i]
 		line, patience := b.predict.line(b.now, s), patience
 		if len(s.tries) > 0 && b.now-s.answered < fadeOver {
 			patience = max(patience, silentOwn*s.took) // slow in answering is not silent
@@ -875,34 +896,25 @@
 		} else if !s.aside && len(s.tries) > 0 && b.now-max(s.answered, s.tries[0].at, b.awake) > patience {
 			b.setAside(i, true, "silent")
 		}
-		if !s.listed || s.state != Ready {
-			continue
-		}
-		size += max(s.size, 1e-3)
-		if b.now >= s.coldTo {
-			warm += max(s.size, 1e-3)
-			work += s.did.Inside(b.now, carrySpan)
-		}
-		if !b.reports.any() {
-			b.predict.avgLoad += float64(s.calls)
-			n++
-		} else if !math.IsInf(s.loadAt, -1) {
-			b.predict.avgLoad += s.load
-			n++
-		}
-		if b.reports.mayProbe && !s.probing && s.aside && s.dead && !s.sure && b.now >= s.trialAt {
+		if s.listed && s.state == Ready && b.reports.mayProbe && !s.probing && s.aside && s.dead && !s.sure &&
+			b.now >= s.trialAt {
 			b.probe(i)
 		}
+		if s.watched = s.aside || len(s.tries) > 0; s.watched {
+			kept = append(kept, i)
+		}
 	}
-	if n > 0 {
-		b.predict.avgLoad /= n
-	}
-	if b.cold.multiple > 0 {
-		b.cold.tend(b.now, work, warm, size)
-	}
-	g := &b.predict
-	if mid, n := g.pool.Quantile(b.now, 0.5); n >= copyFew && (g.calm == 0 || mid < g.calm) {
-		g.calm = mid
+	b.tending = kept
+	if b.cold.multiple > 0 && b.now >= b.cold.at+carryEvery {
+		size, warm := 0.0, 0.0
+		for _, s := range b.servers {
+			if s != nil && s.listed && s.state == Ready {
+				if size += max(s.size, 1e-3); b.now >= s.coldTo {
+					warm += max(s.size, 1e-3)
+				}
+			}
+		}
+		b.cold.tend(b.now, b.cold.did.Inside(b.now, carrySpan), warm, size)
 	}
 }
 
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -157,7 +157,7 @@
 	for i := range s.hist {
 		s.hist[i] = sample{900, now, 0}
 	}
-	b.servers[1].calls = 5
+	b.servers[1].calls, b.calls = 5, 5
 	n.to = nil
 	ask(b, now+1, 0, 1)
 	same(t, "sent past the slow replica to", n.to, 1)
@@ -194,6 +194,7 @@
 		b.servers[0].line.Add(1000, 1000)
 		b.servers[1].line.Add(1000, 50)
 	}
+	b.End()
 	if got := b.predict.line(1000, b.servers[0]); got < 130 || got > 140 {
 		t.Fatalf("line of a server that is always slow: %.0f, want one and a half times the fleet's 90", got)
 	}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -79,7 +79,7 @@
 type sample struct{ lat, at, load float64 }
 
 type server struct {
-	listed                            bool
+	listed, watched                   bool
 	state                             State
 	hall, cell                        int
 	size, started                     float64
@@ -92,7 +92,7 @@
 	load, loadAt                      float64
 	loadOwn                           int
 	took, tookCalls                   float64
-	errs, oks, sent, did              *window.Counts
+	errs, oks, sent                   *window.Counts
 	answered, resetAt                 float64
 	fullUntil, fulls                  float64
 	aside, dead, broke, probing, sure bool
@@ -123,13 +123,17 @@
 	parts                         []*part
 	live                          []*search
 	servers                       []*server
+	holders                       [][]int // by shard modulo places: who may be sent its parts; nil: to be found anew
+	tending                       []int   // servers with something out or due
+	ready                         int     // servers that the list has as ready
+	calls                         int     // out at all servers
 	stages                        []stage
 	shortAim, topValue            float64
 }
 
 type coldGuard struct {
 	share, lasts, multiple, over, carry, at float64
-	busy, heard                             *window.Counts // what warm servers said of their cores
+	busy, heard, did                        *window.Counts // what warm servers said of their cores, and did
 }
 
 type budget struct {
@@ -143,6 +147,9 @@
 	pool          *window.Hist // all servers' latencies
 	fast, wrong   *window.Counts
 	avgLoad, calm float64
+	loads, heard  float64 // sum of the latest reports, and how many
+	mid, top      float64 // median and line of the pool, as of this round's start
+	seen          int
 }
 
 // reports tells where load reports come from.
@@ -201,7 +208,8 @@
 
 func (b *Broker) Cold(from, lasts, multiple, over float64) {
 	b.cold = coldGuard{share: from, lasts: lasts, multiple: multiple, over: max(over, 1),
-		busy: window.NewCounts(12, carrySpan/10), heard: window.NewCounts(12, carrySpan/10)}
+		busy: window.NewCounts(12, carrySpan/10), heard: window.NewCounts(12, carrySpan/10),
+		did: window.NewCounts(12, carrySpan/10)}
 }
 
 func (b *Broker) Budget(spare, ratio, over float64) {
@@ -257,9 +265,39 @@
 	b.out.Forget(q.id)
 }
 
-func (b *Broker) holds(s *server, shard int) bool {
+// holds lists who may be sent parts of a shard, found anew only after news of its cells.
+func (b *Broker) holds(shard int) []int {
 	f := &b.fleet
-	return s != nil && s.listed && s.state == Ready && ((s.cell-shard)%f.places+f.places)%f.places < f.span
+	at := (shard%f.places + f.places) % f.places
+	if len(b.holders) != f.places {
+		b.holders = make([][]int, f.places)
+	}
+	if b.holders[at] == nil {
+		list := make([]int, 0, 4)
+		for i, s := range b.servers {
+			if s != nil && s.listed && s.state == Ready && ((s.cell-at)%f.places+f.places)%f.places < f.span {
+				list = append(list, i)
+			}
+		}
+		b.holders[at] = list
+	}
+	return b.holders[at]
+}
+
+// unindex drops the lists that a server of this cell stands in.
+func (b *Broker) unindex(cell int) {
+	f := &b.fleet
+	for j := 0; j < min(f.span, f.places) && len(b.holders) == f.places; j++ {
+		b.holders[((cell-j)%f.places+f.places)%f.places] = nil
+	}
+}
+
+// watch puts a server on the list of those that have something out or due.
+func (b *Broker) watch(id int) {
+	if s := b.servers[id]; !s.watched {
+		s.watched = true
+		b.tending = append(b.tending, id)
+	}
 }
 
 func (r *reports) any() bool { return len(r.fields) > 0 && r.onAnswers }
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -59,8 +59,12 @@
 }
 
 func NewHist(buckets int, width, low, step float64, bins int) *Hist {
-	return &Hist{width: width, low: low, logStep: math.Log(step), bins: bins, last: math.MinInt64,
+	h := &Hist{width: width, low: low, logStep: math.Log(step), bins: bins, last: math.MinInt64,
 		tick: make([]int64, buckets), count: make([]int32, buckets*bins), total: make([]int32, bins)}
+	for i := range h.tick {
+		h.tick[i] = math.MinInt64
+	}
+	return h
 }
 
 func (h *Hist) advance(now float64) int64 {
@@ -70,9 +74,10 @@
 	}
 	h.last = t
 	for i, old := range h.tick {
-		if old > t-int64(len(h.tick)) && old <= t {
+		if old == math.MinInt64 || old > t-int64(len(h.tick)) && old <= t {
 			continue
 		}
+		h.tick[i] = math.MinInt64
 		row := h.count[i*h.bins : (i+1)*h.bins]
 		for j, v := range row {
 			h.total[j] -= v
