Cold guard: under one part each, chance lets through what a cold server bears

Now a part may meet a cold holder by a chance drawn once for it, of what a warm holder would get the share that a cold one bears; the same for trials of servers that may have restarted unannounced. Should also hold for waves of replacements and a hall that returns; may hurt where a shard's only holder is cold and its true capacity much higher: then parts wait for its share to climb.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -157,6 +157,7 @@
 			b.ready--
 		} else if is && !was {
 			b.ready++
+			b.readyMost = max(b.readyMost, b.ready)
 		}
 	}
 	if state != Gone {
@@ -252,9 +253,10 @@
 	worst, usable := 0.0, 0.0
 	for _, p := range q.parts {
 		best, calls, then, some := math.Inf(1), 0.0, 0.0, false
-		for _, i := range b.holds(p.shard) {
+		holders := b.holds(p.shard)
+		for j, i := range holders {
 			s := b.servers[i]
-			if s.aside && !b.trialDue(s) || !b.cold.room(b.now, s, b.workOf(p)) {
+			if s.aside && !b.trialDue(s) || !b.room(s, j, len(holders), p) {
 				continue
 			}
 			if some = true; !s.aside {
@@ -452,9 +454,10 @@
 func (b *Broker) guard(t *turn) verdict {
 	t.cands = t.cands[:0]
 	var again, failing []int
-	for _, i := range b.holds(t.p.shard) {
+	holders := b.holds(t.p.shard)
+	for j, i := range holders {
 		s := b.servers[i]
-		if b.now < s.fullUntil || !b.cold.room(b.now, s, b.workOf(t.p)) {
+		if b.now < s.fullUntil || !b.room(s, j, len(holders), t.p) {
 			continue
 		}
 		tried, here := false, false
@@ -493,17 +496,27 @@
 // multiple of what it can do, and each knows only itself. What warm servers carry for this broker, by how
 // busy they say they are, is its part of what one can do, so that the brokers' parts add up to no more; where
 // none says, they are taken as fairly busy. What was so found at best counts: a fleet that is held back must
-// not hold itself back further.
-func (g *coldGuard) room(now float64, s *server, work float64) bool {
-	sent := 0.0
-	if g.multiple > 0 && now < s.coldTo {
-		sent = s.sent.Sum(now, g.over)
+// not hold itself back further. With many brokers a part is less than one sub-request, and one from each
+// would push the server over: then chance lets through, of what a warm holder would get, the share that a cold
+// one bears, so that the sum is right without knowing the others. A server that was unreachable or silent for
+// long may have restarted unannounced: the same holds for its trials.
+func (b *Broker) room(s *server, nth, of int, p *part) bool {
+	g, share := &b.cold, b.cold.share
+	switch {
+	case g.multiple <= 0:
+		return true
+	case b.now < s.coldTo:
+		share += (1 - share) * max(b.now-s.coldFrom, 0) / (s.coldTo - s.coldFrom)
+	case !s.aside || !s.dead || !s.broke && b.now-s.since <= coldAfter:
+		return true
 	}
-	if sent == 0 {
+	safe, work, sent := coldSafe*g.multiple*share, b.workOf(p), s.sent.Sum(b.now, g.over)
+	if sent+work <= safe*g.carry*max(s.size, 1e-3)*g.over {
 		return true
 	}
-	share := g.share + (1-g.share)*max(now-s.coldFrom, 0)/(s.coldTo-s.coldFrom)
-	return sent+work <= coldSafe*g.multiple*share*g.carry*max(s.size, 1e-3)*g.over
+	most := max(float64(of), float64(b.readyMost*min(b.fleet.span, b.fleet.places))/float64(b.fleet.places))
+	lot := p.lot*most - float64(nth)
+	return sent == 0 && lot >= 0 && lot < min(safe, 1)
 }
 
 // tend takes the measure while most servers are warm: what the last few carry tells nothing of what one can.
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -56,6 +56,7 @@
 type part struct {
 	id, shard, step int
 	weight, work    float64
+	lot             float64 // its chance at cold servers, drawn once: asking again must not help
 	key             uint64
 	q               *search
 	tries           []*try
@@ -125,7 +126,7 @@
 	servers                       []*server
 	holders                       [][]int // by shard modulo places: who may be sent its parts; nil: to be found anew
 	tending                       []int   // servers with something out or due
-	ready                         int     // servers that the list has as ready
+	ready, readyMost              int     // servers that the list has as ready, and had at most
 	calls                         int     // out at all servers
 	stages                        []stage
 	shortAim, topValue            float64
@@ -243,7 +244,8 @@
 	if q == nil || q.over {
 		return
 	}
-	p := &part{id: id, shard: shard, step: q.step, weight: weight, work: work, key: key, q: q}
+	p := &part{id: id, shard: shard, step: q.step, weight: weight, work: work, key: key, q: q,
+		lot: b.dice.roll()}
 	b.parts = put(b.parts, id, p)
 	q.parts = append(q.parts, p)
 	b.limits.held++
