What was called off unanswered teaches that it took at least so long; keys met go

A part that was called off and never answered now counts with its age. Keys met lately are no longer remembered for ties: at a few searches a second for a broker and hundreds of servers a key is never met again in time. It should also hold for front layers that cut searches short; it may hurt where a broker calls off a lot for reasons of its own.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -38,11 +38,8 @@
 	// Between equals, in average loads: a choice that saves work is worth less than one that saves a wait.
 	tieJoin   = 1.0 // a call that is open anyway
 	tieHall   = 1.5 // the own hall
-	tieKey    = 0.3 // a key met lately
 	tieTrial  = 10. // a trial that is due
 	tieChance = 0.1
-	keyLife   = 4000. // how long servers remember is told nowhere: the shorter end
-	keyMost   = 500
 	tookNew   = 0.3 // weight of the newest answer in what a server takes
 
 	silentLines  = 2.0   // no answer for so many fleet lines, with parts out, is silence
@@ -549,7 +546,7 @@
 }
 
 // pick is the design's: skip the predicted-slow, then the fewest own calls outstanding, also when all look
-// slow. Between equals: a call that is open anyway, less load reported, the own hall, a key met lately.
+// slow. Between equals: a call that is open anyway, less load reported, the own hall.
 func (b *Broker) pick(t *turn) verdict {
 	best, bestSlow, bestCalls, bestTie := -1, false, 0, 0.0
 	for _, i := range t.cands {
@@ -567,9 +564,6 @@
 		if s.hall != b.hall {
 			tie += tieHall
 		}
-		if b.fleet.warmKeys && t.p.key != 0 && b.now-s.met[t.p.key] < keyLife {
-			tie -= tieKey
-		}
 		if s.aside {
 			tie -= tieTrial
 		}
@@ -618,12 +612,6 @@
 	if s.aside {
 		s.trial = y
 	}
-	if b.fleet.warmKeys && p.key != 0 {
-		if s.met == nil || len(s.met) > keyMost {
-			s.met = map[uint64]float64{}
-		}
-		s.met[p.key] = b.now
-	}
 	p.tries = append(p.tries, y)
 	s.tries = append(s.tries, y)
 	b.watch(t.to)
@@ -657,10 +645,18 @@
 // learn teaches the predictor what it is told by parts that were sent, and only by answers: errors are no
 // quick answers.
 func (b *Broker) learn(y *try, how Outcome) {
-	if how != Answered || b.now == b.awake {
+	if b.now == b.awake {
 		return // what waited for this broker to move tells nothing of its server
 	}
 	s, lat := b.servers[y.server], max(b.now-y.at-y.extra, 1)
+	if how == Cancelled && !y.p.in && lat > b.expect(s) {
+		// Called off, it would have taken longer still. Where clients leave before they are answered, only the
+		// quick parts were heard of, and a jam read as calm.
+		b.took(y, lat)
+	}
+	if how != Answered {
+		return
+	}
 	if !y.noted {
 		b.predict.teach(b.now, y, lat > b.predict.line(b.now, s))
 	}
@@ -670,11 +666,17 @@
 	if b.cold.multiple > 0 && b.now >= s.coldTo {
 		b.cold.did.Add(b.now, b.workOf(y.p))
 	}
-	b.predict.pool.Add(b.now, lat)
 	y.p.q.k.lat.Add(b.now, lat)
-	if b.now-s.answered > 2*histLife {
+	b.took(y, lat)
+}
+
+func (b *Broker) took(y *try, lat float64) {
+	s := b.servers[y.server]
+	b.predict.pool.Add(b.now, lat)
+	if b.now-s.tookAt > 2*histLife {
 		s.took, s.tookCalls = lat, float64(y.calls)
 	}
+	s.tookAt = b.now
 	s.took += tookNew * (lat - s.took)
 	s.tookCalls += tookNew * (float64(y.calls) - s.tookCalls)
 }
@@ -800,7 +802,7 @@
 // what is typical: shedding on old news would keep itself true.
 func (b *Broker) expect(s *server) float64 {
 	took := s.took
-	if b.now-s.answered > 2*histLife {
+	if b.now-s.tookAt > 2*histLife {
 		took = b.predict.mid
 	}
 	if len(s.tries) > 0 {
@@ -911,7 +913,8 @@
 		}
 		if s.listed && s.state == Ready && b.reports.mayProbe && !s.probing && s.aside && s.dead && !s.sure &&
 			b.now >= s.trialAt {
-			b.probe(i)
+			s.probing = true
+			b.out.Probe(i)
 		}
 		if s.watched = s.aside || len(s.tries) > 0; s.watched {
 			kept = append(kept, i)
@@ -931,11 +934,6 @@
 	}
 }
 
-func (b *Broker) probe(i int) {
-	b.servers[i].probing = true
-	b.out.Probe(i)
-}
-
 // gathered counts a part once, and stops what its answer made needless.
 func (b *Broker) gathered(y *try, how Outcome) {
 	p := y.p
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -423,3 +423,19 @@
 		failIf(t, s.aside, "server %d is set aside for one broken connection", i)
 	}
 }
+
+// Clients that left early took all long ages with them: only quick parts were heard of, and a jam read as calm.
+func TestCalledOffPartsTeachThatTheyTookAtLeastSoLong(t *testing.T) {
+	b, _ := plain(1, nil)
+	now := warm(b, 1000, 30)
+	for i := range 8 {
+		ask(b, now, 20*i, 1)
+		b.Bell()
+		b.Begin(now + 450)
+		b.Lapsed(20 * i)
+		b.Done(20*i+1, 0, Cancelled, nil)
+		b.End()
+		now += 460
+	}
+	failIf(t, b.expect(b.servers[0]) < 400, "expected %.0f ms where nothing came in 450", b.expect(b.servers[0]))
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -94,14 +94,13 @@
 	loadOwn                           int
 	took, tookCalls                   float64
 	errs, oks, sent                   *window.Counts
-	answered, resetAt                 float64
+	answered, resetAt, tookAt         float64
 	fullUntil, fulls                  float64
 	aside, dead, broke, probing, sure bool
 	since, trialAt, backoff           float64
 	trial                             *try
 	streak                            int
 	coldFrom, coldTo                  float64
-	met                               map[uint64]float64
 }
 
 // Broker is one instance. Each of its parts holds its own settings.
