Less time than its type usually has tells that a search has waited already

Under overload the clients' own repeats came back as new searches and were served as such, past their target. The time that is missing to the longest seen of their type tells how long they have waited; one that cannot be in time counts with its late value at admission. It should also hold for slow front layers; it may hurt where clients of one type have very different time-outs: the short ones read as old. The carried work behind the cold guard is now divided by who was warm when it was done: a random run found it counted for those that stayed warm alone after a restart of the others.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -238,10 +238,10 @@
 		return pass
 	}
 	if k != nil {
-		// Of what came while this broker stood still, the time that is missing tells how long it waited.
-		if k.given = max(k.given, q.until-b.now); b.now == b.awake {
-			q.aim = q.until - k.given + k.aim
-		}
+		// The time that is missing to what the type usually has tells how long it waited, at a client that asks
+		// again or at this broker while it stood still.
+		k.given = max(k.given, q.until-b.now)
+		q.aim = q.until - k.given + k.aim
 	}
 	if k == nil || q.want <= 0 || b.now >= q.until-margin || b.reach(q) < k.floor-1e-4 {
 		b.giveUp(q)
@@ -275,11 +275,11 @@
 	}
 	limit := admitLow + (admitHigh-admitLow)*b.value(q)/max(b.topValue, 1e-9)
 	top := b.value(q) >= b.topValue
-	// One that waited while this broker stood still may be too late for its target: it is worth less.
+	// One that waited may be too late for its target: it is worth less.
 	if limit *= aim; b.predict.crowded() {
 		limit *= crowdTight
 	}
-	if left := q.aim - b.now; worst > admitHigh*left && b.now == b.awake {
+	if left := q.aim - b.now; worst > admitHigh*left {
 		limit *= k.late
 	}
 	if usable < k.floor-1e-4 || worst > limit ||
@@ -517,14 +517,15 @@
 }
 
 // tend takes the measure while most servers are warm: what the last few carry tells nothing of what one can.
-func (g *coldGuard) tend(now, work, warm, size float64) {
+func (g *coldGuard) tend(now, warm, size float64) {
 	g.carry *= math.Exp((g.at - now) / carryLasts)
-	if g.at = now; warm > size/2 {
+	g.at, g.warm = now, warm
+	if warm > size/2 {
 		busy := busyTaken
 		if n := g.heard.Inside(now, carrySpan); n >= copyFew {
 			busy = min(max(g.busy.Inside(now, carrySpan)/n, busyLeast), 1)
 		}
-		g.carry = max(g.carry, work/carrySpan/warm/busy)
+		g.carry = max(g.carry, g.did.Inside(now, carrySpan)/carrySpan/busy)
 	}
 }
 
@@ -663,8 +664,8 @@
 	copy(s.hist[1:], s.hist[:histSize-1])
 	s.hist[0] = sample{lat, b.now, y.load}
 	s.line.Add(b.now, lat)
-	if b.cold.multiple > 0 && b.now >= s.coldTo {
-		b.cold.did.Add(b.now, b.workOf(y.p))
+	if b.cold.warm > 0 && b.now >= s.coldTo { // over who shared it then: a hall may restart within the span
+		b.cold.did.Add(b.now, b.workOf(y.p)/b.cold.warm)
 	}
 	y.p.q.k.lat.Add(b.now, lat)
 	b.took(y, lat)
@@ -930,7 +931,7 @@
 				}
 			}
 		}
-		b.cold.tend(b.now, b.cold.did.Inside(b.now, carrySpan), warm, size)
+		b.cold.tend(b.now, warm, size)
 	}
 }
 
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -310,9 +310,10 @@
 func TestCarryIsRemembered(t *testing.T) {
 	b, _ := plain(1, func(b *Broker) { b.Cold(0.2, 10000, 2, 2000) })
 	g := &b.cold
-	g.tend(1500, 5000, 4, 4)
+	g.did.Add(1000, 1250)
+	g.tend(3000, 4, 4)
 	best := g.carry
-	g.tend(15000, 0, 4, 4)
+	g.tend(15000, 4, 4)
 	failIf(t, best <= 0 || g.carry < best/2, "carry %.3f after 13 s, %.3f before", g.carry, best)
 }
 
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -132,8 +132,8 @@
 }
 
 type coldGuard struct {
-	share, lasts, multiple, over, carry, at float64
-	busy, heard, did                        *window.Counts // what warm servers said of their cores, and did
+	share, lasts, multiple, over, carry, at, warm float64
+	busy, heard, did                              *window.Counts // what warm servers said of their cores, and did
 }
 
 type budget struct {
