--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -251,23 +251,24 @@
 	}
 	worst, usable := 0.0, 0.0
 	for _, p := range q.parts {
-		best, calls, then, some := math.Inf(1), 0.0, 0.0, false
+		best, calls, then := math.Inf(1), 0.0, 0.0
+		p.expect = math.Inf(1)
 		holders := b.holds(p.shard)
 		for j, i := range holders {
 			s := b.servers[i]
 			if s.aside && !b.trialDue(s) || !b.room(s, j, len(holders), p) {
 				continue
 			}
-			if some = true; !s.aside {
+			if p.expect = 0; !s.aside {
 				best, calls, then = min(best, b.expect(s)), calls+2+float64(s.calls), then+2+s.tookCalls
 			}
 		}
-		if some {
-			usable += p.weight
-		}
 		if then > 0 {
 			// With more out than when the latest answers were asked for, a queue grows.
-			worst = max(worst, best*calls/then)
+			p.expect = best * calls / then
+		}
+		if !math.IsInf(p.expect, 1) {
+			worst = max(worst, p.expect)
 		}
 	}
 	// Clients that leave before their stated time waste the work and ask again: what they bear counts.
@@ -284,7 +285,14 @@
 	if left := q.aim - b.now; worst > admitHigh*left {
 		limit *= k.late
 	}
-	if usable < k.floor-1e-4 || worst > limit ||
+	// Where a part answer will do, what is not worth waiting for is not asked for: a shard whose holders are
+	// all busy is left to the searches that need it.
+	for _, p := range q.parts {
+		if p.skip = p.expect > limit; !p.skip {
+			usable += p.weight
+		}
+	}
+	if usable < k.floor-1e-4 ||
 		b.limits.most > 0 && !top && float64(b.limits.held) > heldLow*float64(b.limits.most) {
 		b.log("shed: expected %.0f ms against a target of %.0f, %d held", worst, aim, b.limits.held)
 		b.giveUp(q)
@@ -365,6 +373,9 @@
 
 // alive: its answer may still come.
 func (b *Broker) alive(p *part) bool {
+	if p.skip {
+		return false
+	}
 	if len(p.tries) < b.limits.tries && b.mayRepeat(p) {
 		return true
 	}
@@ -387,7 +398,7 @@
 // server, or the design's copy.
 func (b *Broker) more(t *turn) verdict {
 	p, q := t.p, t.q
-	if p.in || p.step != q.step || len(p.tries) >= b.limits.tries || !b.mayRepeat(p) {
+	if p.in || p.skip || p.step != q.step || len(p.tries) >= b.limits.tries || !b.mayRepeat(p) {
 		return keep
 	}
 	if len(p.tries) > 0 && !b.budget.affords(b.now) {
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -54,13 +54,14 @@
 }
 
 type part struct {
-	id, shard, step int
-	weight, work    float64
-	lot             float64 // its chance at cold servers, drawn once: asking again must not help
-	key             uint64
-	q               *search
-	tries           []*try
-	in, copied      bool
+	id, shard, step  int
+	weight, work     float64
+	lot              float64 // its chance at cold servers, drawn once: asking again must not help
+	key              uint64
+	q                *search
+	tries            []*try
+	expect           float64 // at admission
+	in, copied, skip bool
 }
 
 type vector [2 + 2*histSize]float64
