A part that was turned away as full twice is given up

Two refusals now end a part, and its search at once where it needs all. May hurt where two of three holders drain at once.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -56,6 +56,7 @@
 	trialLongest = 2000.
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
 	fullMost     = 6      // times, for one that only refuses
+	fullGiveUp   = 2      // a part that two turned away is not worth a third's place
 	carryLasts   = 90000. // what servers carried at their best is remembered so long
 	busyTaken    = 0.67   // where no server says: at worst they are wholly busy, and the budget still holds
 	busyLeast    = 0.3
@@ -868,6 +869,10 @@
 		// One that only refuses may be draining, or worse, and no list tells yet: it rests longer each time.
 		s.fulls = min(s.fulls+1, fullMost)
 		s.fullUntil = b.now + fullPause*s.fulls
+		// Where a whole set is full, a third try only takes the place of another part.
+		if y.p.fulls++; y.p.fulls >= fullGiveUp {
+			y.p.skip = true
+		}
 	case NoConnect:
 		s.streak = 0
 		b.setAside(y.server, true, "unreachable")
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -440,3 +440,31 @@
 	}
 	failIf(t, b.expect(b.servers[0]) < 350, "expected %.0f ms where nothing came in 450", b.expect(b.servers[0]))
 }
+
+// Parts that went round a full set kept all of its queues full.
+func TestPartTurnedAwayTwiceIsGivenUp(t *testing.T) {
+	b, n := plain(4, nil)
+	ask(b, 1000, 0, 1)
+	finish(b, 1002, Full, 1)
+	finish(b, 1004, Full, 1)
+	failIf(t, len(n.sent) != 2 || len(n.shed) != 1, "sent %v, shed %v: want two tries and a prompt final answer", n.sent, n.shed)
+}
+
+func TestPartsExpectedPastTheLimitAreLeftOut(t *testing.T) {
+	for _, floor := range []float64{0.5, 1} {
+		b, n := plain(4, func(b *Broker) { b.Fleet(4, 1, 1, 0, false); b.Shares(0, 1, floor, 0.8, 0) })
+		b.Begin(1001)
+		for i := range 4 {
+			b.Server(i, 0, i, Ready, 1, 0)
+		}
+		b.End()
+		b.servers[3].took, b.servers[3].tookAt = 5000, 1002
+		b.Begin(1002)
+		b.Search(0, 0, 0, 4000, 4)
+		for i := range 4 {
+			b.Part(0, 1+i, i, 0.25, 100, 0)
+		}
+		b.End()
+		failIf(t, len(n.sent) != map[float64]int{0.5: 3, 1: 0}[floor], "least share %.1f: sent %v", floor, n.sent)
+	}
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -54,6 +54,7 @@
 }
 
 type part struct {
+	fulls            int
 	id, shard, step  int
 	weight, work     float64
 	lot              float64 // its chance at cold servers, drawn once: asking again must not help
