Idle connections are closed where what goes over idle ones is lost, and before trials

At full size a broker uses a server once in seconds, so nearly all of its sends met a dead connection, and so did the trials of the servers set aside for it; the servers were sound. Told from hangs by where it is lost: on connections idle for over a second, not on those in use. Should also hold for resets after a pause; may hurt where servers hang for good and new connections are slow: each part waits for one.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -9,6 +9,7 @@
 //  3. cold guard: this broker's share of what a server that came back can bear
 //  4. admission: a search that cannot be answered by its latency target is shed, cheapest value first
 //  5. part answers at the latency target where a query type allows them, and giving up in time
+//  6. fresh connections: where what goes over idle ones is lost, they are closed before the next send
 package decide
 
 import (
@@ -76,6 +77,10 @@
 	quotaOver  = 1.25  // and passed beyond so much: brokers see unequal parts
 	backShare  = 0.25  // of the latency target: advice to a shed client
 
+	idleLeast = 1000. // since the last answer: shorter, a connection is in use
+	idleSpan  = 20000.
+	idleFew   = 3    // lost on idle connections
+	idleShare = 0.2  // of what was sent on them
 	probeSlow = 100. // a failure after so long is no refusal
 	margin    = 25.0 // a final answer goes out so long before the client timeout
 	stall     = 100. // a wake-up so late is a stall
@@ -94,6 +99,9 @@
 	b.Limits(1, 0, false, false)
 	b.predict = predictor{weights: start, pool: hist(), fast: window.NewCounts(30, 1000),
 		wrong: window.NewCounts(30, 1000)}
+	for i := range 2 {
+		b.links.lost[i], b.links.fine[i] = window.NewCounts(11, idleSpan/10), window.NewCounts(11, idleSpan/10)
+	}
 	b.stages = []stage{{b.admit, nil}, {b.gather, b.gathered}, {b.more, nil}, {b.guard, b.judge},
 		{b.pick, b.learn}, {b.send, b.returned}}
 	return b
@@ -605,6 +613,11 @@
 	p, q, s := t.p, t.q, b.servers[t.to]
 	y := &try{p: p, no: len(p.tries), server: t.to, load: b.loadOf(s), calls: s.calls, at: b.now, out: true}
 	y.extra = b.extra(p)
+	// Idle connections may be dropped unseen, and what is sent on one gets no answer.
+	y.idle = len(s.tries) == 0 && s.answered > 0 && b.now-s.answered >= idleLeast
+	if y.fresh = y.idle && (s.aside || b.links.stale(b.now)); y.fresh {
+		b.out.Close(t.to)
+	}
 	y.x = b.predict.features(b.now, s, y.load)
 	y.fast = b.predict.score(y.x) <= 0.5
 	if !b.joins(s) {
@@ -639,6 +652,27 @@
 	return pass
 }
 
+// note counts what was lost and what was answered on old connections, apart for idle ones: servers that hang
+// or refuse lose both alike.
+func (g *links) note(now float64, y *try, lost bool) {
+	i, c := 0, &g.fine
+	if y.idle {
+		i = 1
+	}
+	if lost {
+		c = &g.lost
+	}
+	if !y.fresh {
+		c[i].Add(now, 1)
+	}
+}
+
+func (g *links) stale(now float64) bool {
+	lost, fine := g.lost[1].Sum(now, idleSpan), g.fine[1].Sum(now, idleSpan)
+	used, well := g.lost[0].Sum(now, idleSpan), g.fine[0].Sum(now, idleSpan)
+	return lost >= idleFew && lost > idleShare*(lost+fine) && lost*(used+well+1) > 2*used*(lost+fine)
+}
+
 // returned frees what a sub-request held.
 func (b *Broker) returned(y *try, how Outcome) {
 	s := b.servers[y.server]
@@ -837,6 +871,9 @@
 			b.retreat(s) // called off by this broker says nothing of the server: the next trial stays due
 		}
 	}
+	if how == Answered || how == Reset {
+		b.links.note(b.now, y, how == Reset)
+	}
 	switch how {
 	case Answered:
 		s.answered, s.fulls = b.now, 0
@@ -929,6 +966,7 @@
 			s.trial = nil
 			b.retreat(s)
 		} else if !s.aside && len(s.tries) > 0 && b.now-max(s.answered, s.tries[0].at, b.awake) > patience {
+			b.links.note(b.now, s.tries[0], true)
 			b.setAside(i, true, "silent")
 		}
 		if s.listed && s.state == Ready && b.reports.mayProbe && !s.probing && s.aside && s.dead && !s.sure &&
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -56,10 +56,10 @@
 }
 
 type note struct {
-	sent, cancelled, answered, shed, failed, probed, forgot []int
-	to                                                      []int
-	back                                                    float64
-	whole                                                   bool
+	sent, cancelled, answered, shed, failed, probed, forgot, closed []int
+	to                                                              []int
+	back                                                            float64
+	whole                                                           bool
 }
 
 func (n *note) Send(part, server int, within float64) {
@@ -72,6 +72,7 @@
 func (n *note) Shed(search int, back float64) { n.shed, n.back = append(n.shed, search), back }
 func (n *note) Fail(search int)               { n.failed = append(n.failed, search) }
 func (n *note) Probe(server int)              { n.probed = append(n.probed, server) }
+func (n *note) Close(server int)              { n.closed = append(n.closed, server) }
 func (n *note) Subscribe()                    {}
 func (n *note) Wake(in float64)               {}
 func (n *note) Log(text string)               {}
@@ -468,3 +469,24 @@
 		failIf(t, len(n.sent) != map[float64]int{0.5: 3, 1: 0}[floor], "least share %.1f: sent %v", floor, n.sent)
 	}
 }
+
+// Connections dropped unseen lost every part that came after a pause, its trials too.
+func TestIdleConnectionsAreClosedWhereWhatGoesOverThemIsLost(t *testing.T) {
+	for _, idle := range []bool{true, false} { // lost on idle connections alone, or on all: then the server hangs
+		b, n := plain(2, nil)
+		now := warm(b, 1000, 30) + 1500
+		b.servers[0].answered, b.servers[1].answered = now-1500, now-1500
+		for range idleFew {
+			b.links.note(now, &try{idle: idle}, true)
+			b.links.note(now, &try{}, !idle)
+		}
+		ask(b, now, 0, 1)
+		failIf(t, len(n.closed) > 0 != idle, "lost on idle connections %v: closed %v", idle, n.closed)
+		finish(b, now+100, Answered, 1)
+		b.setAside(0, true, "test")
+		b.setAside(1, true, "test")
+		n.closed = nil
+		ask(b, now+1500, 10, 1)
+		failIf(t, len(n.closed) != 1, "a trial went over an old connection: closed %v", n.closed)
+	}
+}
--- a/internal/decide/port.go
+++ b/internal/decide/port.go
@@ -54,6 +54,7 @@
 	Shed(search int, comeBack float64) // comeBack 0: no advice
 	Fail(search int)
 	Probe(server int)
+	Close(server int) // this broker's idle connections to it: the next send opens one
 	Subscribe()
 	Wake(in float64)
 	Log(text string)
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -73,6 +73,7 @@
 	at, load, extra                 float64
 	x                               vector
 	fast, out, noted, called, never bool
+	idle, fresh                     bool // sent when nothing had been heard for long; over a new connection
 	call                            *call
 }
 
@@ -119,6 +120,7 @@
 	reports                       reports
 	lister                        lister
 	predict                       predictor
+	links                         links
 	types                         []*queryType
 	customers                     []*customer
 	searches                      []*search
@@ -154,6 +156,8 @@
 	seen          int
 }
 
+type links struct{ lost, fine [2]*window.Counts } // on connections in use, on idle ones
+
 // reports tells where load reports come from.
 type reports struct {
 	onAnswers, mayProbe bool
--- a/internal/decide/world_test.go
+++ b/internal/decide/world_test.go
@@ -276,9 +276,10 @@
 	w.probing = append(w.probing, server)
 }
 
-func (w *world) Subscribe()      {}
-func (w *world) Log(text string) {}
-func (w *world) Wake(in float64) { w.wake = w.now + in }
+func (w *world) Close(server int) {}
+func (w *world) Subscribe()       {}
+func (w *world) Log(text string)  {}
+func (w *world) Wake(in float64)  { w.wake = w.now + in }
 
 func (w *world) Forget(id int) {
 	q := w.searches[id]
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -460,6 +460,11 @@
 	b.h.reply = append(b.h.reply, b.names[server][:]...)
 }
 
+func (b *broker) Close(server int) {
+	b.say(1000)
+	b.h.reply = append(b.h.reply, b.names[server][:]...)
+}
+
 func (b *broker) Subscribe() {
 	b.say(1110)
 	b.h.reply = append(b.h.reply, 1)
