--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -13,7 +13,6 @@
 package decide
 
 import (
-	"fmt"
 	"math"
 
 	"kestrelspread/internal/window"
@@ -22,14 +21,16 @@
 const (
 	histSize   = 4      // the design's four latencies
 	histLife   = 1000.0 // the design's expiry
+	lineSpan   = 10000.
 	lineShare  = 0.90   // the design's line
 	lineFew    = 5      // answers under which a server's own line says less than the fleet's
 	lineFleet  = 1.5    // own line at most so many fleet lines, or a lasting slowness becomes its own measure
 	fadeOver   = 3000.0 // past the expiry, what was heard fades over so long
-	falseCost  = 3.0    // the design's weight for a predicted-fast answer over the line
-	learnRate  = 0.03   // few answers a second: fast enough for a day's first minutes, slow enough for noise
-	featureCap = 4.0    // one hang must not throw the weights
-	copyTop    = 0.95   // the design's pX
+	falseSpan  = 30000.
+	falseCost  = 3.0  // the design's weight for a predicted-fast answer over the line
+	learnRate  = 0.03 // few answers a second: fast enough for a day's first minutes, slow enough for noise
+	featureCap = 4.0  // one hang must not throw the weights
+	copyTop    = 0.95 // the design's pX
 	copyFloor  = 0.90
 	copyShare  = 0.10 // of a search's parts
 	crowdTimes = 1.3  // the fleet's median latency against the lowest seen
@@ -67,11 +68,9 @@
 	coldAfter    = 5000. // silent for longer: it may have restarted unannounced
 	coldSafe     = 0.75  // of the budget: what servers say comes late, and chance varies
 
-	admitLow   = 0.52 // share of the latency target that the least valued search may be expected to take
-	admitHigh  = 0.88 // and the most valued
-	crowdTight = 0.8  // of that in a crowd: a full server does no more for a longer queue, only later
-	leftFew    = 5    // clients that left early before their patience counts
-	leftShare  = 0.25
+	admitLow   = 0.52  // share of the latency target that the least valued search may be expected to take
+	admitHigh  = 0.88  // and the most valued
+	crowdTight = 0.8   // of that in a crowd: a full server does no more for a longer queue, only later
 	heldLow    = 0.85  // of the hold limit: beyond, only the most valued
 	quotaSpan  = 4000. // a customer's share is watched over so long
 	quotaOver  = 1.25  // and passed beyond so much: brokers see unequal parts
@@ -82,6 +81,7 @@
 	idleFew   = 3    // lost on idle connections
 	idleShare = 0.2  // of what was sent on them
 	probeSlow = 100. // a failure after so long is no refusal
+	logEvery  = 500.
 	margin    = 25.0 // a final answer goes out so long before the client timeout
 	stall     = 100. // a wake-up so late is a stall
 	stir      = 10.0 // while searches are held, look again after so long
@@ -90,6 +90,10 @@
 // start is what a new instance knows: slow is who was slow lately, the latest answer first.
 var start = vector{-3.5, 1, 1.2, 0.7, 0.4, 0.3}
 
+// Latencies are told to a tenth over lineSpan; what is counted over a span, to a tenth of the span.
+func hist() *window.Hist                 { return window.NewHist(10, lineSpan/10, 1, 1.1, 100) }
+func counts(span float64) *window.Counts { return window.NewCounts(12, span/10) }
+
 const wholeStages = 2 // stages that take a search; the others take its parts
 
 func New(out Out, seed uint64, brokers, hall int) *Broker {
@@ -97,10 +101,10 @@
 		lastWake: math.Inf(-1), lastLog: math.Inf(-1), shortAim: math.Inf(1)}
 	b.Fleet(1, 1, 1, 0, false)
 	b.Limits(1, 0, false, false)
-	b.predict = predictor{weights: start, pool: hist(), fast: window.NewCounts(30, 1000),
-		wrong: window.NewCounts(30, 1000)}
+	b.predict = predictor{weights: start, pool: hist(), fast: counts(falseSpan),
+		wrong: counts(falseSpan)}
 	for i := range 2 {
-		b.links.lost[i], b.links.fine[i] = window.NewCounts(11, idleSpan/10), window.NewCounts(11, idleSpan/10)
+		b.links.lost[i], b.links.fine[i] = counts(idleSpan), counts(idleSpan)
 	}
 	b.stages = []stage{{b.admit, nil}, {b.gather, b.gathered}, {b.more, nil}, {b.guard, b.judge},
 		{b.pick, b.learn}, {b.send, b.returned}}
@@ -140,9 +144,6 @@
 
 func (b *Broker) Lapsed(id int) {
 	if q := at(b.searches, id); q != nil && !q.over {
-		if q.admitted && b.now < q.until-margin {
-			q.k.left.Add(b.now, b.now-q.born)
-		}
 		b.finish(q)
 		b.forget(q)
 	}
@@ -154,8 +155,8 @@
 	}
 	s := b.servers[id]
 	if s == nil {
-		s = &server{line: hist(), errs: window.NewCounts(8, errSpan/8), oks: window.NewCounts(8, errSpan/8),
-			sent: window.NewCounts(10, max(b.cold.over, 1)/8), loadAt: math.Inf(-1)}
+		s = &server{line: hist(), errs: counts(errSpan), oks: counts(errSpan), sent: counts(max(b.cold.over, 1)),
+			loadAt: math.Inf(-1)}
 		b.servers[id] = s
 	}
 	if was, is := s.listed && s.state == Ready, state == Ready; was != is || s.cell != cell {
@@ -200,8 +201,6 @@
 	}
 }
 
-func (b *Broker) Bell() { b.lastWake = math.Inf(-1) }
-
 func (b *Broker) End() {
 	if b.lister.due && b.now >= b.lister.at {
 		b.lister.due = false
@@ -280,11 +279,7 @@
 			worst = max(worst, p.expect)
 		}
 	}
-	// Clients that leave before their stated time waste the work and ask again: what they bear counts.
-	aim := k.aim
-	if borne, n := k.left.Quantile(b.now, leftShare); n >= leftFew {
-		aim = min(aim, borne)
-	}
+	aim := min(k.aim, q.until-b.now)
 	limit := admitLow + (admitHigh-admitLow)*b.value(q)/max(b.topValue, 1e-9)
 	top := b.value(q) >= b.topValue
 	// One that waited may be too late for its target: it is worth less.
@@ -321,17 +316,6 @@
 	return q.k.value
 }
 
-// reach is the weight of the parts that some listed server holds.
-func (b *Broker) reach(q *search) float64 {
-	sum := 0.0
-	for _, p := range q.parts {
-		if p.in || len(b.holds(p.shard)) > 0 {
-			sum += p.weight
-		}
-	}
-	return sum
-}
-
 // gather ends a search: whole as soon as it is, in part at its latency target where that is worth more than
 // waiting, and given up while the client can still hear of it.
 func (b *Broker) gather(t *turn) verdict {
@@ -453,18 +437,6 @@
 
 // budget is the stated one for further sub-requests, where over is set: they are counted long, the searches
 // and parts that earn them short, so that no window of its length can be overdrawn.
-func (g *budget) take(now float64) {
-	if g.over > 0 {
-		g.taken.Add(now, 1)
-	}
-}
-
-func (g *budget) spend(now float64) {
-	if g.over > 0 {
-		g.further.Add(now, 1)
-	}
-}
-
 func (g *budget) affords(now float64) bool {
 	return g.over == 0 || g.further.Sum(now, g.over)+1 <= g.spare+g.ratio*g.taken.Inside(now, g.over)
 }
@@ -652,45 +624,12 @@
 	return pass
 }
 
-// note counts what was lost and what was answered on old connections, apart for idle ones: servers that hang
-// or refuse lose both alike.
-func (g *links) note(now float64, y *try, lost bool) {
-	i, c := 0, &g.fine
-	if y.idle {
-		i = 1
-	}
-	if lost {
-		c = &g.lost
-	}
-	if !y.fresh {
-		c[i].Add(now, 1)
-	}
-}
-
 func (g *links) stale(now float64) bool {
 	lost, fine := g.lost[1].Sum(now, idleSpan), g.fine[1].Sum(now, idleSpan)
 	used, well := g.lost[0].Sum(now, idleSpan), g.fine[0].Sum(now, idleSpan)
 	return lost >= idleFew && lost > idleShare*(lost+fine) && lost*(used+well+1) > 2*used*(lost+fine)
 }
 
-// returned frees what a sub-request held.
-func (b *Broker) returned(y *try, how Outcome) {
-	s := b.servers[y.server]
-	y.out = false
-	y.p.q.out--
-	if y.call.left--; y.call.left == 0 {
-		s.calls--
-		b.calls--
-	}
-	for i, o := range s.tries {
-		if o == y {
-			s.tries = append(s.tries[:i], s.tries[i+1:]...)
-			break
-		}
-	}
-	y.never = how.NeverRan()
-}
-
 // learn teaches the predictor what it is told by parts that were sent, and only by answers: errors are no
 // quick answers.
 func (b *Broker) learn(y *try, how Outcome) {
@@ -751,11 +690,11 @@
 }
 
 func (g *predictor) falseRate(now float64) float64 {
-	n := g.fast.Sum(now, 29000)
+	n := g.fast.Sum(now, falseSpan)
 	if n < copyFew {
 		return 0
 	}
-	return g.wrong.Sum(now, 29000) / n
+	return g.wrong.Sum(now, falseSpan) / n
 }
 
 func (g *predictor) line(now float64, s *server) float64 {
@@ -1050,10 +989,3 @@
 	}
 	b.stop(q)
 }
-
-func (b *Broker) log(form string, args ...any) {
-	if b.now-b.lastLog >= 500 {
-		b.lastLog = b.now
-		b.out.Log(fmt.Sprintf(form, args...))
-	}
-}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"hash/fnv"
+	"math"
 
 	"kestrelspread/internal/window"
 )
@@ -37,7 +39,7 @@
 	need, floor, work, hints, given     float64
 	effect                              Effect
 	followUp                            int
-	lat, left                           *window.Hist
+	lat                                 *window.Hist
 }
 
 type customer struct {
@@ -180,11 +182,9 @@
 	at       float64
 }
 
-func hist() *window.Hist { return window.NewHist(10, 1000, 1, 1.1, 100) }
-
 func (b *Broker) QueryType(aim, value, late float64, effect Effect, tokenFor float64) {
 	b.types = append(b.types, &queryType{aim: aim, value: value, late: late, tokenFor: tokenFor, effect: effect,
-		need: 1, floor: 1, lat: hist(), left: hist()})
+		need: 1, floor: 1, lat: hist()})
 	b.topValue = max(b.topValue, value)
 	if aim > 0 {
 		b.shortAim = min(b.shortAim, aim)
@@ -197,7 +197,7 @@
 }
 
 func (b *Broker) Customer(quota, beyond float64) {
-	b.customers = append(b.customers, &customer{quota, beyond, window.NewCounts(5, quotaSpan/4)})
+	b.customers = append(b.customers, &customer{quota, beyond, counts(quotaSpan)})
 }
 
 func (b *Broker) Fleet(places, span, batch int, callWork float64, warmKeys bool) {
@@ -214,13 +214,12 @@
 
 func (b *Broker) Cold(from, lasts, multiple, over float64) {
 	b.cold = coldGuard{share: from, lasts: lasts, multiple: multiple, over: max(over, 1),
-		busy: window.NewCounts(12, carrySpan/10), heard: window.NewCounts(12, carrySpan/10),
-		did: window.NewCounts(12, carrySpan/10)}
+		busy: counts(carrySpan), heard: counts(carrySpan), did: counts(carrySpan)}
 }
 
 func (b *Broker) Budget(spare, ratio, over float64) {
 	over = max(over, 1)
-	b.budget = budget{spare, ratio, over, window.NewCounts(22, over/20), window.NewCounts(22, over/20)}
+	b.budget = budget{spare, ratio, over, counts(over), counts(over)}
 }
 
 func (b *Broker) Reports(onAnswers bool, fields []Field) {
@@ -343,3 +342,68 @@
 	}
 	return nil
 }
+
+// returned frees what a sub-request held.
+func (b *Broker) returned(y *try, how Outcome) {
+	s := b.servers[y.server]
+	y.out = false
+	y.p.q.out--
+	if y.call.left--; y.call.left == 0 {
+		s.calls--
+		b.calls--
+	}
+	for i, o := range s.tries {
+		if o == y {
+			s.tries = append(s.tries[:i], s.tries[i+1:]...)
+			break
+		}
+	}
+	y.never = how.NeverRan()
+}
+
+// note counts what was lost and what was answered on old connections, apart for idle ones: servers that hang
+// or refuse lose both alike.
+func (g *links) note(now float64, y *try, lost bool) {
+	i, c := 0, &g.fine
+	if y.idle {
+		i = 1
+	}
+	if lost {
+		c = &g.lost
+	}
+	if !y.fresh {
+		c[i].Add(now, 1)
+	}
+}
+
+func (g *budget) take(now float64) {
+	if g.over > 0 {
+		g.taken.Add(now, 1)
+	}
+}
+
+func (g *budget) spend(now float64) {
+	if g.over > 0 {
+		g.further.Add(now, 1)
+	}
+}
+
+// reach is the weight of the parts that some listed server holds.
+func (b *Broker) reach(q *search) float64 {
+	sum := 0.0
+	for _, p := range q.parts {
+		if p.in || len(b.holds(p.shard)) > 0 {
+			sum += p.weight
+		}
+	}
+	return sum
+}
+
+func (b *Broker) Bell() { b.lastWake = math.Inf(-1) }
+
+func (b *Broker) log(form string, args ...any) {
+	if b.now-b.lastLog >= logEvery {
+		b.lastLog = b.now
+		b.out.Log(fmt.Sprintf(form, args...))
+	}
+}
