--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -60,8 +60,7 @@
 	fullMost     = 6      // times, for one that only refuses
 	fullGiveUp   = 2      // a part that two turned away is not worth a third's place
 	carryLasts   = 90000. // what servers carried at their best is remembered so long
-	busyTaken    = 0.67   // where no server says: at worst they are wholly busy, and the budget still holds
-	busyLeast    = 0.3
+	busyTaken    = 0.67   // what servers say of themselves may be untrue; wholly busy, the budget still holds
 	carrySpan    = 10000.
 	carryEvery   = 500.
 	newsLast     = 4000. // a list tells of a restart within so long
@@ -484,9 +483,8 @@
 }
 
 // room wards off pushing over a server that has just come back: all brokers together must stay under a
-// multiple of what it can do, and each knows only itself. What warm servers carry for this broker, by how
-// busy they say they are, is its part of what one can do, so that the brokers' parts add up to no more; where
-// none says, they are taken as fairly busy. What was so found at best counts: a fleet that is held back must
+// multiple of what it can do, and each knows only itself. What warm servers carry for this broker, taken
+// as fairly busy, is its part of what one can do, so that the brokers' parts add up to no more. What was so found at best counts: a fleet that is held back must
 // not hold itself back further. With many brokers a part is less than one sub-request, and one from each
 // would push the server over: then chance lets through, of what a warm holder would get, the share that a cold
 // one bears, so that the sum is right without knowing the others. A server that was unreachable or silent for
@@ -515,11 +513,7 @@
 	g.carry *= math.Exp((g.at - now) / carryLasts)
 	g.at, g.warm = now, warm
 	if warm > size/2 {
-		busy := busyTaken
-		if n := g.heard.Inside(now, carrySpan); n >= copyFew {
-			busy = min(max(g.busy.Inside(now, carrySpan)/n, busyLeast), 1)
-		}
-		g.carry = max(g.carry, g.did.Inside(now, carrySpan)/carrySpan/busy)
+		g.carry = max(g.carry, g.did.Inside(now, carrySpan)/carrySpan/busyTaken)
 	}
 }
 
@@ -767,9 +761,6 @@
 	best := Other
 	for i, v := range values[:min(len(values), len(b.reports.fields))] {
 		switch field := b.reports.fields[i]; {
-		case field == Busy && b.cold.multiple > 0 && b.now >= s.coldTo:
-			b.cold.busy.Add(b.now, v)
-			b.cold.heard.Add(b.now, 1)
 		case field > Busy && (best == Other || field == InFlight):
 			if math.IsInf(s.loadAt, -1) {
 				b.predict.heard++
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -139,7 +139,7 @@
 
 type coldGuard struct {
 	share, lasts, multiple, over, carry, at, warm float64
-	busy, heard, did                              *window.Counts // what warm servers said of their cores, and did
+	did                                           *window.Counts // work of warm servers, over their size
 }
 
 type budget struct {
@@ -214,7 +214,7 @@
 
 func (b *Broker) Cold(from, lasts, multiple, over float64) {
 	b.cold = coldGuard{share: from, lasts: lasts, multiple: multiple, over: max(over, 1),
-		busy: counts(carrySpan), heard: counts(carrySpan), did: counts(carrySpan)}
+		did: counts(carrySpan)}
 }
 
 func (b *Broker) Budget(spare, ratio, over float64) {
