Trials of servers set aside come no sooner than this broker would by itself

At full size a broker comes to a server once in ten seconds. Should hold for any server that is bad for longer than a visit; may hurt where trouble passes in a second.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -56,6 +56,7 @@
 	spareGain    = 0.67  // a second place must be expected to take at most so much of what was waited
 	trialFirst   = 1000. // first trial after so long, then twice as long each time
 	trialLongest = 2000.
+	paceSpan     = 10000.
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
 	fullMost     = 6      // times, for one that only refuses
 	fullGiveUp   = 2      // a part that two turned away is not worth a third's place
@@ -102,6 +103,7 @@
 	b.Limits(1, 0, false, false)
 	b.predict = predictor{weights: start, pool: hist(), fast: counts(falseSpan),
 		wrong: counts(falseSpan)}
+	b.sends = counts(paceSpan)
 	for i := range 2 {
 		b.links.lost[i], b.links.fine[i] = counts(idleSpan), counts(idleSpan)
 	}
@@ -608,6 +610,7 @@
 	}
 	p.tries = append(p.tries, y)
 	s.tries = append(s.tries, y)
+	b.sends.Add(b.now, 1)
 	b.watch(t.to)
 	q.out++
 	within := 0.0
@@ -853,17 +856,26 @@
 		return
 	}
 	s.aside, s.dead, s.sure, s.since, s.streak = true, dead, false, b.now, 0
-	s.backoff, s.trialAt = trialFirst, b.now+trialFirst
+	if s.backoff = trialFirst; !b.links.stale(b.now) { // there a fresh connection may do at once
+		s.backoff = max(trialFirst, b.pace())
+	}
+	s.trialAt = b.now + s.backoff
 	b.watch(id)
 	b.log("server %d aside: %s", id, why)
 }
 
 func (b *Broker) retreat(s *server) {
 	s.sure = false
-	s.backoff = min(2*s.backoff, trialLongest)
+	s.backoff = min(2*s.backoff, max(trialLongest, 2*b.pace()))
 	s.trialAt = b.now + s.backoff
 }
 
+// pace is how long this broker leaves a server alone by itself: at full size trials sooner than that would be
+// all that it sends there, and a server set aside would get as much as ever.
+func (b *Broker) pace() float64 {
+	return min(paceSpan*float64(b.ready)/max(b.sends.Sum(b.now, paceSpan), float64(b.ready)/10), paceSpan)
+}
+
 // tend looks at what has not come: parts older than the line are evidence of slowness, and a server with
 // parts out that answers nothing is silent, hung or lost alike.
 func (b *Broker) tend() {
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -123,6 +123,7 @@
 	lister                        lister
 	predict                       predictor
 	links                         links
+	sends                         *window.Counts
 	types                         []*queryType
 	customers                     []*customer
 	searches                      []*search
