Admission goes by the slowest of so many parts; a full server rests as long each time

The time that the slowest of so many parts took in the last 3 s now counts; past 0.65 (least valued) to the whole of the target a search is taken by a chance that falls with the third power. Told from a hot shard: all query types and shards are late alike. It may hurt where a few servers are slow for good.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -58,7 +58,6 @@
 	trialLongest = 2000.
 	paceSpan     = 10000.
 	fullPause    = 300.   // after a full queue: long enough for a few parts to be done
-	fullMost     = 6      // times, for one that only refuses
 	fullGiveUp   = 2      // a part that two turned away is not worth a third's place
 	carryLasts   = 90000. // what servers carried at their best is remembered so long
 	busyTaken    = 0.67   // what servers say of themselves may be untrue; wholly busy, the budget still holds
@@ -68,8 +67,12 @@
 	coldAfter    = 5000. // silent for longer: it may have restarted unannounced
 	coldSafe     = 0.75  // of the budget: what servers say comes late, and chance varies
 
-	admitLow   = 0.52  // share of the latency target that the least valued search may be expected to take
-	admitHigh  = 0.88  // and the most valued
+	admitLow   = 0.52 // share of the latency target that the least valued search may be expected to take
+	admitHigh  = 0.88 // and the most valued
+	tailLow    = 0.65 // share of the target that the slowest part may be expected to take, least valued
+	tailHigh   = 1.0  // and most
+	tailPower  = 3.0  // past it, the chance to be taken falls so fast
+	tailSpan   = 3000.
 	crowdTight = 0.8   // of that in a crowd: a full server does no more for a longer queue, only later
 	heldLow    = 0.85  // of the hold limit: beyond, only the most valued
 	quotaSpan  = 4000. // a customer's share is watched over so long
@@ -90,8 +93,8 @@
 // start is what a new instance knows: slow is who was slow lately, the latest answer first.
 var start = vector{-3.5, 1, 1.2, 0.7, 0.4, 0.3}
 
-// Latencies are told to a tenth over lineSpan; what is counted over a span, to a tenth of the span.
-func hist() *window.Hist                 { return window.NewHist(10, lineSpan/10, 1, 1.1, 100) }
+// Latencies are told to a tenth; what is kept over a span, to a tenth of the span.
+func hist(span float64) *window.Hist     { return window.NewHist(10, span/10, 1, 1.1, 100) }
 func counts(span float64) *window.Counts { return window.NewCounts(12, span/10) }
 
 const wholeStages = 2 // stages that take a search; the others take its parts
@@ -101,7 +104,7 @@
 		lastWake: math.Inf(-1), lastLog: math.Inf(-1), shortAim: math.Inf(1)}
 	b.Fleet(1, 1, 1, 0, false)
 	b.Limits(1, 0, false, false)
-	b.predict = predictor{weights: start, pool: hist(), fast: counts(falseSpan),
+	b.predict = predictor{weights: start, pool: hist(lineSpan), late: hist(tailSpan), fast: counts(falseSpan),
 		wrong: counts(falseSpan)}
 	b.sends = counts(paceSpan)
 	for i := range 2 {
@@ -156,7 +159,7 @@
 	}
 	s := b.servers[id]
 	if s == nil {
-		s = &server{line: hist(), errs: counts(errSpan), oks: counts(errSpan), sent: counts(max(b.cold.over, 1)),
+		s = &server{line: hist(lineSpan), errs: counts(errSpan), oks: counts(errSpan), sent: counts(max(b.cold.over, 1)),
 			loadAt: math.Inf(-1)}
 		b.servers[id] = s
 	}
@@ -297,7 +300,12 @@
 			usable += p.weight
 		}
 	}
-	if usable < k.floor-1e-4 ||
+	// A search waits for the slowest of its parts, and the more it has the slower that is: a fleet's crowd shows
+	// there first. By chance past the limit, as brokers that shed all at once take all at once again.
+	tail, n := b.predict.late.Quantile(b.now, math.Pow(0.5, 1/float64(q.want)))
+	bear := aim * (tailLow + (tailHigh-tailLow)*b.value(q)/max(b.topValue, 1e-9))
+	slow := n >= copyFew && tail > bear && b.dice.roll() > math.Pow(bear/tail, tailPower)
+	if usable < k.floor-1e-4 || slow ||
 		b.limits.most > 0 && !top && float64(b.limits.held) > heldLow*float64(b.limits.most) {
 		b.log("shed: expected %.0f ms against a target of %.0f, %d held", worst, aim, b.limits.held)
 		b.giveUp(q)
@@ -485,12 +493,11 @@
 }
 
 // room wards off pushing over a server that has just come back: all brokers together must stay under a
-// multiple of what it can do, and each knows only itself. What warm servers carry for this broker, taken
-// as fairly busy, is its part of what one can do, so that the brokers' parts add up to no more. What was so found at best counts: a fleet that is held back must
-// not hold itself back further. With many brokers a part is less than one sub-request, and one from each
-// would push the server over: then chance lets through, of what a warm holder would get, the share that a cold
-// one bears, so that the sum is right without knowing the others. A server that was unreachable or silent for
-// long may have restarted unannounced: the same holds for its trials.
+// multiple of what it can do, and each knows only itself. What warm servers carried for this broker at their best,
+// taken as fairly busy, is its part of what one can do: the brokers' parts add up to no more. With many brokers
+// that is less than one sub-request, and one from each would push the server over: then chance lets through, of
+// what a warm holder would get, the share that a cold one bears, so that the sum is right without knowing the
+// others. One that was unreachable or silent for long may have restarted unannounced: its trials count too.
 func (b *Broker) room(s *server, nth, of int, p *part) bool {
 	g, share := &b.cold, b.cold.share
 	switch {
@@ -563,8 +570,7 @@
 			best, bestSlow, bestCalls, bestTie = i, slow, calls, tie
 		}
 	}
-	// Two in slow places are work for nothing, and keep a crowd up: where the holders of a shard are all busy,
-	// sending a part again takes from another what it gives to its own.
+	// Two in slow places keep a crowd up: what a part gains there, another loses.
 	if last := len(t.p.tries) - 1; t.spare && (bestSlow ||
 		b.expect(b.servers[best]) > spareGain*(b.now-t.p.tries[last].at)) {
 		return keep
@@ -658,6 +664,7 @@
 func (b *Broker) took(y *try, lat float64) {
 	s := b.servers[y.server]
 	b.predict.pool.Add(b.now, lat)
+	b.predict.late.Add(b.now, lat)
 	if b.now-s.tookAt > tookFade || s.tookAt == 0 {
 		s.took, s.tookCalls = b.predict.mid, float64(y.calls)
 	}
@@ -809,7 +816,7 @@
 	}
 	switch how {
 	case Answered:
-		s.answered, s.fulls = b.now, 0
+		s.answered = b.now
 		s.oks.Add(b.now, 1)
 		if s.streak++; s.aside && (s.dead || s.streak >= 2) {
 			if y.at > s.since && (s.broke || s.dead && b.now-s.since > coldAfter) && b.now >= s.coldTo {
@@ -821,8 +828,7 @@
 			b.log("server %d back after %.0f ms", y.server, b.now-s.since)
 		}
 	case Errored, TimedOut, Reset:
-		// Parts that share a connection break together: that is one event, and no proof that the server is
-		// gone. If it is, the next connection fails.
+		// Parts that share a connection break together: one event, and no proof that the server is gone.
 		s.streak = 0
 		if how != Reset || s.resetAt != b.now {
 			s.errs.Add(b.now, 1)
@@ -836,9 +842,7 @@
 	case Full:
 		// A refusal is quick, and frees this broker's place there at once: the fewest-outstanding choice
 		// would send everything to whoever turns it away.
-		// One that only refuses may be draining, or worse, and no list tells yet: it rests longer each time.
-		s.fulls = min(s.fulls+1, fullMost)
-		s.fullUntil = b.now + fullPause*s.fulls
+		s.fullUntil = b.now + fullPause
 		// Where a whole set is full, a third try only takes the place of another part.
 		if y.p.fulls++; y.p.fulls >= fullGiveUp {
 			y.p.skip = true
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -499,3 +499,21 @@
 	failIf(t, first < 1500 || first > 4000 || b.servers[0].backoff < 1.5*first, "trials after %.0f and %.0f ms", first,
 		b.servers[0].backoff)
 }
+
+// Each part looked quick enough, and the search of fifty was late each time.
+func TestAdmissionGoesByTheSlowestOfSoManyParts(t *testing.T) {
+	for _, parts := range []int{1, 50} {
+		b, n := plain(4, nil)
+		now := warm(b, 1000, 30)
+		for i := range 100 {
+			b.predict.late.Add(now, 100+float64(i/97)*4900)
+		}
+		taken := 0
+		for i := range 20 {
+			n.shed = nil
+			ask(b, now, 100*i, parts)
+			taken += 1 - len(n.shed)
+		}
+		failIf(t, parts == 1 && taken < 20 || parts > 1 && taken > 4, "%d of 20 searches of %d parts taken", taken, parts)
+	}
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -100,7 +100,7 @@
 	took, tookCalls                   float64
 	errs, oks, sent                   *window.Counts
 	answered, resetAt, tookAt         float64
-	fullUntil, fulls                  float64
+	fullUntil                         float64
 	aside, dead, broke, probing, sure bool
 	since, trialAt, backoff           float64
 	trial                             *try
@@ -151,7 +151,7 @@
 // predictor is the design's score, online: one set of weights for all servers.
 type predictor struct {
 	weights       vector
-	pool          *window.Hist // all servers' latencies
+	pool, late    *window.Hist // all servers' latencies, the second for a shorter time
 	fast, wrong   *window.Counts
 	avgLoad, calm float64
 	loads, heard  float64 // sum of the latest reports, and how many
@@ -185,7 +185,7 @@
 
 func (b *Broker) QueryType(aim, value, late float64, effect Effect, tokenFor float64) {
 	b.types = append(b.types, &queryType{aim: aim, value: value, late: late, tokenFor: tokenFor, effect: effect,
-		need: 1, floor: 1, lat: hist()})
+		need: 1, floor: 1, lat: hist(lineSpan)})
 	b.topValue = max(b.topValue, value)
 	if aim > 0 {
 		b.shortAim = min(b.shortAim, aim)
