--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -159,8 +159,8 @@
 	}
 	s := b.servers[id]
 	if s == nil {
-		s = &server{line: hist(lineSpan), errs: counts(errSpan), oks: counts(errSpan), sent: counts(max(b.cold.over, 1)),
-			loadAt: math.Inf(-1)}
+		s = &server{line: hist(lineSpan), errs: counts(errSpan), oks: counts(errSpan),
+			sent: counts(max(b.cold.over, 1)), loadAt: math.Inf(-1)}
 		b.servers[id] = s
 	}
 	if was, is := s.listed && s.state == Ready, state == Ready; was != is || s.cell != cell {
@@ -493,11 +493,11 @@
 }
 
 // room wards off pushing over a server that has just come back: all brokers together must stay under a
-// multiple of what it can do, and each knows only itself. What warm servers carried for this broker at their best,
-// taken as fairly busy, is its part of what one can do: the brokers' parts add up to no more. With many brokers
-// that is less than one sub-request, and one from each would push the server over: then chance lets through, of
-// what a warm holder would get, the share that a cold one bears, so that the sum is right without knowing the
-// others. One that was unreachable or silent for long may have restarted unannounced: its trials count too.
+// multiple of what it can do, and each knows only itself. What warm servers carried for this one at best, taken
+// as fairly busy, is its part of what one can do: the brokers' parts add up to no more. With many brokers that
+// is less than one sub-request, and one from each would push the server over: then chance lets through, of what
+// a warm holder would get, the share that a cold one bears, and the sum is right without knowing the others.
+// One that was unreachable or silent for long may have restarted unannounced: its trials count too.
 func (b *Broker) room(s *server, nth, of int, p *part) bool {
 	g, share := &b.cold, b.cold.share
 	switch {
@@ -748,7 +748,7 @@
 }
 
 // loadOf is the last reported count with what this broker changed since; its own calls where no report comes
-// with answers, as a probe for one tells of a queue that has passed and has its price; the average for a server
+// with answers, as a probe for one tells of a queue that has passed, and costs; the average for a server
 // that has not reported.
 func (b *Broker) loadOf(s *server) float64 {
 	if !b.reports.any() {
