--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -811,8 +811,9 @@
 			b.retreat(s) // called off by this broker says nothing of the server: the next trial stays due
 		}
 	}
-	if how == Answered || how == Reset {
-		b.links.note(b.now, y, how == Reset)
+	if how == Answered || how == Reset || how == NoConnect {
+		y.fresh = y.fresh || how == NoConnect // new connections that fail too speak against the idle ones' age
+		b.links.note(b.now, y, how != Answered)
 	}
 	switch how {
 	case Answered:
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -366,15 +366,13 @@
 // or refuse lose both alike.
 func (g *links) note(now float64, y *try, lost bool) {
 	i, c := 0, &g.fine
-	if y.idle {
+	if y.idle && !y.fresh {
 		i = 1
 	}
 	if lost {
 		c = &g.lost
 	}
-	if !y.fresh {
-		c[i].Add(now, 1)
-	}
+	c[i].Add(now, 1)
 }
 
 func (g *budget) take(now float64) {
