An empty history counts as fast, whatever the weights have learnt

Most histories are empty at full size, the bias had learnt the share of slow answers, and with it every holder not heard of read as slow, so that no part was sent again. The design says that an empty history counts as fast; now it does.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -146,13 +146,6 @@
 	}
 }
 
-func (b *Broker) Lapsed(id int) {
-	if q := at(b.searches, id); q != nil && !q.over {
-		b.finish(q)
-		b.forget(q)
-	}
-}
-
 func (b *Broker) Server(id, hall, cell int, state State, size, started float64) {
 	for len(b.servers) <= id {
 		b.servers = append(b.servers, nil)
@@ -549,7 +542,7 @@
 	best, bestSlow, bestCalls, bestTie := -1, false, 0, 0.0
 	for _, i := range t.cands {
 		s := b.servers[i]
-		slow := b.predict.score(b.predict.features(b.now, s, b.loadOf(s))) > 0.5
+		slow := b.predict.slow(b.predict.features(b.now, s, b.loadOf(s)))
 		calls, join := s.calls+1, b.joins(s)
 		if join {
 			calls--
@@ -593,7 +586,7 @@
 		b.out.Close(t.to)
 	}
 	y.x = b.predict.features(b.now, s, y.load)
-	y.fast = b.predict.score(y.x) <= 0.5
+	y.fast = !b.predict.slow(y.x)
 	if !b.joins(s) {
 		s.open, s.openRound = &call{}, b.round
 		s.calls++
@@ -739,6 +732,10 @@
 	return x
 }
 
+// slow: an empty history counts as fast, whatever the weights: at full size most histories are empty, and in bad
+// times all servers read as slow for want of news, so that no part was sent again.
+func (g *predictor) slow(x vector) bool { return x[2] > 0 && g.score(x) > 0.5 }
+
 func (g *predictor) score(x vector) float64 {
 	z := 0.0
 	for i, w := range g.weights {
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -517,3 +517,18 @@
 		failIf(t, parts == 1 && taken < 20 || parts > 1 && taken > 4, "%d of 20 searches of %d parts taken", taken, parts)
 	}
 }
+
+// In bad times the bias alone made every server that nothing was heard of read as slow, and no part was sent again.
+func TestEmptyHistoryCountsAsFastWhateverTheWeights(t *testing.T) {
+	b, n := plain(2, nil)
+	now := warm(b, 1000, 30)
+	b.predict.weights[0] = 5
+	n.to = nil
+	ask(b, now+1500, 0, 1)
+	for at := now + 1510; at <= now+3400; at += 10 {
+		b.Begin(at)
+		b.Bell()
+		b.End()
+	}
+	failIf(t, len(n.to) != 2 || n.to[0] == n.to[1], "sent to %v: want the part taken off the silent server", n.to)
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -406,3 +406,10 @@
 		b.out.Log(fmt.Sprintf(form, args...))
 	}
 }
+
+func (b *Broker) Lapsed(id int) {
+	if q := at(b.searches, id); q != nil && !q.over {
+		b.finish(q)
+		b.forget(q)
+	}
+}
