--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -894,6 +894,9 @@
 	if g.seen < copyFew {
 		patience = silentAim * b.shortAim
 	}
+	stale := b.links.stale(b.now)
+	found := stale && !b.links.was // then those set aside for it need not wait
+	b.links.was = stale
 	kept := b.tending[:0]
 	for _, i := range b.tending {
 		s := b.servers[i]
@@ -913,6 +916,9 @@
 			b.links.note(b.now, s.tries[0], true)
 			b.setAside(i, true, "silent")
 		}
+		if found && s.aside && s.dead {
+			s.trialAt, s.backoff = min(s.trialAt, b.now), trialFirst
+		}
 		if s.listed && s.state == Ready && b.reports.mayProbe && !s.probing && s.aside && s.dead && !s.sure &&
 			b.now >= s.trialAt {
 			s.probing = true
@@ -983,14 +989,3 @@
 	}
 	b.finish(q)
 }
-
-func (b *Broker) finish(q *search) {
-	q.over = true
-	b.limits.held--
-	for _, p := range q.parts {
-		if !p.in {
-			b.limits.held--
-		}
-	}
-	b.stop(q)
-}
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -479,11 +479,17 @@
 		}
 		ask(b, now, 0, 1)
 		failIf(t, len(n.closed) > 0 != idle, "lost on idle connections %v: closed %v", idle, n.closed)
-		finish(b, now+100, Answered, 1)
+		b.links.was = false
 		b.setAside(0, true, "test")
 		b.setAside(1, true, "test")
+		finish(b, now+100, Answered, 1)
 		n.closed = nil
-		b.servers[0].trialAt = now + 1500
+		s := b.servers[0]
+		if !s.aside {
+			s = b.servers[1]
+		}
+		failIf(t, s.trialAt <= now+100 != idle, "lost on idle connections %v: tried in %.0f ms", idle, s.trialAt-now)
+		s.trialAt = now + 1500
 		ask(b, now+1500, 10, 1)
 		failIf(t, len(n.closed) != 1, "a trial went over an old connection: closed %v", n.closed)
 	}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -159,7 +159,10 @@
 	seen          int
 }
 
-type links struct{ lost, fine [2]*window.Counts } // on connections in use, on idle ones
+type links struct {
+	lost, fine [2]*window.Counts // on connections in use, on idle ones
+	was        bool              // found at fault when last looked at
+}
 
 // reports tells where load reports come from.
 type reports struct {
@@ -413,3 +416,14 @@
 		b.forget(q)
 	}
 }
+
+func (b *Broker) finish(q *search) {
+	q.over = true
+	b.limits.held--
+	for _, p := range q.parts {
+		if !p.in {
+			b.limits.held--
+		}
+	}
+	b.stop(q)
+}
