--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -486,11 +486,11 @@
 }
 
 // room wards off pushing over a server that has just come back: all brokers together must stay under a
-// multiple of what it can do, and each knows only itself. What warm servers carried for this one at best, taken
-// as fairly busy, is its part of what one can do: the brokers' parts add up to no more. With many brokers that
-// is less than one sub-request, and one from each would push the server over: then chance lets through, of what
-// a warm holder would get, the share that a cold one bears, and the sum is right without knowing the others.
-// One that was unreachable or silent for long may have restarted unannounced: its trials count too.
+// multiple of what it can do, and each knows only itself. What warm servers carried for this one at best,
+// taken as fairly busy, is its part of what one can do: the brokers' parts add up to no more. With many
+// brokers that is less than one sub-request, and one from each would push the server over: then chance lets
+// through, of what a warm holder would get, the share that a cold one bears, and the sum is right without
+// knowing the others. One that was unreachable or silent for long may have restarted: its trials count too.
 func (b *Broker) room(s *server, nth, of int, p *part) bool {
 	g, share := &b.cold, b.cold.share
 	switch {
@@ -542,7 +542,7 @@
 	best, bestSlow, bestCalls, bestTie := -1, false, 0, 0.0
 	for _, i := range t.cands {
 		s := b.servers[i]
-		slow := b.predict.slow(b.predict.features(b.now, s, b.loadOf(s)))
+		slow := b.slow(b.predict.features(b.now, s, b.loadOf(s)))
 		calls, join := s.calls+1, b.joins(s)
 		if join {
 			calls--
@@ -586,7 +586,7 @@
 		b.out.Close(t.to)
 	}
 	y.x = b.predict.features(b.now, s, y.load)
-	y.fast = !b.predict.slow(y.x)
+	y.fast = !b.slow(y.x)
 	if !b.joins(s) {
 		s.open, s.openRound = &call{}, b.round
 		s.calls++
@@ -732,9 +732,12 @@
 	return x
 }
 
-// slow: an empty history counts as fast, whatever the weights: at full size most histories are empty, and in bad
-// times all servers read as slow for want of news, so that no part was sent again.
-func (g *predictor) slow(x vector) bool { return x[2] > 0 && g.score(x) > 0.5 }
+// slow: an empty history counts as fast. Where this broker comes to each server within the expiry, it is
+// empty because the server was passed over, and the score's bias decides; at full size most are empty for
+// want of searches, and in bad times the bias made all servers slow, so that no part was sent again.
+func (b *Broker) slow(x vector) bool {
+	return (x[2] > 0 || b.pace() < histLife) && b.predict.score(x) > 0.5
+}
 
 func (g *predictor) score(x vector) float64 {
 	z := 0.0
