--- a/internal/decide/world_test.go
+++ b/internal/decide/world_test.go
@@ -90,7 +90,7 @@
 func (w *world) start() {
 	w.searches, w.parts, w.order, w.steps, w.probing = map[int]*searchOut{}, map[int]*partOut{}, nil, nil, nil
 	w.taken, w.further, w.wake, w.peak = nil, nil, -1, 0
-	b := New(w, w.rnd.Uint64(), 1+w.rnd.Intn(4), 0)
+	b := New(w, w.rnd.Uint64(), []int{1, 3, 100, 1000}[w.rnd.Intn(4)], 0)
 	for i, e := range w.effects {
 		b.QueryType(w.aim, float64(1+i), 0.3, e, w.tokenFor)
 		b.Shares(i, w.need[i], w.floor[i], 0.8, w.follow*(i%2))
@@ -300,7 +300,17 @@
 func (w *world) step() {
 	r := w.rnd
 	w.now += float64(1 + r.Intn(12))
+	stalled := r.Intn(400) == 0
+	if stalled {
+		w.now += float64(r.Intn(2500))
+	}
 	w.b.Begin(w.now)
+	for id := 0; stalled && id <= w.next; id++ { // who waited too long has left
+		if q := w.searches[id]; q != nil && q.finals == 0 && !q.client && w.now > q.until {
+			q.client = true
+			w.b.Lapsed(id)
+		}
+	}
 	if w.wake >= 0 && w.now >= w.wake {
 		w.wake = -1
 		w.b.Bell()
@@ -321,6 +331,19 @@
 	if r.Intn(200) == 0 {
 		w.b.Unlisted()
 	}
+	if r.Intn(500) == 0 && len(w.servers) < 40 { // a wave: every other server goes and another takes its place
+		for i, s := range w.servers[:len(w.servers):len(w.servers)] {
+			if s.state = Gone; i%2 == 0 {
+				w.servers = append(w.servers, &serverIn{cell: s.cell, started: w.now})
+			}
+			w.b.Server(i, i%2, s.cell, s.state, 1, s.started)
+		}
+		for i, s := range w.servers {
+			if s.started == w.now {
+				w.b.Server(i, i%2, s.cell, s.state, 1, s.started)
+			}
+		}
+	}
 	for _, i := range w.probing {
 		w.b.Probed(i, w.servers[i].mood == 0, float64(r.Intn(250)), []float64{float64(r.Intn(9))})
 	}
