--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -40,7 +40,7 @@
 	// Between equals, in average loads: a choice that saves work is worth less than one that saves a wait.
 	tieJoin   = 1.0 // a call that is open anyway
 	tieTook   = 2.0 // what it took lately
-	tieHall   = 1.5 // the own hall
+	tieHall   = 2.2 // the own hall
 	tieTrial  = 10. // a trial that is due
 	tieChance = 0.1
 	tookFade  = 10000.
