A refusal counts as a late part for admission

It should also hold for drains, where servers refuse; it may hurt where one server refuses for long.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -844,6 +844,7 @@
 		// A refusal is quick, and frees this broker's place there at once: the fewest-outstanding choice
 		// would send everything to whoever turns it away.
 		s.fullUntil = b.now + fullPause
+		b.predict.late.Add(b.now, y.p.q.k.aim) // as good as late: a queue so long that no more fits
 		// Where a whole set is full, a third try only takes the place of another part.
 		if y.p.fulls++; y.p.fulls >= fullGiveUp {
 			y.p.skip = true
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -538,3 +538,18 @@
 	}
 	failIf(t, len(n.to) != 2 || n.to[0] == n.to[1], "sent to %v: want the part taken off the silent server", n.to)
 }
+
+// Refusals are quick answers of a kind, and admission saw nothing of queues so long that no more fitted.
+func TestRefusalCountsAsALatePartForAdmission(t *testing.T) {
+	b, n := plain(4, nil)
+	now := warm(b, 1000, 30)
+	for i := range 10 {
+		ask(b, now, 100*i, 2)
+		finish(b, now+1, Full, 100*i+1, 100*i+2)
+		finish(b, now+2, Full, 100*i+1, 100*i+2)
+		now += 400
+	}
+	if v, _ := b.predict.late.Quantile(now, 0.9); v < 900 || len(n.shed) < 5 {
+		t.Fatalf("the slowest tenth took %.0f ms after refusals, %d shed", v, len(n.shed))
+	}
+}
