Trials keep open connections; a server known to run for long has not restarted

Told from dead servers: probes answer and the list tells no restart. Idle connections are now closed only where they are what fails, and a server that has answered a probe for longer than list news takes is not taken for restarted. It may hurt where list news of a restart takes over 4 s.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -132,14 +132,16 @@
 
 func (b *Broker) Probed(id int, ok bool, elapsed float64, report []float64) {
 	s := b.servers[id]
-	s.probing = false
-	if ok {
+	if s.probing = false; ok {
 		b.report(s, report)
 	}
 	if !s.aside || !s.dead {
 		return
 	}
 	if ok || elapsed >= probeSlow {
+		if !s.sure {
+			s.sureAt = b.now
+		}
 		s.sure = true // no answer to a probe that waits in a queue proves nothing
 	} else {
 		b.retreat(s)
@@ -498,7 +500,7 @@
 		return true
 	case b.now < s.coldTo:
 		share += (1 - share) * max(b.now-s.coldFrom, 0) / (s.coldTo - s.coldFrom)
-	case !s.aside || !s.dead || !s.broke && b.now-s.since <= coldAfter:
+	case !s.aside || !s.dead || !s.broke && b.now-s.since <= coldAfter, s.sure && b.now > s.sureAt+newsLast:
 		return true
 	}
 	safe, work, sent := coldSafe*g.multiple*share, b.workOf(p), s.sent.Sum(b.now, g.over)
@@ -582,7 +584,7 @@
 	y.extra = b.extra(p)
 	// Idle connections may be dropped unseen, and what is sent on one gets no answer.
 	y.idle = len(s.tries) == 0 && s.answered > 0 && b.now-s.answered >= idleLeast
-	if y.fresh = y.idle && (s.aside || b.links.stale(b.now)); y.fresh {
+	if y.fresh = y.idle && b.links.stale(b.now); y.fresh {
 		b.out.Close(t.to)
 	}
 	y.x = b.predict.features(b.now, s, y.load)
@@ -811,8 +813,8 @@
 			b.retreat(s) // called off by this broker says nothing of the server: the next trial stays due
 		}
 	}
-	if how == Answered || how == Reset || how == NoConnect {
-		y.fresh = y.fresh || how == NoConnect // new connections that fail too speak against the idle ones' age
+	if how == Answered || how == Reset || how == NoConnect { // failing new ones too speaks against idle ones' age
+		y.fresh = y.fresh || how == NoConnect
 		b.links.note(b.now, y, how != Answered)
 	}
 	switch how {
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -99,7 +99,7 @@
 	loadOwn                           int
 	took, tookCalls                   float64
 	errs, oks, sent                   *window.Counts
-	answered, resetAt, tookAt         float64
+	answered, resetAt, tookAt, sureAt float64
 	fullUntil                         float64
 	aside, dead, broke, probing, sure bool
 	since, trialAt, backoff           float64
