--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -582,9 +582,9 @@
 	p, q, s := t.p, t.q, b.servers[t.to]
 	y := &try{p: p, no: len(p.tries), server: t.to, load: b.loadOf(s), calls: s.calls, at: b.now, out: true}
 	y.extra = b.extra(p)
-	// Idle connections may be dropped unseen, and what is sent on one gets no answer.
 	y.idle = len(s.tries) == 0 && s.answered > 0 && b.now-s.answered >= idleLeast
-	if y.fresh = y.idle && b.links.stale(b.now); y.fresh {
+	// Idle connections may be dropped unseen; trials take a new one too, unless new ones failed there.
+	if y.fresh = y.idle && (s.aside && !s.broke || b.links.stale(b.now)); y.fresh {
 		b.out.Close(t.to)
 	}
 	y.x = b.predict.features(b.now, s, y.load)
