--- /dev/null
+++ b/internal/must/debug.go
@@ -0,0 +1,5 @@
+//go:build debug
+
+package must
+
+const Debug = true
--- /dev/null
+++ b/internal/protocol/frame.go
@@ -0,0 +1,149 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math"
+	"strconv"
+)
+
+// The letters of frames.
+const (
+	Call    = 'R'
+	Abandon = 'A'
+	Alive   = 'G'
+	Load    = 'T'
+	Reply   = 'Y'
+	Unusual = 'N'
+)
+
+// MaxFrame bounds what a server may send: a value as long as a body, and its line.
+const MaxFrame = MaxBody + 1<<10
+
+// Frames cuts what a server sends into frames. Of a frame that has come in part it keeps the bytes in storage
+// that the caller gives.
+type Frames struct{ held []byte }
+
+// Holding tells whether it needs its storage still.
+func (f *Frames) Holding() bool { return len(f.held) > 0 }
+
+// Store gives the storage, MaxFrame and 4 bytes at least, or takes it back with nil.
+func (f *Frames) Store(buf []byte) (was []byte) {
+	was, f.held = f.held, buf[:0]
+	return was
+}
+
+// Stored tells whether storage was given.
+func (f *Frames) Stored() bool { return cap(f.held) > 0 }
+
+// Feed gives each whole frame on; the rest of a frame is good until the call returns.
+func (f *Frames) Feed(b []byte, each func(letter byte, rest []byte) error) error {
+	for len(b) > 0 || len(f.held) >= 4 {
+		have := f.held
+		if len(have) == 0 {
+			have = b
+		} else if len(have) < 4 {
+			n := min(4-len(have), len(b))
+			f.held, b = append(f.held, b[:n]...), b[n:]
+			have = f.held
+		}
+		if len(have) < 4 {
+			if len(f.held) == 0 {
+				f.held = append(f.held, b...)
+			}
+			return nil
+		}
+		size := binary.LittleEndian.Uint32(have)
+		if size == 0 || size > MaxFrame {
+			return bad(400, "a frame of a false length")
+		}
+		end := int(size) + 4
+		if len(f.held) == 0 && len(b) >= end {
+			frame := b[4:end]
+			b = b[end:]
+			if err := each(frame[0], frame[1:]); err != nil {
+				return err
+			}
+			continue
+		}
+		n := min(end-len(f.held), len(b))
+		f.held, b = append(f.held, b[:n]...), b[n:]
+		if len(f.held) < end {
+			return nil
+		}
+		frame := f.held[4:end]
+		f.held = f.held[:0]
+		if err := each(frame[0], frame[1:]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// How a sub-request ended at its server.
+type End uint8
+
+const (
+	OK End = iota
+	Failed
+	Rejected
+)
+
+// ReadReply reads the rest of a frame Y.
+func ReadReply(rest []byte) (id []byte, end End, report, value []byte, err error) {
+	line, value, found := bytes.Cut(rest, []byte("\n"))
+	words := bytes.Split(line, []byte(" "))
+	if !found || len(words) != 4 || len(words[0]) == 0 {
+		return nil, 0, nil, nil, bad(400, "a reply is not understood")
+	}
+	switch string(words[1]) {
+	case "OK":
+		end = OK
+	case "ERROR":
+		end = Failed
+	case "REJECTED":
+		end = Rejected
+	default:
+		return nil, 0, nil, nil, bad(400, "a reply is not understood")
+	}
+	return words[0], end, words[3], value, nil
+}
+
+// ReadReport reads a load report; none is written as one dash.
+func ReadReport(report []byte, each func(name []byte, value float64)) error {
+	if string(report) == "-" {
+		return nil
+	}
+	for pair := range bytes.SplitSeq(report, []byte(",")) {
+		name, value, found := bytes.Cut(pair, []byte("="))
+		v, err := strconv.ParseFloat(string(value), 64)
+		if !found || err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			return bad(400, "a report is not understood")
+		}
+		each(name, v)
+	}
+	return nil
+}
+
+// AppendCall begins a frame, AppendPart adds a part to a call, EndFrame states the frame's length; from is
+// where the frame began.
+func AppendCall(dst []byte) []byte { return append(dst, 0, 0, 0, 0, Call) }
+
+func AppendPart(dst []byte, id string, shard int, wait float64, text []byte) []byte {
+	dst = append(append(dst, id...), ' ')
+	dst = append(strconv.AppendInt(dst, int64(shard), 10), " d="...)
+	dst = append(strconv.AppendInt(dst, int64(max(wait, 1)), 10), ' ')
+	dst = append(strconv.AppendInt(dst, int64(len(text)), 10), '\n')
+	return append(dst, text...)
+}
+
+func EndFrame(dst []byte, from int) []byte {
+	binary.LittleEndian.PutUint32(dst[from:], uint32(len(dst)-from-4))
+	return dst
+}
+
+// AppendShort writes a frame with few words or none: a probe, or the id of a part that is given up.
+func AppendShort(dst []byte, letter byte, rest string) []byte {
+	dst = binary.LittleEndian.AppendUint32(dst, uint32(1+len(rest)))
+	return append(append(dst, letter), rest...)
+}
--- /dev/null
+++ b/internal/routing/lane.go
@@ -0,0 +1,470 @@
+package routing
+
+import (
+	"errors"
+	"net/netip"
+
+	"kestrelspread/internal/decide"
+	"kestrelspread/internal/must"
+	"kestrelspread/internal/protocol"
+	"kestrelspread/internal/transport"
+)
+
+// lane is a connection to a server. Calls on it take places until all of their parts are done.
+type lane struct {
+	conn    transport.Conn
+	server  int
+	addr    netip.AddrPort
+	open    bool
+	gone    bool
+	frames  protocol.Frames
+	places  int
+	waiting []*call         // none of their bytes is given to the network
+	subs    map[string]*sub // by the id that is written; those called off stay, so that a late reply finds them
+	out     int             // that wait for a reply
+	asked   int64
+	written int64
+	used    float64
+	probe   float64 // when one was sent, or 0
+}
+
+// call is what one round sends to one server: one frame, one place.
+type call struct {
+	lane *lane
+	subs []*sub
+	left int
+}
+
+type stage uint8
+
+const (
+	planned stage = iota // in this round
+	waiting              // for its connection, or for the frame before it
+	out                  // in a frame
+	over
+)
+
+// sub is one sub-request of a part.
+type sub struct {
+	part   *part
+	no     int
+	server int
+	within float64
+	state  stage
+	call   *call
+	end    int64 // where its frame ends on the lane
+}
+
+func (r *Router) Send(at, server int, within float64) {
+	p := r.slots[at].part
+	s := &sub{part: p, no: len(p.subs), server: server, within: p.q.until}
+	p.subs = append(p.subs, s)
+	if within != 0 {
+		s.within = min(p.q.until, r.now+within)
+	}
+	v := r.catalog.servers[server]
+	holds := ((v.cell-p.shard)%r.rules.places+r.rules.places)%r.rules.places < r.rules.span
+	must.Hold(holds, "a part goes to a server that holds its shard")
+	if !holds || p.q.ended || s.within <= r.now {
+		r.over(s, decide.Moot, nil)
+		return
+	}
+	if len(v.planned) == 0 {
+		r.sending = append(r.sending, server)
+	}
+	v.planned = append(v.planned, s)
+}
+
+// dispatch makes calls of what the module sent in this round.
+func (r *Router) dispatch() {
+	for _, i := range r.sending {
+		v := r.catalog.servers[i]
+		for len(v.planned) > 0 {
+			n := min(r.rules.batch, len(v.planned))
+			k := &call{subs: append([]*sub(nil), v.planned[:n]...)}
+			v.planned = append(v.planned[:0], v.planned[n:]...)
+			r.place(i, k)
+		}
+	}
+	r.sending = r.sending[:0]
+}
+
+// place finds a call its connection: the newest that is open and has room, else one that is being opened,
+// else a new one. No connection carries one id twice: a reply that comes late would be taken for the other's.
+func (r *Router) place(server int, k *call) {
+	v := r.catalog.servers[server]
+	var at *lane
+	for _, l := range v.lanes {
+		if l.addr != v.addr || l.places >= r.rules.streams || l.carries(k) {
+			continue
+		}
+		if at == nil || l.open || !at.open {
+			at = l
+		}
+	}
+	if at == nil {
+		at = r.connect(server)
+	}
+	if at == nil {
+		for _, s := range k.subs {
+			r.over(s, decide.NoConnect, nil)
+		}
+		return
+	}
+	k.lane, k.left = at, len(k.subs)
+	at.places++
+	at.out += len(k.subs)
+	at.waiting = append(at.waiting, k)
+	for _, s := range k.subs {
+		s.call, s.state = k, waiting
+		at.subs[s.part.id] = s
+		r.timers.add(s.within, func(r *Router) { r.timedOut(s) })
+	}
+	r.pump(at)
+}
+
+func (l *lane) carries(k *call) bool {
+	for _, s := range k.subs {
+		if l.subs[s.part.id] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// connect opens a connection to a server, if there is a descriptor for it.
+func (r *Router) connect(server int) *lane {
+	if r.sockets >= r.rules.limit-spareSockets && !r.giveWay() {
+		r.Count.NoSocket++
+		return nil
+	}
+	v := r.catalog.servers[server]
+	r.Count.Connects++
+	r.sockets++
+	l := &lane{server: server, addr: v.addr, subs: map[string]*sub{}, used: r.now}
+	l.conn = r.net.Connect(v.addr)
+	*r.peer(l.conn) = peer{lane: l}
+	v.lanes = append(v.lanes, l)
+	r.after(r.rules.connect, func(r *Router) {
+		if !l.gone && !l.open {
+			r.Count.ConnectTimeouts++
+			r.dropLane(l)
+		}
+	})
+	return l
+}
+
+func (r *Router) laneOpened(l *lane) {
+	l.open = true
+	l.used = r.now
+	r.rest(l)
+	if l.probe > 0 {
+		r.scratch = protocol.AppendShort(r.scratch[:0], r.rules.ask, "")
+		r.tell(l, r.scratch)
+	}
+	r.pump(l)
+}
+
+// rest closes a connection before it has been idle for so long that its server may close it unseen.
+func (r *Router) rest(l *lane) {
+	const share = 0.8
+	r.timers.add(l.used+share*r.rules.idle, func(r *Router) {
+		switch {
+		case l.gone:
+		case l.out == 0 && r.now >= l.used+share*r.rules.idle:
+			r.Count.IdleClosed++
+			r.dropLane(l)
+		default:
+			if l.out > 0 {
+				l.used = r.now
+			}
+			r.rest(l)
+		}
+	})
+}
+
+// pump gives the network one frame, once the one before it is written: until then its parts can be taken back.
+func (r *Router) pump(l *lane) {
+	if !l.open || l.gone || l.asked > l.written {
+		return
+	}
+	for len(l.waiting) > 0 {
+		k := l.waiting[0]
+		l.waiting = append(l.waiting[:0], l.waiting[1:]...)
+		if r.callGone(l, k) {
+			continue
+		}
+		frame := protocol.AppendCall(r.scratch[:0])
+		for _, s := range k.subs {
+			if s.state == waiting {
+				frame = protocol.AppendPart(frame, s.part.id, s.part.shard, s.within-r.now, s.part.q.text)
+			}
+		}
+		r.scratch = protocol.EndFrame(frame, 0)
+		r.Count.Calls++
+		r.tell(l, r.scratch)
+		for _, s := range k.subs {
+			if s.state == waiting {
+				s.state, s.end = out, l.asked
+				r.Count.Sent++
+			}
+		}
+		r.failing = r.failing || len(l.waiting) > 0
+		return
+	}
+}
+
+// callGone ends what must not be sent any more: parts taken back, and all of them once their server has been
+// draining or gone for as long as new work may still begin.
+func (r *Router) callGone(l *lane, k *call) bool {
+	v := r.catalog.servers[l.server]
+	late := v.state != decide.Ready && r.now >= v.since+graceShare*r.rules.grace
+	left := false
+	for _, s := range k.subs {
+		if s.state == waiting && late {
+			r.over(s, decide.Moot, nil)
+		}
+		left = left || s.state == waiting
+	}
+	return !left
+}
+
+const graceShare = 0.8 // the network may take the rest
+
+func (r *Router) tell(l *lane, b []byte) {
+	l.asked += int64(len(b))
+	l.used = r.now
+	r.Count.BytesOut += int64(len(b))
+	r.net.Write(l.conn, b)
+}
+
+// over ends a sub-request; the module hears of it when it is not calling.
+func (r *Router) over(s *sub, how decide.Outcome, report []float64) {
+	if s.state == over {
+		return
+	}
+	s.state = over
+	if k := s.call; k != nil {
+		k.lane.out--
+		if k.left--; k.left == 0 {
+			k.lane.places--
+		}
+	}
+	r.outcomes = append(r.outcomes, outcome{s, how, report})
+}
+
+func (r *Router) Cancel(at, no int) {
+	p := r.slots[at].part
+	if must.Hold(no < len(p.subs), "only what was sent is called off"); no < len(p.subs) {
+		r.takeBack(p.subs[no], decide.Cancelled)
+	}
+}
+
+func (r *Router) timedOut(s *sub) {
+	if s.state != over {
+		r.takeBack(s, decide.TimedOut)
+	}
+}
+
+// takeBack stops waiting: what has not begun is not sent, what has is called off. Its id stays on the
+// connection.
+func (r *Router) takeBack(s *sub, how decide.Outcome) {
+	switch s.state {
+	case planned:
+		v := r.catalog.servers[s.server]
+		for i, o := range v.planned {
+			if o == s {
+				v.planned = append(v.planned[:i], v.planned[i+1:]...)
+				break
+			}
+		}
+	case waiting:
+		delete(s.call.lane.subs, s.part.id)
+	case out:
+		if l := s.call.lane; !l.gone {
+			r.Count.CalledOff++
+			r.scratch = protocol.AppendShort(r.scratch[:0], protocol.Abandon, s.part.id)
+			r.tell(l, r.scratch)
+			r.timers.add(s.part.q.until+lateMost, func(r *Router) {
+				if l.subs[s.part.id] == s {
+					delete(l.subs, s.part.id)
+				}
+			})
+		}
+	}
+	r.over(s, how, nil)
+}
+
+const lateMost = 10000 // after its search's time, no reply comes to what was called off
+
+func (r *Router) Probe(server int) {
+	l := r.connect(server) // what is open may be what does not answer
+	sent := r.now
+	if l == nil {
+		r.probed(server, false, sent, nil)
+		return
+	}
+	r.Count.Probes++
+	l.probe = sent
+	r.after(r.rules.connect, func(r *Router) {
+		if l.probe == sent && !l.gone {
+			if l.probe = 0; l.out == 0 {
+				r.dropLane(l)
+			}
+			r.probed(server, false, sent, nil)
+		}
+	})
+}
+
+func (r *Router) probed(server int, ok bool, sent float64, report []float64) {
+	if !ok {
+		r.Count.ProbesFailed++
+	}
+	r.probes = append(r.probes, probe{server, ok, sent, report})
+}
+
+// Close closes the idle connections to a server.
+func (r *Router) Close(server int) {
+	v := r.catalog.servers[server]
+	for _, l := range append([]*lane(nil), v.lanes...) {
+		if l.open && l.out == 0 && l.probe == 0 {
+			r.dropLane(l)
+		}
+	}
+}
+
+func (r *Router) dropLane(l *lane) {
+	r.close(l.conn)
+	r.laneGone(l)
+}
+
+// laneGone ends what was out: what was written whole may have run, the rest never did.
+func (r *Router) laneGone(l *lane) {
+	l.gone = true
+	*r.peer(l.conn) = peer{}
+	v := r.catalog.servers[l.server]
+	for i, o := range v.lanes {
+		if o == l {
+			v.lanes = append(v.lanes[:i], v.lanes[i+1:]...)
+			break
+		}
+	}
+	if l.frames.Stored() {
+		r.pool.Put(l.frames.Store(nil))
+	}
+	if l.open && l.out > 0 {
+		r.Count.Broken++
+	}
+	for _, s := range l.inOrder() {
+		how := decide.NoConnect
+		if s.state == out && s.end <= l.written {
+			how = decide.Reset
+		}
+		r.over(s, how, nil)
+	}
+	if l.probe > 0 {
+		r.probed(l.server, false, l.probe, nil)
+		l.probe = 0
+	}
+}
+
+// laneBytes reads replies.
+func (r *Router) laneBytes(l *lane, b []byte) {
+	l.used = r.now
+	if !l.frames.Stored() {
+		buf := r.pool.Get()
+		if buf == nil {
+			r.Count.NoBuffer++
+			r.dropLane(l)
+			return
+		}
+		l.frames.Store(buf)
+	}
+	err := l.frames.Feed(b, func(letter byte, rest []byte) error { return r.frame(l, letter, rest) })
+	if err != nil {
+		r.Count.BadFrames++
+		r.log.warn("bad frame", "from %s: %v", l.addr, err)
+		r.dropLane(l)
+		return
+	}
+	if !l.frames.Holding() {
+		r.pool.Put(l.frames.Store(nil))
+	}
+}
+
+var errUnknown = errors.New("an unknown letter")
+
+func (r *Router) frame(l *lane, letter byte, rest []byte) error {
+	switch letter {
+	case protocol.Reply:
+		return r.reply(l, rest)
+	case protocol.Alive, protocol.Load:
+		if l.probe == 0 {
+			return nil // it came after its end
+		}
+		ok := string(rest) != "ERROR"
+		var report []float64
+		if ok && letter == protocol.Load {
+			var err error
+			if report, err = r.read(rest); err != nil {
+				return err
+			}
+		}
+		r.probed(l.server, ok, l.probe, report)
+		l.probe = 0
+		return nil
+	case protocol.Unusual:
+		return errors.New("refused: " + string(rest[:min(len(rest), 100)]))
+	}
+	return errUnknown
+}
+
+func (r *Router) reply(l *lane, rest []byte) error {
+	id, end, report, value, err := protocol.ReadReply(rest)
+	if err != nil {
+		return err
+	}
+	s := l.subs[string(id)]
+	if s == nil || s.state == waiting {
+		return errors.New("an unknown id")
+	}
+	values, err := r.read(report)
+	if err != nil {
+		return err
+	}
+	if delete(l.subs, string(id)); s.state != out {
+		r.Count.LateReplies++
+		return nil
+	}
+	how := decide.Answered
+	switch end {
+	case protocol.Failed:
+		how = decide.Errored
+	case protocol.Rejected:
+		how = decide.Full
+	default:
+		if p := s.part; !p.got {
+			p.got, p.value = true, append([]byte(nil), value...)
+		}
+	}
+	r.over(s, how, values)
+	return nil
+}
+
+// read puts a report's values in the order of the settings; one that misses any is none.
+func (r *Router) read(report []byte) (values []float64, err error) {
+	seen := 0
+	err = protocol.ReadReport(report, func(name []byte, v float64) {
+		if i, known := r.rules.fields[string(name)]; known {
+			if values == nil {
+				values = make([]float64, r.rules.nFields)
+			}
+			values[i] = v
+			seen |= 1 << i
+		}
+	})
+	if err != nil || seen != 1<<r.rules.nFields-1 {
+		return nil, err
+	}
+	return values, nil
+}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,396 @@
+// Package routing is the broker's one reducer: each event changes its state and asks for effects. It has no
+// socket and no clock, and decides nothing about searches: that is the module's, which it drives through
+// decide.Port and whose decisions it carries out as decide.Out.
+package routing
+
+import (
+	"math"
+	"net/netip"
+
+	"github.com/rs/zerolog"
+
+	"kestrelspread/internal/decide"
+	"kestrelspread/internal/must"
+	"kestrelspread/internal/settings"
+	"kestrelspread/internal/transport"
+)
+
+// Net performs the effects.
+type Net interface {
+	Connect(addr netip.AddrPort) transport.Conn
+	Write(c transport.Conn, b []byte)
+	Finish(c transport.Conn)
+	Close(c transport.Conn)
+	Reading(c transport.Conn, on bool)
+	Accept(on bool)
+	Unlisten()
+	Arm(at float64)
+	Stop()
+}
+
+// What may be told from outside the loop.
+const (
+	Terminate = iota
+	Report
+)
+
+const (
+	none = transport.Conn(-1)
+
+	spareSockets = 48    // the runtime's, the loop's, standard streams, discovery's, the listener
+	slowest      = 10000 // a client may take so long over the rest of its request, or over reading an answer
+	lingers      = 1000  // and so long over closing after an answer
+	// Clients go on coming for up to 400 ms after SIGTERM, and what comes 700 ms after it may be cut off.
+	stopAfter = 500
+	resume    = 100 // out of descriptors: try accepting again after so long
+	overdue   = 15  // past a search's time: the module has given its answer long before
+)
+
+// Router is one broker.
+type Router struct {
+	net     Net
+	pool    *transport.Pool
+	log     *notes
+	port    decide.Port
+	Count   Counters
+	now     float64
+	wake    float64
+	timers  timers
+	peers   []peer // by connection
+	clients int
+	catalog catalog
+	known   []byte // the list to begin with
+	rules   rules
+	started bool
+
+	slots    []slot
+	free     []int
+	held     int
+	searches int
+	sending  []int // servers that this round sends to
+	outcomes []outcome
+	probes   []probe
+	lapses   []*search
+	resumed  []*client
+	failing  bool // something waits for a turn of its own
+	scratch  []byte
+	body     []byte
+	drafts   []draft
+
+	sockets   int
+	accepting bool
+	stopping  bool
+	leaving   bool
+}
+
+// rules are the settings that the network obeys.
+type rules struct {
+	connect, idle, grace float64
+	streams, batch       int
+	most                 int
+	shards               int
+	places, span         int
+	kinds, halls         map[string]int
+	customers            map[string]int
+	fields               map[string]int
+	nFields              int
+	ask                  byte // the letter of probes
+	limit                int  // descriptors
+}
+
+// peer is who stands at the other end of a connection; neither is discovery.
+type peer struct {
+	client *client
+	lane   *lane
+}
+
+func (r *Router) peer(c transport.Conn) *peer {
+	for int(c) >= len(r.peers) {
+		r.peers = append(r.peers, peer{})
+	}
+	if c < 0 {
+		return &peer{}
+	}
+	return &r.peers[c]
+}
+
+// slot is what an index of the module stands for.
+type slot struct {
+	search *search
+	part   *part
+}
+
+type probe struct {
+	server int
+	ok     bool
+	sent   float64
+	report []float64
+}
+
+type outcome struct {
+	s      *sub
+	how    decide.Outcome
+	report []float64
+}
+
+// New makes a broker that knows its settings and no server yet.
+func New(net Net, pool *transport.Pool, log zerolog.Logger, set settings.Values, seed uint64, sockets int,
+	known []byte, discovery netip.AddrPort, epoch float64) *Router {
+	r := &Router{net: net, pool: pool, log: &notes{log: log}, wake: math.Inf(1), accepting: true, known: known}
+	r.catalog = catalog{addr: discovery, epoch: epoch, index: map[string]int{}, conn: none}
+	g := &r.rules
+	*g = rules{connect: set.Num("limits.connect-timeout-ms", 1000), idle: set.Num("limits.conn-idle-ms", math.Inf(1)),
+		grace: set.Num("safety.drain-grace-ms", 0), streams: max(set.Whole("limits.streams-per-conn", 1), 1),
+		batch: max(set.Whole("family-info.batch", 1), 1), most: set.Whole("limits.most-held", 0),
+		shards: set.Whole("family-info.slabs", maxShards), places: max(set.Whole("family-info.places", 1), 1),
+		span: max(set.Whole("family-info.span", 1), 1), kinds: map[string]int{}, halls: map[string]int{},
+		customers: map[string]int{}, fields: map[string]int{}, ask: 'G', limit: sockets}
+	for i := range set.Count("classes") {
+		g.kinds[set.Item("classes", i, "name")] = i
+	}
+	for i := range set.Count("customers") {
+		g.customers[set.Item("customers", i, "name")] = i
+	}
+	for i, hall := range set.List("localities") {
+		g.halls[hall] = i
+	}
+	for i, name := range set.List("report.fields") {
+		g.fields[name] = i
+		// Servers may write a value by the name that the site's own pages use.
+		if own, ok := reportNames[name]; ok {
+			g.fields[own] = i
+		}
+		g.nFields = i + 1
+	}
+	if g.nFields > 0 && set["report.via"] != "none" {
+		g.ask = 'T'
+	}
+	r.port = set.Port(r, seed)
+	return r
+}
+
+const maxShards = 1 << 20
+
+var reportNames = map[string]string{"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency_ms",
+	"rps": "qps", "err_rps": "eps"}
+
+// Begin opens a turn: all its events are one round of the module.
+func (r *Router) Begin(now float64) {
+	r.now, r.log.now = now, now
+	r.failing = false
+	r.port.Begin(now)
+	if !r.started {
+		r.started = true
+		if err := r.list(r.known); err != nil {
+			r.Count.BadLists++
+			r.log.warn("no list to begin with", "%v", err)
+		}
+		r.known = nil
+		r.watch()
+	}
+}
+
+// End does what is due, has the module decide, and carries it out. What came of that waits for the next turn:
+// the module is never called while it is calling.
+func (r *Router) End() (again bool) {
+	r.drain()
+	for len(r.timers) > 0 && r.timers[0].at <= r.now {
+		r.timers.take().due(r)
+		r.drain()
+	}
+	resumed := r.resumed
+	r.resumed = nil
+	for _, c := range resumed {
+		r.feedHeld(c)
+		r.drain()
+	}
+	for _, q := range r.lapses {
+		if !q.forgotten && len(q.parts) > 0 {
+			r.port.Lapsed(q.at)
+		}
+	}
+	r.lapses = r.lapses[:0]
+	r.drain()
+	if r.now >= r.wake {
+		r.wake = math.Inf(1)
+		r.port.Bell()
+	}
+	r.port.End()
+	r.dispatch()
+	r.leave()
+	next := r.wake
+	if len(r.timers) > 0 {
+		next = min(next, r.timers[0].at)
+	}
+	if !math.IsInf(next, 1) {
+		r.net.Arm(next)
+	}
+	return r.failing || len(r.outcomes)+len(r.probes) > 0 || len(r.resumed) > 0
+}
+
+// drain tells the module how sub-requests ended.
+func (r *Router) drain() {
+	for i := 0; i < len(r.outcomes); i++ {
+		o := r.outcomes[i]
+		p := o.s.part
+		if o.how == decide.Answered && !p.in {
+			if p.in = true; !p.q.ended {
+				r.held--
+			}
+		}
+		r.Count.outcome(o.how)
+		r.port.Done(p.at, o.s.no, o.how, o.report)
+	}
+	r.outcomes = r.outcomes[:0]
+	for _, p := range r.probes {
+		r.port.Probed(p.server, p.ok, r.now-p.sent, p.report)
+	}
+	r.probes = r.probes[:0]
+}
+
+// after has something done once a time has come.
+func (r *Router) after(in float64, due func(r *Router)) { r.timers.add(r.now+in, due) }
+
+func (r *Router) Told(what int32) {
+	switch what {
+	case Terminate:
+		r.terminate()
+	case Report:
+		r.Print("asked for")
+	}
+}
+
+// terminate goes on serving while clients still come, then takes no more and leaves once all is answered.
+func (r *Router) terminate() {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	r.log.info("stopping", "%d searches held", r.searches)
+	r.after(stopAfter, func(r *Router) {
+		r.net.Unlisten()
+		r.accepting, r.leaving = false, true
+		for _, p := range r.peers {
+			if p.client != nil && p.client.idle() {
+				r.finish(p.client)
+			}
+		}
+	})
+}
+
+func (r *Router) leave() {
+	if r.leaving && r.clients == 0 {
+		r.net.Stop()
+	}
+}
+
+func (r *Router) Opened(c transport.Conn) {
+	if l := r.peer(c).lane; l != nil {
+		r.laneOpened(l)
+	} else if c == r.catalog.conn {
+		r.watchOpened()
+	}
+	r.drain()
+}
+
+func (r *Router) Bytes(c transport.Conn, b []byte, came float64) {
+	r.Count.BytesIn += int64(len(b))
+	if k := r.peer(c).client; k != nil {
+		r.clientBytes(k, b, came)
+	} else if l := r.peer(c).lane; l != nil {
+		r.laneBytes(l, b)
+	} else if c == r.catalog.conn {
+		r.watchBytes(b)
+	}
+	r.drain()
+}
+
+func (r *Router) Written(c transport.Conn, upTo int64) {
+	if k := r.peer(c).client; k != nil {
+		k.written = upTo
+	} else if l := r.peer(c).lane; l != nil {
+		l.written = upTo
+		r.pump(l)
+	}
+}
+
+func (r *Router) Closed(c transport.Conn, upTo int64) {
+	r.sockets--
+	if k := r.peer(c).client; k != nil {
+		r.clientGone(k)
+	} else if l := r.peer(c).lane; l != nil {
+		l.written = upTo
+		r.laneGone(l)
+	} else if c == r.catalog.conn {
+		r.catalog.conn = none
+		r.watchLost("closed")
+	}
+	r.drain()
+	r.acceptAgain()
+}
+
+// close drops a connection from this side.
+func (r *Router) close(c transport.Conn) {
+	r.sockets--
+	r.net.Close(c)
+}
+
+// Panicked errors what a failed event concerns, and nothing else where that is known.
+func (r *Router) Panicked(c transport.Conn, what any, stack []byte) {
+	r.Count.Panics++
+	r.log.log.Error().Interface("panic", what).Str("stack", string(stack)).Msg("an event failed")
+	if must.Debug {
+		panic(what)
+	}
+	if k := r.peer(c).client; k != nil {
+		if q := k.search; q != nil {
+			r.end(q, 500, 0, nil)
+			r.lapses = append(r.lapses, q)
+		}
+		r.finish(k)
+	} else if l := r.peer(c).lane; l != nil {
+		r.close(c)
+		r.laneGone(l)
+	} else if c == r.catalog.conn && c != none {
+		r.dropWatch("failed")
+	} else {
+		for _, s := range r.slots {
+			if s.search != nil && !s.search.ended {
+				r.end(s.search, 500, 0, nil)
+				r.lapses = append(r.lapses, s.search)
+			}
+		}
+	}
+}
+
+// take gives an index to a search or a part.
+func (r *Router) take(s slot) int {
+	if n := len(r.free); n > 0 {
+		at := r.free[n-1]
+		r.free = r.free[:n-1]
+		r.slots[at] = s
+		return at
+	}
+	r.slots = append(r.slots, s)
+	return len(r.slots) - 1
+}
+
+// Wake, Log: the rest of decide.Out is with what it concerns.
+func (r *Router) Wake(in float64) { r.wake = min(r.wake, r.now+in) }
+func (r *Router) Log(text string) { r.log.info("decision", "%s", text) }
+
+// Forget frees the indices of a search of which nothing is out any more.
+func (r *Router) Forget(at int) {
+	q := r.slots[at].search
+	for _, p := range q.parts {
+		for _, s := range p.subs {
+			must.Hold(s.state == over, "nothing is out of a search that is forgotten")
+		}
+		r.slots[p.at] = slot{}
+		r.free = append(r.free, p.at)
+	}
+	must.Hold(q.ended, "a search is forgotten after its answer")
+	q.forgotten = true
+	r.slots[at] = slot{}
+	r.free = append(r.free, at)
+}
--- /dev/null
+++ b/internal/routing/search.go
@@ -0,0 +1,439 @@
+package routing
+
+import (
+	"errors"
+	"strconv"
+
+	"kestrelspread/internal/must"
+	"kestrelspread/internal/protocol"
+	"kestrelspread/internal/transport"
+)
+
+// client is a connection on which searches come, one at a time.
+type client struct {
+	conn    transport.Conn
+	in      protocol.HTTP
+	stored  bool
+	search  *search // that waits for its answer
+	early   []byte  // what came before it has gone out
+	last    bool    // no more is taken on it
+	done    bool    // only waits for the other side to close
+	gone    bool
+	idleAt  float64
+	begunAt float64
+	asked   int64 // bytes given to be written, and written so far
+	written int64
+}
+
+func (c *client) idle() bool { return c.search == nil && !c.done && !c.in.Begun() && len(c.early) == 0 }
+
+// search is what a client waits for; part is what is asked of one shard.
+type search struct {
+	at        int
+	id        string
+	text      []byte
+	until     float64
+	by        *client // nil once it has its answer or has gone
+	parts     []*part
+	ended     bool
+	forgotten bool
+}
+
+type part struct {
+	at    int
+	q     *search
+	id    string
+	shard int
+	subs  []*sub
+	value []byte
+	got   bool // its value is here
+	in    bool // and the module knows
+}
+
+// draft is a part of a body that may yet prove to be broken.
+type draft struct {
+	shard       int
+	share, work float64
+	key         uint64
+}
+
+func (r *Router) Accepted(conn transport.Conn) {
+	r.Count.Accepted++
+	r.sockets++
+	r.clients++
+	*r.peer(conn) = peer{client: &client{conn: conn, idleAt: r.now}}
+	if r.clients < r.clientsMost() {
+		return
+	}
+	// A descriptor has to stay for each server: who has nothing to say gives way.
+	if !r.giveWay() && r.accepting {
+		r.accepting = false
+		r.Count.Paused++
+		r.log.warn("accepting paused", "%d client connections", r.clients)
+		r.net.Accept(false)
+	}
+}
+
+func (r *Router) clientsMost() int {
+	lanes := min(max(64, 2*len(r.catalog.servers)), r.rules.limit/2)
+	return max(r.rules.limit-spareSockets-lanes, 1)
+}
+
+// giveWay closes the client connection that was idle for longest.
+func (r *Router) giveWay() bool {
+	var oldest *client
+	for _, p := range r.peers {
+		if c := p.client; c != nil && c.idle() && c.asked == c.written &&
+			(oldest == nil || c.idleAt < oldest.idleAt) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	r.Count.GaveWay++
+	r.close(oldest.conn)
+	r.clientGone(oldest)
+	return true
+}
+
+func (r *Router) AcceptFailed() {
+	r.accepting = false
+	r.Count.Paused++
+	r.log.warn("accepting paused", "no descriptor, %d held", r.sockets)
+	r.giveWay()
+	r.after(resume, func(r *Router) { r.acceptAgain() })
+}
+
+func (r *Router) acceptAgain() {
+	if !r.accepting && !r.leaving && r.clients < r.clientsMost() {
+		r.accepting = true
+		r.net.Accept(true)
+	}
+}
+
+// clientBytes reads requests. While one waits for its answer, what comes is kept, up to one buffer.
+func (r *Router) clientBytes(c *client, b []byte, came float64) {
+	for len(b) > 0 && !c.done && !c.gone {
+		if c.search != nil {
+			if c.early == nil {
+				c.early = r.pool.Get()
+			}
+			n := min(cap(c.early)-len(c.early), len(b))
+			c.early = append(c.early, b[:n]...)
+			if len(c.early) == cap(c.early) {
+				r.net.Reading(c.conn, false)
+			}
+			if n < len(b) {
+				c.last = true // it sends without waiting, more than is kept: what is cut off is not taken
+			}
+			return
+		}
+		if !c.stored {
+			buf := r.pool.Get()
+			if buf == nil {
+				r.Count.NoBuffer++
+				c.last = true
+				r.respond(c, 503, 0, nil)
+				return
+			}
+			c.stored = true
+			c.in.Store(buf)
+			c.begunAt = r.now
+			begun := r.now
+			r.after(slowest, func(r *Router) {
+				if c.stored && c.begunAt == begun && !c.gone && !c.done {
+					c.last = true
+					r.Count.BadRequests++
+					r.respond(c, 408, 0, nil)
+				}
+			})
+		}
+		used, step, err := c.in.Feed(b)
+		b = b[used:]
+		switch {
+		case err != nil:
+			c.last = true // where the next message begins is no longer sure
+			r.refuse(c, err)
+			return
+		case step == protocol.Headed:
+			if expects, n := c.in.Header("expect"); n > 0 {
+				if string(expects) != "100-continue" {
+					c.last = true
+					r.refuse(c, &protocol.Bad{Status: 417, Why: "an expectation that is not known"})
+					return
+				}
+				if len(b) == 0 {
+					r.write(c, []byte(protocol.Continue))
+				}
+			}
+		case step == protocol.Done:
+			c.last = c.last || c.in.Last()
+			r.request(c, came)
+		}
+	}
+	if c.stored && !c.in.Begun() {
+		r.unstore(c)
+	}
+}
+
+func (r *Router) unstore(c *client) {
+	if c.stored {
+		c.stored = false
+		r.pool.Put(c.in.Store(nil))
+	}
+}
+
+// feedHeld goes on with what came while a search was held.
+func (r *Router) feedHeld(c *client) {
+	if c.gone || c.done || c.search != nil || c.early == nil {
+		return
+	}
+	early := c.early
+	c.early = nil
+	r.net.Reading(c.conn, true)
+	r.clientBytes(c, early, r.now)
+	r.pool.Put(early)
+}
+
+func (r *Router) request(c *client, came float64) {
+	path := string(c.in.Path())
+	switch {
+	case path == "/ready" && c.in.Is("GET"):
+		if r.stopping || r.catalog.ready == 0 {
+			r.respond(c, 503, 0, nil)
+			return
+		}
+		r.respond(c, 200, 0, []byte("ready\n"))
+	case path == "/api" && c.in.Is("POST"):
+		if err := r.search(c, came); err != nil {
+			r.refuse(c, err)
+		}
+	case path == "/api" || path == "/ready":
+		r.refuse(c, &protocol.Bad{Status: 405, Why: "method not allowed"})
+	default:
+		r.refuse(c, &protocol.Bad{Status: 404, Why: "no such path"})
+	}
+}
+
+func badRequest(why string) error { return &protocol.Bad{Status: 400, Why: why} }
+
+// search takes a search, once all of it has proved sound.
+func (r *Router) search(c *client, came float64) error {
+	id, ids := c.in.Header("x-call-id")
+	class, classes := c.in.Header("x-call-class")
+	budgetText, budgets := c.in.Header("x-budget-ms")
+	budget, err := strconv.ParseUint(string(budgetText), 10, 32)
+	kind, known := r.rules.kinds[string(class)]
+	switch {
+	case ids != 1 || len(id) == 0 || len(id) > 128 || !plain(id):
+		return badRequest("no id")
+	case classes != 1 || !known:
+		return badRequest("no known query type")
+	case budgets != 1 || err != nil || budget == 0 || budget > 24*3600*1000:
+		return badRequest("no sound budget")
+	}
+	customer := 0
+	if name, n := c.in.Header("x-caller"); n > 0 {
+		customer = r.rules.customers[string(name)]
+	}
+	r.drafts = r.drafts[:0]
+	text, err := protocol.Search(c.in.Body(), r.rules.shards, func(shard int, share, work float64, key uint64) {
+		r.drafts = append(r.drafts, draft{shard, share, work, key})
+	})
+	if err != nil {
+		return err
+	}
+	for i := range r.drafts {
+		for j := range i {
+			if r.drafts[i].shard == r.drafts[j].shard {
+				return badRequest("a segment stands there twice")
+			}
+		}
+	}
+	r.Count.Searches++
+	q := &search{id: string(id), text: append([]byte(nil), text...), until: came + float64(budget), by: c}
+	c.search = q
+	c.idleAt = r.now
+	r.unstore(c)
+	if r.rules.most > 0 && r.held >= r.rules.most {
+		r.Count.OverHeld++
+		r.end(q, 503, 0, nil)
+		return nil
+	}
+	r.searches++
+	r.held += 1 + len(r.drafts)
+	q.at = r.take(slot{search: q})
+	r.port.Search(q.at, kind, customer, q.until, len(r.drafts))
+	for _, d := range r.drafts {
+		p := &part{q: q, shard: d.shard, id: q.id + "." + strconv.Itoa(d.shard)}
+		p.at = r.take(slot{part: p})
+		q.parts = append(q.parts, p)
+		r.port.Part(q.at, p.at, d.shard, d.share, d.work, d.key)
+	}
+	r.timers.add(q.until+overdue, func(r *Router) {
+		if q.ended {
+			return
+		}
+		r.after(1, func(r *Router) { // the module comes first: this turn may be the first after a stall
+			if must.Hold(q.ended, "the module ends a search in its time"); !q.ended {
+				r.end(q, 500, 0, nil)
+				r.lapses = append(r.lapses, q)
+			}
+		})
+	})
+	return nil
+}
+
+// plain: what goes into the line of a frame has no spaces and no controls.
+func plain(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c >= 127 {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Router) Answer(at int, allIn bool) {
+	q := r.slots[at].search
+	r.body = protocol.AppendAnswer(r.body[:0], allIn)
+	for _, p := range q.parts {
+		if p.in {
+			r.body = protocol.AppendMatch(r.body, p.shard, p.value)
+		}
+	}
+	r.body = protocol.EndAnswer(r.body)
+	if allIn {
+		r.Count.Whole++
+	} else {
+		r.Count.Partial++
+	}
+	r.end(q, 200, 0, r.body)
+	// A second step is not spoken on sockets: the module must not wait for one.
+	r.lapses = append(r.lapses, q)
+}
+
+func (r *Router) Shed(at int, comeBack float64) {
+	r.Count.Shed++
+	r.end(r.slots[at].search, 503, comeBack, nil)
+}
+
+func (r *Router) Fail(at int) {
+	r.Count.Errored++
+	r.end(r.slots[at].search, 500, 0, nil)
+}
+
+// end gives a search its one final answer.
+func (r *Router) end(q *search, status int, back float64, body []byte) {
+	must.Hold(!q.ended, "one final answer")
+	if q.ended {
+		return
+	}
+	r.release(q)
+	if c := q.by; c != nil {
+		q.by, c.search = nil, nil
+		r.respond(c, status, back, body)
+	}
+}
+
+func (r *Router) release(q *search) {
+	q.ended = true
+	if len(q.parts) == 0 {
+		return
+	}
+	r.searches--
+	r.held--
+	for _, p := range q.parts {
+		if !p.in {
+			r.held--
+		}
+	}
+}
+
+func (r *Router) refuse(c *client, err error) {
+	r.Count.BadRequests++
+	status := 400
+	var bad *protocol.Bad
+	if errors.As(err, &bad) {
+		status = bad.Status
+	}
+	r.log.warn("bad request", "%v", err)
+	r.respond(c, status, 0, append([]byte(err.Error()), '\n'))
+}
+
+// respond writes a response and makes the connection ready for the next request, or ends it.
+func (r *Router) respond(c *client, status int, back float64, body []byte) {
+	last := c.last || r.stopping
+	kind := "text/plain"
+	if status == 200 && c.search == nil && len(body) > 0 && body[0] == '{' {
+		kind = "application/json"
+	}
+	r.scratch = protocol.AppendResponse(r.scratch[:0], status, kind, last, back, body)
+	r.write(c, r.scratch)
+	c.in.Next()
+	c.idleAt = r.now
+	asked := c.asked
+	r.after(slowest, func(r *Router) {
+		if !c.gone && c.written < asked { // it does not read: what waits for it is memory
+			r.Count.Stuck++
+			r.close(c.conn)
+			r.clientGone(c)
+		}
+	})
+	if last {
+		r.finish(c)
+	} else if c.early != nil {
+		r.resumed = append(r.resumed, c)
+	}
+}
+
+func (r *Router) write(c *client, b []byte) {
+	c.asked += int64(len(b))
+	r.Count.BytesOut += int64(len(b))
+	r.net.Write(c.conn, b)
+}
+
+// finish closes a connection so that what was written arrives.
+func (r *Router) finish(c *client) {
+	if c.done {
+		return
+	}
+	c.done = true
+	r.drop(c)
+	r.net.Finish(c.conn)
+	r.after(lingers, func(r *Router) {
+		if !c.gone {
+			r.close(c.conn)
+			r.clientGone(c)
+			r.acceptAgain()
+		}
+	})
+}
+
+// drop gives back what a connection holds.
+func (r *Router) drop(c *client) {
+	r.unstore(c)
+	if c.early != nil {
+		r.pool.Put(c.early)
+		c.early = nil
+	}
+}
+
+// clientGone: nobody waits for its search any more.
+func (r *Router) clientGone(c *client) {
+	c.gone = true
+	r.clients--
+	*r.peer(c.conn) = peer{}
+	r.drop(c)
+	if q := c.search; q != nil {
+		c.search, q.by = nil, nil
+		if !q.ended {
+			r.Count.Left++
+			r.release(q)
+			if len(q.parts) > 0 {
+				r.port.Lapsed(q.at)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,175 @@
+// Package settings turns what a broker is told at its start into calls of the module's Port. It holds no
+// values of its own and no record of them: each reader asks by path.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"kestrelspread/internal/decide"
+)
+
+// maxListed bounds a count of settings, against a text that states a huge one.
+const maxListed = 4096
+
+// Values holds settings by path, such as classes.0.aim-ms; the items of plain lists are joined by commas.
+type Values map[string]string
+
+// FromFacts reads lines of path=value.
+func FromFacts(facts string) Values {
+	set := Values{}
+	for line := range strings.SplitSeq(facts, "\n") {
+		if key, value, ok := strings.Cut(strings.TrimSuffix(line, "\r"), "="); ok {
+			set[key] = value
+		}
+	}
+	return set
+}
+
+// FromJSON reads the same as one nested object.
+func FromJSON(text []byte) (Values, error) {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	var top map[string]any
+	if err := d.Decode(&top); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	set := Values{}
+	set.flatten("", top)
+	return set, nil
+}
+
+func (v Values) flatten(path string, value any) {
+	switch value := value.(type) {
+	case map[string]any:
+		if path != "" {
+			path += "."
+		}
+		for key, inner := range value {
+			v.flatten(path+key, inner)
+		}
+	case []any:
+		if slices.ContainsFunc(value, func(x any) bool { _, object := x.(map[string]any); return object }) {
+			v[path+".count"] = strconv.Itoa(len(value))
+			for i, inner := range value {
+				v.flatten(path+"."+strconv.Itoa(i), inner)
+			}
+			return
+		}
+		plain := make([]string, len(value))
+		for i, inner := range value {
+			plain[i] = fmt.Sprint(inner)
+		}
+		v[path] = strings.Join(plain, ",")
+	case nil:
+	default:
+		v[path] = fmt.Sprint(value)
+	}
+}
+
+// Num reads a number, or gives missing.
+func (v Values) Num(path string, missing float64) float64 {
+	n, err := strconv.ParseFloat(v[path], 64)
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+		return missing
+	}
+	return n
+}
+
+// Whole reads a whole number.
+func (v Values) Whole(path string, missing int) int {
+	return int(min(max(v.Num(path, float64(missing)), math.MinInt32), math.MaxInt32))
+}
+
+func (v Values) Flag(path string) bool { return v[path] == "true" }
+
+func (v Values) has(path string) bool { return v[path] != "" }
+
+// List gives the items of a plain list.
+func (v Values) List(path string) []string {
+	if v[path] == "" {
+		return nil
+	}
+	return strings.Split(v[path], ",")
+}
+
+// Count is how many objects a list holds.
+func (v Values) Count(path string) int {
+	return min(max(v.Whole(path+".count", 0), 0), maxListed)
+}
+
+// Item reads a word of one object of a list.
+func (v Values) Item(path string, i int, name string) string {
+	return v[path+"."+strconv.Itoa(i)+"."+name]
+}
+
+// nth reads one place of a plain list.
+func (v Values) nth(path string, i int, missing float64) float64 {
+	if list := v.List(path); i < len(list) {
+		if n, err := strconv.ParseFloat(list[i], 64); err == nil && !math.IsNaN(n) && !math.IsInf(n, 0) {
+			return n
+		}
+	}
+	return missing
+}
+
+// Port gives a module that knows the settings.
+func (v Values) Port(out decide.Out, seed uint64) decide.Port {
+	const fam, safe, lim = "family-info.", "safety.", "limits."
+	p := decide.New(out, seed, v.Whole("balancers", 1), v.Whole("zone", 0))
+	for i := range v.Count("classes") {
+		at := "classes." + strconv.Itoa(i) + "."
+		effect := decide.NonIdempotent
+		switch {
+		case v[at+"effect"] == "repeatable":
+			effect = decide.Idempotent
+		case v[at+"effect"] == "by_key" && v[at+"group"] == "all":
+			effect = decide.Tokened
+		}
+		p.QueryType(v.Num(at+"aim-ms", 0), v.Num(at+"importance", 1),
+			v.Num(at+"late-value", 0), effect, v.Num(at+"window-ms", 0))
+		p.Shares(i, v.nth(fam+"class-need", i, 1), v.nth(fam+"class-floor", i, 1),
+			v.nth(fam+"incomplete-worth", i, 0), int(v.nth(fam+"follow-up", i, 0)))
+	}
+	for i := range v.Count("customers") {
+		p.Customer(v.Num("customers."+strconv.Itoa(i)+".quota-per-s", 0), v.Num("over-share-worth", 1))
+	}
+	p.Fleet(v.Whole(fam+"places", 1), v.Whole(fam+"span", 1), v.Whole(fam+"batch", 1),
+		v.Num(fam+"call-ms", 0), v.Flag(fam+"warm-keys"))
+	p.Limits(v.Whole(lim+"attempts-cap", 1), v.Whole(lim+"most-held", 0), v.Flag(lim+"cancel"),
+		v.Flag(lim+"parallel-tries"))
+	if v.Flag(lim + "retry-after") {
+		p.Advice(v.Num(lim+"max-retry-after-ms", 0))
+	}
+	if v.has(safe + "tip-multiple") {
+		p.Cold(v.Num(safe+"cold-from", 0), v.Num(safe+"cold-ms", 0), v.Num(safe+"tip-multiple", 0),
+			v.Num(safe+"tip-after-ms", 0))
+	}
+	if v.has(safe + "further-ratio") {
+		p.Budget(v.Num(safe+"spare-attempts", 0), v.Num(safe+"further-ratio", 0), v.Num(safe+"counted-over-ms", 0))
+	}
+	var fields []decide.Field
+	for _, name := range v.List("report.fields") {
+		field := decide.Other
+		switch name {
+		case "active":
+			field = decide.InFlight
+		case "cpu":
+			field = decide.Busy
+		case "waiting":
+			field = decide.Queue
+		}
+		fields = append(fields, field)
+	}
+	p.Reports(v["report.via"] == "answers", fields)
+	if v.Flag(lim + "may-probe") {
+		p.Probes()
+	}
+	p.Discovery(v["discovery"] == "ask")
+	return p
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -9,9 +9,9 @@
 	"fmt"
 	"io"
 	"math"
-	"strings"
 
 	"kestrelspread/internal/decide"
+	"kestrelspread/internal/settings"
 )
 
 const (
@@ -32,24 +32,23 @@
 
 // broker is one instance: its module and the indices at its door.
 type broker struct {
-	num      uint16
-	alive    bool
-	h        *host
-	port     decide.Port
-	wire     []uint64 // request index to id
-	index    map[uint64]int
-	free     []int
-	jobs     map[float32]int
-	jobOf    map[int]float32
-	members  map[int][]int // a search's parts
-	servers  map[[6]byte]int
-	names    [][6]byte
-	listed   []bool
-	kinds    int
-	tenants  int
-	report   []float64
-	inRound  bool
-	settings map[string]string
+	num     uint16
+	alive   bool
+	h       *host
+	port    decide.Port
+	wire    []uint64 // request index to id
+	index   map[uint64]int
+	free    []int
+	jobs    map[float32]int
+	jobOf   map[int]float32
+	members map[int][]int // a search's parts
+	servers map[[6]byte]int
+	names   [][6]byte
+	listed  []bool
+	kinds   int
+	tenants int
+	report  []float64
+	inRound bool
 }
 
 // Run plays until the input ends between two frames.
@@ -380,16 +379,9 @@
 
 // enlist starts an instance anew with its settings.
 func (b *broker) enlist(seed uint64, facts string) {
-	set := map[string]string{}
-	for line := range strings.SplitSeq(facts, "\n") {
-		if key, value, ok := strings.Cut(strings.TrimSuffix(line, "\r"), "="); ok {
-			set[key] = value
-		}
-	}
-	*b = broker{num: b.num, h: b.h, alive: true, settings: set, index: map[uint64]int{},
+	*b = broker{num: b.num, h: b.h, alive: true, index: map[uint64]int{},
 		jobs: map[float32]int{}, jobOf: map[int]float32{}, members: map[int][]int{}, servers: map[[6]byte]int{}}
-	b.port = b.configure(seed)
-	b.settings = nil
+	b.port = settings.FromFacts(facts).Port(b, seed)
 	b.round()
 }
 
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,576 @@
+// Package transport moves bytes: one loop over epoll, a timer finer than a millisecond, and a pool of buffers of
+// one size. It performs what it is asked for and reports what happened; it knows no message.
+package transport
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime/debug"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+
+	"kestrelspread/internal/must"
+)
+
+// Conn names a connection until it is closed, by either side; after that, from the next turn on, another one may have
+// its number.
+type Conn int32
+
+// Handler is told of events, all of a turn between Begin and End. Times are milliseconds of Now.
+type Handler interface {
+	Begin(now float64)
+	Accepted(c Conn)
+	AcceptFailed() // accepting is off from here on
+	Opened(c Conn)
+	Bytes(c Conn, b []byte, came float64)
+	Written(c Conn, upTo int64) // bytes given to the network so far
+	Closed(c Conn, upTo int64)  // by the other side, or for want of a connection
+	Told(what int32)
+	Panicked(c Conn, what any, stack []byte)
+	End() (again bool) // again: something waits for a turn that nothing else will bring
+}
+
+const (
+	none    Conn = -1
+	bell    Conn = -2
+	wakeUp  Conn = -3
+	accepts      = 64 // in one turn: those connected are served in between
+	backlog      = 1024
+	// clockZero lets times before the start stay above 0.
+	clockZero = 24 * 3600 * 1000.
+)
+
+type conn struct {
+	fd         int
+	held       bool
+	open       bool // or still connecting
+	listener   bool
+	stamped    bool
+	mute       bool // reading is off
+	blocked    bool // waits until the other side takes more
+	dirty      bool
+	progressed bool
+	finishing  bool // writes out what waits, ends its side and reads what comes into nothing
+	shut       bool
+	failed     bool
+	written    int64
+	out        [][]byte
+	outAt      int
+}
+
+// Loop is the one loop. Only Tell may be called from elsewhere.
+type Loop struct {
+	epoll, timer, told int
+	handler            Handler
+	pool               *Pool
+	conns              []conn
+	free, freed        []Conn
+	dirty, progress    []Conn
+	failed             []Conn
+	spare              [2][]Conn
+	listener           Conn
+	accepting          bool
+	armed              float64
+	start              time.Time
+	now, wallLead      float64
+	scratch, oob       []byte
+	ended              bool
+	Received, Sent     int64
+	Turns              int64
+	Sockets            int // held now, the listener among them
+}
+
+func New(pool *Pool) (*Loop, error) {
+	l := &Loop{pool: pool, listener: none, start: time.Now(), scratch: make([]byte, pool.Size), oob: make([]byte, 64)}
+	var err error
+	if l.epoll, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	if l.timer, err = unix.TimerfdCreate(unix.CLOCK_MONOTONIC, unix.TFD_NONBLOCK|unix.TFD_CLOEXEC); err != nil {
+		return nil, fmt.Errorf("timerfd: %w", err)
+	}
+	if l.told, err = unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC); err != nil {
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	for fd, c := range map[int]Conn{l.timer: bell, l.told: wakeUp} {
+		if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(c)}); err != nil {
+			return nil, fmt.Errorf("epoll: %w", err)
+		}
+	}
+	return l, nil
+}
+
+// Now reads the clock, which never goes back.
+func (l *Loop) Now() float64 { return clockZero + float64(time.Since(l.start))/1e6 }
+
+// Epoch is the Unix time in milliseconds at which Now was 0.
+func (l *Loop) Epoch() float64 { return float64(l.start.UnixNano())/1e6 - clockZero }
+
+// Tell brings a word from another goroutine into the loop.
+func (l *Loop) Tell(what int32) {
+	word := [8]byte{}
+	*(*uint64)(unsafe.Pointer(&word)) = 1 << uint(what)
+	unix.Write(l.told, word[:])
+}
+
+// Listen opens the one address on which connections are taken.
+func (l *Loop) Listen(addr netip.AddrPort) error {
+	c, err := l.socket(addr)
+	if err != nil {
+		return err
+	}
+	fd := l.conns[c].fd
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err := unix.Bind(fd, sockaddr(addr)); err != nil {
+		return fmt.Errorf("bind: %w", err)
+	}
+	if err := unix.Listen(fd, backlog); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	l.conns[c].listener, l.conns[c].open = true, true
+	l.listener, l.accepting = c, true
+	return l.watch(c, unix.EPOLL_CTL_ADD)
+}
+
+// Port tells the port that was taken.
+func (l *Loop) Port() int {
+	at, _ := unix.Getsockname(l.conns[l.listener].fd)
+	switch at := at.(type) {
+	case *unix.SockaddrInet4:
+		return at.Port
+	case *unix.SockaddrInet6:
+		return at.Port
+	}
+	return 0
+}
+
+func sockaddr(addr netip.AddrPort) unix.Sockaddr {
+	if addr.Addr().Unmap().Is4() {
+		return &unix.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().Unmap().As4()}
+	}
+	return &unix.SockaddrInet6{Port: int(addr.Port()), Addr: addr.Addr().As16()}
+}
+
+func (l *Loop) socket(addr netip.AddrPort) (Conn, error) {
+	family := unix.AF_INET
+	if !addr.Addr().Unmap().Is4() {
+		family = unix.AF_INET6
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return l.take(-1), fmt.Errorf("socket: %w", err)
+	}
+	return l.take(fd), nil
+}
+
+// take gives a descriptor its number.
+func (l *Loop) take(fd int) Conn {
+	c := Conn(len(l.conns))
+	if n := len(l.free); n > 0 {
+		c, l.free = l.free[n-1], l.free[:n-1]
+	} else {
+		l.conns = append(l.conns, conn{})
+	}
+	l.conns[c] = conn{fd: fd, held: true}
+	if fd >= 0 {
+		l.Sockets++
+	}
+	return c
+}
+
+func (l *Loop) watch(c Conn, op int) error {
+	k := &l.conns[c]
+	events := uint32(unix.EPOLLRDHUP)
+	if k.listener {
+		events = 0
+		if l.accepting {
+			events = unix.EPOLLIN
+		}
+	} else {
+		if k.open && !k.mute {
+			events |= unix.EPOLLIN
+		}
+		if !k.open || k.blocked {
+			events |= unix.EPOLLOUT
+		}
+	}
+	return unix.EpollCtl(l.epoll, op, k.fd, &unix.EpollEvent{Events: events, Fd: int32(c)})
+}
+
+// Accept switches the taking of connections on or off.
+func (l *Loop) Accept(on bool) {
+	if l.listener != none && l.accepting != on {
+		l.accepting = on
+		l.watch(l.listener, unix.EPOLL_CTL_MOD)
+	}
+}
+
+// Unlisten takes what has connected already and closes the address.
+func (l *Loop) Unlisten() {
+	if l.listener == none {
+		return
+	}
+	if l.accepting {
+		l.accept()
+	}
+	c := l.listener
+	l.listener = none
+	l.Close(c)
+}
+
+// Connect opens a connection; Opened or Closed tells in a later turn how that went.
+func (l *Loop) Connect(addr netip.AddrPort) Conn {
+	c, err := l.socket(addr)
+	if err == nil {
+		unix.SetsockoptInt(l.conns[c].fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		if err = unix.Connect(l.conns[c].fd, sockaddr(addr)); err == unix.EINPROGRESS || err == nil {
+			err = l.watch(c, unix.EPOLL_CTL_ADD)
+		}
+	}
+	if err != nil {
+		l.fail(c)
+	}
+	return c
+}
+
+func (l *Loop) fail(c Conn) {
+	if k := &l.conns[c]; !k.failed {
+		k.failed = true
+		l.failed = append(l.failed, c)
+	}
+}
+
+// Write has bytes sent at the end of the turn.
+func (l *Loop) Write(c Conn, b []byte) {
+	k := &l.conns[c]
+	must.Hold(k.open && !k.finishing, "only an open connection is written to")
+	for len(b) > 0 && !k.failed {
+		last := len(k.out) - 1
+		if last < 0 || len(k.out[last]) == cap(k.out[last]) {
+			buf := l.pool.Get()
+			if buf == nil {
+				l.flush(c)
+				if buf = l.pool.Get(); buf == nil {
+					l.fail(c) // what it was to get cannot be kept: better one connection less than no memory
+					return
+				}
+			}
+			k.out = append(k.out, buf)
+			last = len(k.out) - 1
+		}
+		at := len(k.out[last])
+		n := copy(k.out[last][at:cap(k.out[last])], b)
+		k.out[last] = k.out[last][:at+n]
+		b = b[n:]
+	}
+	if !k.dirty {
+		k.dirty = true
+		l.dirty = append(l.dirty, c)
+	}
+}
+
+// Finish writes out what waits, ends this side, and closes once the other side has ended too: closing with bytes
+// unread would throw away what was written.
+func (l *Loop) Finish(c Conn) {
+	k := &l.conns[c]
+	k.finishing = true
+	if k.mute {
+		k.mute = false
+		l.watch(c, unix.EPOLL_CTL_MOD)
+	}
+	if !k.dirty {
+		k.dirty = true
+		l.dirty = append(l.dirty, c)
+	}
+}
+
+// Reading switches the reading of a connection on or off; that it closes is told all the same.
+func (l *Loop) Reading(c Conn, on bool) {
+	if k := &l.conns[c]; k.mute == on {
+		k.mute = !on
+		l.watch(c, unix.EPOLL_CTL_MOD)
+	}
+}
+
+// Close drops a connection with all that waits on it.
+func (l *Loop) Close(c Conn) {
+	k := &l.conns[c]
+	must.Hold(k.held, "a connection is closed once")
+	if !k.held {
+		return
+	}
+	if k.fd >= 0 {
+		unix.Close(k.fd)
+		l.Sockets--
+	}
+	for _, b := range k.out {
+		l.pool.Put(b)
+	}
+	*k = conn{fd: -1}
+	l.freed = append(l.freed, c)
+}
+
+// Arm has a turn come at a time.
+func (l *Loop) Arm(at float64) {
+	if at == l.armed {
+		return
+	}
+	l.armed = at
+	in := max(time.Duration((at-l.Now())*1e6), 1)
+	unix.TimerfdSettime(l.timer, 0, &unix.ItimerSpec{Value: unix.NsecToTimespec(int64(in))}, nil)
+}
+
+// Stop ends Run after this turn.
+func (l *Loop) Stop() { l.ended = true }
+
+// Run turns until Stop.
+func (l *Loop) Run(h Handler) error {
+	l.handler = h
+	events := make([]unix.EpollEvent, 256)
+	wait := 0
+	for !l.ended {
+		n, err := unix.EpollWait(l.epoll, events, wait)
+		if err == unix.EINTR {
+			continue
+		} else if err != nil {
+			return fmt.Errorf("epoll: %w", err)
+		}
+		l.Turns++
+		l.now = l.Now()
+		l.wallLead = -1
+		h.Begin(l.now)
+		failed, progress := l.failed, l.progress
+		l.failed, l.progress = l.spare[0][:0], l.spare[1][:0]
+		l.spare = [2][]Conn{failed, progress}
+		for _, c := range failed {
+			if l.conns[c].failed {
+				l.guarded(c, failure)
+			}
+		}
+		for _, c := range progress {
+			if l.conns[c].progressed {
+				l.guarded(c, taken)
+			}
+		}
+		for _, e := range events[:n] {
+			l.guarded(Conn(e.Fd), e.Events)
+		}
+		again := l.end()
+		for i := 0; i < len(l.dirty); i++ {
+			c := l.dirty[i]
+			if k := &l.conns[c]; k.dirty {
+				k.dirty = false
+				l.flush(c)
+			}
+		}
+		l.dirty = l.dirty[:0]
+		if wait = -1; again || len(l.failed) > 0 {
+			wait = 0
+		}
+		l.free = append(l.free, l.freed...)
+		l.freed = l.freed[:0]
+	}
+	return nil
+}
+
+// What the loop itself has to tell stands where epoll's events would.
+const (
+	failure = 0
+	taken   = 1 << 31
+)
+
+// end keeps a failure of the handler from ending the process.
+func (l *Loop) end() (again bool) {
+	defer l.rescue(none)
+	return l.handler.End()
+}
+
+func (l *Loop) rescue(c Conn) {
+	if what := recover(); what != nil {
+		l.handler.Panicked(c, what, debug.Stack())
+	}
+}
+
+func (l *Loop) guarded(c Conn, events uint32) {
+	defer l.rescue(c)
+	switch {
+	case c == bell:
+		var word [8]byte
+		unix.Read(l.timer, word[:])
+		l.armed = 0
+	case c == wakeUp:
+		var word [8]byte
+		unix.Read(l.told, word[:])
+		for what, bits := int32(0), *(*uint64)(unsafe.Pointer(&word)); bits != 0; what, bits = what+1, bits>>1 {
+			if bits&1 != 0 {
+				l.handler.Told(what)
+			}
+		}
+	case c == l.listener:
+		l.accept()
+	case events == failure:
+		l.closed(c)
+	case events == taken:
+		l.conns[c].progressed = false
+		l.handler.Written(c, l.conns[c].written)
+	default:
+		l.ready(c, events)
+	}
+}
+
+func (l *Loop) closed(c Conn) {
+	upTo := l.conns[c].written
+	l.Close(c)
+	l.handler.Closed(c, upTo)
+}
+
+func (l *Loop) accept() {
+	for range accepts {
+		fd, _, err := unix.Accept4(l.conns[l.listener].fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch err {
+		case nil:
+		case unix.EAGAIN:
+			return
+		case unix.EINTR, unix.ECONNABORTED:
+			continue
+		default: // out of descriptors or memory: asking again at once would spin
+			l.Accept(false)
+			l.handler.AcceptFailed()
+			return
+		}
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		// When a search came must be known even if this process stood still meanwhile: its client waits from then on.
+		stamped := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1) == nil
+		c := l.take(fd)
+		l.conns[c].open, l.conns[c].stamped = true, stamped
+		if err := l.watch(c, unix.EPOLL_CTL_ADD); err != nil {
+			l.Close(c)
+			continue
+		}
+		l.handler.Accepted(c)
+		if !l.accepting {
+			return
+		}
+	}
+}
+
+func (l *Loop) ready(c Conn, events uint32) {
+	k := &l.conns[c]
+	if k.fd < 0 || k.failed {
+		return // closed in this turn
+	}
+	if !k.open {
+		if code, err := unix.GetsockoptInt(k.fd, unix.SOL_SOCKET, unix.SO_ERROR); err != nil || code != 0 {
+			l.closed(c)
+			return
+		}
+		if events&unix.EPOLLOUT == 0 {
+			l.closed(c)
+			return
+		}
+		k.open = true
+		l.watch(c, unix.EPOLL_CTL_MOD)
+		l.handler.Opened(c)
+		return
+	}
+	if events&unix.EPOLLOUT != 0 {
+		if l.flush(c); k.failed {
+			return
+		}
+		if k.progressed {
+			k.progressed = false
+			l.handler.Written(c, k.written)
+			if k = &l.conns[c]; k.fd < 0 {
+				return
+			}
+		}
+	}
+	switch {
+	case events&unix.EPOLLIN != 0 && !k.mute:
+		l.read(c)
+	case events&(unix.EPOLLHUP|unix.EPOLLERR) != 0, events&unix.EPOLLRDHUP != 0 && k.mute:
+		l.closed(c)
+	}
+}
+
+func (l *Loop) read(c Conn) {
+	k := &l.conns[c]
+	came := l.now
+	var n int
+	var err error
+	if k.stamped {
+		var oobn int
+		n, oobn, _, _, err = unix.Recvmsg(k.fd, l.scratch, l.oob, 0)
+		came = l.cameAt(l.oob[:oobn])
+	} else {
+		n, err = unix.Read(k.fd, l.scratch)
+	}
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+	case err != nil || n <= 0:
+		l.closed(c)
+	case k.finishing:
+	default:
+		l.Received += int64(n)
+		l.handler.Bytes(c, l.scratch[:n], came)
+	}
+}
+
+// cameAt maps the kernel's time of arrival, which is by the wall clock, onto this loop's.
+func (l *Loop) cameAt(oob []byte) float64 {
+	const head = int(unsafe.Sizeof(unix.Cmsghdr{}))
+	if len(oob) < head+int(unsafe.Sizeof(unix.Timespec{})) {
+		return l.now
+	}
+	if h := (*unix.Cmsghdr)(unsafe.Pointer(&oob[0])); h.Level != unix.SOL_SOCKET || h.Type != unix.SO_TIMESTAMPNS {
+		return l.now
+	}
+	stamp := (*unix.Timespec)(unsafe.Pointer(&oob[head]))
+	lag := float64(time.Now().UnixNano()-stamp.Nano()) / 1e6
+	return min(l.Now()-max(lag, 0), l.now)
+}
+
+// flush gives the network what it takes.
+func (l *Loop) flush(c Conn) {
+	k := &l.conns[c]
+	if k.failed {
+		return
+	}
+	was := k.written
+	for len(k.out) > 0 {
+		n, err := unix.Write(k.fd, k.out[0][k.outAt:])
+		if err == unix.EINTR {
+			continue
+		}
+		if err == unix.EAGAIN {
+			break
+		}
+		if err != nil {
+			l.fail(c)
+			return
+		}
+		k.written += int64(n)
+		l.Sent += int64(n)
+		if k.outAt += n; k.outAt == len(k.out[0]) {
+			l.pool.Put(k.out[0])
+			k.out[0], k.out, k.outAt = nil, k.out[1:], 0
+		}
+	}
+	if len(k.out) == 0 {
+		k.out = nil
+	}
+	if blocked := len(k.out) > 0; blocked != k.blocked {
+		k.blocked = blocked
+		l.watch(c, unix.EPOLL_CTL_MOD)
+	}
+	if k.written != was && !k.progressed {
+		k.progressed = true
+		l.progress = append(l.progress, c)
+	}
+	if k.finishing && len(k.out) == 0 && !k.shut {
+		k.shut = true
+		unix.Shutdown(k.fd, unix.SHUT_WR)
+	}
+}
