--- a/internal/protocol/json.go
+++ b/internal/protocol/json.go
@@ -107,8 +107,9 @@
 	}
 	raw := s.b[from:s.at]
 	digits := bytes.TrimPrefix(raw, []byte("-"))
-	if len(digits) == 0 || digits[0] < '0' || digits[0] > '9' || len(digits) > 1 && digits[0] == '0' &&
-		digits[1] >= '0' && digits[1] <= '9' || raw[len(raw)-1] == '.' {
+	point := bytes.IndexByte(digits, '.')
+	// ParseFloat takes more than JSON has: leading zeros and signs, and points without digits on both sides.
+	if len(digits) == 0 || !digit(digits, 0) || digits[0] == '0' && digit(digits, 1) || point >= 0 && !digit(digits, point+1) {
 		s.fail()
 		return 0
 	}
@@ -120,6 +121,8 @@
 	return v
 }
 
+func digit(b []byte, i int) bool { return i < len(b) && b[i] >= '0' && b[i] <= '9' }
+
 func (s *scan) whole(least, most float64) int64 {
 	v := s.number()
 	if v != math.Trunc(v) || v < least || v > most {
--- a/internal/routing/catalog.go
+++ b/internal/routing/catalog.go
@@ -204,6 +204,16 @@
 	return nil
 }
 
+// hold keeps frames from beginning at a server that wants nothing new: one that was given to the network, which
+// has taken none of it, can only be taken back with its connection.
+func (r *Router) hold(v *server) {
+	for _, l := range append([]*lane(nil), v.lanes...) {
+		if l.asked > l.written && l.frame >= l.written {
+			r.dropLane(l)
+		}
+	}
+}
+
 // state tells the module of one server.
 func (r *Router) state(at int, as decide.State, hall int, weight, started float64) {
 	v := r.catalog.servers[at]
@@ -214,6 +224,12 @@
 		r.catalog.ready++
 	} else if v.state == decide.Ready {
 		v.since = r.now
+		since := r.now
+		r.after(graceShare*r.rules.grace, func(r *Router) {
+			if v.since == since && v.state != decide.Ready {
+				r.hold(v)
+			}
+		})
 	}
 	v.state = as
 	r.port.Server(at, hall, v.cell, as, weight, started)
--- a/internal/routing/lane.go
+++ b/internal/routing/lane.go
@@ -24,6 +24,7 @@
 	out     int             // that wait for a reply
 	asked   int64
 	written int64
+	frame   int64 // where the last call began
 	used    float64
 	probe   float64 // when one was sent, or 0
 }
@@ -202,6 +203,7 @@
 		}
 		r.scratch = protocol.EndFrame(frame, 0)
 		r.Count.Calls++
+		l.frame = l.asked
 		r.tell(l, r.scratch)
 		for _, s := range k.subs {
 			if s.state == waiting {
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,708 @@
+package routing
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"kestrelspread/internal/must"
+	"kestrelspread/internal/settings"
+	"kestrelspread/internal/transport"
+)
+
+const (
+	facts = `{"balancers":1,"classes":[{"aim-ms":300,"deadline-ms":1000,"effect":"repeatable","importance":1,"name":"quick",
+"late-value":0.3},{"aim-ms":300,"deadline-ms":1000,"effect":"once","importance":3,"name":"once"},
+{"aim-ms":300,"deadline-ms":1000,"effect":"repeatable","importance":1,"name":"part"}],
+"family-info":{"places":4,"span":2,"batch":2,"slabs":8,"class-need":[1,1,1],"class-floor":[1,1,0.3],
+"incomplete-worth":[0,0,0.9],"follow-up":[0,0,0]},"discovery":"push","localities":["a","b"],
+"limits":{"attempts-cap":4,"cancel":true,"parallel-tries":true,"connect-timeout-ms":100,"conn-idle-ms":2000,
+"streams-per-conn":2,"most-held":60,"may-probe":true,"retry-after":true,"max-retry-after-ms":500},
+"safety":{"answer-slack-ms":20,"drain-grace-ms":250},"report":{"fields":["active","cpu"],"via":"answers"},"zone":0}`
+	slack = 20
+)
+
+// end is one connection as the other side has it.
+type end struct {
+	to       netip.AddrPort
+	client   *caller
+	open     bool
+	watched  bool // the head of its list is out
+	muted    bool
+	finished bool
+	sent     []byte // by the broker, not yet taken by the network
+	got      []byte // taken, not yet read
+	upTo     int64
+	told     int64
+	stuck    float64  // until then the network takes nothing
+	began    float64  // when the frame that comes was begun
+	waiting  []string // sub-requests a server holds
+}
+
+// caller is a client with its one search.
+type caller struct {
+	id      string
+	late    float64 // when its answer is late
+	shards  []int
+	asked   bool
+	answers int
+	at      float64 // when the last bytes for it were written
+	gone    bool
+}
+
+// world is the network and all who stand behind it. What happens is drawn from a seed.
+type world struct {
+	t       testing.TB
+	r       *Router
+	pool    *transport.Pool
+	rng     *rand.Rand
+	now     float64
+	ends    []*end
+	freed   []transport.Conn
+	armed   float64
+	stopped bool
+	deaf    bool // listens no more
+	callers []*caller
+	byID    map[string]*caller
+	version int
+	list    []listed
+	dying   []transport.Conn
+	least   int // descriptors that are left for connecting; below 0 none fails
+}
+
+type listed struct {
+	state string
+	since float64
+	cell  int
+}
+
+func newWorld(t testing.TB, seed uint64, servers int) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1e6, pool: &transport.Pool{Size: 80 << 10, Most: 200},
+		byID: map[string]*caller{}, least: -1}
+	for i := range servers {
+		w.list = append(w.list, listed{state: "ready", cell: i % 4})
+	}
+	set, err := settings.FromJSON([]byte(facts))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.r = New(w, w.pool, zerolog.New(io.Discard), set, seed, 200, w.listLine(true), netip.MustParseAddrPort("127.0.0.1:9"), 0)
+	return w
+}
+
+func (w *world) listLine(whole bool) []byte {
+	w.version++
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"generation":%d,"reset":%v,"instances":[`, w.version, whole)
+	for i, s := range w.list {
+		if whole && s.state == "gone" {
+			continue
+		}
+		if b.Bytes()[b.Len()-1] == '}' {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"instanceId":"s%d","hostPort":"127.0.1.%d:80","zone":"a","cell":%d,"lifecycle":%q,"weight":1,"startedAtMs":0}`,
+			i, i+1, s.cell, s.state)
+	}
+	b.WriteString("]}")
+	return b.Bytes()
+}
+
+func (w *world) take(e *end) transport.Conn {
+	if n := len(w.freed); n > 0 && w.rng.IntN(2) == 0 {
+		c := w.freed[0]
+		w.freed = w.freed[1:]
+		w.ends[c] = e
+		return c
+	}
+	w.ends = append(w.ends, e)
+	return transport.Conn(len(w.ends) - 1)
+}
+
+func (w *world) Connect(to netip.AddrPort) transport.Conn {
+	c := w.take(&end{to: to})
+	if w.least >= 0 {
+		w.dying = append(w.dying, c)
+	}
+	return c
+}
+
+func (w *world) Write(c transport.Conn, b []byte) {
+	e := w.ends[c]
+	if e == nil || !e.open || e.finished {
+		w.t.Fatalf("written to connection %d, which is not open", c)
+	}
+	e.sent = append(e.sent, b...)
+	if e.client != nil {
+		e.client.at = w.now
+	}
+}
+
+func (w *world) Finish(c transport.Conn)           { w.ends[c].finished = true }
+func (w *world) Reading(c transport.Conn, on bool) { w.ends[c].muted = !on }
+func (w *world) Accept(bool)                       {}
+func (w *world) Unlisten()                         { w.deaf = true }
+func (w *world) Arm(at float64)                    { w.armed = at }
+func (w *world) Stop()                             { w.stopped = true }
+func (w *world) Close(c transport.Conn) {
+	e := w.ends[c]
+	if e == nil {
+		w.t.Fatalf("connection %d closed twice", c)
+	}
+	if e.client != nil && !e.client.gone && e.client.asked && e.client.answers == 0 {
+		w.t.Fatalf("search %s lost: its connection was closed", e.client.id)
+	}
+	w.ends[c] = nil
+	w.freed = append(w.freed, c)
+}
+
+// turn plays events in one turn, and those that must follow at once.
+func (w *world) turn(events ...func()) {
+	for first := true; first || w.r.failing; first = false {
+		w.r.Begin(w.now)
+		if first {
+			for _, e := range events {
+				e()
+			}
+		}
+		dying := w.dying
+		w.dying = nil
+		for _, c := range dying {
+			if w.ends[c] != nil {
+				w.lose(c)
+			}
+		}
+		for c, e := range w.ends {
+			if e != nil && e.told < e.upTo {
+				e.told = e.upTo
+				w.r.Written(transport.Conn(c), e.upTo)
+			}
+		}
+		again := w.r.End()
+		w.network()
+		w.r.failing = again || len(w.dying) > 0
+	}
+	w.check()
+}
+
+// network takes what was written, at times only some of it, and reads what has come whole.
+func (w *world) network() {
+	for c, e := range w.ends {
+		if e == nil || len(e.sent) == 0 || w.now < e.stuck {
+			continue
+		}
+		n := len(e.sent)
+		if w.rng.IntN(10) == 0 {
+			n = w.rng.IntN(n + 1)
+		}
+		if len(e.got) == 0 && n > 0 {
+			e.began = w.now
+		}
+		e.got, e.sent = append(e.got, e.sent[:n]...), e.sent[n:]
+		e.upTo += int64(n)
+		switch {
+		case e.client != nil:
+			w.readAnswer(e)
+		case e.to.Port() != 9:
+			w.readFrames(transport.Conn(c), e)
+		}
+	}
+}
+
+func (w *world) readAnswer(e *end) {
+	for {
+		head, body, whole := bytes.Cut(e.got, []byte("\r\n\r\n"))
+		if !whole {
+			return
+		}
+		_, length, _ := bytes.Cut(head, []byte("Content-Length: "))
+		length, _, _ = bytes.Cut(length, []byte("\r\n"))
+		n, _ := strconv.Atoi(string(length))
+		if len(body) < n {
+			return
+		}
+		e.got = body[n:]
+		status, _ := strconv.Atoi(string(head[9:12]))
+		if status == 100 {
+			continue
+		}
+		k := e.client
+		k.answers++
+		if k.answers > 1 {
+			w.t.Fatalf("search %s has a second answer", k.id)
+		}
+		if k.asked && k.at > k.late {
+			w.t.Fatalf("search %s answered %d at %.0f, %.0f late", k.id, status, k.at, k.at-k.late)
+		}
+		if status == 200 {
+			w.readValues(k, body[:n])
+		}
+	}
+}
+
+func (w *world) readValues(k *caller, body []byte) {
+	var answer struct {
+		All     bool `json:"all_in"`
+		Matches []struct {
+			Segment int
+			Payload string
+		}
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		w.t.Fatal(err)
+	}
+	if answer.All != (len(answer.Matches) == len(k.shards)) || len(answer.Matches) == 0 {
+		w.t.Fatalf("search %s: %s for %d parts", k.id, body, len(k.shards))
+	}
+	for _, m := range answer.Matches {
+		if m.Payload != fmt.Sprintf("%s.%d", k.id, m.Segment) || !slices.Contains(k.shards, m.Segment) {
+			w.t.Fatalf("search %s: %s", k.id, body)
+		}
+	}
+}
+
+func (w *world) readFrames(c transport.Conn, e *end) {
+	at := int(e.to.Addr().As4()[3]) - 1
+	for len(e.got) >= 4 {
+		n := int(binary.LittleEndian.Uint32(e.got)) + 4
+		if len(e.got) < n {
+			return
+		}
+		letter, rest := e.got[4], string(e.got[5:n])
+		e.got = e.got[n:]
+		if letter != 'R' && len(e.got) > 0 {
+			e.began = w.now
+		}
+		switch letter {
+		case 'A':
+			if i := slices.Index(e.waiting, rest); i >= 0 && w.rng.IntN(3) > 0 {
+				e.waiting = slices.Delete(e.waiting, i, i+1) // else the reply crosses it
+			}
+		case 'G', 'T':
+			e.waiting = append(e.waiting, string(letter))
+		case 'R':
+			w.readCall(e, at, rest)
+		default:
+			w.t.Fatalf("frame %c", letter)
+		}
+	}
+}
+
+func (w *world) readCall(e *end, at int, rest string) {
+	parts := 0
+	for ; rest != ""; parts++ {
+		var id string
+		var shard, wait, size int
+		line, after, _ := strings.Cut(rest, "\n")
+		if n, err := fmt.Sscanf(line, "%s %d d=%d %d", &id, &shard, &wait, &size); n != 4 || len(after) < size {
+			w.t.Fatal(line, err)
+		}
+		text := after[:size]
+		rest = after[size:]
+		search, _, _ := strings.Cut(id, ".")
+		k := w.byID[search]
+		s := w.list[at]
+		switch {
+		case k == nil || !slices.Contains(k.shards, shard) || text != "text of "+k.id:
+			w.t.Fatalf("nobody asked for %s, %q", line, text)
+		case ((s.cell-shard)%4+4)%4 >= 2:
+			w.t.Fatalf("server %d of cell %d does not hold shard %d", at, s.cell, shard)
+		case s.state != "ready" && e.began > s.since+250:
+			w.t.Fatalf("sent to server %d, %s for %.0f ms", at, s.state, e.began-s.since)
+		case slices.Contains(e.waiting, id):
+			w.t.Fatalf("%s is on one connection twice", id)
+		}
+		e.waiting = append(e.waiting, id)
+	}
+	if parts == 0 || parts > 2 {
+		w.t.Fatalf("a call of %d parts", parts)
+	}
+}
+
+func (w *world) lose(c transport.Conn) {
+	e := w.ends[c]
+	w.ends[c] = nil
+	if e.client != nil {
+		e.client.gone = true
+	}
+	w.r.Closed(c, e.upTo)
+	w.freed = append(w.freed, c)
+}
+
+// say has the other side send bytes, in pieces.
+func (w *world) say(c transport.Conn, b []byte) {
+	for len(b) > 0 && w.ends[c] != nil && !w.ends[c].finished {
+		n := len(b)
+		if w.rng.IntN(3) == 0 {
+			n = 1 + w.rng.IntN(n)
+		}
+		w.r.Bytes(c, slices.Clone(b[:n]), w.now)
+		b = b[n:]
+	}
+}
+
+func (w *world) frame(c transport.Conn, letter byte, rest string) {
+	w.say(c, append(binary.LittleEndian.AppendUint32(nil, uint32(1+len(rest))), append([]byte{letter}, rest...)...))
+}
+
+func (w *world) ask(kind string, budget float64, shards ...int) *caller {
+	k := &caller{id: fmt.Sprint("q", len(w.callers)), shards: shards, late: w.now + budget + slack}
+	w.callers = append(w.callers, k)
+	w.byID[k.id] = k
+	c := w.take(&end{client: k, open: true})
+	w.r.Accepted(c)
+	var parts []string
+	for _, s := range shards {
+		parts = append(parts, fmt.Sprintf(`{"segment":%d,"boost":%g}`, s, 1/float64(len(shards))))
+	}
+	body := fmt.Sprintf(`{"segments":[%s],"text":"text of %s"}`, strings.Join(parts, ","), k.id)
+	k.asked = true
+	w.say(c, []byte(fmt.Sprintf("POST /api HTTP/1.1\r\nX-Call-Id: %s\r\nX-Call-Class: %s\r\nX-Budget-Ms: %g\r\n"+
+		"Content-Length: %d\r\n\r\n%s", k.id, kind, budget, len(body), body)))
+	return k
+}
+
+// check holds after every turn.
+func (w *world) check() {
+	for _, k := range w.callers {
+		if !k.gone && k.answers == 0 && w.now > k.late {
+			held := 0
+			for _, e := range w.ends {
+				if e != nil && e.client == k {
+					held = len(e.sent)
+				}
+			}
+			if held == 0 {
+				w.t.Fatalf("search %s has no answer %.0f ms past its time", k.id, w.now-k.late)
+			}
+		}
+	}
+	if must.Broken() > 0 {
+		w.t.Fatal("something that must hold does not")
+	}
+}
+
+// serve has one random thing happen on a connection.
+func (w *world) serve(c transport.Conn, e *end, ill int) {
+	switch {
+	case e.client != nil:
+		if e.finished && len(e.sent) == 0 || w.rng.IntN(200) < ill {
+			w.lose(c)
+		}
+	case !e.open:
+		if w.rng.IntN(60) < ill {
+			w.lose(c)
+		} else if w.rng.IntN(3) > 0 {
+			e.open = true
+			w.r.Opened(c)
+		}
+	case e.to.Port() == 9:
+		if len(e.got) > 0 {
+			e.got, e.watched = nil, true
+			w.say(c, []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+			w.news(c, true)
+		} else if w.rng.IntN(100) < ill {
+			w.lose(c)
+		} else if e.watched && w.rng.IntN(4) == 0 {
+			w.say(c, []byte("1\r\n\n\r\n"))
+		}
+	case w.rng.IntN(200) < ill:
+		w.lose(c)
+	case w.rng.IntN(300) < ill:
+		e.stuck = w.now + float64(w.rng.IntN(600))
+	case w.rng.IntN(400) < ill:
+		w.frame(c, 'N', "what?")
+		if w.ends[c] != nil {
+			w.t.Fatal("a connection that refused a frame is kept")
+		}
+	case len(e.waiting) > 0 && w.rng.IntN(3) > 0:
+		i := w.rng.IntN(len(e.waiting))
+		id := e.waiting[i]
+		e.waiting = slices.Delete(e.waiting, i, i+1)
+		switch {
+		case id == "G" || id == "T":
+			w.frame(c, id[0], "inflight=3,util=0.5")
+		case w.rng.IntN(60) < ill:
+			w.frame(c, 'Y', id+" ERROR 0 -\n")
+		case w.rng.IntN(60) < ill:
+			w.frame(c, 'Y', id+" REJECTED 0 -\n")
+		default:
+			w.frame(c, 'Y', id+" OK 5 inflight=3,util=0.5\n"+id)
+		}
+	}
+}
+
+func (w *world) news(c transport.Conn, whole bool) {
+	line := append(w.listLine(whole), '\n')
+	w.say(c, []byte(fmt.Sprintf("%x\r\n%s\r\n", len(line), line)))
+}
+
+func FuzzRouter(f *testing.F) {
+	for seed := range uint64(40) {
+		f.Add(seed, uint8(seed%4))
+	}
+	f.Fuzz(func(t *testing.T, seed uint64, ill uint8) {
+		w := newWorld(t, seed, 8)
+		bad := int(ill % 8)
+		w.turn()
+		for step := range 1500 {
+			if next := w.now + w.rng.ExpFloat64()*8; w.armed > w.now {
+				w.now = min(next, w.armed)
+			} else {
+				w.now = next
+			}
+			if w.rng.IntN(400) < bad {
+				w.now += 300 // it stood still
+				for _, k := range w.callers {
+					k.late += 300
+				}
+			}
+			var events []func()
+			if step < 1200 && w.rng.IntN(4) == 0 && !w.deaf {
+				shards := w.rng.Perm(8)[:1+w.rng.IntN(5)]
+				kind := []string{"quick", "once", "part"}[w.rng.IntN(3)]
+				events = append(events, func() { w.ask(kind, float64(50+w.rng.IntN(900)), shards...) })
+			}
+			if w.rng.IntN(100) < bad {
+				w.least = min(w.rng.IntN(8)-7, 0) // at times no connection can be had
+			}
+			if i := w.rng.IntN(len(w.list)); w.rng.IntN(200) < bad {
+				s := &w.list[i]
+				states := []string{"ready", "draining", "ready", "gone", "ready"}
+				was := s.state
+				if s.state = states[w.rng.IntN(5)]; was == "ready" && s.state != was {
+					s.since = w.now + 1e9 // until it is told
+				}
+			}
+			for c, e := range w.ends {
+				if e == nil || w.rng.IntN(3) > 0 {
+					continue
+				}
+				events = append(events, func() {
+					if w.ends[c] == e {
+						w.serve(transport.Conn(c), e, bad)
+					}
+				})
+				if e.to.Port() == 9 && e.watched && w.rng.IntN(5) == 0 {
+					events = append(events, func() {
+						if w.ends[c] != e {
+							return
+						}
+						w.news(transport.Conn(c), w.rng.IntN(4) == 0)
+						for i := range w.list {
+							if w.list[i].since > w.now {
+								w.list[i].since = w.now
+							}
+						}
+					})
+				}
+			}
+			w.turn(events...)
+		}
+		w.settle()
+	})
+}
+
+// settle lets all come to its end, after which nothing may be left.
+func (w *world) settle() {
+	w.least = -1
+	w.turn(func() { w.r.Told(Terminate) })
+	for range 4000 {
+		if w.stopped {
+			break
+		}
+		w.now += 5
+		var events []func()
+		for c, e := range w.ends {
+			if e != nil {
+				events = append(events, func() {
+					if w.ends[c] == e {
+						w.serve(transport.Conn(c), e, 0)
+					}
+				})
+			}
+		}
+		w.turn(events...)
+	}
+	r := w.r
+	if !w.stopped || r.clients != 0 || r.searches != 0 || r.held != 0 {
+		w.t.Fatalf("stopped %v, %d clients, %d searches, %d held", w.stopped, r.clients, r.searches, r.held)
+	}
+	if len(r.free) != len(r.slots) || w.pool.Out() != 0 {
+		w.t.Fatalf("%d of %d indices free, %d buffers out", len(r.free), len(r.slots), w.pool.Out())
+	}
+	open := 0
+	for _, e := range w.ends {
+		if e != nil {
+			open++
+		}
+	}
+	if open != r.sockets {
+		w.t.Fatalf("%d sockets counted, %d open", r.sockets, open)
+	}
+}
+
+// open brings up every connection that is being opened, and answers the watch.
+func (w *world) open() {
+	var events []func()
+	for c, e := range w.ends {
+		if e != nil && !e.open {
+			events = append(events, func() { e.open = true; w.r.Opened(transport.Conn(c)) })
+		}
+	}
+	w.turn(events...)
+	w.turn(func() {
+		for c, e := range w.ends {
+			if e != nil && e.to.Port() == 9 && !e.watched {
+				e.watched, e.got = true, nil
+				w.say(transport.Conn(c), []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+			}
+		}
+	})
+}
+
+// lane gives the connections to servers.
+func (w *world) lanes() (list []transport.Conn) {
+	for c, e := range w.ends {
+		if e != nil && e.client == nil && e.to.Port() != 9 {
+			list = append(list, transport.Conn(c))
+		}
+	}
+	return list
+}
+
+func (w *world) answer(c transport.Conn) {
+	e := w.ends[c]
+	waiting := e.waiting
+	e.waiting = nil
+	w.turn(func() {
+		for _, id := range waiting {
+			w.frame(c, 'Y', id+" OK 5 -\n"+id)
+		}
+	})
+}
+
+func TestFrameNotBegunIsTakenBackFromADrainedServer(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.turn()
+	w.open()
+	w.turn(func() { w.ask("quick", 900, 0) })
+	w.open()
+	c := w.lanes()[0]
+	w.answer(c)
+	e := w.ends[c]
+	e.stuck = w.now + 1000
+	w.turn(func() { w.ask("quick", 900, 0) })
+	if len(e.sent) == 0 {
+		t.Fatal("no second frame")
+	}
+	w.now += 10
+	w.list[0] = listed{"draining", w.now, 0}
+	w.turn(func() {
+		for c, e := range w.ends {
+			if e != nil && e.watched {
+				w.news(transport.Conn(c), false)
+			}
+		}
+	})
+	for w.ends[c] == e && w.now < w.list[0].since+250 {
+		w.now += 10
+		w.turn()
+	}
+	if w.ends[c] == e {
+		t.Error("the frame may still begin past the grace")
+	}
+}
+
+func TestIdsMeetOnNoConnection(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.turn()
+	w.open()
+	w.turn(func() { w.ask("quick", 900, 0) })
+	w.open()
+	twin := w.callers[0]
+	w.turn(func() { // another client with the same id: the reply of one must not answer the other
+		w.callers, w.byID = nil, map[string]*caller{}
+		w.ask("quick", 900, 0)
+	})
+	w.open()
+	if n := len(w.lanes()); n != 2 {
+		t.Fatalf("%d connections, want 2", n)
+	}
+	w.answer(w.lanes()[1])
+	if w.callers[0].answers != 1 || twin.answers != 0 {
+		t.Error("the reply went to the other search")
+	}
+	w.answer(w.lanes()[0])
+	if twin.answers != 1 {
+		t.Error("the first search has no answer")
+	}
+}
+
+func TestOlderListsChangeNothingUnlessDiscoveryInsists(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.turn()
+	w.open()
+	say := func(line string) {
+		w.turn(func() {
+			for c, e := range w.ends {
+				if e != nil && e.watched {
+					w.say(transport.Conn(c), []byte(fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line)))
+					return
+				}
+			}
+		})
+	}
+	entry := func(version int, reset bool, state string) string {
+		return fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[{"instanceId":"s0","hostPort":"127.0.1.1:80","zone":"a","cell":0,`+
+			`"lifecycle":%q,"weight":1,"startedAtMs":0}]}`, version, reset, state)
+	}
+	ready := func(want int, why string) {
+		t.Helper()
+		if w.r.catalog.ready != want {
+			t.Errorf("%s: %d ready, want %d", why, w.r.catalog.ready, want)
+		}
+	}
+	say(entry(9, false, "draining"))
+	ready(1, "a change")
+	say(entry(8, false, "ready"))
+	ready(1, "an older change")
+	again := func() {
+		w.turn(func() {
+			for c, e := range w.ends {
+				if e != nil && e.watched {
+					w.lose(transport.Conn(c))
+				}
+			}
+		})
+		w.now += askAgain
+		w.turn()
+		w.open()
+	}
+	again()
+	say(entry(3, true, "ready"))
+	ready(1, "an older whole list")
+	w.now += askAgain
+	w.turn()
+	w.open()
+	say(entry(3, true, "ready"))
+	ready(1, "the same again: s1 is gone, s0 is back")
+	if w.r.catalog.version != 3 {
+		t.Error("discovery counts anew, at ", w.r.catalog.version)
+	}
+	say("{")
+	ready(1, "a broken line")
+	if w.r.Count.BadLists == 0 || w.r.catalog.conn != none {
+		t.Error("a broken line keeps its watch")
+	}
+}
--- a/internal/routing/search.go
+++ b/internal/routing/search.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strconv"
+	"strings"
 
 	"kestrelspread/internal/must"
 	"kestrelspread/internal/protocol"
@@ -158,7 +159,7 @@
 			return
 		case step == protocol.Headed:
 			if expects, n := c.in.Header("expect"); n > 0 {
-				if string(expects) != "100-continue" {
+				if !strings.EqualFold(string(expects), "100-continue") {
 					c.last = true
 					r.refuse(c, &protocol.Bad{Status: 417, Why: "an expectation that is not known"})
 					return
