--- a/internal/routing/count.go
+++ b/internal/routing/count.go
@@ -11,13 +11,13 @@
 
 // Counters of what a broker takes in, sends and answers since its start.
 type Counters struct {
-	Searches, Whole, Partial, Shed, Errored, Left, OverHeld, BadRequests  int64
-	Sent, Calls, CalledOff, LateReplies                                   int64
-	Outcomes                                                              [decide.Moot + 1]int64
-	Accepted, GaveWay, Paused, Stuck                                      int64
-	Connects, ConnectTimeouts, Broken, IdleClosed, NoSocket, NoBuffer     int64
-	Probes, ProbesFailed, Watches, WatchesLost, Lists, OldLists, BadLists int64
-	BadFrames, Panics, BytesIn, BytesOut                                  int64
+	Searches, Whole, Partial, Shed, Errored, Left, OverHeld, TooLong, BadRequests int64
+	Sent, Calls, CalledOff, LateReplies                                           int64
+	Outcomes                                                                      [decide.Moot + 1]int64
+	Accepted, GaveWay, Paused, Stuck                                              int64
+	Connects, ConnectTimeouts, Broken, IdleClosed, NoSocket, NoBuffer             int64
+	Probes, ProbesFailed, Watches, WatchesLost, Lists, OldLists, BadLists         int64
+	BadFrames, Panics, BytesIn, BytesOut                                          int64
 }
 
 func (c *Counters) outcome(how decide.Outcome) { c.Outcomes[how]++ }
@@ -30,7 +30,7 @@
 	line := func() *zerolog.Event { return r.log.log.Info().Str("why", why) }
 	line().Int64("searches", c.Searches).Int64("whole", c.Whole).Int64("partial", c.Partial).Int64("shed", c.Shed).
 		Int64("errored", c.Errored).Int64("left", c.Left).Int64("over_held", c.OverHeld).
-		Int64("bad_requests", c.BadRequests).Int("held", r.searches).Msg("searches")
+		Int64("too_long", c.TooLong).Int64("bad_requests", c.BadRequests).Int("held", r.searches).Msg("searches")
 	e := line().Int64("sent", c.Sent).Int64("calls", c.Calls).Int64("called_off", c.CalledOff).
 		Int64("late_replies", c.LateReplies)
 	for i, name := range outcomeNames {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -56,6 +56,7 @@
 	shards  []int
 	asked   bool
 	answers int
+	status  int
 	at      float64 // when the last bytes for it were written
 	gone    bool
 }
@@ -244,6 +245,7 @@
 		}
 		k := e.client
 		k.answers++
+		k.status = status
 		if k.answers > 1 {
 			w.t.Fatalf("search %s has a second answer", k.id)
 		}
@@ -712,3 +714,20 @@
 		t.Error("a broken line keeps its watch")
 	}
 }
+
+func TestAnswerOverItsBoundIsErrored(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.turn()
+	w.open()
+	w.turn(func() { w.ask("quick", 900, 0, 1) })
+	w.open()
+	k := w.callers[0]
+	for _, c := range w.lanes() {
+		for _, id := range w.ends[c].waiting {
+			w.turn(func() { w.frame(c, 'Y', id+" OK 5 -\n"+strings.Repeat("x", 40<<10)) })
+		}
+	}
+	if k.answers != 1 || k.status != 500 {
+		t.Errorf("%d answers, the last %d, want one 500", k.answers, k.status)
+	}
+}
--- a/internal/routing/search.go
+++ b/internal/routing/search.go
@@ -359,6 +359,12 @@
 		}
 	}
 	r.body = protocol.EndAnswer(r.body)
+	if len(r.body) > protocol.MaxBody { // no client has to take such a body
+		r.Count.TooLong++
+		r.log.warn("answer too long", "%d bytes of values", len(r.body))
+		r.end(q, 500, 0, nil)
+		return
+	}
 	if allIn {
 		r.Count.Whole++
 	} else {
