--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -84,6 +84,7 @@
 	drafts   []draft
 
 	sockets   int
+	closed    transport.Conn // by the other side, in the event at hand
 	accepting bool
 	stopping  bool
 	leaving   bool
@@ -142,7 +143,7 @@
 // New makes a broker that knows its settings and no server yet.
 func New(net Net, pool *transport.Pool, log zerolog.Logger, set settings.Values, seed uint64, sockets int,
 	known []byte, discovery netip.AddrPort, epoch float64) *Router {
-	r := &Router{net: net, pool: pool, log: &notes{log: log}, wake: math.Inf(1), accepting: true, known: known}
+	r := &Router{net: net, pool: pool, log: &notes{log: log}, wake: math.Inf(1), accepting: true, known: known, closed: none}
 	r.catalog = catalog{addr: discovery, epoch: epoch, index: map[string]int{}, conn: none}
 	g := &r.rules
 	*g = rules{connect: set.Num("limits.connect-timeout-ms", 1000), idle: set.Num("limits.conn-idle-ms", math.Inf(1)),
@@ -329,6 +330,7 @@
 
 func (r *Router) Closed(c transport.Conn, upTo int64) {
 	r.sockets--
+	r.closed = c
 	if k := r.peer(c).client; k != nil {
 		r.clientGone(k)
 	} else if l := r.peer(c).lane; l != nil {
@@ -340,10 +342,14 @@
 	}
 	r.drain()
 	r.acceptAgain()
+	r.closed = none
 }
 
 // close drops a connection from this side.
 func (r *Router) close(c transport.Conn) {
+	if c == r.closed {
+		return // the other side was first, and handling that failed
+	}
 	r.sockets--
 	r.net.Close(c)
 }
@@ -351,6 +357,7 @@
 // Panicked errors what a failed event concerns, and nothing else where that is known.
 func (r *Router) Panicked(c transport.Conn, what any, stack []byte) {
 	r.Count.Panics++
+	defer func() { r.closed = none }()
 	r.log.fail(what, stack)
 	if must.Debug {
 		panic(what)
@@ -360,7 +367,11 @@
 			r.end(q, 500, 0, nil)
 			r.lapses = append(r.lapses, q)
 		}
-		r.finish(k)
+		if c == r.closed {
+			r.clientGone(k)
+		} else {
+			r.finish(k)
+		}
 	} else if l := r.peer(c).lane; l != nil {
 		r.close(c)
 		r.laneGone(l)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -731,3 +731,42 @@
 		t.Errorf("%d answers, the last %d, want one 500", k.answers, k.status)
 	}
 }
+
+func TestAFailureErrorsWhatItConcerns(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.turn()
+	w.open()
+	fails := func(c transport.Conn) {
+		defer func() {
+			if what := recover(); (what != nil) != must.Debug {
+				t.Errorf("recovered %v", what)
+			}
+		}()
+		w.turn(func() { w.r.Panicked(c, "a defect", nil) })
+	}
+	ask := func() *caller {
+		var k *caller
+		w.turn(func() { k = w.ask("quick", 900, 0) })
+		w.open()
+		return k
+	}
+	of := func(k *caller) transport.Conn {
+		return transport.Conn(slices.IndexFunc(w.ends, func(e *end) bool { return e != nil && e.client == k }))
+	}
+	first, second, third := ask(), ask(), ask()
+	fails(of(first))
+	fails(w.lanes()[0])
+	fails(none)
+	if must.Debug {
+		return
+	}
+	for _, k := range []*caller{first, second, third} {
+		if k.answers != 1 || k.status != 500 && k.status != 503 && k.status != 200 {
+			t.Errorf("search %s: %d answers, %d", k.id, k.answers, k.status)
+		}
+	}
+	if first.status != 500 || third.status != 500 || w.r.searches != 0 {
+		t.Error(first.status, third.status, w.r.searches)
+	}
+	w.settle()
+}
--- a/internal/routing/search.go
+++ b/internal/routing/search.go
@@ -1,7 +1,9 @@
 package routing
 
 import (
+	"encoding/binary"
 	"errors"
+	"hash/fnv"
 	"strconv"
 	"strings"
 
@@ -310,20 +312,25 @@
 	r.Count.Searches++
 	q := &search{id: string(id), text: append([]byte(nil), text...), until: came + float64(budget), by: c}
 	c.search = q
-	r.unstore(c)
 	if r.rules.most > 0 && r.held >= r.rules.most {
 		r.Count.OverHeld++
+		r.unstore(c)
 		r.end(q, 503, 0, nil)
 		return nil
 	}
 	r.searches++
 	r.held += 1 + len(r.drafts)
+	key := protocol.Key(c.in.Cookie("k"))
+	r.unstore(c)
 	q.at = r.take(slot{search: q})
 	r.port.Search(q.at, kind, customer, q.until, len(r.drafts))
 	for _, d := range r.drafts {
 		p := &part{q: q, shard: d.shard, id: q.id + "." + strconv.Itoa(d.shard)}
 		p.at = r.take(slot{part: p})
 		q.parts = append(q.parts, p)
+		if d.key == 0 && key != 0 {
+			d.key = mixed(key, d.shard)
+		}
 		r.port.Part(q.at, p.at, d.shard, d.share, d.work, d.key)
 	}
 	r.timers.add(q.until+overdue, func(r *Router) {
@@ -340,6 +347,13 @@
 	return nil
 }
 
+// mixed stands for what a search is about and a shard: the same at every broker.
+func mixed(key uint64, shard int) uint64 {
+	h := fnv.New64a()
+	h.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, key), uint64(shard)))
+	return h.Sum64()
+}
+
 // plain: what goes into the line of a frame has no spaces and no controls.
 func plain(b []byte) bool {
 	for _, c := range b {
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,41 @@
+package settings
+
+import (
+	"maps"
+	"testing"
+)
+
+func TestBothFormsSayTheSame(t *testing.T) {
+	text := `{"balancers":2,"classes":[{"aim-ms":4000.0,"name":"full","streaming":false}],"customers":[],"empty":{},
+"family-info":{"class-need":[1.0,0.5],"places":12},"localities":["a","b"],"missing":null}`
+	facts := "balancers=2\r\nclasses.0.aim-ms=4000.0\nclasses.0.name=full\nclasses.0.streaming=false\nclasses.count=1\n" +
+		"customers=\nfamily-info.class-need=1.0,0.5\nfamily-info.places=12\nlocalities=a,b"
+	nested, err := FromJSON([]byte(text))
+	if flat := FromFacts(facts); err != nil || !maps.Equal(nested, flat) {
+		t.Errorf("%v\n%v\n%v", err, nested, flat)
+	}
+	if nested.Num("classes.0.aim-ms", 1) != 4000 || nested.Num("x", 7) != 7 || nested.Item("classes", 0, "name") != "full" ||
+		nested.nth("family-info.class-need", 1, 9) != 0.5 || nested.nth("family-info.class-need", 2, 9) != 9 ||
+		len(nested.List("customers")) != 0 || nested.Count("customers") != 0 || nested.Flag("classes.0.streaming") {
+		t.Error("a value is read wrongly")
+	}
+	for _, broken := range []string{"", "[]", `{"a":`, "3"} {
+		if _, err := FromJSON([]byte(broken)); err == nil {
+			t.Errorf("taken: %q", broken)
+		}
+	}
+}
+
+func FuzzSettings(f *testing.F) {
+	f.Add(`{"classes":[{"aim-ms":"NaN","effect":"by_key","group":"all"},1],"family-info":{"places":-3,"span":1e300},"seed":[[]]}`)
+	f.Add(`{"classes":{"count":1e9},"limits":{"attempts-cap":-1,"may-probe":"true"},"safety":{"tip-multiple":0,"further-ratio":1}}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		v, err := FromJSON([]byte(text))
+		if err != nil {
+			return
+		}
+		if p := v.Port(nil, 1); p == nil || v.Count("classes") > maxListed {
+			t.Fatal("no module")
+		}
+	})
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -3,6 +3,7 @@
 package transport
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net/netip"
 	"runtime/debug"
@@ -94,8 +95,9 @@
 	if l.told, err = unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC); err != nil {
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
-	for fd, c := range map[int]Conn{l.timer: bell, l.told: wakeUp} {
-		if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(c)}); err != nil {
+	for c, fd := range [...]int{l.timer, l.told} {
+		e := unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(bell) - int32(c)}
+		if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &e); err != nil {
 			return nil, fmt.Errorf("epoll: %w", err)
 		}
 	}
@@ -110,9 +112,7 @@
 
 // Tell brings a word from another goroutine into the loop.
 func (l *Loop) Tell(what int32) {
-	word := [8]byte{}
-	*(*uint64)(unsafe.Pointer(&word)) = 1 << uint(what)
-	unix.Write(l.told, word[:])
+	unix.Write(l.told, binary.NativeEndian.AppendUint64(nil, 1<<uint(what)))
 }
 
 // Listen opens the one address on which connections are taken.
@@ -405,7 +405,7 @@
 	case c == wakeUp:
 		var word [8]byte
 		unix.Read(l.told, word[:])
-		for what, bits := int32(0), *(*uint64)(unsafe.Pointer(&word)); bits != 0; what, bits = what+1, bits>>1 {
+		for what, bits := int32(0), binary.NativeEndian.Uint64(word[:]); bits != 0; what, bits = what+1, bits>>1 {
 			if bits&1 != 0 {
 				l.handler.Told(what)
 			}
