--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -86,6 +86,7 @@
 	sockets   int
 	closed    transport.Conn // by the other side, in the event at hand
 	accepting bool
+	relieving bool
 	stopping  bool
 	leaving   bool
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -770,3 +770,20 @@
 	}
 	w.settle()
 }
+
+func TestPausesDoNotAddUp(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.turn()
+	w.open()
+	before := len(w.r.timers)
+	for range 50 {
+		w.turn(w.r.AcceptFailed)
+		if !w.paused {
+			t.Fatal("accepting goes on without descriptors")
+		}
+		w.turn(w.r.acceptAgain)
+	}
+	if n := len(w.r.timers) - before; n > 1 {
+		t.Errorf("%d timers wait", n)
+	}
+}
--- a/internal/routing/search.go
+++ b/internal/routing/search.go
@@ -106,7 +106,12 @@
 		r.Count.GaveWay++
 		r.finish(c)
 	}
+	if r.relieving {
+		return // one who looks again is enough, however often accepting starts and stops
+	}
+	r.relieving = true
 	r.after(resume, func(r *Router) {
+		r.relieving = false
 		if r.acceptAgain(); !r.accepting && !r.leaving {
 			r.relieve()
 		}
