--- a/cmd/kestrelspread/main_test.go
+++ b/cmd/kestrelspread/main_test.go
@@ -494,6 +494,68 @@
 	}
 }
 
+func TestSearchThatWaitedThroughAStallIsAsOldAsItIs(t *testing.T) {
+	a := startNode(t)
+	d := startLister(t, "127.0.0.1:0")
+	b := start(t, "127.0.0.1:0", d.at, listOf(1, true, "ready", a), 1024)
+	c := b.dial()
+	for try := 0; ; try++ { // the kernel begins to stamp what comes a little after it was first asked to
+		b.cmd.Process.Signal(syscall.SIGSTOP)
+		if _, err := io.WriteString(c, request("quick", 300, body(0))); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		b.cmd.Process.Signal(syscall.SIGCONT)
+		if got := send(c, ""); got.status == 503 {
+			break
+		} else if try == 20 {
+			t.Fatalf("%+v to a client whose time was up", got)
+		}
+	}
+	a.Lock()
+	calls := a.calls
+	a.Unlock()
+	b.want(200, send(c, request("quick", 2900, body(0))))
+	if a.Lock(); a.calls != calls+1 {
+		t.Error("parts were sent for a client whose time was up")
+	}
+	a.Unlock()
+}
+
+func TestLogThatNobodyReadsHoldsNothingUp(t *testing.T) {
+	a := startNode(t)
+	d := startLister(t, "127.0.0.1:0")
+	b := start(t, "127.0.0.1:0", d.at, listOf(1, true, "ready", a), 1024)
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	mute := exec.Command(program)
+	mute.Env = append(os.Environ(), "RELAY_CONFIG="+b.conf)
+	mute.Stderr = w
+	if err := mute.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Process.Kill()
+	w.Close()
+	line, err := bufio.NewReaderSize(r, 16).ReadString('\n') // and no more
+	var said struct{ Listen string }
+	if err != nil || json.Unmarshal([]byte(line), &said) != nil {
+		t.Fatal(line, err)
+	}
+	b.at = said.Listen
+	for range 300 { // four lines each: far more than a pipe holds
+		mute.Process.Signal(syscall.SIGUSR1)
+		b.want(200, b.ask("GET /ready HTTP/1.1\r\n\r\n"))
+	}
+	b.want(200, b.ask(request("quick", 2900, body(0))))
+	mute.Process.Signal(syscall.SIGTERM)
+	if err := mute.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestBadInput(t *testing.T) {
 	a := startNode(t)
 	d := startLister(t, "127.0.0.1:0")
