An older list is taken only where discovery goes on saying it for 6 s

Before, a second watch that began with the same older list was believed: an agent that holds old news while discovery is down would have brought back servers told to be draining (catalog.go, list).

--- a/internal/routing/catalog.go
+++ b/internal/routing/catalog.go
@@ -13,6 +13,7 @@
 	beat     = 2000.
 	silence  = 1.6 * beat // without a beat for so long, a watch is opened anew
 	askAgain = 300.       // after it was lost
+	insists  = 6000.      // so late at most comes what discovery has to tell
 )
 
 // catalog is the list of servers and the watch that keeps it.
@@ -29,9 +30,9 @@
 	in     protocol.HTTP
 	lines  protocol.Lines
 	heard  float64
-	opened int  // counts watches, so that a timer of an older one is known
-	first  bool // no list has come on this watch yet
-	older  bool // the last watch began with an older list
+	opened int     // counts watches, so that a timer of an older one is known
+	first  bool    // no list has come on this watch yet
+	older  float64 // since when watches begin with an older list, or 0
 }
 
 // server is one of the list; its index is the module's.
@@ -99,7 +100,7 @@
 func (r *Router) watchOpened() {
 	k := &r.catalog
 	after := k.version
-	if k.older || !k.told {
+	if k.older > 0 || !k.told {
 		after = 0
 	}
 	r.scratch = protocol.AppendWatch(r.scratch[:0], k.addr.String(), after)
@@ -136,7 +137,7 @@
 }
 
 // list takes a whole list or changes to it. What is not understood changes nothing. An older version never
-// takes a newer one's place, unless asked for everything discovery still says so: then it counts anew.
+// takes a newer one's place, unless discovery, asked for everything, goes on saying so: then it counts anew.
 func (r *Router) list(line []byte) error {
 	k := &r.catalog
 	version, whole, err := protocol.List(line, nil)
@@ -150,12 +151,14 @@
 		if !whole || !first {
 			return nil
 		}
-		if !k.older {
-			k.older = true
+		if k.older == 0 {
+			k.older = r.now
+		}
+		if r.now < k.older+insists {
 			return badRequest("a list older than the one held")
 		}
 	}
-	k.older = false
+	k.older = 0
 	k.told, k.version = true, version
 	r.Count.Lists++
 	for _, v := range k.servers {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -700,11 +700,22 @@
 	again()
 	say(entry(3, true, "ready"))
 	ready(1, "an older whole list")
+	if w.r.catalog.conn != none {
+		t.Error("its watch is kept")
+	}
 	w.now += askAgain
 	w.turn()
 	w.open()
 	say(entry(3, true, "ready"))
-	ready(1, "the same again: s1 is gone, s0 is back")
+	ready(1, "the same again")
+	if w.r.catalog.version != 9 {
+		t.Error("an older list was taken")
+	}
+	w.now += insists
+	w.turn()
+	w.open()
+	say(entry(3, true, "ready"))
+	ready(1, "the same for long: s1 is gone, s0 is back")
 	if w.r.catalog.version != 3 {
 		t.Error("discovery counts anew, at ", w.r.catalog.version)
 	}
