--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -798,3 +798,94 @@
 		t.Errorf("%d timers wait", n)
 	}
 }
+
+// watching gives the connection to discovery, or none.
+func (w *world) watching() transport.Conn {
+	for c, e := range w.ends {
+		if e != nil && e.client == nil && e.to.Port() == 9 {
+			return transport.Conn(c)
+		}
+	}
+	return none
+}
+
+// pass lets time go by in turns as the timer asks for them.
+func (w *world) pass(ms float64) {
+	for end := w.now + ms; w.now < end; {
+		if w.armed > w.now && w.armed < end {
+			w.now = w.armed
+		} else {
+			w.now = end
+		}
+		w.turn()
+	}
+}
+
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.turn()
+	w.open()
+	c := w.watching()
+	first := w.ends[c]
+	for range 4 {
+		w.pass(beat)
+		w.turn(func() { w.say(c, []byte("1\r\n\n\r\n")) })
+	}
+	if w.ends[c] != first {
+		t.Fatal("a watch that beats was given up")
+	}
+	w.pass(silence + askAgain + 1)
+	if c := w.watching(); c == none || w.ends[c] == first || w.r.Count.WatchesLost != 1 {
+		t.Error("a silent watch was not opened anew")
+	}
+	if w.r.catalog.ready != 2 {
+		t.Error("its list was not kept")
+	}
+}
+
+func TestIdleConnectionsAreClosedInTimeAndNoOthers(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.turn()
+	w.open()
+	ask := func() {
+		w.turn(func() { w.ask("once", 5000, 0) })
+		w.open()
+	}
+	ask()
+	c := w.lanes()[0]
+	w.pass(2500) // the settings say 2000
+	if len(w.lanes()) != 1 {
+		t.Fatal("a connection with a part out was closed for being idle")
+	}
+	w.answer(c)
+	used := w.now
+	for len(w.lanes()) > 0 {
+		if w.pass(10); w.now >= used+2000 {
+			t.Fatal("an idle connection is open past its time")
+		}
+	}
+	if w.now < used+1000 {
+		t.Errorf("closed after %.0f ms", w.now-used)
+	}
+}
+
+func TestHalfARequestDoesNotKeepABrokerFromStopping(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.turn()
+	w.open()
+	half := &end{client: &caller{id: "half"}, open: true}
+	c := w.take(half)
+	w.turn(func() {
+		w.r.Accepted(c)
+		w.say(c, []byte("POST /api HTTP/1.1\r\nContent-Length: 99\r\n\r\nabc"))
+		w.r.Told(Terminate)
+	})
+	w.pass(stopAfter + 1)
+	if w.ends[c] != half || half.finished || !w.deaf {
+		t.Error("it was cut off before its time, or the address is open")
+	}
+	w.pass(cutOff + lingers + 1)
+	if !w.stopped || w.pool.Out() != 0 {
+		t.Error("it did not stop")
+	}
+}
