--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -889,3 +889,32 @@
 		t.Error("it did not stop")
 	}
 }
+
+func TestClientsThatStandStillAreLetGo(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.turn()
+	w.open()
+	half := &end{client: &caller{id: "half"}, open: true}
+	at := w.take(half)
+	w.turn(func() {
+		w.r.Accepted(at)
+		w.say(at, []byte("POST /api HTTP/1.1\r\nContent-Length: 99\r\n\r\nabc"))
+	})
+	var k *caller
+	w.turn(func() { k = w.ask("quick", 900, 0) })
+	w.open()
+	reader := slices.IndexFunc(w.ends, func(e *end) bool { return e != nil && e.client == k })
+	w.ends[reader].stuck, k.gone = w.now+1e9, true
+	w.answer(w.lanes()[0])
+	if len(w.ends[reader].sent) == 0 {
+		t.Fatal("no answer waits")
+	}
+	w.pass(slowest / 2)
+	if half.client.answers != 0 || w.ends[reader] == nil {
+		t.Error("let go of too soon")
+	}
+	w.pass(slowest/2 + lingers + 10)
+	if half.client.status != 408 || w.ends[reader] != nil || w.r.Count.Stuck != 1 || w.r.clients != 0 || w.pool.Out() != 0 {
+		t.Error(half.client.status, w.r.Count.Stuck, w.r.clients, w.pool.Out())
+	}
+}
