A stop takes what has connected even while accepting pauses, and lets it ask

Cause, by reading: Unlisten took what waited only while accepting was on, and the connections it had just taken were closed as idle in the same turn (transport, Unlisten; routing, terminate). Now it always takes them, and idle ones end 100 ms later, still within the 700 ms after SIGTERM. Tests: the transport's fails before.

--- a/internal/protocol/frame.go
+++ b/internal/protocol/frame.go
@@ -85,8 +85,8 @@
 
 const (
 	OK End = iota
-	Failed
-	Rejected
+	Errored
+	TurnedAway
 )
 
 // ReadReply reads the rest of a frame Y.
@@ -100,9 +100,9 @@
 	case "OK":
 		end = OK
 	case "ERROR":
-		end = Failed
+		end = Errored
 	case "REJECTED":
-		end = Rejected
+		end = TurnedAway
 	default:
 		return nil, 0, nil, nil, bad(400, "a reply is not understood")
 	}
--- a/internal/routing/lane.go
+++ b/internal/routing/lane.go
@@ -440,9 +440,9 @@
 	}
 	how := decide.Answered
 	switch end {
-	case protocol.Failed:
+	case protocol.Errored:
 		how = decide.Errored
-	case protocol.Rejected:
+	case protocol.TurnedAway:
 		how = decide.Full
 	default:
 		if p := s.part; !p.got {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -43,6 +43,7 @@
 	lingers      = 1000  // and so long over closing after an answer
 	// Clients go on coming for up to 400 ms after SIGTERM, and what comes 700 ms after it may be cut off.
 	stopAfter = 500
+	lastCalls = 100  // what had connected by then may still ask
 	cutOff    = 1000 // a request that has begun by then may still end within so long
 	resume    = 100  // out of descriptors: try accepting again after so long
 	relieved  = 16   // and have so many idle connections give way each time
@@ -276,23 +277,21 @@
 	r.stopping = true
 	r.log.info("stopping", "%d searches held", r.searches)
 	r.after(stopAfter, func(r *Router) {
-		r.net.Unlisten()
 		r.accepting, r.leaving = false, true
-		for _, p := range r.peers {
-			if p.client != nil && p.client.idle() {
-				r.finish(p.client)
-			}
-		}
-		r.after(cutOff, func(r *Router) {
-			for _, p := range r.peers {
-				if p.client != nil && p.client.search == nil {
-					r.finish(p.client)
-				}
-			}
-		})
+		r.net.Unlisten()
+		r.after(lastCalls, func(r *Router) { r.finishAll((*client).idle) })
+		r.after(cutOff, func(r *Router) { r.finishAll(func(c *client) bool { return c.search == nil }) })
 	})
 }
 
+func (r *Router) finishAll(which func(*client) bool) {
+	for _, p := range r.peers {
+		if p.client != nil && which(p.client) {
+			r.finish(p.client)
+		}
+	}
+}
+
 func (r *Router) leave() {
 	if r.leaving && r.clients == 0 {
 		r.net.Stop()
--- a/internal/routing/search.go
+++ b/internal/routing/search.go
@@ -217,13 +217,13 @@
 		switch {
 		case err != nil:
 			c.last = true // where the next message begins is no longer sure
-			r.refuse(c, err)
+			r.reject(c, err)
 			return
 		case step == protocol.Headed:
 			if expects, n := c.in.Header("expect"); n > 0 {
 				if !strings.EqualFold(string(expects), "100-continue") {
 					c.last = true
-					r.refuse(c, &protocol.Bad{Status: 417, Why: "an expectation that is not known"})
+					r.reject(c, &protocol.Bad{Status: 417, Why: "an expectation that is not known"})
 					return
 				}
 				if len(b) == 0 {
@@ -270,12 +270,12 @@
 		r.respond(c, 200, 0, []byte("ready\n"))
 	case path == "/api" && c.in.Is("POST"):
 		if err := r.search(c, came); err != nil {
-			r.refuse(c, err)
+			r.reject(c, err)
 		}
 	case path == "/api" || path == "/ready":
-		r.refuse(c, &protocol.Bad{Status: 405, Why: "method not allowed"})
+		r.reject(c, &protocol.Bad{Status: 405, Why: "method not allowed"})
 	default:
-		r.refuse(c, &protocol.Bad{Status: 404, Why: "no such path"})
+		r.reject(c, &protocol.Bad{Status: 404, Why: "no such path"})
 	}
 }
 
@@ -431,7 +431,7 @@
 	}
 }
 
-func (r *Router) refuse(c *client, err error) {
+func (r *Router) reject(c *client, err error) {
 	r.Count.BadRequests++
 	status := 400
 	var bad *protocol.Bad
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -34,11 +34,12 @@
 }
 
 const (
-	none    Conn = -1
-	bell    Conn = -2
-	wakeUp  Conn = -3
-	accepts      = 64 // in one turn: those connected are served in between
-	backlog      = 1024
+	none   Conn = -1
+	bell   Conn = -2
+	wakeUp Conn = -3
+
+	accepts = 64 // in one turn: those connected are served in between
+	backlog = 1024
 	// clockZero lets times before the start stay above 0.
 	clockZero = 24 * 3600 * 1000.
 )
@@ -215,7 +216,7 @@
 	if l.listener == none {
 		return
 	}
-	for l.accepting && l.accept() {
+	for l.accepting = true; l.accept(); {
 	}
 	c := l.listener
 	l.listener = none
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -197,3 +197,24 @@
 		t.Error(err, ended, s.l.pool.Out())
 	}
 }
+
+func TestWhatHasConnectedIsTakenBeforeTheAddressCloses(t *testing.T) {
+	s, at := start(t)
+	s.l.Accept(false)
+	for range 3 {
+		dial(t, at)
+	}
+	took := 0
+	s.took = func(Conn) { took++ }
+	s.turn = func() {
+		s.l.Unlisten()
+		s.l.Stop()
+	}
+	if err := s.l.Run(s); err != nil || took != 3 {
+		t.Errorf("%v: %d taken of 3", err, took)
+	}
+	if c, err := net.Dial("tcp", at); err == nil {
+		c.Close()
+		t.Error("the address is open")
+	}
+}
