--- a/cmd/kestrelspread/main_test.go
+++ b/cmd/kestrelspread/main_test.go
@@ -444,6 +444,52 @@
 	}
 }
 
+func TestStopUnderLoadLosesNothing(t *testing.T) {
+	a, z := startNode(t), startNode(t)
+	d := startLister(t, "127.0.0.1:0")
+	b := start(t, "127.0.0.1:0", d.at, listOf(1, true, "ready", a, z), 1024)
+	var wait sync.WaitGroup
+	answers := make([]int, 20)
+	for i := range answers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for {
+				c, err := net.Dial("tcp", b.at)
+				if err != nil {
+					return // the address is closed
+				}
+				c.SetDeadline(time.Now().Add(30 * time.Second))
+				for last := false; !last; {
+					got := send(c, request("quick", 2900, body(i%4)))
+					if got.status > 0 && got.err != nil {
+						t.Errorf("an answer broke off: %+v", got)
+					}
+					if got.status == 0 {
+						break // the end of the connection crossed the request, which is asked again
+					}
+					answers[i]++
+					last = got.last
+				}
+				c.Close()
+			}
+		}()
+	}
+	b.until("there is load", func() bool { a.Lock(); defer a.Unlock(); return a.calls > 50 })
+	b.cmd.Process.Signal(syscall.SIGTERM)
+	wait.Wait()
+	if err := b.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	sum := 0
+	for _, n := range answers {
+		sum += n
+	}
+	if want := fmt.Sprintf(`"searches":%d,`, sum); !strings.Contains(b.log.String(), want) || sum < 50 {
+		t.Errorf("%d answers arrived; the counters do not say %s", sum, want)
+	}
+}
+
 func TestKilledAndStartedAgain(t *testing.T) {
 	a := startNode(t)
 	d := startLister(t, "127.0.0.1:0")
