--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -83,6 +83,8 @@
 	scratch  []byte
 	body     []byte
 	drafts   []draft
+	marks    []int64 // by shard: the last search that named it
+	mark     int64
 
 	sockets   int
 	closed    transport.Conn // by the other side, in the event at hand
--- a/internal/routing/search.go
+++ b/internal/routing/search.go
@@ -307,12 +307,15 @@
 	if err != nil {
 		return err
 	}
-	for i := range r.drafts {
-		for j := range i {
-			if r.drafts[i].shard == r.drafts[j].shard {
-				return badRequest("a segment stands there twice")
-			}
+	r.mark++
+	for _, d := range r.drafts {
+		if d.shard >= len(r.marks) {
+			r.marks = append(r.marks, make([]int64, d.shard+1-len(r.marks))...)
 		}
+		if r.marks[d.shard] == r.mark {
+			return badRequest("a segment stands there twice")
+		}
+		r.marks[d.shard] = r.mark
 	}
 	r.Count.Searches++
 	q := &search{id: string(id), text: append([]byte(nil), text...), until: came + float64(budget), by: c}
@@ -378,6 +381,8 @@
 		}
 	}
 	r.body = protocol.EndAnswer(r.body)
+	// A second step is not spoken on sockets: the module must not wait for one.
+	r.lapses = append(r.lapses, q)
 	if len(r.body) > protocol.MaxBody { // no client has to take such a body
 		r.Count.TooLong++
 		r.log.warn("answer too long", "%d bytes of values", len(r.body))
@@ -390,8 +395,6 @@
 		r.Count.Partial++
 	}
 	r.end(q, 200, 0, r.body)
-	// A second step is not spoken on sockets: the module must not wait for one.
-	r.lapses = append(r.lapses, q)
 }
 
 func (r *Router) Shed(at int, comeBack float64) {
