Tokens go with tokened parts; ends, silences and stops leave nothing begun or unheard

One request's id followed through the broker's log: its client sends Idempotency-Key, and the line of its part did not carry it (protocol/frame.go AppendPart). Ruled out: names with spaces, customers, keys in cookies (idempotent and non-idempotent searches of the same clients pass).

From reading, each with a test: words told twice before they were read became other words (an eventfd adds); a signal found its channel full behind others, and a stop waited for a configuration that was being read; a request whose client had gone was begun in the turn that read it and its end found out in the next (one read a turn); where sub-requests are not called off, what waited for a connect or behind another frame was sent though the search was over; a frame that stood before a full connection began whenever that took it (now taken back; the same in place of dropping the connection when its server drains); a lost watch was opened 300 ms later and not at all while leaving; a watch that hung as it was opened was given 3.2 s, one that trickled was never given up, and after a silence only changes were asked for; times of the stop were constants beside a grace that may be short, what was held longer than the time until the kill had no answer, new connections were ended before they had spoken, and the address was closed on those that no descriptor was left for; a window of 0 to 50 ms left a tokened part no time to begin; unknown customers used up the first one's share; zone names with commas; a failure as a turn begins ended the process; limits beyond any machine.

--- a/cmd/kestrelspread/main_test.go
+++ b/cmd/kestrelspread/main_test.go
@@ -223,9 +223,13 @@
 }
 
 func start(t *testing.T, listen, discovery, known string, sockets int, args ...string) *running {
+	return startSet(t, settingsText, listen, discovery, known, sockets, args...)
+}
+
+func startSet(t *testing.T, set, listen, discovery, known string, sockets int, args ...string) *running {
 	b := &running{t: t, log: &logged{}, conf: filepath.Join(t.TempDir(), "config.json")}
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,`+
-		`"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`, listen, discovery, sockets, known, settingsText)
+		`"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`, listen, discovery, sockets, known, set)
 	if err := os.WriteFile(b.conf, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -101,6 +101,7 @@
 func (b *Port) Unlisted()                                    {}
 func (b *Port) ComeBack(int) float64                         { return 0 }
 func (b *Port) Bell()                                        {}
+func (b *Port) Until(id int, until float64)                  { b.hasten(id, until) }
 func (b *Port) Open(int, bool)                               {}
 func (b *Port) Pushback(int, float64)                        {}
 func (b *Port) Begin(now float64)                            { b.now = now }
@@ -118,6 +119,12 @@
 	q.parts = append(q.parts, k)
 }
 
+func (b *Port) hasten(id int, until float64) {
+	if q := b.searches[id]; q != nil {
+		q.until = min(q.until, until)
+	}
+}
+
 // Home tells a failover policy its own hall.
 func (b *Port) Home(hall int) { b.hall = hall }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -96,19 +96,19 @@
 		return p, fmt.Errorf("config %s: no settings", path)
 	}
 	if p.listen, err = netip.ParseAddrPort(p.Listen); err != nil {
-		return p, fmt.Errorf("listen address: %w", err)
+		return p, fmt.Errorf("config %s: listen address: %w", path, err)
 	}
 	if p.discovery, err = netip.ParseAddrPort(p.Discovery); err != nil {
-		return p, fmt.Errorf("discovery address: %w", err)
+		return p, fmt.Errorf("config %s: discovery address: %w", path, err)
 	}
 	if p.seed, err = strconv.ParseUint(p.Seed, 16, 64); err != nil {
-		return p, fmt.Errorf("seed: %w", err)
+		return p, fmt.Errorf("config %s: seed: %w", path, err)
 	}
 	if p.set, err = settings.FromJSON(p.Settings); err != nil {
-		return p, err
+		return p, fmt.Errorf("config %s: %w", path, err)
 	}
 	if p.set.Count("classes") == 0 {
-		return p, errors.New("settings: no classes")
+		return p, fmt.Errorf("config %s: settings: no classes", path)
 	}
 	return p, nil
 }
@@ -162,8 +162,12 @@
 // Run is a broker from its start to its end; its log goes to stderr. An error is one line of why it did not start.
 func Run(stderr io.Writer, attach ...Attach) error {
 	// Before anything else: what a signal does by default ends the process.
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	// A channel for each kind: a signal that finds its channel full is dropped, so others must not fill it. Of one kind, the
+	// one that waits stands for those after it.
+	stops, reports, rereads := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reports, syscall.SIGUSR1)
+	signal.Notify(rereads, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE)
 	c, err := load(true)
 	if err != nil {
@@ -172,14 +176,14 @@
 	listen := c.listen
 
 	sockets := descriptors(c.Limits.Sockets)
-	memory := int64(c.Limits.MemoryMB * (1 << 20))
+	memory := int64(min(c.Limits.MemoryMB, memoryMost) * (1 << 20))
 	if memory <= 0 {
 		memory = 512 << 20
 	}
 	// The collector has to start before the limit: past it the broker is killed. Buffers may take a third.
 	debug.SetMemoryLimit(memory * 6 / 10)
 	debug.SetGCPercent(200)
-	runtime.GOMAXPROCS(max(int(c.Limits.Cores), 1))
+	runtime.GOMAXPROCS(int(min(max(c.Limits.Cores, 1), coresMost)))
 	const size = protocol.MaxHead + protocol.MaxBody + 4<<10
 	pool := &transport.Pool{Size: size, Most: int(memory / 3 / size)}
 
@@ -218,15 +222,18 @@
 		again.filed = filed
 	}
 	again.filed.Known, again.filed.Settings = nil, nil // only what is compared is kept
+	go func() {                                        // apart, as reading a file may take its time and a stop must not wait for it
+		for range rereads {
+			again.again()
+		}
+	}()
 	go func() {
-		for s := range signals {
-			switch s {
-			case syscall.SIGUSR1:
-				loop.Tell(routing.Report)
-			case syscall.SIGHUP:
-				again.again()
-			default:
+		for {
+			select {
+			case <-stops:
 				loop.Tell(routing.Terminate)
+			case <-reports:
+				loop.Tell(routing.Report)
 			}
 		}
 	}()
@@ -243,6 +250,12 @@
 	return err
 }
 
+// A configuration may state more than any machine has; a number that does not fit must not become another one.
+const (
+	memoryMost = 1 << 20 // MB
+	coresMost  = 256
+)
+
 // descriptors is how many this process may hold: what it is told, or what the system allows if that is less.
 func descriptors(told int) int {
 	var limit syscall.Rlimit
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -429,6 +429,15 @@
 	return k.effect == Idempotent || y == nil || k.effect == Tokened && b.now < y.sent+k.tokenFor-margin
 }
 
+// windowed: a window that ends before a repeat could be sent is none, and the type's parts may not run twice. Taken for
+// one, it would leave the first sub-request no time to begin either.
+func windowed(effect Effect, window float64) Effect {
+	if effect == Tokened && window <= 2*margin {
+		return NonIdempotent
+	}
+	return effect
+}
+
 // more decides whether a part gets a sub-request: its first, another after a failure, one off a dead
 // server, or the design's copy.
 func (b *Broker) more(t *turn) verdict {
--- a/internal/decide/port.go
+++ b/internal/decide/port.go
@@ -99,6 +99,7 @@
 	Pushback(part int, wait float64)
 	Probed(server int, ok bool, elapsed float64, report []float64)
 	Lapsed(search int)
+	Until(search int, until float64) // its client can be answered no later than that, sooner than was said
 	Server(id, hall, cell int, state State, size, started float64)
 	Drop(id int) bool // one that is gone: its index may be used again. False, and nothing done, while it matters still
 	// Site: all that a hall holds has failed together, or some of it answers again. spread: its servers are tried over so
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -271,7 +271,7 @@
 }
 
 func (b *Broker) QueryType(aim, value, late float64, effect Effect, tokenFor float64) {
-	b.types = append(b.types, &queryType{aim: aim, value: value, late: late, tokenFor: tokenFor, effect: effect,
+	b.types = append(b.types, &queryType{aim: aim, value: value, late: late, tokenFor: tokenFor, effect: windowed(effect, tokenFor),
 		need: 1, floor: 1, lat: hist(lineSpan)})
 	b.topValue = max(b.topValue, value)
 	if aim > 0 {
@@ -597,6 +597,12 @@
 	}
 }
 
+func (b *Broker) Until(id int, until float64) {
+	if q := at(b.searches, id); q != nil && !q.over {
+		q.until = min(q.until, until)
+	}
+}
+
 func (b *Broker) finish(q *search) {
 	q.over = true
 	b.limits.held--
--- a/internal/passthrough/call.go
+++ b/internal/passthrough/call.go
@@ -91,7 +91,10 @@
 	return freed
 }
 
-const pieceLeast = 1 << 10
+const (
+	pieceLeast  = 1 << 10
+	standsStill = 200. // ms
+)
 
 func (q *queue) size() int { return int(q.to - q.from) }
 
@@ -662,10 +665,15 @@
 		return
 	}
 	a.over = true
+	k := a.k
 	if a.s == nil || a.start < a.l.written {
-		a.k.f.r.Forgo(a.by) // else it could still begin, called off or not
+		k.f.r.Forgo(a.by) // else it could still begin, called off or not
+	} else if k.final && !a.l.gone {
+		// Its client is gone or has its end. What the network takes later would begin for nobody; heads can't be taken back
+		// one by one, as each says what the next may leave out, so a connection that goes on standing still is dropped.
+		k.f.r.Forgo(a.by)
+		a.by = k.f.r.After(min(standsStill, max(a.sub.Begin()-k.f.r.Now(), 0)), a.tooLate)
 	}
-	k := a.k
 	for i, o := range k.attempts {
 		if o == a {
 			k.attempts = append(k.attempts[:i], k.attempts[i+1:]...)
--- a/internal/protocol/frame.go
+++ b/internal/protocol/frame.go
@@ -140,13 +140,17 @@
 }
 
 // AppendCall begins a frame, AppendPart adds a part to a call, EndFrame states the frame's length; from is
-// where the frame began.
+// where the frame began. mark is what its client said a repeat is known by, or empty: servers drop a repeat by it, so
+// it goes with every sub-request of the part.
 func AppendCall(dst []byte) []byte { return append(dst, 0, 0, 0, 0, Call) }
 
-func AppendPart(dst []byte, id string, shard int, wait float64, text []byte) []byte {
+func AppendPart(dst []byte, id string, shard int, wait float64, mark, text []byte) []byte {
 	dst = append(append(dst, id...), ' ')
 	dst = append(strconv.AppendInt(dst, int64(shard), 10), " d="...)
-	dst = append(strconv.AppendInt(dst, int64(max(wait, 1)), 10), ' ')
+	if dst = strconv.AppendInt(dst, int64(max(wait, 1)), 10); len(mark) > 0 {
+		dst = append(append(dst, ",k="...), mark...)
+	}
+	dst = append(dst, ' ')
 	dst = append(strconv.AppendInt(dst, int64(len(text)), 10), '\n')
 	return append(dst, text...)
 }
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -404,8 +404,32 @@
 	return append(append(append(dst, " HTTP/1.1\r\nHost: "...), host...), "\r\n\r\n"...)
 }
 
-// Lines cuts a stream into lines, of which each may be long.
-type Lines struct{ held []byte }
+// Lines cuts a stream into lines, of which each may be long. A list that comes indented, over many lines, is one: a line
+// that is the sound beginning of a list is held until its last brace is shut.
+type Lines struct {
+	held            []byte
+	depth, seen     int
+	quoted, escaped bool
+}
+
+// shut follows braces through a line, and tells whether all are shut at its end.
+func (l *Lines) shut(line []byte) bool {
+	for _, c := range line {
+		switch {
+		case l.escaped:
+			l.escaped = false
+		case l.quoted:
+			l.escaped, l.quoted = c == '\\', c != '"'
+		case c == '"':
+			l.quoted = true
+		case c == '{' || c == '[':
+			l.depth++
+		case c == '}' || c == ']':
+			l.depth--
+		}
+	}
+	return l.depth <= 0 || l.quoted // no line ends within a string
+}
 
 func (l *Lines) Feed(b []byte, each func(line []byte) error) error {
 	for {
@@ -417,10 +441,25 @@
 			l.held = append(l.held, line...)
 			return nil
 		}
+		goes := len(l.held) > 0 && l.depth > 0 // on from the line before
 		if len(l.held) > 0 {
 			l.held = append(l.held, line...)
 			line = l.held
 		}
+		piece := line[l.seen:]
+		if goes {
+			// A blank line is a beat and a sound list is one of its own: what is held was cut off, and goes on nowhere.
+			if _, _, err := List(piece, nil); err == nil || len(bytes.TrimSpace(piece)) == 0 {
+				return bad(400, "half a list")
+			}
+		}
+		if !l.shut(piece) && (goes || begins(line)) && len(line) < maxLine {
+			l.held = append(append(l.held[:0], line...), '\n')
+			l.seen = len(l.held)
+			b = rest
+			continue
+		}
+		l.depth, l.quoted, l.escaped, l.seen = 0, false, false, 0
 		err := each(bytes.TrimRight(line, "\r"))
 		if l.held = l.held[:0]; err != nil {
 			return err
--- a/internal/protocol/json.go
+++ b/internal/protocol/json.go
@@ -17,9 +17,15 @@
 	b      []byte
 	at     int
 	broken bool
+	short  bool // it broke at its end: what came before is sound
 }
 
-func (s *scan) fail() { s.broken, s.at = true, len(s.b) }
+func (s *scan) fail() {
+	if !s.broken {
+		s.short = s.at >= len(s.b)
+	}
+	s.broken, s.at = true, len(s.b)
+}
 
 func (s *scan) peek() byte {
 	for s.at < len(s.b) {
@@ -241,7 +247,22 @@
 func List(line []byte, each func(id, addr, zone []byte, cell int, state uint8, weight, started float64)) (
 	version int64, full bool, err error) {
 	s := &scan{b: line}
-	has := 0
+	version, full, has := s.list(each)
+	if !s.ended() || has&5 != 5 {
+		return 0, false, bad(400, "the list is not understood")
+	}
+	return version, full, nil
+}
+
+// begins tells whether a line is the sound beginning of a list that goes on in the next line.
+func begins(line []byte) bool {
+	s := &scan{b: line}
+	s.list(nil)
+	return s.short && s.b[0] == '{'
+}
+
+func (s *scan) list(each func(id, addr, zone []byte, cell int, state uint8, weight, started float64)) (
+	version int64, full bool, has int) {
 	s.object([]string{"generation", "reset", "instances"}, func(name int) {
 		has |= 1 << name
 		switch name {
@@ -283,8 +304,5 @@
 			})
 		}
 	})
-	if !s.ended() || has&5 != 5 {
-		return 0, false, bad(400, "the list is not understood")
-	}
-	return version, full, nil
+	return version, full, has
 }
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -148,8 +148,8 @@
 			t.Errorf("%q: %v", line, err)
 		}
 	}
-	call := EndFrame(AppendPart(AppendPart(AppendCall(nil), "a.3", 3, 240.9, []byte("xy")), "a.4", 4, 0.2, nil), 0)
-	if want := "\x1d\x00\x00\x00Ra.3 3 d=240 2\nxya.4 4 d=1 0\n"; string(call) != want {
+	call := EndFrame(AppendPart(AppendPart(AppendCall(nil), "a.3", 3, 240.9, nil, []byte("xy")), "a.4", 4, 0.2, []byte("f2b9"), nil), 0)
+	if want := "\x24\x00\x00\x00Ra.3 3 d=240 2\nxya.4 4 d=1,k=f2b9 0\n"; string(call) != want {
 		t.Errorf("%q, want %q", call, want)
 	}
 }
@@ -253,3 +253,38 @@
 		}
 	})
 }
+
+func TestAListMayComeOverManyLines(t *testing.T) {
+	const whole = "{\"generation\":4,\"reset\":true,\"instances\":[]}"
+	const indented = "{\n  \"generation\": 5,\r\n  \"reset\": false,\n  \"instances\": [\n    {\n      \"instanceId\": \"a{\\\"\",\n" +
+		"      \"hostPort\": \"127.0.0.1:1\",\n      \"lifecycle\": \"ready\"\n    }\n  ]\n}\n"
+	for text, want := range map[string]string{
+		whole + "\n\n" + indented + "\n" + whole + "\n": "4 - 5 - 4 ",
+		indented + indented:                             "5 5 ",
+		"{\"generation\":4,\n\n":                        "error", // a beat behind half a list
+		"{\"generation\":4,\n" + whole + "\n":           "error",
+		"{broken\n":                                     "error",
+		"{\"generation\":\"\n":                          "error", // no line ends within a word
+	} {
+		for size := 1; size <= len(text); size += 7 { // however it is cut
+			var l Lines
+			said := ""
+			for at := 0; at < len(text) && said != "error"; at += size {
+				if l.Feed([]byte(text[at:min(at+size, len(text))]), func(line []byte) error {
+					if len(line) == 0 {
+						said += "- "
+						return nil
+					}
+					version, _, err := List(line, nil)
+					said += fmt.Sprint(version, " ")
+					return err
+				}) != nil {
+					said = "error"
+				}
+			}
+			if said != want {
+				t.Fatalf("%q in pieces of %d: %q, want %q", text, size, said, want)
+			}
+		}
+	}
+}
--- a/internal/routing/catalog.go
+++ b/internal/routing/catalog.go
@@ -10,12 +10,17 @@
 )
 
 const (
-	beat     = 2000.
-	silence  = 1.6 * beat // without a beat for so long, a watch is opened anew
-	askAgain = 300.       // after it was lost
-	insists  = 6000.      // so late at most comes what discovery has to tell
-	forgets  = 30000.     // after so long no server that is gone is spoken of again under its id, as a rule
-	askForgo = 1000.      // and while something refers to it, it is looked at again so often
+	beat    = 2000.
+	silence = 1.6 * beat // without a beat for so long, a watch is opened anew
+	// What a silent watch misses counts as told 6 s after it fell silent, and it is found out after 3.2 s at the latest: what
+	// is left has to do for two further ones that hang. Each hangs longer than the last, as many brokers may be asking.
+	opens    = 800. // a watch that is opened has told something within so long
+	askFirst = 50.  // after two that were lost at once the next waits, then twice as long each time
+	askAgain = 300. // up to so long
+	lasted   = 1000.
+	insists  = 6000.  // so late at most comes what discovery has to tell
+	forgets  = 30000. // after so long no server that is gone is spoken of again under its id, as a rule
+	askForgo = 1000.  // and while something refers to it, it is looked at again so often
 )
 
 // catalog is the list of servers and the watch that keeps it.
@@ -30,8 +35,11 @@
 	told    bool
 	older   float64 // since when watches begin with an older list, or 0
 	watch   *watch
-	past    *watch // at the address before, heard until the new one has told its list
-	anew    bool   // that is still to come: its versions need not go on from the other's
+	past    *watch  // at the address before, heard until the new one has told its list
+	anew    bool    // that is still to come: its versions need not go on from the other's
+	missed  bool    // a watch fell silent: what it missed may be any change since, so all is asked for
+	opens   float64 // how long the next watch may take to tell something
+	lost    int     // watches lost in a row, none of which lasted
 }
 
 // watch is one open question to discovery.
@@ -40,8 +48,11 @@
 	addr  netip.AddrPort
 	in    protocol.HTTP
 	lines protocol.Lines
-	heard float64
-	first bool // no list has come on it yet
+	began float64
+	heard float64 // when the latest line was whole: bytes that make none are no news, however long they trickle
+	lives bool    // it has told what is due at once: its head, or a line where all was asked for
+	whole bool    // all was asked for
+	first bool    // no list has come on it yet
 	gone  bool
 }
 
@@ -63,17 +74,20 @@
 
 func (r *Router) watch() {
 	k := &r.catalog
-	if k.watch != nil || r.leaving {
+	if k.watch != nil { // while leaving too: sub-requests go on until all is answered, and drains count as told
 		return
 	}
 	r.Count.Watches++
 	r.sockets++
-	w := &watch{addr: k.addr, first: true, heard: r.now}
+	w := &watch{addr: k.addr, first: true, began: r.now, heard: r.now}
 	w.in.Response()
 	w.in.Store(make([]byte, 0, protocol.MaxHead))
 	w.in.Stream = func(b []byte) error {
 		return w.lines.Feed(b, func(line []byte) error {
-			if len(line) == 0 || w.gone {
+			if w.gone {
+				return nil
+			}
+			if r.alive(w); len(line) == 0 {
 				return nil
 			}
 			return r.list(w, line)
@@ -85,6 +99,15 @@
 	r.listen(w)
 }
 
+// alive: a watch has told something in time.
+func (r *Router) alive(w *watch) {
+	w.heard = r.now
+	if !w.lives {
+		w.lives = true
+		r.catalog.opens = opens
+	}
+}
+
 // move has another address tell the list from now on. The one before is heard until then: it may still tell of a
 // drain, and the new one may be slow to come up.
 func (r *Router) move(to netip.AddrPort) {
@@ -94,7 +117,7 @@
 	}
 	r.Count.Moves++
 	r.log.info("discovery moves", "from %v to %v, version %d", k.addr, to, k.version)
-	k.addr, k.anew, k.older = to, true, 0
+	k.addr, k.anew, k.older, k.opens, k.lost = to, true, 0, opens, 0
 	if w := k.watch; w != nil {
 		if k.watch = nil; w.first && k.past != nil {
 			r.hangUp(w) // it has told nothing: the one before it is still the better
@@ -114,15 +137,26 @@
 	}
 }
 
-// listen gives a watch up that has fallen silent.
+// listen gives a watch up that has fallen silent, or that tells nothing once it is opened.
 func (r *Router) listen(w *watch) {
-	r.timers.add(w.heard+silence, func(r *Router) {
+	k := &r.catalog
+	patience := silence
+	if !w.lives {
+		patience = min(max(k.opens, opens), silence)
+	}
+	r.timers.add(w.heard+patience, func(r *Router) {
 		switch {
 		case w.gone:
-		case r.now >= w.heard+silence:
-			r.dropWatch(w, "silent")
-		default:
+		case w.lives && r.now < w.heard+silence, !w.lives && r.now < w.heard+patience:
 			r.listen(w)
+		default:
+			if w == k.watch {
+				if !w.lives {
+					k.opens = min(2*patience, silence)
+				}
+				k.missed = true
+			}
+			r.dropWatch(w, "silent")
 		}
 	})
 }
@@ -145,13 +179,21 @@
 	r.Count.WatchesLost++
 	r.log.warn("watch lost", "%s, version %d", why, k.version)
 	r.port.Unlisted()
-	r.after(askAgain, func(r *Router) { r.watch() })
+	// The next is opened at once: what is told meanwhile counts. Only those that keep on ending at once are asked less often.
+	if k.lost++; why == "silent" || r.now >= w.began+lasted {
+		k.lost = 0
+	}
+	if k.lost < 2 {
+		r.watch()
+		return
+	}
+	r.after(min(askFirst*math.Pow(2, float64(k.lost-2)), askAgain), func(r *Router) { r.watch() })
 }
 
 func (r *Router) watchOpened(w *watch) {
 	k := &r.catalog
 	after := k.version
-	if k.older > 0 || !k.told || k.anew {
+	if w.whole = k.older > 0 || !k.told || k.anew || k.missed; w.whole {
 		after = 0
 	}
 	r.scratch = protocol.AppendWatch(r.scratch[:0], w.addr.String(), after)
@@ -160,13 +202,14 @@
 }
 
 func (r *Router) watchBytes(w *watch, b []byte) {
-	w.heard = r.now
 	for len(b) > 0 && !w.gone {
 		used, step, err := w.in.Feed(b)
 		b = b[used:]
 		switch {
 		case err == nil && step == protocol.Headed && w.in.Status() != 200:
 			err = badRequest("a status other than 200")
+		case err == nil && step == protocol.Headed && !w.whole:
+			r.alive(w) // where nothing has changed, nothing else is due before the first beat
 		case err == nil && step == protocol.Done:
 			r.dropWatch(w, "ended")
 			return
@@ -209,6 +252,9 @@
 		}
 	}
 	k.older = 0
+	if w == k.watch {
+		k.missed = false
+	}
 	k.told, k.version = true, version
 	r.Count.Lists++
 	for _, v := range k.servers {
@@ -294,12 +340,11 @@
 	k.free = append(k.free, at)
 }
 
-// hold keeps frames from beginning at a server that wants nothing new: one that was given to the network, which
-// has taken none of it, can only be taken back with its connection.
+// hold keeps frames from beginning at a server that wants nothing new.
 func (r *Router) hold(v *server) {
-	for _, l := range append([]*lane(nil), v.lanes...) {
-		if l.asked > l.written && l.frame >= l.written {
-			r.dropLane(l)
+	for _, l := range v.lanes {
+		if r.unbegin(l) {
+			r.pump(l)
 		}
 	}
 }
--- a/internal/routing/count.go
+++ b/internal/routing/count.go
@@ -16,6 +16,7 @@
 	Outcomes                                                                      [decide.Moot + 1]int64
 	Accepted, GaveWay, Paused, Stuck, Silent, Idle                                int64
 	Connects, ConnectTimeouts, Broken, IdleClosed, NoSocket, NoBuffer             int64
+	Unbegun, Ajar                                                                 int64
 	Probes, ProbesFailed, Watches, WatchesLost, Moves, Lists, OldLists, BadLists  int64
 	Frames, BadFrames, Panics, BytesIn, BytesOut                                  int64
 }
@@ -32,7 +33,7 @@
 		Int64("errored", c.Errored).Int64("left", c.Left).Int64("over_held", c.OverHeld).
 		Int64("too_long", c.TooLong).Int64("bad_requests", c.BadRequests).Int("held", r.searches).Msg("searches")
 	e := line().Int64("sent", c.Sent).Int64("calls", c.Calls).Int64("called_off", c.CalledOff).
-		Int64("late_replies", c.LateReplies).Int64("moved", c.Moved).Int64("pushbacks", c.Pushbacks)
+		Int64("late_replies", c.LateReplies).Int64("moved", c.Moved).Int64("pushbacks", c.Pushbacks).Int64("unbegun", c.Unbegun)
 	for i, name := range outcomeNames {
 		e.Int64(name, c.Outcomes[i])
 	}
@@ -40,7 +41,7 @@
 	line().Int64("accepted", c.Accepted).Int64("gave_way", c.GaveWay).Int64("paused", c.Paused).Int64("stuck", c.Stuck).
 		Int64("silent", c.Silent).Int64("idle", c.Idle).
 		Int64("connects", c.Connects).Int64("connect_timeouts", c.ConnectTimeouts).Int64("broken", c.Broken).
-		Int64("idle_closed", c.IdleClosed).Int64("no_socket", c.NoSocket).Int("clients", r.clients).
+		Int64("idle_closed", c.IdleClosed).Int64("no_socket", c.NoSocket).Int64("ajar", c.Ajar).Int("clients", r.clients).
 		Int("sockets", r.sockets).Msg("connections")
 	line().Int64("probes", c.Probes).Int64("probes_failed", c.ProbesFailed).Int64("watches", c.Watches).
 		Int64("watches_lost", c.WatchesLost).Int64("moves", c.Moves).Int64("lists", c.Lists).
--- a/internal/routing/front.go
+++ b/internal/routing/front.go
@@ -116,8 +116,16 @@
 	return kind, known
 }
 
-// Customer gives the number of a customer by its name, or 0, the one for all who are not named.
-func (r *Router) Customer(name string) int { return r.rules.customers[name] }
+// Customer gives the number of a customer by its name, or nobody: who is not named in the settings must not use up the
+// share of one who is.
+func (r *Router) Customer(name string) int {
+	if at, known := r.rules.customers[name]; known {
+		return at
+	}
+	return nobody
+}
+
+const nobody = -1
 
 // Note writes a log line; of one kind at most one a second.
 func (r *Router) Note(kind, form string, args ...any) { r.log.warn(kind, form, args...) }
--- a/internal/routing/lane.go
+++ b/internal/routing/lane.go
@@ -25,7 +25,9 @@
 	out     int             // that wait for a reply
 	asked   int64
 	written int64
-	frame   int64 // where the last call began
+	frame   int64  // where the last call began
+	last    *call  // it, as long as the network may have taken none of it
+	behind  []byte // what was told after it
 	used    float64
 	probe   float64 // when one was sent, or 0
 	resting *timer
@@ -215,13 +217,14 @@
 		frame := protocol.AppendCall(r.scratch[:0])
 		for _, s := range k.subs {
 			if s.state == waiting {
-				frame = protocol.AppendPart(frame, s.part.id, s.part.shard, s.within-r.now, s.part.q.text)
+				frame = protocol.AppendPart(frame, s.part.id, s.part.shard, s.within-r.now, s.part.q.mark, s.part.q.text)
 			}
 		}
 		r.scratch = protocol.EndFrame(frame, 0)
 		r.Count.Calls++
-		l.frame = l.asked
+		l.frame, l.last = l.asked, nil
 		r.tell(l, r.scratch)
+		l.last, l.behind = k, l.behind[:0]
 		for _, s := range k.subs {
 			if s.state == waiting {
 				s.state, s.end = out, l.asked
@@ -233,14 +236,40 @@
 	}
 }
 
-// callGone ends what must not be sent any more: parts taken back, and all of them once their server has been
-// draining or gone for as long as new work may still begin.
+// unbegin takes a frame back of which the network has taken nothing yet: its parts wait again, and pump drops those that
+// must not begin any more. A connection that takes nothing may take it all at any later time, long after whoever asked
+// has gone or the server was told to be left alone.
+func (r *Router) unbegin(l *lane) bool {
+	k := l.last
+	if k == nil || l.gone || !r.net.Retract(l.conn, l.frame) {
+		return false
+	}
+	r.Count.Unbegun++
+	r.Count.BytesOut -= l.asked - l.frame
+	l.asked, l.last = l.frame, nil
+	for _, s := range k.subs {
+		if s.call == k && s.state == out {
+			s.state = waiting
+			r.Count.Sent--
+		}
+	}
+	l.waiting = append([]*call{k}, l.waiting...)
+	if len(l.behind) > 0 {
+		r.tell(l, l.behind)
+		l.behind = l.behind[:0]
+	}
+	return true
+}
+
+// callGone ends what must not be sent any more: parts taken back, parts of searches that are over, whether their clients
+// had an answer or have left, and all of them once their server has been draining or gone for as long as new work may
+// still begin.
 func (r *Router) callGone(l *lane, k *call) bool {
 	v := r.catalog.servers[l.server]
 	late := v.state != decide.Ready && r.now >= v.since+graceShare*r.rules.grace
 	left := false
 	for _, s := range k.subs {
-		if s.state == waiting && (late || r.now > s.begin) {
+		if s.state == waiting && (late || r.now > s.begin || s.part.q.ended) {
 			r.over(s, decide.Moot, nil)
 		}
 		left = left || s.state == waiting
@@ -251,6 +280,9 @@
 const graceShare = 0.8 // the network may take the rest
 
 func (r *Router) tell(l *lane, b []byte) {
+	if l.last != nil {
+		l.behind = append(l.behind, b...)
+	}
 	l.asked += int64(len(b))
 	l.used = r.now
 	r.Count.BytesOut += int64(len(b))
@@ -309,7 +341,14 @@
 	case waiting:
 		delete(s.call.lane.subs, s.part.id)
 	case out:
-		if l := s.call.lane; !l.gone {
+		l := s.call.lane
+		if s.call == l.last && r.unbegin(l) {
+			delete(l.subs, s.part.id)
+			r.over(s, how, nil)
+			r.pump(l)
+			return
+		}
+		if !l.gone {
 			r.Count.CalledOff++
 			r.scratch = protocol.AppendShort(r.scratch[:0], protocol.Abandon, s.part.id)
 			r.tell(l, r.scratch)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -26,7 +26,8 @@
 	Close(c transport.Conn)
 	Reading(c transport.Conn, on bool)
 	Accept(on bool)
-	Unlisten()
+	Retract(c transport.Conn, from int64) bool
+	Unlisten() (closed bool)
 	Door(c transport.Conn) int // by which address it came in, 0 for HTTP's
 	Arm(at float64)
 	Stop()
@@ -62,8 +63,11 @@
 	graceMost  = 3000
 	graceMore  = 700
 	lastWord   = 150  // so long before it every answer is out
-	lastCalls  = 100  // what had connected when the address closed may still ask
-	cutOff     = 1000 // a request that has begun by then may still end within so long
+	lastCalls  = 100  // what had asked before the address closed may ask again for so long
+	cutOff     = 1000 // who has only just connected may still ask within so long, and a request that has begun end
+	cutShare   = 0.75 // and within such a share of what is left: the rest is for its answer
+	doorAgain  = 10   // out of descriptors while the address is to be closed: try again after so long
+	lastLook   = 20   // so long before it, who was turned away and has not closed is not waited for
 	resume     = 100  // out of descriptors: try accepting again after so long
 	relieved   = 0.25 // and have so many of the connections give way each time
 	halvesMost = 2    // of the buffers, one in so many at most
@@ -123,6 +127,7 @@
 	crowded   bool // accepting is off, and nobody can give way
 	stopping  bool
 	leaving   bool
+	ajar      bool    // some have connected that can't be taken yet
 	stopped   float64 // when it was told to stop
 	killed    float64 // when it may be killed, or infinite
 }
@@ -196,16 +201,16 @@
 		span: max(set.Whole("family-info.span", 1), 1), kinds: map[string]int{}, halls: map[string]int{},
 		customers: map[string]int{}, fields: map[string]int{}, ask: 'G', limit: sockets}
 	for i := range set.Count("classes") {
-		g.kinds[set.Item("classes", i, "name")] = i
+		first(g.kinds, set.Item("classes", i, "name"), i)
 		g.kindNames = append(g.kindNames, set.Item("classes", i, "name"))
 		g.longest = max(g.longest, set.Num("classes."+strconv.Itoa(i)+".deadline-ms", graceMost))
 	}
 	for i := range set.Count("customers") {
-		g.customers[set.Item("customers", i, "name")] = i
+		first(g.customers, set.Item("customers", i, "name"), i)
 		g.customerNames = append(g.customerNames, set.Item("customers", i, "name"))
 	}
 	for i, hall := range set.List("localities") {
-		g.halls[hall] = i
+		first(g.halls, hall, i)
 	}
 	for i, name := range set.List("report.fields") {
 		g.fields[name] = i
@@ -222,6 +227,13 @@
 	return r
 }
 
+// first keeps a name's first number: settings may state a name twice.
+func first(of map[string]int, name string, i int) {
+	if _, known := of[name]; !known {
+		of[name] = i
+	}
+}
+
 const (
 	maxShards = 1 << 20
 	postMost  = 256 // words from other goroutines that wait for a turn
@@ -252,12 +264,13 @@
 	r.port.Begin(now)
 	if !r.started {
 		r.started = true
-		if err := r.list(&watch{}, r.known); err != nil {
+		r.watch() // first: whatever the list to begin with holds, the watch must be open
+		known := r.known
+		r.known = nil
+		if err := r.list(&watch{}, known); err != nil {
 			r.Count.BadLists++
 			r.log.warn("no list to begin with", "%v", err)
 		}
-		r.known = nil
-		r.watch()
 	}
 }
 
@@ -332,7 +345,7 @@
 	case Report:
 		r.Print("asked for")
 	case Move:
-		if to := r.Discovery.Load(); to != nil && !r.leaving {
+		if to := r.Discovery.Load(); to != nil {
 			r.move(*to)
 		}
 	case Posted:
@@ -361,6 +374,11 @@
 	r.stopping, r.stopped, r.killed = true, r.now, r.now+grace
 	r.log.info("stopping", "%d searches held, %d clients", r.searches, r.clients)
 	r.after(stopLeast, func(*Router) {}) // a turn, for leave
+	for _, s := range r.slots {
+		if s.search != nil && !s.search.ended {
+			r.hasten(s.search, r.killed-lastWord)
+		}
+	}
 	for _, f := range r.fronts {
 		f.Stopping(r.killed - lastWord)
 	}
@@ -372,12 +390,59 @@
 		return
 	}
 	r.accepting, r.leaving = false, true
-	r.net.Unlisten()
+	r.shutDoors()
 	for _, f := range r.fronts {
 		f.Leaving()
 	}
-	r.after(lastCalls, func(r *Router) { r.finishAll((*client).idle) })
-	r.after(cutOff, func(r *Router) { r.finishAll(func(c *client) bool { return c.search == nil }) })
+	// All of it follows from the time that is left: with short client timeouts that is far less than a second.
+	left := max(r.killed-lastWord-r.now, 0)
+	cut := min(cutOff, cutShare*left)
+	r.after(min(lastCalls, cut/2), func(r *Router) { r.finishAll(func(c *client) bool { return c.idle() && c.spoke }) })
+	r.after(cut, func(r *Router) { r.finishAll(func(c *client) bool { return c.search == nil }) })
+	r.after(left+lastWord-lastLook, func(r *Router) { // their answers are out for long
+		for _, p := range r.peers {
+			if p.client != nil && p.client.done {
+				r.part(p.client)
+			}
+		}
+	})
+}
+
+// shutDoors takes who has connected and closes the addresses. Who can't be taken for want of a descriptor would be ended
+// without a word: idle ones give way, and it is tried again until all are in.
+func (r *Router) shutDoors() {
+	if r.ajar = !r.net.Unlisten(); !r.ajar {
+		return
+	}
+	r.Count.Ajar++
+	for range max(int(relieved*float64(r.clientsMost())), 1) {
+		if !r.giveWay() {
+			break
+		}
+	}
+	r.after(doorAgain, (*Router).shutDoors)
+}
+
+// hasten brings a search's end forward: this broker will be gone by then.
+func (r *Router) hasten(q *search, until float64) {
+	if until >= q.until {
+		return
+	}
+	q.until = until
+	r.timers.drop(q.limit)
+	r.limit(q)
+	r.port.Until(q.at, until)
+	for _, p := range q.parts {
+		for _, s := range p.subs {
+			if s.state != over && s.within > until {
+				s.within = until
+				if s.limit != nil {
+					r.timers.drop(s.limit)
+					s.limit = r.timers.add(until, func(r *Router) { r.timedOut(s) })
+				}
+			}
+		}
+	}
 }
 
 func (r *Router) finishAll(which func(*client) bool) {
@@ -392,7 +457,7 @@
 	if r.stopping && r.clients == 0 && r.idleFronts() && r.now >= r.stopped+stopLeast {
 		r.unlisten() // which may bring clients
 	}
-	if r.leaving && r.clients == 0 && r.idleFronts() {
+	if r.leaving && !r.ajar && r.clients == 0 && r.idleFronts() {
 		r.net.Stop()
 	}
 }
@@ -426,7 +491,9 @@
 	if k := r.peer(c).client; k != nil {
 		k.written = upTo
 	} else if l := r.peer(c).lane; l != nil {
-		l.written = upTo
+		if l.written = upTo; upTo > l.frame {
+			l.last, l.behind = nil, l.behind[:0]
+		}
 		r.pump(l)
 	} else if p := r.peer(c).party; p != nil {
 		p.Written(upTo)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -81,7 +81,8 @@
 	version int
 	list    []listed
 	dying   []transport.Conn
-	least   int // descriptors that are left for connecting; below 0 none fails
+	lines   []string // of calls, as servers read them
+	least   int      // descriptors that are left for connecting; below 0 none fails
 }
 
 type listed struct {
@@ -161,9 +162,17 @@
 func (w *world) Reading(c transport.Conn, on bool) { w.ends[c].muted = !on }
 func (w *world) Accept(on bool)                    { w.paused = !on }
 func (w *world) Door(transport.Conn) int           { return 0 }
-func (w *world) Unlisten()                         { w.deaf = true }
-func (w *world) Arm(at float64)                    { w.armed = at }
-func (w *world) Stop()                             { w.stopped = true }
+func (w *world) Unlisten() bool                    { w.deaf = true; return true }
+func (w *world) Retract(c transport.Conn, from int64) bool {
+	e := w.ends[c]
+	if !e.open || e.finished || from < e.upTo {
+		return false
+	}
+	e.sent = e.sent[:min(int64(len(e.sent)), from-e.upTo)]
+	return true
+}
+func (w *world) Arm(at float64) { w.armed = at }
+func (w *world) Stop()          { w.stopped = true }
 func (w *world) Close(c transport.Conn) {
 	e := w.ends[c]
 	if e == nil {
@@ -318,7 +327,13 @@
 		var id string
 		var shard, wait, size int
 		line, after, _ := strings.Cut(rest, "\n")
-		if n, err := fmt.Sscanf(line, "%s %d d=%d %d", &id, &shard, &wait, &size); n != 4 || len(after) < size {
+		w.lines = append(w.lines, line)
+		plain, token, found := strings.Cut(line, ",k=")
+		if found {
+			_, length, _ := strings.Cut(token, " ")
+			plain += " " + length
+		}
+		if n, err := fmt.Sscanf(plain, "%s %d d=%d %d", &id, &shard, &wait, &size); n != 4 || len(after) < size {
 			w.t.Fatal(line, err)
 		}
 		text := after[:size]
@@ -645,13 +660,16 @@
 			}
 		}
 	})
-	for w.ends[c] == e && w.now < w.list[0].since+250 {
+	for len(e.sent) > 0 && w.now < w.list[0].since+250 {
 		w.now += 10
 		w.turn()
 	}
-	if w.ends[c] == e {
+	if len(e.sent) > 0 || w.r.Count.Unbegun != 1 {
 		t.Error("the frame may still begin past the grace")
 	}
+	if w.ends[c] != e {
+		t.Error("the connection was dropped for it, with all that is out there")
+	}
 }
 
 func TestIdsMeetOnNoConnection(t *testing.T) {
@@ -745,7 +763,7 @@
 	if w.r.catalog.version != 3 {
 		t.Error("discovery counts anew, at ", w.r.catalog.version)
 	}
-	say("{")
+	say("{broken")
 	ready(1, "a broken line")
 	if w.r.Count.BadLists == 0 || w.r.catalog.watch != nil {
 		t.Error("a broken line keeps its watch")
--- a/internal/routing/search.go
+++ b/internal/routing/search.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"hash/fnv"
@@ -106,6 +107,7 @@
 	at        int
 	id        string
 	text      []byte
+	mark      []byte // what its client said a repeat is known by
 	until     float64
 	by        *client // nil once it has its answer or has gone
 	parts     []*part
@@ -418,9 +420,13 @@
 	case budgets != 1 || err != nil || budget == 0 || budget > 24*3600*1000:
 		return badRequest("no sound budget")
 	}
-	customer := 0
+	token, tokens := c.in.Header("idempotency-key")
+	if tokens > 1 || len(token) > 128 || !plain(token) || bytes.IndexByte(token, ',') >= 0 {
+		return badRequest("no sound idempotency key")
+	}
+	customer := nobody
 	if name, n := c.in.Header("x-caller"); n > 0 {
-		customer = r.rules.customers[string(name)]
+		customer = r.Customer(string(name))
 	}
 	r.drafts = r.drafts[:0]
 	text, sum, err := protocol.Search(c.in.Body(), r.rules.shards, func(shard int, share, work float64, key uint64) {
@@ -442,7 +448,7 @@
 	r.Count.Searches++
 	// What a broker that is told to stop still takes, it has to end before it is killed.
 	until := min(came+float64(budget), r.killed-lastWord)
-	q := &search{id: string(id), text: append([]byte(nil), text...), until: until, by: c,
+	q := &search{id: string(id), text: append([]byte(nil), text...), mark: append([]byte(nil), token...), until: until, by: c,
 		used: usage{kind: kind, customer: customer, in: int64(len(c.in.Body()))}}
 	c.search = q
 	r.open[q.id] = q
@@ -479,6 +485,11 @@
 		}
 		r.port.Part(q.at, p.at, d.shard, d.share/sum, d.work, d.key)
 	}
+	r.limit(q)
+}
+
+// limit has a search ended whatever the module does.
+func (r *Router) limit(q *search) {
 	q.limit = r.timers.add(q.until+overdue, func(r *Router) {
 		q.limit = r.after(1, func(r *Router) { // the module comes first: this turn may be the first after a stall
 			if must.Hold(q.ended, "the module ends a search in its time"); !q.ended {
@@ -595,6 +606,12 @@
 		if !p.in {
 			r.held--
 		}
+		for _, s := range p.subs {
+			// Nobody waits for it: a frame that the network has not begun to take is not to begin.
+			if s.state == out && s.call != nil && s.call == s.call.lane.last && r.unbegin(s.call.lane) {
+				r.pump(s.call.lane)
+			}
+		}
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,12 @@
 			plain[i] = fmt.Sprint(inner)
 		}
 		v[path] = strings.Join(plain, ",")
+		if slices.ContainsFunc(plain, func(s string) bool { return s == "" || strings.Contains(s, ",") }) {
+			v[path+itemsOf] = strconv.Itoa(len(plain)) // joined, it would read as more items, or fewer
+			for i, item := range plain {
+				v[path+"."+strconv.Itoa(i)] = item
+			}
+		}
 	case nil:
 	default:
 		v[path] = fmt.Sprint(value)
@@ -92,8 +98,17 @@
 
 func (v Values) has(path string) bool { return v[path] != "" }
 
+const itemsOf = ".items"
+
 // List gives the items of a plain list.
 func (v Values) List(path string) []string {
+	if _, told := v[path+itemsOf]; told {
+		list := make([]string, v.Whole(path+itemsOf, 0))
+		for i := range list {
+			list[i] = v[path+"."+strconv.Itoa(i)]
+		}
+		return list
+	}
 	if v[path] == "" {
 		return nil
 	}
--- a/internal/standin/virtual/world.go
+++ b/internal/standin/virtual/world.go
@@ -331,6 +331,15 @@
 	w.mark(e)
 }
 
+func (w *World) Retract(c transport.Conn, from int64) bool {
+	e := w.end(c)
+	if !e.open || e.ended || from < e.upTo {
+		return false
+	}
+	e.out = e.out[:min(int64(len(e.out)), from-e.upTo)]
+	return true
+}
+
 func (w *World) mark(e *End) {
 	for _, o := range w.dirty {
 		if o == e {
@@ -367,7 +376,7 @@
 }
 
 func (w *World) Accept(bool)               {}
-func (w *World) Unlisten()                 { w.Deaf = true }
+func (w *World) Unlisten() bool            { w.Deaf = true; return true }
 func (w *World) Arm(at float64)            { w.armed = at }
 func (w *World) Stop()                     { w.Stopped = true }
 func (w *World) Door(c transport.Conn) int { return w.end(c).door }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 	"unsafe"
 
@@ -38,9 +39,10 @@
 	bell   Conn = -2
 	wakeUp Conn = -3
 
-	accepts = 64      // in one turn: those connected are served in between
-	drained = 1 << 20 // of what nobody reads, at a time
-	backlog = 1024
+	accepts  = 64      // in one turn: those connected are served in between
+	toTheEnd = 64      // reads in one turn, where the other side has ended
+	drained  = 1 << 20 // of what nobody reads, at a time
+	backlog  = 1024
 	// clockZero lets times before the start stay above 0.
 	clockZero = 24 * 3600 * 1000.
 )
@@ -48,6 +50,7 @@
 type conn struct {
 	fd         int
 	held       bool
+	accepted   bool
 	open       bool // or still connecting
 	listener   bool
 	door       int8 // which address it came in by, or is
@@ -66,6 +69,7 @@
 
 // Loop is the one loop. Only Tell may be called from elsewhere.
 type Loop struct {
+	words              atomic.Uint32 // told and not yet read, by bit
 	epoll, timer, told int
 	handler            Handler
 	pool               *Pool
@@ -113,9 +117,11 @@
 // Epoch is the Unix time in milliseconds at which Now was 0.
 func (l *Loop) Epoch() float64 { return float64(l.start.UnixNano())/1e6 - clockZero }
 
-// Tell brings a word from another goroutine into the loop.
+// Tell brings a word from another goroutine into the loop. Told again before it is read, it is one word. The words stand
+// apart from the wake-up: an eventfd adds up what is written to it, and two equal words there made a third.
 func (l *Loop) Tell(what int32) {
-	unix.Write(l.told, binary.NativeEndian.AppendUint64(nil, 1<<uint(what)))
+	l.words.Or(1 << uint(what))
+	unix.Write(l.told, binary.NativeEndian.AppendUint64(nil, 1))
 }
 
 // Listen opens an address on which connections are taken, the next door from 0.
@@ -222,17 +228,24 @@
 	}
 }
 
-// Unlisten takes what has connected already and closes the addresses.
-func (l *Loop) Unlisten() {
+// Unlisten takes what has connected already and closes the addresses. False: for want of a descriptor some could not be
+// taken. Closing their address would end them without a word, so it stays open, and is to be closed by another call.
+func (l *Loop) Unlisten() (closed bool) {
+	closed = true
 	for door, c := range l.listeners {
 		if c == none {
 			continue
 		}
 		for l.accepting = true; l.accept(c); {
 		}
+		if !l.accepting {
+			closed = false
+			continue
+		}
 		l.listeners[door] = none
 		l.Close(c)
 	}
+	return closed
 }
 
 // Connect opens a connection; Opened or Closed tells in a later turn how that went.
@@ -286,6 +299,49 @@
 	}
 }
 
+// Retract takes back what was written from a place on, if the network has been given none of it.
+func (l *Loop) Retract(c Conn, from int64) bool {
+	k := &l.conns[c]
+	if !k.open || k.failed || k.finishing || from < k.written {
+		return false
+	}
+	drop := k.written - from - int64(k.outAt)
+	for _, b := range k.out {
+		drop += int64(len(b))
+	}
+	for drop > 0 {
+		last := len(k.out) - 1
+		n := int64(len(k.out[last]))
+		if last == 0 {
+			n -= int64(k.outAt)
+		}
+		if drop < n {
+			k.out[last] = k.out[last][:int64(len(k.out[last]))-drop]
+			break
+		}
+		drop -= n
+		l.pool.Put(k.out[last])
+		k.out[last], k.out = nil, k.out[:last]
+		if last == 0 {
+			k.outAt = 0
+		}
+	}
+	l.unblock(c)
+	return true
+}
+
+// unblock has epoll tell of room only while something waits for it.
+func (l *Loop) unblock(c Conn) {
+	k := &l.conns[c]
+	if len(k.out) == 0 {
+		k.out = nil
+	}
+	if blocked := len(k.out) > 0; blocked != k.blocked {
+		k.blocked = blocked
+		l.watch(c, unix.EPOLL_CTL_MOD)
+	}
+}
+
 // Finish writes out what waits, ends this side, and closes once the other side has ended too: closing with bytes
 // unread would throw away what was written.
 func (l *Loop) Finish(c Conn) {
@@ -355,7 +411,7 @@
 		l.Turns++
 		l.now = l.Now()
 		l.wallLead = -1
-		h.Begin(l.now)
+		l.begin()
 		failed, progress := l.failed, l.progress
 		l.failed, l.progress = l.spare[0][:0], l.spare[1][:0]
 		l.spare = [2][]Conn{failed, progress}
@@ -396,7 +452,12 @@
 	taken   = 1 << 31
 )
 
-// end keeps a failure of the handler from ending the process.
+// begin and end keep a failure of the handler from ending the process.
+func (l *Loop) begin() {
+	defer l.rescue(none)
+	l.handler.Begin(l.now)
+}
+
 func (l *Loop) end() (again bool) {
 	defer l.rescue(none)
 	return l.handler.End()
@@ -417,8 +478,8 @@
 		l.armed = 0
 	case c == wakeUp:
 		var word [8]byte
-		unix.Read(l.told, word[:])
-		for what, bits := int32(0), binary.NativeEndian.Uint64(word[:]); bits != 0; what, bits = what+1, bits>>1 {
+		unix.Read(l.told, word[:]) // before the words are: one told in between wakes again
+		for what, bits := int32(0), l.words.Swap(0); bits != 0; what, bits = what+1, bits>>1 {
 			if bits&1 != 0 {
 				l.handler.Told(what)
 			}
@@ -458,7 +519,8 @@
 		}
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 		c := l.take(fd)
-		l.conns[c].open, l.conns[c].stamped, l.conns[c].door = true, l.stamped, l.conns[at].door
+		k := &l.conns[c]
+		k.open, k.accepted, k.stamped, k.door = true, true, l.stamped, l.conns[at].door
 		if err := l.watch(c, unix.EPOLL_CTL_ADD); err != nil {
 			l.Close(c)
 			continue
@@ -503,7 +565,14 @@
 	}
 	switch {
 	case events&unix.EPOLLIN != 0 && !k.mute:
-		l.read(c)
+		// Who has ended already is read to the end in this turn. Else what it asked before it went would begin in this one,
+		// for nobody, and be found out in the next.
+		for range toTheEnd {
+			l.read(c)
+			if k = &l.conns[c]; events&unix.EPOLLRDHUP == 0 || k.fd < 0 || k.mute || k.finishing || k.failed {
+				return
+			}
+		}
 	case events&(unix.EPOLLHUP|unix.EPOLLERR) != 0, events&unix.EPOLLRDHUP != 0 && k.mute:
 		l.closed(c)
 	}
@@ -532,6 +601,9 @@
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
 	case err != nil || n <= 0:
+		if k.accepted && err == nil {
+			l.flush(c) // it may have ended its side alone, and was answered in this turn
+		}
 		l.closed(c)
 	case k.finishing:
 		l.Received += int64(n)
@@ -582,13 +654,7 @@
 			k.out[0], k.out, k.outAt = nil, k.out[1:], 0
 		}
 	}
-	if len(k.out) == 0 {
-		k.out = nil
-	}
-	if blocked := len(k.out) > 0; blocked != k.blocked {
-		k.blocked = blocked
-		l.watch(c, unix.EPOLL_CTL_MOD)
-	}
+	l.unblock(c)
 	if k.written != was && !k.progressed {
 		k.progressed = true
 		l.progress = append(l.progress, c)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -20,6 +20,7 @@
 	upTo   int64
 	now    float64
 	panics int
+	told   func(what int32)
 }
 
 func (s *steps) Begin(now float64)                    { s.now = now }
@@ -29,8 +30,14 @@
 func (s *steps) Bytes(c Conn, b []byte, came float64) { s.bytes(c, b, came) }
 func (s *steps) Written(_ Conn, upTo int64)           { s.upTo = upTo }
 func (s *steps) Closed(c Conn, upTo int64)            { s.closed(c, upTo) }
-func (s *steps) Told(int32)                           { s.l.Stop() }
-func (s *steps) Panicked(Conn, any, []byte)           { s.panics++ }
+func (s *steps) Told(what int32) {
+	if s.told != nil {
+		s.told(what)
+		return
+	}
+	s.l.Stop()
+}
+func (s *steps) Panicked(Conn, any, []byte) { s.panics++ }
 func (s *steps) End() bool {
 	if s.turn != nil {
 		s.turn()
