--- a/internal/routing/catalog.go
+++ b/internal/routing/catalog.go
@@ -104,10 +104,18 @@
 	w.heard = r.now
 	if !w.lives {
 		w.lives = true
-		r.catalog.opens = opens
+		r.catalog.opens = 0
 	}
 }
 
+// patience with a watch that has told nothing yet.
+func (r *Router) patience() float64 {
+	if r.rules.asked {
+		return silence // calls wait there, in turn and for news, and one given up too soon makes the turn longer
+	}
+	return min(max(r.catalog.opens, opens), silence)
+}
+
 // move has another address tell the list from now on. The one before is heard until then: it may still tell of a
 // drain, and the new one may be slow to come up.
 func (r *Router) move(to netip.AddrPort) {
@@ -117,7 +125,7 @@
 	}
 	r.Count.Moves++
 	r.log.info("discovery moves", "from %v to %v, version %d", k.addr, to, k.version)
-	k.addr, k.anew, k.older, k.opens, k.lost = to, true, 0, opens, 0
+	k.addr, k.anew, k.older, k.opens, k.lost = to, true, 0, 0, 0
 	if w := k.watch; w != nil {
 		if k.watch = nil; w.first && k.past != nil {
 			r.hangUp(w) // it has told nothing: the one before it is still the better
@@ -142,7 +150,7 @@
 	k := &r.catalog
 	patience := silence
 	if !w.lives {
-		patience = min(max(k.opens, opens), silence)
+		patience = r.patience()
 	}
 	r.timers.add(w.heard+patience, func(r *Router) {
 		switch {
@@ -179,10 +187,15 @@
 	r.Count.WatchesLost++
 	r.log.warn("watch lost", "%s, version %d", why, k.version)
 	r.port.Unlisted()
-	// The next is opened at once: what is told meanwhile counts. Only those that keep on ending at once are asked less often.
+	// The next is opened at once: what is told meanwhile counts. Only those that keep on ending at once are asked less often,
+	// and discovery that has to be asked is not on this machine: it ends its answers, and what all ask of it adds up.
 	if k.lost++; why == "silent" || r.now >= w.began+lasted {
 		k.lost = 0
 	}
+	if r.rules.asked {
+		r.after(askAgain, func(r *Router) { r.watch() })
+		return
+	}
 	if k.lost < 2 {
 		r.watch()
 		return
--- a/internal/routing/rare_test.go
+++ b/internal/routing/rare_test.go
@@ -412,3 +412,24 @@
 		t.Error("customers: ", g.customers, w.r.Customer("unknown"))
 	}
 }
+
+func TestWhereDiscoveryIsAskedItIsGivenTime(t *testing.T) {
+	// A call may wait for news, and then ends: neither is a fault, and all brokers' calls add up there.
+	w := newWorldOf(t, 2, `"discovery":"push"`, `"discovery":"ask"`)
+	w.turn()
+	e := w.ends[w.watching()]
+	w.turn(func() { e.open = true; w.r.Opened(w.watching()) })
+	w.pass(2500)
+	if c := w.watching(); c == none || w.ends[c] != e {
+		t.Fatal("a call that waits was given up")
+	}
+	w.turn(func() { w.say(w.watching(), []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n0\r\n\r\n")) })
+	w.pass(askAgain - 1)
+	if w.watching() != none {
+		t.Error("asked again at once")
+	}
+	w.pass(2)
+	if w.watching() == none {
+		t.Error("not asked again")
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -148,6 +148,7 @@
 	nFields              int
 	ask                  byte // the letter of probes
 	limit                int  // descriptors
+	asked                bool // discovery is asked, it does not push
 }
 
 // peer is who stands at the other end of a connection.
@@ -199,7 +200,7 @@
 		batch: max(set.Whole("family-info.batch", 1), 1), most: set.Whole("limits.most-held", 0),
 		shards: set.Whole("family-info.slabs", maxShards), places: max(set.Whole("family-info.places", 1), 1),
 		span: max(set.Whole("family-info.span", 1), 1), kinds: map[string]int{}, halls: map[string]int{},
-		customers: map[string]int{}, fields: map[string]int{}, ask: 'G', limit: sockets}
+		customers: map[string]int{}, fields: map[string]int{}, ask: 'G', limit: sockets, asked: set["discovery"] == "ask"}
 	for i := range set.Count("classes") {
 		first(g.kinds, set.Item("classes", i, "name"), i)
 		g.kindNames = append(g.kindNames, set.Item("classes", i, "name"))
