--- a/internal/routing/catalog.go
+++ b/internal/routing/catalog.go
@@ -152,9 +152,13 @@
 	if !w.lives {
 		patience = r.patience()
 	}
-	r.timers.add(w.heard+patience, func(r *Router) {
+	at := w.heard + patience
+	r.timers.add(at, func(r *Router) {
 		switch {
 		case w.gone:
+		case !w.lives && r.now > at+stalled: // this broker stood still: what it was told meanwhile may be unread yet
+			w.heard = r.now - patience/2
+			r.listen(w)
 		case w.lives && r.now < w.heard+silence, !w.lives && r.now < w.heard+patience:
 			r.listen(w)
 		default:
--- a/internal/routing/rare_test.go
+++ b/internal/routing/rare_test.go
@@ -423,7 +423,9 @@
 	if c := w.watching(); c == none || w.ends[c] != e {
 		t.Fatal("a call that waits was given up")
 	}
-	w.turn(func() { w.say(w.watching(), []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n0\r\n\r\n")) })
+	w.turn(func() {
+		w.say(w.watching(), []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n0\r\n\r\n"))
+	})
 	w.pass(askAgain - 1)
 	if w.watching() != none {
 		t.Error("asked again at once")
@@ -433,3 +435,58 @@
 		t.Error("not asked again")
 	}
 }
+
+func TestAWatchIsNotBlamedForAStall(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.turn()
+	e := w.ends[w.watching()]
+	w.now += 5000 // it stood still
+	w.turn(func() { e.open = true; w.r.Opened(w.watching()) })
+	if c := w.watching(); c == none || w.ends[c] != e {
+		t.Error("given up before its answer could be read")
+	}
+	w.pass(opens)
+	if c := w.watching(); c == none || w.ends[c] == e {
+		t.Error("it says nothing, and is kept")
+	}
+}
+
+func TestNothingOfALaterTryBeginsForWhoHasLeft(t *testing.T) {
+	for _, how := range []string{"later try", "behind an earlier request", "hold limit"} {
+		w := newWorldOf(t, 1, `"most-held":60`, map[bool]string{true: `"most-held":2`, false: `"most-held":60`}[how == "hold limit"])
+		w.turn()
+		w.open()
+		var k *caller
+		w.turn(func() { k = w.ask("once", 900, 0) })
+		w.open()
+		sent := w.r.Count.Sent
+		if sent != 1 {
+			t.Fatal(how, sent)
+		}
+		var late *caller
+		switch how {
+		case "later try": // its only server turns it away, and is asked again only after a while
+			c := w.lanes()[0]
+			w.ends[c].waiting = nil
+			w.turn(func() { w.frame(c, 'Y', k.id+".0 REJECTED 0 -\n") })
+		case "behind an earlier request":
+			next := fmt.Sprintf("POST /api HTTP/1.1\r\nX-Call-Id: next\r\nX-Call-Class: quick\r\nX-Budget-Ms: 900\r\nContent-Length: %d\r\n\r\n%s",
+				64, `{"segments":[{"segment":0,"boost":1}],"text":"text of next"}`+strings.Repeat(" ", 4))
+			w.turn(func() { w.say(w.connOf(k), []byte(next)) })
+		case "hold limit":
+			w.turn(func() { late = w.ask("once", 900, 0) })
+			if late.status != 503 {
+				t.Errorf("held past the limit, or late: %d", late.status)
+			}
+		}
+		w.goes(k)
+		for range 60 {
+			w.pass(10)
+			w.open()
+		}
+		if w.r.Count.Sent != sent {
+			t.Errorf("%s: %d more were sent for who had left", how, w.r.Count.Sent-sent)
+		}
+		w.settle()
+	}
+}
