The last log line before a quiet time comes out

The program had started; its line had not come out.

At fault: zerolog's diode, waiter.go: Set broadcasts without the lock under which Next looks and then waits, so a line that comes in between stays until the next one. internal/broker/broker.go used it.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -16,12 +16,10 @@
 	"runtime/debug"
 	"slices"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"kestrelspread/internal/protocol"
 	"kestrelspread/internal/routing"
@@ -187,11 +185,9 @@
 	const size = protocol.MaxHead + protocol.MaxBody + 4<<10
 	pool := &transport.Pool{Size: size, Most: int(memory / 3 / size)}
 
-	// Lines wait in a ring and are dropped, and counted, where standard error is slower than they come.
-	var dropped atomic.Int64
-	ring := diode.NewWriter(stderr, 1000, 0, func(missed int) { dropped.Add(int64(missed)) })
+	waiting := newLines(stderr, linesMost)
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
-	log := zerolog.New(ring).With().Timestamp().Str("broker", c.Name).Logger()
+	log := zerolog.New(waiting).With().Timestamp().Str("broker", c.Name).Logger()
 
 	loop, err := transport.New(pool)
 	if err != nil {
@@ -206,7 +202,7 @@
 	for _, a := range attach {
 		part, err := a(&Parts{c.Name, loop, router, c.set, c.seed, memory, log})
 		if err != nil {
-			flush(ring)
+			flush(waiting)
 			return err
 		}
 		if part.Reload != nil {
@@ -245,8 +241,8 @@
 	for i := len(ends) - 1; i >= 0; i-- {
 		ends[i]()
 	}
-	log.Info().Int64("turns", loop.Turns).Int64("log_dropped", dropped.Load()).Msg("stopped")
-	flush(ring)
+	log.Info().Int64("turns", loop.Turns).Int64("log_dropped", waiting.dropped.Load()).Msg("stopped")
+	flush(waiting)
 	return err
 }
 
@@ -254,6 +250,8 @@
 const (
 	memoryMost = 1 << 20 // MB
 	coresMost  = 256
+
+	linesMost = 1000 // log lines that wait for who reads them
 )
 
 // descriptors is how many this process may hold: what it is told, or what the system allows if that is less.
@@ -270,14 +268,9 @@
 }
 
 // flush waits for the last lines, but not for a reader that has stopped reading.
-func flush(ring diode.Writer) {
-	done := make(chan struct{})
-	go func() {
-		ring.Close()
-		close(done)
-	}()
+func flush(waiting *lines) {
 	select {
-	case <-done:
+	case <-waiting.Close():
 	case <-time.After(time.Second):
 	}
 }
