What is never sent leaves nothing behind; who connects as the address closes is refused

From reading, each with a test that fails without its line: - routing/lane.go callGone: the id of a sub-request that was dropped unsent stayed in its connection's table, and with it the search and its text, as long as the connection lasts. Most where nothing is called off and clients leave. 4 held of 1 out in the test. - transport.go ready: a client that sends more than is kept and goes had its first request begun, as reading was off and its end was looked at a turn later. - transport.go Unlisten: who connected between the last accept and the close was reset, with a request that it believed to be on its way ('connection reset by peer' in the test).

--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"math"
 	"strconv"
 	"unicode/utf8"
 )
@@ -265,6 +266,8 @@
 		return bad(400, "more than one length")
 	case codings > 0 && old:
 		return bad(400, "chunks in HTTP/1.0")
+	case lengths+codings == 0 && m.response && m.Stream != nil:
+		length = math.MaxInt // it ends with its connection, whether that is closed or breaks: no end of it is ever told
 	case lengths+codings == 0 && (m.response || m.Is("POST") || m.Is("PUT")):
 		return bad(411, "no length")
 	}
--- a/internal/routing/lane.go
+++ b/internal/routing/lane.go
@@ -270,6 +270,7 @@
 	left := false
 	for _, s := range k.subs {
 		if s.state == waiting && (late || r.now > s.begin || s.part.q.ended) {
+			delete(l.subs, s.part.id) // no reply can come: kept, it would be held as long as the connection lasts
 			r.over(s, decide.Moot, nil)
 		}
 		left = left || s.state == waiting
--- a/internal/routing/rare_test.go
+++ b/internal/routing/rare_test.go
@@ -490,3 +490,70 @@
 		w.settle()
 	}
 }
+
+func TestWhatWasNeverSentLeavesNothingOnItsConnection(t *testing.T) {
+	// Each way in which a sub-request that waits behind another frame is dropped.
+	for _, how := range []string{"its client went", "its server drains"} {
+		w := newWorldOf(t, 1, `"cancel":true`, `"cancel":false`, `"streams-per-conn":2`, `"streams-per-conn":50`)
+		w.turn()
+		w.open()
+		w.turn(func() { w.ask("quick", 900, 0) })
+		w.open()
+		l := w.lanes()[0]
+		w.answer(l)
+		w.ends[l].stuck = w.now + 1e9
+		w.turn(func() { w.ask("quick", 900, 0) }) // its frame stands before the network
+		lane := w.r.peer(l).lane
+		held := len(lane.subs)
+		var late []*caller
+		for range 3 { // each a frame of its own, in a turn of its own, behind that one
+			w.turn(func() { late = append(late, w.ask("quick", 900, 0)) })
+		}
+		if len(lane.subs) != held+len(late) || len(w.lanes()) != 1 {
+			t.Fatalf("%d of %d wait there", len(lane.subs)-held, len(late))
+		}
+		if how == "its client went" {
+			for _, k := range late {
+				w.goes(k)
+			}
+		} else {
+			w.list[0].state = "draining"
+			w.tells(w.watching(), string(w.listLine(false)))
+			w.pass(250)
+			held = 0 // the frame before the network is taken back too
+		}
+		w.ends[l].stuck = 0
+		w.pass(1)
+		w.pass(1) // it is told that the network has taken what stood before it
+		if len(lane.subs) > held {
+			t.Errorf("%s: %d ids are held, %d of what is still out", how, len(lane.subs), held)
+		}
+	}
+}
+
+func TestAWatchMayEndWithItsConnection(t *testing.T) {
+	// Its answer has neither length nor chunks: what comes is its body, and a break is no end of it.
+	w := newWorld(t, 1, 2)
+	w.turn()
+	c := w.watching()
+	w.turn(func() { w.ends[c].open = true; w.r.Opened(c) })
+	w.turn(func() { w.say(c, []byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n")) })
+	w.list[1].state = "draining"
+	line := append(w.listLine(true), '\n')
+	w.turn(func() { w.say(c, line[:40]) })
+	w.turn(func() { w.say(c, line[40:]) })
+	if w.r.catalog.ready != 1 || w.r.Count.BadLists != 0 {
+		t.Errorf("%d ready, %d bad lists", w.r.catalog.ready, w.r.Count.BadLists)
+	}
+	w.list[0].state = "draining"
+	line = append(w.listLine(false), '\n')
+	e := w.ends[c]
+	w.turn(func() { w.say(c, line[:len(line)-9]) })
+	w.turn(func() { w.lose(c) }) // in the middle of a line
+	if w.r.catalog.ready != 1 {
+		t.Error("half a line was taken")
+	}
+	if c := w.watching(); c == none || w.ends[c] == e {
+		t.Error("not asked again")
+	}
+}
--- a/internal/transport/rare_test.go
+++ b/internal/transport/rare_test.go
@@ -200,3 +200,55 @@
 		t.Error(err, s.panics, f.begun)
 	}
 }
+
+func TestNobodyConnectsToAnAddressThatIsAboutToClose(t *testing.T) {
+	s, at := start(t)
+	var late net.Conn
+	var err error
+	asked := make(chan bool)
+	s.l.barred = func() { // a client comes just now, and believes to be connected, or not
+		late, err = net.DialTimeout("tcp", at, 300*time.Millisecond)
+		close(asked)
+	}
+	s.turn = func() {
+		if !s.l.Unlisten() {
+			t.Error("not closed")
+		}
+		s.l.Stop()
+	}
+	s.told = func(int32) {}
+	if err := s.l.Run(s); err != nil {
+		t.Fatal(err)
+	}
+	if <-asked; err == nil {
+		late.SetDeadline(time.Now().Add(10 * time.Second))
+		_, err = late.Read(make([]byte, 1))
+		t.Error("it was connected to an address that closes, and then: ", err)
+	}
+	if _, err := net.DialTimeout("tcp", at, 10*time.Second); err == nil {
+		t.Error("the address is open")
+	}
+}
+
+func TestWhoSentMoreThanIsKeptAndWentIsToldOfInThatTurn(t *testing.T) {
+	s, at := start(t)
+	c := dial(t, at)
+	c.Write(bytes.Repeat([]byte("x"), 5<<10)) // five buffers; its reader has enough after the first
+	c.Close()
+	turn, read := 0, 0
+	s.took = func(c Conn) { ended(t, s.l, c) }
+	s.turn = func() { turn++ }
+	s.bytes = func(c Conn, _ []byte, _ float64) {
+		read = turn
+		s.l.Reading(c, false)
+	}
+	s.closed = func(Conn, int64) {
+		if read == 0 || turn != read {
+			t.Errorf("read in turn %d, the end told in turn %d", read, turn)
+		}
+		s.l.Stop()
+	}
+	if err := s.l.Run(s); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
 	"net/netip"
 	"runtime/debug"
 	"sync/atomic"
@@ -85,6 +86,7 @@
 	now, wallLead      float64
 	scratch, oob       []byte
 	ended              bool
+	barred             func() // for tests: between the last connection that is taken and the closing of its address
 	Received, Sent     int64
 	Turns              int64
 	Sockets            int // held now, the listener among them
@@ -236,18 +238,39 @@
 		if c == none {
 			continue
 		}
+		l.bar(c)
 		for l.accepting = true; l.accept(c); {
 		}
 		if !l.accepting {
 			closed = false
 			continue
 		}
+		if l.barred != nil {
+			l.barred()
+		}
 		l.listeners[door] = none
 		l.Close(c)
 	}
 	return closed
 }
 
+// bar keeps further connections from coming up at an address. One that came up after the last was taken and before the
+// address is closed would be reset, and with it a request that its client believes to be on its way. Barred, its client asks
+// the system for the connection again, and is refused as by any address that is closed. It has the system drop what asks for
+// a connection (SYN without ACK, in the byte of flags at 13 of TCP's header); where it is not allowed, the gap stays.
+func (l *Loop) bar(c Conn) {
+	const flags, syn, synAck = 13, 0x02, 0x12
+	program := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flags},
+		{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: synAck},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: syn, Jt: 0, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: math.MaxUint32},
+	}
+	unix.SetsockoptSockFprog(l.conns[c].fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
+		&unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
+}
+
 // Connect opens a connection; Opened or Closed tells in a later turn how that went.
 func (l *Loop) Connect(addr netip.AddrPort) Conn {
 	c, err := l.socket(addr)
@@ -569,7 +592,12 @@
 		// for nobody, and be found out in the next.
 		for range toTheEnd {
 			l.read(c)
-			if k = &l.conns[c]; events&unix.EPOLLRDHUP == 0 || k.fd < 0 || k.mute || k.finishing || k.failed {
+			k = &l.conns[c]
+			if events&unix.EPOLLRDHUP == 0 || k.fd < 0 || k.finishing || k.failed {
+				return
+			}
+			if k.mute { // it sent more than is kept, and has ended: nobody waits for what it asked first
+				l.closed(c)
 				return
 			}
 		}
