A query type with a second step is errored on sockets, not answered from its first

At fault: routing/search.go Answer ended such a search with what its first step gave, marked whole. Searches of such a type get 501 at once, on both fronts, and the log names them at the start; the other types are served.

--- a/internal/routing/front.go
+++ b/internal/routing/front.go
@@ -188,6 +188,11 @@
 func (r *Router) Ask(kind, customer int, until float64, again bool, pieces []Piece, by Call) *Search {
 	r.Count.Searches++
 	q := &search{until: min(until, r.killed-lastWord), call: by, used: usage{kind: kind, customer: customer, front: by.Door()}}
+	if r.rules.second[kind] {
+		r.Count.BadRequests++
+		r.end(q, 501, 0, nil)
+		return q
+	}
 	if r.rules.most > 0 && r.held >= r.rules.most {
 		r.Count.OverHeld++
 		r.end(q, 503, r.port.ComeBack(kind), nil)
--- a/internal/routing/rare_test.go
+++ b/internal/routing/rare_test.go
@@ -557,3 +557,33 @@
 		t.Error("not asked again")
 	}
 }
+
+// told is a search that a further front brought, as far as its one final answer.
+type told struct{ finals []Ending }
+
+func (c *told) Final(how Ending, _ float64) { c.finals = append(c.finals, how) }
+func (c *told) Send(*Sub)                   {}
+func (c *told) TakeBack(*Sub)               {}
+func (c *told) Door() int                   { return 1 }
+func (c *told) Bytes() (in, out int64)      { return 0, 0 }
+
+func TestAQueryTypeWithASecondStepIsNotAnsweredFromItsFirst(t *testing.T) {
+	w := newWorldOf(t, 2, `"follow-up":[0,0,0]`, `"follow-up":[3,0,0]`)
+	w.turn()
+	w.open()
+	var k, other *caller
+	w.turn(func() { k, other = w.ask("quick", 900, 0), w.ask("part", 900, 0) })
+	w.open()
+	if w.answered(k); k.status != 501 {
+		t.Errorf("its answer is %d, as if there were no second step", k.status)
+	}
+	if w.answered(other); other.status != 200 || w.r.Count.Sent != 1 {
+		t.Errorf("another type has %d; %d sent", other.status, w.r.Count.Sent)
+	}
+	call := &told{}
+	w.turn(func() { w.r.Ask(0, nobody, w.now+900, false, []Piece{{Shard: 0, Share: 1}}, call) })
+	if w.pass(50); !slices.Equal(call.finals, []Ending{Failed}) || w.r.Count.Sent != 1 {
+		t.Errorf("a further front has %v; %d sent", call.finals, w.r.Count.Sent)
+	}
+	w.settle()
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -141,6 +141,7 @@
 	shards               int
 	places, span         int
 	kinds, halls         map[string]int
+	second               []bool // by query type: its answer takes a second step, which is not spoken here
 	customers            map[string]int
 	kindNames            []string
 	customerNames        []string
@@ -205,6 +206,9 @@
 		first(g.kinds, set.Item("classes", i, "name"), i)
 		g.kindNames = append(g.kindNames, set.Item("classes", i, "name"))
 		g.longest = max(g.longest, set.Num("classes."+strconv.Itoa(i)+".deadline-ms", graceMost))
+		if g.second = append(g.second, set.Nth("family-info.follow-up", i, 0) > 0); g.second[i] {
+			r.log.warn("second step", "searches of type %q are errored: their second step is not spoken on sockets", g.kindNames[i])
+		}
 	}
 	for i := range set.Count("customers") {
 		first(g.customers, set.Item("customers", i, "name"), i)
--- a/internal/routing/search.go
+++ b/internal/routing/search.go
@@ -415,6 +415,9 @@
 		return badRequest("no id")
 	case classes != 1 || !known:
 		return badRequest("no known query type")
+	case r.rules.second[kind]:
+		// An answer from its first step alone would be under its floor, or be marked whole though it is not.
+		return &protocol.Bad{Status: 501, Why: "a query type with a second step, which is not spoken here"}
 	case r.open[string(id)] != nil:
 		return &protocol.Bad{Status: 409, Why: "a search with this id is open"}
 	case budgets != 1 || err != nil || budget == 0 || budget > 24*3600*1000:
@@ -537,7 +540,6 @@
 		}
 	}
 	r.body = protocol.EndAnswer(r.body)
-	// A second step is not spoken on sockets: the module must not wait for one.
 	r.lapses = append(r.lapses, q)
 	if len(r.body) > protocol.MaxBody { // no client has to take such a body
 		r.Count.TooLong++
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -125,8 +125,8 @@
 	return v[path+"."+strconv.Itoa(i)+"."+name]
 }
 
-// nth reads one place of a plain list.
-func (v Values) nth(path string, i int, missing float64) float64 {
+// Nth reads one place of a plain list.
+func (v Values) Nth(path string, i int, missing float64) float64 {
 	if list := v.List(path); i < len(list) {
 		if n, err := strconv.ParseFloat(list[i], 64); err == nil && !math.IsNaN(n) && !math.IsInf(n, 0) {
 			return n
@@ -178,8 +178,8 @@
 		}
 		p.QueryType(v.Num(at+"aim-ms", 0), v.Num(at+"importance", 1),
 			v.Num(at+"late-value", 0), effect, v.Num(at+"window-ms", 0))
-		p.Shares(i, v.nth(fam+"class-need", i, 1), v.nth(fam+"class-floor", i, 1),
-			v.nth(fam+"incomplete-worth", i, 0), int(v.nth(fam+"follow-up", i, 0)))
+		p.Shares(i, v.Nth(fam+"class-need", i, 1), v.Nth(fam+"class-floor", i, 1),
+			v.Nth(fam+"incomplete-worth", i, 0), int(v.Nth(fam+"follow-up", i, 0)))
 	}
 	for i := range v.Count("customers") {
 		p.Customer(v.Num("customers."+strconv.Itoa(i)+".quota-per-s", 0), v.Num("over-share-worth", 1))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -15,7 +15,7 @@
 		t.Errorf("%v\n%v\n%v", err, nested, flat)
 	}
 	if nested.Num("classes.0.aim-ms", 1) != 4000 || nested.Num("x", 7) != 7 || nested.Item("classes", 0, "name") != "full" ||
-		nested.nth("family-info.class-need", 1, 9) != 0.5 || nested.nth("family-info.class-need", 2, 9) != 9 ||
+		nested.Nth("family-info.class-need", 1, 9) != 0.5 || nested.Nth("family-info.class-need", 2, 9) != 9 ||
 		len(nested.List("customers")) != 0 || nested.Count("customers") != 0 || nested.Flag("classes.0.streaming") {
 		t.Error("a value is read wrongly")
 	}
