A long list over many lines costs no more than its length

Ruled out: the parser itself (each piece is read once, the whole list once at its end).

At fault: protocol/http.go Lines.Feed copied all that was held onto itself for each further line. The test fails without the change at 20 s.

--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -457,7 +457,10 @@
 			}
 		}
 		if !l.shut(piece) && (goes || begins(line)) && len(line) < maxLine {
-			l.held = append(append(l.held[:0], line...), '\n')
+			if len(l.held) == 0 {
+				l.held = append(l.held, line...)
+			}
+			l.held = append(l.held, '\n') // what is held stays where it is: moved for each line, a long list would take minutes
 			l.seen = len(l.held)
 			b = rest
 			continue
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 	"unicode/utf8"
 )
 
@@ -288,3 +289,36 @@
 		}
 	}
 }
+
+func TestALongListOverManyLinesCostsNoMoreThanItsLength(t *testing.T) {
+	// 3 MB in lines of a few bytes, as a careless agent indents them. Moved for each line it took minutes.
+	var list bytes.Buffer
+	list.WriteString("{\"generation\":7,\"reset\":true,\"instances\":[\n")
+	for i := 0; list.Len() < 3<<20; i++ {
+		if i > 0 {
+			list.WriteString(",\n")
+		}
+		fmt.Fprintf(&list, "{\n\"instanceId\":\n\"s%d\",\n\"hostPort\"\n:\"127.0.0.1:1\"\n,\n\"lifecycle\":\n\"ready\"\n}\n", i)
+	}
+	list.WriteString("]}\n")
+	var l Lines
+	lists := 0
+	began := time.Now()
+	for rest := list.Bytes(); len(rest) > 0; {
+		n := min(len(rest), 64<<10)
+		if err := l.Feed(rest[:n], func(line []byte) error {
+			if version, whole, err := List(line, nil); err == nil && version == 7 && whole {
+				lists++
+			}
+			return nil
+		}); err != nil {
+			t.Fatal(err)
+		}
+		if rest = rest[n:]; time.Since(began) > 20*time.Second {
+			t.Fatalf("%d bytes are left after 20 s", len(rest))
+		}
+	}
+	if lists != 1 {
+		t.Errorf("%d lists", lists)
+	}
+}
