A start waits for the broker it replaces to let go of the address

From reading for restarts: a broker that stops serves on for up to 2.2 s with its address open, and one that was started meanwhile under the same name ended at once with 'address already in use': nobody was there once the first had gone. broker.go Run now tries for 10 s, says so in one line, and ends on SIGTERM meanwhile; any other error ends the start at once, as before. Transport's Listen kept the socket of a failed bind.

Tests with processes: an address that another holds and then lets go of, a stop meanwhile, an address that is never let go of. The first two fail without the waiting.

--- a/cmd/kestrelspread/rare_test.go
+++ b/cmd/kestrelspread/rare_test.go
@@ -276,3 +276,56 @@
 		t.Error("it does not end")
 	}
 }
+
+// startHeld starts the program on an address that another has.
+func startHeld(t *testing.T) (b *running, holder net.Listener) {
+	a := startNode(t)
+	d := startLister(t, "127.0.0.1:0")
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { holder.Close() })
+	b = &running{t: t, log: &logged{}, conf: filepath.Join(t.TempDir(), "config.json")}
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},`+
+		`"known":%s,"settings":%s}`, holder.Addr(), d.at, listOf(1, true, "ready", a), settingsText)
+	if err := os.WriteFile(b.conf, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	b.at = holder.Addr().String()
+	b.cmd = exec.Command(program)
+	b.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+b.conf)
+	b.cmd.Stderr = b.log
+	if err := b.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { b.cmd.Process.Kill() })
+	b.until("it waits", func() bool { return strings.Contains(b.log.String(), "the address is in use") })
+	return b, holder
+}
+
+func TestAStartWaitsForTheOneBeforeToLetGoOfTheAddress(t *testing.T) {
+	b, holder := startHeld(t)
+	holder.Close()
+	b.until("it serves", func() bool { return strings.Contains(b.log.String(), "serving") })
+	b.want(200, b.ask(request("quick", 2900, body(0))))
+	b.cmd.Process.Signal(syscall.SIGTERM)
+	if err := b.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestAStopIsHeardWhileTheAddressIsWaitedFor(t *testing.T) {
+	b, _ := startHeld(t)
+	b.cmd.Process.Signal(syscall.SIGTERM)
+	if err := b.cmd.Wait(); err != nil || strings.Contains(b.log.String(), "serving") {
+		t.Error(err, b.log)
+	}
+}
+
+func TestAnAddressThatIsNeverLetGoOfEndsTheStart(t *testing.T) {
+	b, holder := startHeld(t)
+	if err := b.cmd.Wait(); err == nil || !strings.Contains(b.log.String(), holder.Addr().String()+": bind: address already in use\n") {
+		t.Error(err, b.log)
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -193,8 +193,9 @@
 	if err != nil {
 		return err
 	}
-	if err := loop.Listen(listen); err != nil {
-		return fmt.Errorf("%s: %w", listen, err)
+	if stopped, err := open(loop, listen, stops, log); err != nil || stopped {
+		flush(waiting)
+		return err
 	}
 	router := routing.New(loop, pool, log, c.set, c.seed, sockets, c.Known, c.discovery, loop.Epoch())
 
@@ -246,6 +247,33 @@
 	return err
 }
 
+// open listens on an address. Where this broker is started before the one it replaces has let go of it, that one is waited
+// for: it serves on until the address closes, and a start refused for it would leave nobody there.
+func open(loop *transport.Loop, listen netip.AddrPort, stops <-chan os.Signal, log zerolog.Logger) (stopped bool, err error) {
+	since := time.Now()
+	for first := true; ; first = false {
+		switch err := loop.Listen(listen); {
+		case err == nil:
+			return false, nil
+		case !errors.Is(err, syscall.EADDRINUSE) || time.Since(since) > letGo:
+			return false, fmt.Errorf("%s: %w", listen, err)
+		}
+		if first {
+			log.Info().Str("listen", listen.String()).Msg("the address is in use, waiting")
+		}
+		select {
+		case <-stops:
+			return true, nil
+		case <-time.After(letGoAgain):
+		}
+	}
+}
+
+const (
+	letGo      = 10 * time.Second // a broker that stops closes its address within 2.3 s
+	letGoAgain = 100 * time.Millisecond
+)
+
 // A configuration may state more than any machine has; a number that does not fit must not become another one.
 const (
 	memoryMost = 1 << 20 // MB
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -135,9 +135,11 @@
 	fd := l.conns[c].fd
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	if err := unix.Bind(fd, sockaddr(addr)); err != nil {
+		l.Close(c)
 		return fmt.Errorf("bind: %w", err)
 	}
 	if err := unix.Listen(fd, backlog); err != nil {
+		l.Close(c)
 		return fmt.Errorf("listen: %w", err)
 	}
 	// When a search came must be known even if this process stood still meanwhile: its client waits from then
