Tests that neither copy, trial nor later try begins for who has left, on HTTP and gRPC

The kinds of waiting that had no test yet: a sub-request at a silent server where another is about to go, a server that can't be reached and is to be tried again, and a gRPC call whose server named a time to come back, its client closing or resetting. Each test first sees the next sub-request begin where the client stays. For a lot at a cold server nothing waits by itself: who has none is shed on arrival, and after that it is a later try.

--- a/internal/passthrough/rare_test.go
+++ b/internal/passthrough/rare_test.go
@@ -42,3 +42,33 @@
 		s.clean()
 	}
 }
+
+func TestNoLaterTryBeginsForACallThatWasLeft(t *testing.T) {
+	// Its server turns it away and names a time to come back; where the client stays it goes again then.
+	for _, how := range []string{"stays", "closes", "resets"} {
+		s := newScene(t, 33, 1, "")
+		s.all(func(k *p.Got) []p.Act { return acts(p.Only(5, 14, "grpc-retry-pushback-ms", "300")) })
+		c := p.Dial(s.w, 1)
+		a := c.Call(&p.Ask{Path: quick, Timeout: 1500, Body: [][]byte{p.Message("q")}})
+		s.w.Run(100)
+		if s.subs() != 1 || a.Done() {
+			t.Fatal(s.subs(), "sub-requests, done: ", a.Done())
+		}
+		switch how {
+		case "closes":
+			c.E.Close()
+		case "resets":
+			a.Cancel()
+			c.Flush()
+		}
+		s.w.Run(2000)
+		if n := s.subs(); (how == "stays") != (n > 1) {
+			t.Errorf("%s: %d sub-requests", how, n)
+		}
+		if how != "closes" {
+			c.E.Close()
+			s.w.Run(100)
+		}
+		s.clean()
+	}
+}
--- a/internal/routing/rare_test.go
+++ b/internal/routing/rare_test.go
@@ -587,3 +587,56 @@
 	}
 	w.settle()
 }
+
+func TestNeitherCopyNorTrialBeginsForWhoHasLeft(t *testing.T) {
+	// Each is seen to begin where the client stays.
+	for _, how := range []string{"copy", "trial"} {
+		later := func(stays bool) int64 {
+			w := newWorld(t, 1, map[string]int{"copy": 2, "trial": 1}[how])
+			w.turn()
+			w.open()
+			if how == "trial" { // who comes by seldom tries seldom, too
+				for range 20 {
+					var k *caller
+					w.turn(func() { k = w.ask("quick", 900, 0) })
+					w.answered(k)
+				}
+				w.turn(func() { w.lose(w.lanes()[0]) })
+			}
+			before := w.r.Count.Sent
+			var k *caller
+			w.turn(func() { k = w.ask("quick", 2500, 0) })
+			if how == "copy" { // it is out at a server that says nothing
+				w.open()
+			} else { // its only server can't be reached, and is tried again after a while
+				w.turn(func() { w.lose(w.lanes()[0]) })
+			}
+			sent := w.r.Count.Sent
+			if (how == "copy") != (sent == before+1) || k.answers > 0 {
+				t.Fatalf("%s: %d sent, %d answers", how, sent-before, k.answers)
+			}
+			if !stays {
+				w.goes(k)
+			}
+			for range 240 {
+				w.pass(10)
+				w.open()
+				for _, c := range w.lanes() { // probes are answered, nothing else is
+					for _, letter := range []string{"G", "T"} {
+						if i := slices.Index(w.ends[c].waiting, letter); i >= 0 {
+							w.ends[c].waiting = slices.Delete(w.ends[c].waiting, i, i+1)
+							w.turn(func() { w.frame(c, letter[0], "active=0,cpu=0") })
+						}
+					}
+				}
+			}
+			return w.r.Count.Sent - sent
+		}
+		if later(true) == 0 {
+			t.Errorf("%s: none begins though its client stays: the test shows nothing", how)
+		}
+		if n := later(false); n != 0 {
+			t.Errorf("%s: %d began for who had left", how, n)
+		}
+	}
+}
