A view of the voters names whose vote still counts while one is replaced

Their views told why: v1 had applied index 6, the joint change, and v2 (the new disk) index 5. Until the change is left (index 7) a majority of the outgoing voters counts too, and of those v0 was stopped and the old v2 gone: no election can be won then, for good. Ruled out: a vote that a learner refuses (raft has learners vote), a full queue, a slow disk.

At fault: seat.go show gave conf.Voters alone, so the view said 'three voters, the new one among them' in the middle of the change, and the test, as an operator would, took the next voter down. Also a voter without a leader named the first one it had never heard of (Leader: v1 in that log): 0 is nobody.

The new test stops at a disk in the middle of such a change; it fails without either line.

--- a/cmd/kestrelctl/owner.go
+++ b/cmd/kestrelctl/owner.go
@@ -159,6 +159,8 @@
 				role, heard := "votes", fmt.Sprintf("%.0f ms ago", o.Heard)
 				if o.Learner {
 					role = "learns"
+				} else if o.Leaving {
+					role = "leaves"
 				}
 				if o.Heard < 0 {
 					heard = "-"
--- a/internal/fleet/owner/mesh/mesh.go
+++ b/internal/fleet/owner/mesh/mesh.go
@@ -44,8 +44,9 @@
 	Name    string  `json:"name"`
 	ID      uint64  `json:"id"`
 	Learner bool    `json:"learner,omitempty"`
-	Match   uint64  `json:"match,omitempty"` // up to which it has the log, as the leader knows
-	Heard   float64 `json:"heard_ms"`        // since it was last heard of; below 0: never, or itself
+	Leaving bool    `json:"leaving,omitempty"` // its vote counts until the change that is under way is over
+	Match   uint64  `json:"match,omitempty"`   // up to which it has the log, as the leader knows
+	Heard   float64 `json:"heard_ms"`          // since it was last heard of; below 0: never, or itself
 }
 
 // Lease is a duty's, in a view of the leader's.
--- a/internal/fleet/owner/seat/seat.go
+++ b/internal/fleet/owner/seat/seat.go
@@ -293,6 +293,9 @@
 }
 
 func (s *Seat) name(id uint64) string {
+	if id == 0 { // nobody; the roster's numbers of voters that were never heard of are 0, too
+		return ""
+	}
 	if id == s.k.ID {
 		return s.opt.Name
 	}
@@ -517,18 +520,25 @@
 	now, st := Now(), s.v.State
 	v.Next = st.Next
 	conf := s.v.Conf()
-	add := func(id uint64, learner bool) {
-		o := mesh.Voter{Name: s.name(id), ID: id, Learner: learner, Heard: s.r.Silence(now, id)}
+	add := func(id uint64, learner, leaving bool) {
+		o := mesh.Voter{Name: s.name(id), ID: id, Learner: learner, Leaving: leaving, Heard: s.r.Silence(now, id)}
 		if v.Leading {
 			o.Match = s.v.Match(id)
 		}
 		v.Voters = append(v.Voters, o)
 	}
 	for _, id := range conf.Voters {
-		add(id, false)
+		add(id, false, false)
 	}
 	for _, id := range conf.Learners {
-		add(id, true)
+		add(id, true, false)
+	}
+	// While one is replaced by another, a majority of those before counts as well. Whoever took a third one down because the new
+	// one is said to vote would stop the group for good.
+	for _, id := range conf.VotersOutgoing {
+		if !slices.Contains(conf.Voters, id) {
+			add(id, false, true)
+		}
 	}
 	sort.Slice(v.Voters, func(i, j int) bool { return v.Voters[i].Name < v.Voters[j].Name })
 	leases := s.v.Grantor.Leases()
--- a/internal/fleet/owner/seat/seat_test.go
+++ b/internal/fleet/owner/seat/seat_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,9 +13,12 @@
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 	"github.com/rs/zerolog"
+	"go.etcd.io/raft/v3/raftpb"
 
 	"kestrelspread/internal/fleet/owner"
+	"kestrelspread/internal/fleet/owner/agree"
 	"kestrelspread/internal/fleet/owner/desk"
+	"kestrelspread/internal/fleet/owner/keep"
 	"kestrelspread/internal/fleet/owner/mesh"
 	"kestrelspread/internal/fleet/owner/roster"
 )
@@ -182,13 +186,17 @@
 	g.stop(2)
 	g.disks[2] = vfs.NewMem()
 	g.start(2)
+	// Twice in a row: that the change is over is with a majority once the second view was confirmed.
+	seen := 0
 	v = g.until("the new disk votes, the old one does not", func(v mesh.View) bool {
+		over := len(v.Voters) == 3
 		for _, o := range v.Voters {
-			if o.Name == "v2" && (o.Learner || o.ID == old["v2"]) {
-				return false
-			}
+			over = over && (o.Name != "v2" || !o.Learner && o.ID != old["v2"])
+		}
+		if seen++; !over {
+			seen = 0
 		}
-		return len(v.Voters) == 3
+		return seen == 2
 	})
 	// It counts: with another voter down the two go on.
 	g.stop(0)
@@ -198,6 +206,34 @@
 	}
 }
 
+func TestAViewNamesWhoseVoteStillCountsDuringAChange(t *testing.T) {
+	// In the middle of the change that puts 4 in the place of 3.
+	disk := agree.Disk{ID: 1, Hard: raftpb.HardState{Term: 2, Commit: 6}, Snapshot: raftpb.Snapshot{Metadata: raftpb.SnapshotMetadata{Index: 6, Term: 2,
+		ConfState: raftpb.ConfState{Voters: []uint64{1, 2, 4}, VotersOutgoing: []uint64{1, 2, 3}, AutoLeave: true}}}}
+	v, err := desk.New(disk, owner.Usual, agree.Usual, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Seat{k: &keep.Keep{ID: 1}, v: v, r: roster.New(roster.Usual, roster.Hello{Name: "a", ID: 1}, []string{"a", "b"}, 0)}
+	var view mesh.View
+	s.show(&view)
+	var leaving, staying []uint64
+	for _, o := range view.Voters {
+		if o.Leaving {
+			leaving = append(leaving, o.ID)
+		} else {
+			staying = append(staying, o.ID)
+		}
+	}
+	slices.Sort(staying)
+	if !slices.Equal(leaving, []uint64{3}) || !slices.Equal(staying, []uint64{1, 2, 4}) {
+		t.Error(leaving, "leave, the others are", staying)
+	}
+	if who := s.name(v.Leader()); who != "" {
+		t.Errorf("nobody leads, and it is called %q", who)
+	}
+}
+
 func TestASecondProcessOnOneDiskIsRefused(t *testing.T) {
 	g := newGroup(t, 1)
 	o := g.options(0)
