The test of a view in the middle of a change has a disk with a number

With the voter's number set the test fails without either of the two lines that it is about: '[] leave, the others are [1 2 4]' without the outgoing voters, 'nobody leads, and it is called "a"' without the name of nobody.

--- a/internal/fleet/owner/seat/seat_test.go
+++ b/internal/fleet/owner/seat/seat_test.go
@@ -214,7 +214,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Seat{k: &keep.Keep{ID: 1}, v: v, r: roster.New(roster.Usual, roster.Hello{Name: "a", ID: 1}, []string{"a", "b"}, 0)}
+	s := &Seat{k: &keep.Keep{Identity: keep.Identity{ID: 1}}, v: v, r: roster.New(roster.Usual, roster.Hello{Name: "a", ID: 1}, []string{"a", "b"}, 0)}
 	var view mesh.View
 	s.show(&view)
 	var leaving, staying []uint64
