--- /dev/null
+++ b/internal/node/config/model.go
@@ -0,0 +1,99 @@
+package config
+
+// The configuration as operators send it. Source: PROTOCOL.md, "The operator's API". Unknown fields are kept in the
+// stored body and ignored here.
+
+// Document is a whole configuration.
+type Document struct {
+	Version  uint64    `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+	Tenants  []Tenant  `json:"tenants"`
+}
+
+// RouteKind says what may be repeated on a route.
+type RouteKind string
+
+// The kinds of routes.
+const (
+	KindSafe      RouteKind = "safe"
+	KindUnsafe    RouteKind = "unsafe"
+	KindStreaming RouteKind = "streaming"
+)
+
+// Route says where requests for a host and path prefix go.
+type Route struct {
+	Name            string            `json:"name"`
+	Host            string            `json:"host"`
+	PathPrefix      string            `json:"pathPrefix"`
+	Kind            RouteKind         `json:"kind"`
+	TimeoutMs       float64           `json:"timeoutMs"`
+	TargetLatencyMs float64           `json:"targetLatencyMs"`
+	Priority        int               `json:"priority"` // 0 is the most urgent
+	Service         string            `json:"service,omitempty"`
+	TrafficSplit    []WeightedService `json:"trafficSplit,omitempty"`
+	MaxAttempts     int               `json:"maxAttempts"`
+	Public          bool              `json:"public"`
+	Sticky          bool              `json:"sticky"`
+	Resumable       bool              `json:"resumable"`
+	GapAimMs        float64           `json:"gap_aim_ms"`
+}
+
+// Idempotent reports whether one client request of the route may run more than once (RULES.md, "Words").
+func (r *Route) Idempotent() bool {
+	return r.Kind == KindSafe || r.Kind == KindStreaming && r.Resumable
+}
+
+// WeightedService is one part of a route's traffic.
+type WeightedService struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// Service is a group of brokers, or the store of kept prompts where KVStoreAddr is set.
+type Service struct {
+	Name             string  `json:"name"`
+	HealthCheck      string  `json:"healthCheck"`
+	MaxConnections   int     `json:"maxConnections"`
+	Protocol         string  `json:"protocol"`
+	TLS              bool    `json:"tls"`
+	Engine           *Engine `json:"engine,omitempty"`
+	KVStoreAddr      string  `json:"kvStoreAddr,omitempty"`
+	Zone             string  `json:"zone,omitempty"`
+	KVCapacityTokens float64 `json:"kvCapacityTokens,omitempty"`
+	LinkMbps         float64 `json:"linkMbps,omitempty"`
+	MaxConcurrency   int     `json:"maxConcurrency,omitempty"`
+}
+
+// Engine describes the model brokers of a service.
+type Engine struct {
+	Slots            int           `json:"slots"`
+	KVCapacityTokens float64       `json:"kvCapacityTokens"`
+	KVTokenBytes     float64       `json:"kvTokenBytes"`
+	LinkMbps         float64       `json:"linkMbps"`
+	Stride           int           `json:"stride"`
+	MaxConcurrency   int           `json:"maxConcurrency"`
+	Models           []EngineModel `json:"models"`
+}
+
+// EngineModel names a model that a service's brokers run.
+type EngineModel struct {
+	Name string `json:"name"`
+}
+
+// Limits bound what a client may send, and how long it may take or stay idle.
+type Limits struct {
+	MaxHeaderBytes  int     `json:"maxHeaderBytes"`
+	MaxBodyBytes    int64   `json:"maxBodyBytes"`
+	HeaderTimeoutMs float64 `json:"headerTimeoutMs"`
+	IdleTimeoutMs   float64 `json:"idleTimeoutMs"`
+}
+
+// Tenant is a customer with keys.
+type Tenant struct {
+	Name     string   `json:"name"`
+	APIKeys  []string `json:"apiKeys"`
+	Priority *int     `json:"priority,omitempty"` // goes before the route's where set
+	Isolated bool     `json:"isolated"`
+}
--- /dev/null
+++ b/internal/node/verdict/verdict.go
@@ -0,0 +1,33 @@
+// Package verdict says what is known of a request that was sent to a model broker or service.
+package verdict
+
+// Verdict tells whether a request may have run. Source: PROTOCOL.md, "Brokers" and "Answers".
+type Verdict uint8
+
+const (
+	// NotRun: no byte of it left, or the receiver said so (X-Kestrelspread-Not-Executed, or status 421).
+	NotRun Verdict = iota
+	// MayHaveRun: it was sent, wholly or in part, and nothing tells what became of it.
+	MayHaveRun
+	// Ran: an answer of the receiver shows that it worked on it.
+	Ran
+)
+
+// MayRepeat reports whether the request can go to another receiver: always where it did not run, else only where
+// its route allows that it runs more than once.
+func (v Verdict) MayRepeat(idempotent bool) bool { return v == NotRun || idempotent }
+
+// MayPromise reports whether the client may be given a status that promises that the request never ran
+// (408, 421, 429, 503).
+func (v Verdict) MayPromise() bool { return v == NotRun }
+
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not run"
+	case MayHaveRun:
+		return "may have run"
+	default:
+		return "ran"
+	}
+}
