--- /dev/null
+++ b/internal/node/core/answers.go
@@ -0,0 +1,34 @@
+package core
+
+// RegistryAnswer answers a heartbeat or a deregistration that came to this node's own API.
+type RegistryAnswer struct {
+	Request uint64
+	// Taken: answer 2xx. Otherwise answer 503, so that the broker calls another node.
+	Taken bool
+	// HeartbeatURL is the control address (IP:port) for later heartbeats; empty: none is named.
+	HeartbeatURL string
+}
+
+// LoadingConfirmed reports that the loading mark of a broker was told to the nodes: see registry.SetLoading.
+type LoadingConfirmed struct {
+	InstanceID string
+	Fence      uint64 // the mark as set; 0: it was taken away
+	// Everywhere: all nodes in touch have confirmed it. Otherwise the time for that has run out.
+	Everywhere bool
+}
+
+// TableChanged reports that the registry holds a new table of brokers.
+type TableChanged struct{}
+
+// StateChanged reports that the distributed control state has a higher index than before.
+type StateChanged struct{}
+
+// ConfirmationWanted asks the tail's shell for a barrier through the chain, whose end it reports by
+// distribution.LocalConfirmed.
+type ConfirmationWanted struct{}
+
+func (RegistryAnswer) isOutput()     {}
+func (LoadingConfirmed) isOutput()   {}
+func (TableChanged) isOutput()       {}
+func (StateChanged) isOutput()       {}
+func (ConfirmationWanted) isOutput() {}
