--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -53,13 +53,26 @@
 	State   *nodepb.StateSnapshot // for reads
 }
 
+// Committed tells that an entry of the control state is committed and applied. Entries come in the order of their index.
+type Committed struct {
+	Entry  *nodepb.Entry
+	Result *nodepb.CommandResult
+}
+
+// Installed tells that the control state was replaced by a newer committed one, as a whole.
+type Installed struct {
+	Snapshot *nodepb.StateSnapshot
+}
+
 // Log asks for a line in the log.
 type Log struct {
 	Message string
 	Fields  []any // as log/slog takes them
 }
 
-func (Send) isOutput()  {}
-func (Write) isOutput() {}
-func (Reply) isOutput() {}
-func (Log) isOutput()   {}
+func (Send) isOutput()      {}
+func (Write) isOutput()     {}
+func (Reply) isOutput()     {}
+func (Committed) isOutput() {}
+func (Installed) isOutput() {}
+func (Log) isOutput()       {}
