--- /dev/null
+++ b/internal/node/routing/admission.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"time"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/predict"
+)
+
+const (
+	fullPause       = 250 * time.Millisecond // a refusal for want of room is believed so long
+	fullPauseMost   = time.Second
+	leastTime       = 15 * time.Millisecond // less than this till its deadline, a request can't be answered
+	adviceShare     = 3                     // clients follow advice of up to a third of the time they have left
+	adviceMost      = 1200 * time.Millisecond
+	adviceShort     = 120 * time.Millisecond // where another proxy may do better at once
+	hopelessShare   = 0.25                   // quantile of latencies which exceeds the time left: no chance
+	priorityPerRank = 3
+	priorityLast    = 9
+)
+
+// enginePriority is the Priority header: 0 to 9, 0 first (PROTOCOL.md, "Requests").
+func enginePriority(urgency int) int {
+	return min(max(urgency, 0)*priorityPerRank, priorityLast)
+}
+
+// turnedAway notes that a broker had no room, by its own word.
+func (b *broker) turnedAway(now core.Time, outcome *Outcome) {
+	pause := fullPause
+	if outcome.RetryAfter > 0 {
+		pause = min(max(outcome.RetryAfter, fullPause/2), fullPauseMost)
+	}
+	if load := outcome.Load; load != nil && load.Waiting == 0 && 2*load.Running < load.Slots {
+		pause = fullPause / 2 // it turned it away for another reason than want of room
+	}
+	b.fullUntil = now + pause
+}
+
+// hopeless reports whether a request can't be answered in the time left: even the quickest of the lately answered ones took
+// longer, and requests wait at the broker.
+func (r *Router) hopeless(now core.Time, req *request, c *candidate) bool {
+	b := c.broker
+	if !b.report.heard || b.report.load.Waiting == 0 || now-b.report.at > time.Second {
+		return false
+	}
+	quick, n := req.class.latencies.Quantile(milliseconds(now), hopelessShare)
+	return n >= predict.Few && quick*req.work > milliseconds(req.Deadline-now)
+}
+
+// refuse is the final answer to a request that has not run.
+func (r *Router) refuse(now core.Time, req *request, reason RefusalReason, earliest core.Time) Decision {
+	r.counters.Refusals[reason]++
+	return Decision{Refusal: &Refusal{Reason: reason, RetryAfter: r.advice(now, req, reason, earliest)}}
+}
+
+// advice is when the client should come again: within a third of the time it has left, spread by chance so that those who
+// were refused together don't come together.
+func (r *Router) advice(now core.Time, req *request, reason RefusalReason, earliest core.Time) core.Time {
+	most := min(max(req.Deadline-now, 0)/adviceShare, adviceMost)
+	if reason == RefusedUnhealthy || reason == RefusedAttempts || reason == RefusedNoBroker {
+		most = min(most, adviceShort)
+	}
+	chance := r.options.Random.Float64()
+	least := core.Time(0)
+	if earliest != core.Never && earliest > now {
+		least = min(earliest-now, most/2)
+	}
+	return least + core.Time(chance*float64(most-least))
+}
--- /dev/null
+++ b/internal/node/routing/affinity.go
@@ -0,0 +1,119 @@
+package routing
+
+import "cmp"
+
+// affinitySet is how many brokers are candidates for the prediction on a sticky route.
+const affinitySet = 3
+
+// stickyPart is the part of a prompt by which its broker is found without an exchange: the deepest that is shared, as the
+// last one belongs to the request or its session (PROTOCOL.md, "Requests").
+func stickyPart(parts []PromptPart) (PromptPart, bool) {
+	switch n := len(parts); n {
+	case 0:
+		return PromptPart{}, false
+	case 1:
+		return parts[0], true
+	default:
+		return parts[n-2], true
+	}
+}
+
+// sharedParts are those that other requests may use as well.
+func sharedParts(parts []PromptPart) []PromptPart {
+	if len(parts) < 2 {
+		return nil
+	}
+	return parts[:len(parts)-1]
+}
+
+// affinityKey names what is kept together: a part under a model and wall, whatever the version.
+func affinityKey(part PromptPart, model, wall string) uint64 {
+	key := part.ID ^ hashText(model)
+	if wall != "" {
+		key ^= mix(hashText(wall))
+	}
+	return mix(key)
+}
+
+// weight is a broker's place in a key's rendezvous order: the highest keeps the parts. Every proxy finds the same order.
+func weight(key uint64, b *broker) uint64 { return mix(key ^ b.hash) }
+
+func hashText(text string) uint64 { return mix(SaltID(text)) }
+
+// mix spreads a number over 64 bits (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// byAffinity orders the candidates' first few places: those that the index names, then the rendezvous order. It returns how
+// many there are.
+func (r *Router) byAffinity(req *request, found []candidate) int {
+	part, ok := stickyPart(req.Parts)
+	if !ok {
+		return 0
+	}
+	key := affinityKey(part, req.Model, req.wall)
+	for i := range found {
+		found[i].rank = weight(key, found[i].broker)
+	}
+	r.rankHolders(req, found)
+	n := min(affinitySet, len(found))
+	for place := range n {
+		best := place
+		for i := place + 1; i < len(found); i++ {
+			if ranksBefore(&found[i], &found[best]) {
+				best = i
+			}
+		}
+		found[place], found[best] = found[best], found[place]
+	}
+	return n
+}
+
+func ranksBefore(a, b *candidate) bool {
+	if c := cmp.Compare(a.kept, b.kept); c != 0 {
+		return c > 0
+	}
+	return a.rank > b.rank
+}
+
+// rankHolders notes how many tokens of the prompt each candidate keeps, as far as the index knows.
+func (r *Router) rankHolders(req *request, found []candidate) {
+	req.store = Holder{}
+	if r.options.Index == nil {
+		return
+	}
+	for i := range found {
+		found[i].kept = 0
+	}
+	asked := uint64(0)
+	for i := range found {
+		version := found[i].version
+		if version == asked {
+			continue
+		}
+		asked = version
+		salt := SaltID(cacheSalt(req.Model, version, req.wall))
+		for _, holder := range r.options.Index.Holders(salt, req.Parts) {
+			r.noteHolder(req, found, version, holder)
+		}
+	}
+}
+
+func (r *Router) noteHolder(req *request, found []candidate, version uint64, holder Holder) {
+	if holder.Store {
+		if version == r.versions.newest(req.Model) {
+			req.store = holder
+		}
+		return
+	}
+	for i := range found {
+		if found[i].version == version && found[i].broker.instance.ID == holder.Instance {
+			found[i].kept = holder.Tokens
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/routing/broker.go
@@ -0,0 +1,143 @@
+package routing
+
+import (
+	"slices"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/registry"
+	"kestrelspread/internal/predict"
+	"kestrelspread/internal/window"
+)
+
+// Windows of latencies: spans are told to a tenth, values to a seventh, which keeps a broker's memory small.
+const (
+	latencyBuckets = 10
+	latencyLow     = 1.0 // ms
+	latencyStep    = 1.15
+	latencyBins    = 70 // up to 17 s
+	lineKept       = 250 * 1e6
+	tookWeight     = 0.5     // of the newest answer in what a broker takes
+	tookFade       = 10000.0 // ms after which what it took says nothing any more
+)
+
+func newLatencies() *window.Hist {
+	return window.NewHist(latencyBuckets, predict.LineSpan/latencyBuckets, latencyLow, latencyStep, latencyBins)
+}
+
+// broker is what this proxy knows of one instance by its own sight.
+type broker struct {
+	instance *registry.Instance
+	hash     uint64     // of the instance's id, for the order of a prompt's parts
+	out      int        // own attempts there
+	waiting  []*attempt // those that no answer has begun for, the oldest first
+	report   loadReport
+	history  [predict.HistorySize]sample
+	lately   *window.Hist // own latencies, scaled; nil before the first answer
+	line     float64
+	lineAt   core.Time
+	took     float64 // ms, scaled: smoothed latency
+	tookAt   core.Time
+	health   health
+	// fullUntil is how long its latest refusal for want of room is believed.
+	fullUntil core.Time
+}
+
+// sample is a latency, when it ended and the load when its request was sent. Latencies are scaled to the usual work.
+type sample struct {
+	latency float64
+	at      core.Time
+	load    float64
+}
+
+// loadReport is what a broker told last, with this proxy's own requests there at that time.
+type loadReport struct {
+	load  Load
+	at    core.Time
+	heard bool
+	out   int
+}
+
+func newBroker(instance *registry.Instance) *broker {
+	return &broker{instance: instance, hash: hashText(instance.ID), lineAt: -lineKept}
+}
+
+// told takes a report in.
+func (b *broker) told(now core.Time, load *Load) {
+	if load == nil {
+		return
+	}
+	b.report = loadReport{load: *load, at: now, heard: true, out: b.out}
+}
+
+// load is the last reported count with what this proxy changed since, and how far it can be trusted: 1 while it is fresh,
+// fading to 0.
+func (b *broker) load(now core.Time) (load, trust float64) {
+	if !b.report.heard {
+		return 0, 0
+	}
+	reported := float64(b.report.load.Running + b.report.load.Waiting + b.out - b.report.out)
+	age := milliseconds(now - b.report.at)
+	trust = min(max(1-(age-predict.HistoryLife)/reportFade, 0), 1)
+	return max(reported, 0), trust
+}
+
+// learnLatency keeps an answer's scaled latency.
+func (b *broker) learnLatency(now core.Time, latency, load float64) {
+	copy(b.history[1:], b.history[:])
+	b.history[0] = sample{latency, now, load}
+	if b.lately == nil {
+		b.lately = newLatencies()
+	}
+	b.lately.Add(milliseconds(now), latency)
+	b.lineAt = -lineKept
+	b.tookLatency(now, latency)
+}
+
+// tookLatency smooths what the broker takes; of attempts that were called off too, as they would have taken longer still.
+func (b *broker) tookLatency(now core.Time, latency float64) {
+	if b.tookAt == 0 || milliseconds(now-b.tookAt) > tookFade {
+		b.took = latency
+	}
+	b.took += tookWeight * (latency - b.took)
+	b.tookAt = now
+}
+
+// expected is what an answer of the usual work would take here, given what is usual in the pool: of a broker not heard of
+// for long, that.
+func (b *broker) expected(now core.Time, median float64) float64 {
+	expected := median
+	if b.tookAt != 0 {
+		weight := max(1-milliseconds(now-b.tookAt)/tookFade, 0)
+		expected = weight*b.took + (1-weight)*median
+	}
+	if age, _ := b.oldest(now); age > expected {
+		return age
+	}
+	return expected
+}
+
+// oldest is the scaled age of the attempt that has waited longest for its answer to begin, 0 where none waits.
+func (b *broker) oldest(now core.Time) (age, load float64) {
+	if len(b.waiting) == 0 {
+		return 0, 0
+	}
+	first := b.waiting[0]
+	return first.age(now), first.load
+}
+
+func (b *broker) sent(a *attempt) {
+	b.out++
+	b.waiting = append(b.waiting, a)
+}
+
+// begun takes an attempt off those that wait, as its answer has begun or won't.
+func (b *broker) begun(a *attempt) {
+	if i := slices.Index(b.waiting, a); i >= 0 {
+		b.waiting = slices.Delete(b.waiting, i, i+1)
+	}
+}
+
+func (b *broker) ended(a *attempt) {
+	b.begun(a)
+	b.out--
+}
--- /dev/null
+++ b/internal/node/routing/candidates.go
@@ -0,0 +1,267 @@
+package routing
+
+import (
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/predict"
+)
+
+const (
+	overloadFactor = 1.25 // of the average load, above which a prompt's broker is passed over
+	overloadSlack  = 2.0  // requests
+	crowdSlow      = 2.0  // medians that a broker takes which is slow even where all are
+	otherZone      = 0.6  // what another zone counts against a broker, in average loads
+	tookTie        = 0.5  // what a broker's latency counts, in medians
+	chanceTie      = 0.1
+)
+
+// candidate is a broker that a request may go to.
+type candidate struct {
+	broker   *broker
+	version  uint64
+	load     float64
+	features predict.Vector
+	scored   bool
+	slow     bool
+	trial    bool
+	rank     uint64
+	kept     int // tokens of the prompt, by the index
+}
+
+// field is what is found for one request: brokers that are sound, and those in doubt.
+type field struct {
+	sound    []candidate
+	doubtful []candidate // set aside, silent or hanging
+	full     int         // turned requests away lately
+	earliest core.Time   // when the first of the full may have room
+	declined int         // other brokers of the service that take nothing now: loading, leaving, another version
+	average  float64     // load
+}
+
+// gather finds the brokers that the request may go to. What it returns is valid until the next call.
+func (r *Router) gather(now core.Time, req *request) *field {
+	f := &r.field
+	f.sound, f.doubtful = f.sound[:0], f.doubtful[:0]
+	f.full, f.declined, f.earliest = 0, 0, core.Never
+	for _, b := range req.pool.brokers {
+		c, ok := r.permitted(now, req, b)
+		if !ok {
+			f.declined++
+			continue
+		}
+		if req.tried(b) {
+			continue
+		}
+		r.sort(now, req, f, c)
+	}
+	f.sound = r.newestFirst(now, req, f.sound)
+	r.weighLoads(now, f)
+	return f
+}
+
+// permitted reports whether the rules let the request go to the broker at all.
+func (r *Router) permitted(now core.Time, req *request, b *broker) (candidate, bool) {
+	c := candidate{broker: b}
+	if !b.instance.Usable() || now < b.health.misdirectedUntil {
+		return c, false
+	}
+	if req.Model != "" {
+		c.version = r.versions.believed(b.instance, req.Model)
+		return c, r.versions.allowed(now, req.Model, c.version)
+	}
+	return c, true
+}
+
+// sort puts a broker among the sound, the doubtful or the full.
+func (r *Router) sort(now core.Time, req *request, f *field, c candidate) {
+	b := c.broker
+	h := &b.health
+	switch {
+	case now < b.fullUntil:
+		f.full++
+		f.earliest = min(f.earliest, b.fullUntil)
+	case h.aside && h.trialDue(now) && r.mayTry(now, req, h):
+		c.trial = true
+		f.sound = append(f.sound, c)
+	case h.aside, req.pool.hanging(now, b):
+		f.doubtful = append(f.doubtful, c)
+	case b.instance.Silent && (h.answeredAt == 0 || now-h.answeredAt > answeredLately):
+		f.doubtful = append(f.doubtful, c)
+	default:
+		f.sound = append(f.sound, c)
+	}
+}
+
+// mayTry reports whether the request can be a trial: one that may be repeated, or at a broker that takes no connection at
+// all, as then it can't run unseen; any request after a longer wait, where no other came by.
+func (r *Router) mayTry(now core.Time, req *request, h *health) bool {
+	return req.idempotent || h.unreachable || now >= h.trialAt+h.backoff
+}
+
+// newestFirst leaves only brokers with the newest weights when the time for older ones is nearly over.
+func (r *Router) newestFirst(now core.Time, req *request, sound []candidate) []candidate {
+	if req.Model == "" || !r.versions.preferNewest(now, req.Model) {
+		return sound
+	}
+	newest := r.versions.newest(req.Model)
+	any := false
+	for i := range sound {
+		any = any || sound[i].version >= newest
+	}
+	if !any {
+		return sound
+	}
+	kept := sound[:0]
+	for i := range sound {
+		if sound[i].version >= newest {
+			kept = append(kept, sound[i])
+		}
+	}
+	return kept
+}
+
+// weighLoads fills in the candidates' loads: the last report corrected by own sends, faded to the average as it ages; own
+// requests where no broker reports.
+func (r *Router) weighLoads(now core.Time, f *field) {
+	sum, trusts, own := 0.0, 0.0, 0
+	for i := range f.sound {
+		b := f.sound[i].broker
+		load, trust := b.load(now)
+		sum += trust * load
+		trusts += trust
+		own += b.out
+	}
+	if trusts == 0 {
+		f.average = float64(own) / float64(max(len(f.sound), 1))
+		for i := range f.sound {
+			f.sound[i].load = float64(f.sound[i].broker.out)
+		}
+		return
+	}
+	f.average = sum / trusts
+	for i := range f.sound {
+		load, trust := f.sound[i].broker.load(now)
+		f.sound[i].load = trust*load + (1-trust)*f.average
+	}
+}
+
+// score fills in the prediction for a candidate.
+func (r *Router) score(now core.Time, req *request, f *field, c *candidate) {
+	if c.scored {
+		return
+	}
+	p := req.pool
+	c.scored = true
+	c.features = p.features(now, c.broker, c.load, f.average)
+	c.slow = p.slow(&c.features)
+	// In a crowd all are slow, and who looks fast is who was left alone: only who is far slower than the rest is passed over.
+	if c.slow && p.crowded() && c.broker.expected(now, p.median) < crowdSlow*p.median {
+		c.slow = false
+	}
+}
+
+// pick chooses among the sound candidates. There is at least one.
+func (r *Router) pick(now core.Time, req *request, f *field) (chosen *candidate, byPrediction bool) {
+	if trial := r.dueTrial(f); trial != nil {
+		r.score(now, req, f, trial)
+		r.counters.Trials++
+		return trial, false
+	}
+	if req.Route.Sticky {
+		if chosen, byPrediction = r.pickByAffinity(now, req, f); chosen != nil {
+			return chosen, byPrediction
+		}
+	}
+	return r.pickByLoad(now, req, f)
+}
+
+func (r *Router) dueTrial(f *field) *candidate {
+	for i := range f.sound {
+		if f.sound[i].trial {
+			return &f.sound[i]
+		}
+	}
+	return nil
+}
+
+// pickByAffinity takes the first broker in the prompt's order that is neither predicted slow nor clearly busier than the
+// rest; nil where there is none.
+func (r *Router) pickByAffinity(now core.Time, req *request, f *field) (*candidate, bool) {
+	n := r.byAffinity(req, f.sound)
+	limit := overloadFactor*f.average + overloadSlack
+	skipped := false
+	for i := range n {
+		c := &f.sound[i]
+		r.score(now, req, f, c)
+		switch {
+		case c.slow:
+			skipped = true
+		case c.load <= limit:
+			if i == 0 || c.kept > 0 {
+				r.counters.ByAffinity++
+			}
+			if skipped {
+				r.counters.ByPrediction++
+			}
+			return c, n > 1
+		}
+	}
+	return nil, false
+}
+
+// pickByLoad is the design's choice: predicted-slow brokers are skipped, and of the rest the one with the fewest own requests
+// takes it; ties go by load, what answers took, the own zone and chance. If all look slow, the first still takes it.
+func (r *Router) pickByLoad(now core.Time, req *request, f *field) (*candidate, bool) {
+	var best *candidate
+	bestTie, skipped := 0.0, false
+	for i := range f.sound {
+		c := &f.sound[i]
+		r.score(now, req, f, c)
+		skipped = skipped || c.slow
+		tie := r.tie(now, req.pool, f, c)
+		if best == nil || better(c, best, tie, bestTie) {
+			best, bestTie = c, tie
+		}
+	}
+	switch {
+	case best.slow:
+		r.counters.AllSlow++
+	case skipped:
+		r.counters.ByPrediction++
+	default:
+		r.counters.ByLoad++
+	}
+	return best, len(f.sound) > 1 && !best.slow
+}
+
+func better(c, best *candidate, tie, bestTie float64) bool {
+	if c.slow != best.slow {
+		return best.slow
+	}
+	if c.broker.out != best.broker.out {
+		return c.broker.out < best.broker.out
+	}
+	return tie < bestTie
+}
+
+func (r *Router) tie(now core.Time, p *pool, f *field, c *candidate) float64 {
+	tie := c.load / (f.average + 1)
+	if p.median > 0 {
+		tie += tookTie * c.broker.expected(now, p.median) / p.median
+	}
+	if c.broker.instance.Zone != r.options.Zone {
+		tie += otherZone
+	}
+	return tie + chanceTie*r.options.Random.Float64()
+}
+
+// pickDoubtful takes the broker in doubt that was so for longest: better than no answer where the request may be repeated.
+func (r *Router) pickDoubtful(f *field) *candidate {
+	var best *candidate
+	for i := range f.doubtful {
+		c := &f.doubtful[i]
+		if best == nil || c.broker.health.trialAt < best.broker.health.trialAt {
+			best = c
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/node/routing/copies.go
@@ -0,0 +1,66 @@
+package routing
+
+import (
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/predict"
+)
+
+const (
+	copyBlind    = 1.0  // of the route's target latency, where too few answers tell its percentile
+	copyLeast    = 20.0 // ms
+	copyLeftover = 0.1  // share of the time left that a copy must have to be of use
+	spareGain    = 0.67 // a second broker must be expected to take at most so much of what was waited
+)
+
+// copyAt is when an attempt whose answer has not begun may have a copy: past pX of its class's latencies.
+func (r *Router) copyAt(now core.Time, req *request) core.Time {
+	if !req.idempotent || req.copied || req.runs() >= req.Route.MaxAttempts {
+		return core.Never
+	}
+	at := milliseconds(now)
+	limit, n := req.class.latencies.Quantile(at, req.pool.submits.CopyShare(at))
+	limit *= req.work
+	if n < predict.Few {
+		limit = copyBlind * req.Route.TargetLatencyMs
+	}
+	due := now + fromMilliseconds(max(limit, copyLeast))
+	if due >= req.Deadline-core.Time(copyLeftover*float64(req.Deadline-now)) {
+		return core.Never
+	}
+	return due
+}
+
+// Copy decides on the design's copy: one, to the next broker that looks fast, within maxAttempts and the retry budget.
+func (r *Router) Copy(now core.Time, id RequestID) Decision {
+	req := r.requests[id]
+	if req == nil {
+		return Decision{}
+	}
+	waiting := req.onlyWaiting()
+	if waiting == nil || req.copied || !req.idempotent || req.runs() >= req.Route.MaxAttempts {
+		return Decision{}
+	}
+	p := req.pool
+	p.refresh(now)
+	if age := waiting.age(now); age > p.lineOf(now, waiting.broker) {
+		p.teach(now, waiting, true)
+	}
+	// Where slowness is everywhere, a copy takes from another request what it gives to its own.
+	if p.crowded() && !p.hanging(now, waiting.broker) {
+		return Decision{}
+	}
+	f := r.gather(now, req)
+	if len(f.sound) == 0 {
+		return Decision{}
+	}
+	chosen, byPrediction := r.pick(now, req, f)
+	if chosen.slow || chosen.trial || chosen.broker.expected(now, p.median) > spareGain*waiting.age(now) {
+		return Decision{}
+	}
+	if !r.affords(now, &p.budget, copyReserve) {
+		return Decision{}
+	}
+	req.copied = true
+	r.counters.Copies++
+	return r.send(now, req, chosen, byPrediction)
+}
--- /dev/null
+++ b/internal/node/routing/counters.go
@@ -0,0 +1,28 @@
+package routing
+
+// Counters tell what was decided since the start, for metrics.
+type Counters struct {
+	Requests     uint64
+	ByAffinity   uint64 // sent to the broker that keeps the prompt's parts, or should
+	ByPrediction uint64 // a broker was skipped because it was predicted slow
+	ByLoad       uint64 // sent to the one with the fewest requests
+	AllSlow      uint64 // all were predicted slow, and the first took it
+	Fallback     uint64 // sent to a broker that was set aside, full or silent, as nothing better was left
+	Trials       uint64 // of brokers set aside
+	Copies       uint64
+	Retries      uint64
+	BudgetDenied uint64
+	Fetches      uint64
+	Saves        uint64
+	Refusals     map[RefusalReason]uint64
+}
+
+// clone copies the counters for a reader.
+func (c *Counters) clone() Counters {
+	out := *c
+	out.Refusals = make(map[RefusalReason]uint64, len(c.Refusals))
+	for reason, n := range c.Refusals {
+		out.Refusals[reason] = n
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/routing/fetch.go
@@ -0,0 +1,153 @@
+package routing
+
+import (
+	"time"
+
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/core"
+)
+
+// Moves of kept prompts between brokers and the store (PROTOCOL.md, "KV cache"). A fetch is far cheaper than reading the
+// parts again, a miss costs a millisecond, and a source that is dead some hundred: so only sources known to be well are
+// named.
+const (
+	fetchLeastTokens = 256 // fewer are read sooner than moved
+	storeConfirmed   = 2500 * time.Millisecond
+	savedMost        = 4096 // keys of parts that are remembered as saved
+)
+
+// storeState is what is known of a store of kept prompts by its own signs of life.
+type storeState struct {
+	aliveAt core.Time // 0: never heard of
+}
+
+// store is the store that brokers of this zone use, nil where the configuration has none.
+func (r *Router) store() *config.Service {
+	if r.compiled == nil || len(r.compiled.Stores) == 0 {
+		return nil
+	}
+	for _, store := range r.compiled.Stores {
+		if store.Zone == r.options.Zone {
+			return store
+		}
+	}
+	return r.compiled.Stores[0]
+}
+
+func (r *Router) storeAlive(now core.Time, address string) bool {
+	state, ok := r.stores[address]
+	return ok && now-state.aliveAt <= storeConfirmed
+}
+
+// fetchSource is the address that the chosen broker should fetch the prompt's shared parts from, or empty.
+func (r *Router) fetchSource(now core.Time, req *request, chosen *candidate) string {
+	if req.Model == "" || sharedTokens(req.Parts) < fetchLeastTokens {
+		return ""
+	}
+	if holder := r.bestHolder(now, req, chosen); holder != nil {
+		return holder.instance.Address
+	}
+	store := r.store()
+	if store == nil || !r.storeAlive(now, store.KVStoreAddr) {
+		return ""
+	}
+	if r.options.Index != nil && (!req.store.Store || req.store.Tokens <= chosen.kept) {
+		return ""
+	}
+	return store.KVStoreAddr
+}
+
+// bestHolder is the broker that keeps more of the prompt than the chosen one: by the index, else the first in the order of
+// its parts.
+func (r *Router) bestHolder(now core.Time, req *request, chosen *candidate) *broker {
+	part, ok := stickyPart(req.Parts)
+	if !ok || len(req.Parts) < 2 {
+		return nil
+	}
+	key := affinityKey(part, req.Model, req.wall)
+	kept := 0
+	var best *broker
+	for i := range r.field.sound {
+		if c := &r.field.sound[i]; c.kept > kept && r.mayFetchFrom(now, req, chosen, c.broker) {
+			best, kept = c.broker, c.kept
+		}
+	}
+	if best != nil {
+		if chosen.kept >= kept {
+			return nil
+		}
+		return best
+	}
+	return r.keeper(now, req, chosen, key)
+}
+
+// keeper is the owner of the parts by the rendezvous order, among all brokers that can be fetched from; nil if that is the
+// chosen one.
+func (r *Router) keeper(now core.Time, req *request, chosen *candidate, key uint64) *broker {
+	best, bestWeight := chosen.broker, weight(key, chosen.broker)
+	for _, b := range req.pool.brokers {
+		if w := weight(key, b); w > bestWeight && r.mayFetchFrom(now, req, chosen, b) {
+			best, bestWeight = b, w
+		}
+	}
+	if best == chosen.broker {
+		return nil
+	}
+	return best
+}
+
+// mayFetchFrom reports whether a broker is well enough to be named as a source, and has the same weights.
+func (r *Router) mayFetchFrom(now core.Time, req *request, chosen *candidate, b *broker) bool {
+	switch {
+	case b == chosen.broker, !b.instance.Usable(), b.instance.Silent, b.health.aside:
+		return false
+	case now < b.health.misdirectedUntil, req.pool.hanging(now, b):
+		return false
+	}
+	return r.versions.believed(b.instance, req.Model) == chosen.version
+}
+
+// saveTarget is the store that the chosen broker should send the prompt's parts to, or empty: once for each set of shared
+// parts, as far as is known.
+func (r *Router) saveTarget(now core.Time, req *request, chosen *candidate, salt string) string {
+	store := r.store()
+	if store == nil || req.Model == "" || sharedTokens(req.Parts) < fetchLeastTokens {
+		return ""
+	}
+	if !r.storeAlive(now, store.KVStoreAddr) {
+		return ""
+	}
+	if r.options.Index != nil && req.store.Store && req.store.Tokens >= sharedTokens(req.Parts) {
+		return ""
+	}
+	part, _ := stickyPart(req.Parts)
+	key := mix(part.ID ^ SaltID(salt))
+	if r.saved[key] {
+		return ""
+	}
+	if len(r.saved) >= savedMost {
+		clear(r.saved)
+	}
+	r.saved[key] = true
+	return store.KVStoreAddr
+}
+
+func sharedTokens(parts []PromptPart) int {
+	tokens := 0
+	for _, part := range sharedParts(parts) {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// StoreSeen tells of a sign of life of a store, or that it gave none. lost: it came back empty.
+func (r *Router) StoreSeen(now core.Time, address string, alive, lost bool) {
+	if lost {
+		clear(r.saved)
+	}
+	if !alive {
+		delete(r.stores, address)
+		return
+	}
+	r.stores[address] = storeState{aliveAt: now}
+}
--- /dev/null
+++ b/internal/node/routing/guarded.go
@@ -0,0 +1,97 @@
+package routing
+
+import (
+	"sync"
+
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/registry"
+)
+
+// Guarded serialises the calls to a Router, so that requests on many connections can share it. Each call is short.
+type Guarded struct {
+	mutex  sync.Mutex
+	router *Router
+}
+
+var _ Port = (*Guarded)(nil)
+
+// NewGuarded wraps a router, which must not be used directly any more.
+func NewGuarded(router *Router) *Guarded { return &Guarded{router: router} }
+
+// Begin is Router.Begin.
+func (g *Guarded) Begin(now core.Time, request Request) (RequestID, Decision) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.router.Begin(now, request)
+}
+
+// Copy is Router.Copy.
+func (g *Guarded) Copy(now core.Time, request RequestID) Decision {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.router.Copy(now, request)
+}
+
+// Started is Router.Started.
+func (g *Guarded) Started(now core.Time, request RequestID, attempt int, load *Load) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.Started(now, request, attempt, load)
+}
+
+// Finished is Router.Finished.
+func (g *Guarded) Finished(now core.Time, request RequestID, attempt int, outcome Outcome, resumable bool) Decision {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.router.Finished(now, request, attempt, outcome, resumable)
+}
+
+// End is Router.End.
+func (g *Guarded) End(now core.Time, request RequestID) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.End(now, request)
+}
+
+// SetTable is Router.SetTable.
+func (g *Guarded) SetTable(now core.Time, table *registry.Table) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.SetTable(now, table)
+}
+
+// SetConfig is Router.SetConfig.
+func (g *Guarded) SetConfig(now core.Time, compiled *config.Compiled) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.SetConfig(now, compiled)
+}
+
+// SetPeers is Router.SetPeers.
+func (g *Guarded) SetPeers(now core.Time, proxies int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.SetPeers(now, proxies)
+}
+
+// StoreSeen is Router.StoreSeen.
+func (g *Guarded) StoreSeen(now core.Time, address string, alive, lost bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.StoreSeen(now, address, alive, lost)
+}
+
+// ObserveLoad is Router.ObserveLoad.
+func (g *Guarded) ObserveLoad(now core.Time, instance string, load Load) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.ObserveLoad(now, instance, load)
+}
+
+// Counters is Router.Counters.
+func (g *Guarded) Counters() Counters {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.router.Counters()
+}
--- /dev/null
+++ b/internal/node/routing/pool.go
@@ -0,0 +1,105 @@
+package routing
+
+import (
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/predict"
+	"kestrelspread/internal/window"
+)
+
+const (
+	reportFade  = 3000.0 // ms over which an expired report fades to the average
+	refreshKept = 250 * 1e6
+)
+
+// pool is one service's brokers and what is usual among them.
+type pool struct {
+	service string
+	brokers []*broker // in the order of the registry's table
+	budget  budget
+
+	weights   predict.Weights
+	submits   predict.Submits
+	latencies *window.Hist // all answers of the service, scaled to the usual work
+	median    float64      // ms
+	top       float64      // the fleet's line, ms
+	seen      int
+	calm      float64 // lowest median seen
+	updatedAt core.Time
+}
+
+func newPool(service string, budget budget) *pool {
+	return &pool{
+		service:   service,
+		budget:    budget,
+		weights:   predict.Start,
+		submits:   predict.NewSubmits(),
+		latencies: newLatencies(),
+		updatedAt: -refreshKept,
+	}
+}
+
+// refresh brings the pool's usual figures up to date, at most some times a second.
+func (p *pool) refresh(now core.Time) {
+	if now < p.updatedAt+refreshKept {
+		return
+	}
+	p.updatedAt = now
+	at := milliseconds(now)
+	p.median, p.seen = p.latencies.Quantile(at, 0.5)
+	p.top, _ = p.latencies.Quantile(at, predict.LineShare)
+	if p.seen >= predict.Few && (p.calm == 0 || p.median < p.calm) {
+		p.calm = p.median
+	}
+}
+
+func (p *pool) crowded() bool { return predict.Crowded(p.median, p.calm) }
+
+// lineOf is the latency from which an answer of the broker counts as slow, ms.
+func (p *pool) lineOf(now core.Time, b *broker) float64 {
+	if now < b.lineAt+lineKept {
+		return b.line
+	}
+	own := b.lately
+	if own == nil {
+		own = noLatencies
+	}
+	b.line = predict.Line(milliseconds(now), own, p.top, p.seen)
+	b.lineAt = now
+	return b.line
+}
+
+// noLatencies stands for a broker that has not answered yet.
+var noLatencies = window.NewHist(1, 1, 1, 2, 1)
+
+// features are what the score looks at for a request that would be sent to the broker now.
+func (p *pool) features(now core.Time, b *broker, load, average float64) predict.Vector {
+	line := p.lineOf(now, b)
+	features := predict.NewFeatures(line, average, load)
+	// A hang must not read as fast: an attempt out for longer than the line stands for the latest latency.
+	if age, loadThen := b.oldest(now); age > line {
+		features.Add(age, loadThen)
+	}
+	for _, past := range b.history {
+		if past.latency > 0 && milliseconds(now-past.at) < predict.HistoryLife {
+			features.Add(past.latency, past.load)
+		}
+	}
+	return features.X
+}
+
+// slow is the prediction. An empty history counts as fast.
+func (p *pool) slow(x *predict.Vector) bool {
+	return x[2] > 0 && p.weights.Score(x) > 0.5
+}
+
+// teach tells the predictor whether an attempt lay over the line, once.
+func (p *pool) teach(now core.Time, a *attempt, slow bool) {
+	if a.taught {
+		return
+	}
+	a.taught = true
+	p.weights.Teach(&a.features, slow, a.predictedFast)
+	if a.predictedFast {
+		p.submits.Note(milliseconds(now), slow)
+	}
+}
--- /dev/null
+++ b/internal/node/routing/router.go
@@ -0,0 +1,397 @@
+package routing
+
+import (
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/registry"
+	"kestrelspread/internal/node/verdict"
+)
+
+// mostAttempts bounds the sends of one request, those included that brokers turned away.
+const mostAttempts = 5
+
+// Router decides for one proxy. It isn't safe for concurrent use: see Guarded.
+type Router struct {
+	options  Options
+	compiled *config.Compiled
+	versions versions
+	walls    walls
+	peers    peers
+	// slackFrom is when the share of the retry budget's slack is given.
+	slackFrom core.Time
+
+	brokers  map[string]*broker // by instance id
+	pools    map[string]*pool   // by service
+	classes  map[string]*class  // by route
+	requests map[RequestID]*request
+	lastID   RequestID
+	stores   map[string]storeState // by address
+	saved    map[uint64]bool       // parts, with their salt, that a broker was told to save
+
+	field    field // used again by each choice
+	counters Counters
+}
+
+var _ Port = (*Router)(nil)
+
+// New makes a router that knows neither brokers nor a configuration.
+func New(now core.Time, options Options) *Router {
+	options.withDefaults()
+	return &Router{
+		options:   options,
+		versions:  newVersions(options.VersionGrace),
+		slackFrom: now + options.BudgetWindow,
+		brokers:   make(map[string]*broker),
+		pools:     make(map[string]*pool),
+		classes:   make(map[string]*class),
+		requests:  make(map[RequestID]*request),
+		stores:    make(map[string]storeState),
+		saved:     make(map[uint64]bool),
+		counters:  Counters{Refusals: make(map[RefusalReason]uint64)},
+	}
+}
+
+// Counters copies what was counted since the start.
+func (r *Router) Counters() Counters { return r.counters.clone() }
+
+// Holding is how many requests are held.
+func (r *Router) Holding() int { return len(r.requests) }
+
+// SetPeers tells how many proxies share the retry budget, this one included.
+func (r *Router) SetPeers(now core.Time, proxies int) {
+	if proxies > 0 {
+		r.peers.set(now, proxies)
+	}
+}
+
+// SetConfig takes a newer configuration.
+func (r *Router) SetConfig(now core.Time, compiled *config.Compiled) {
+	r.compiled = compiled
+	r.versions.learn(now, compiled)
+	r.walls.note(compiled)
+}
+
+// SetTable takes a newer picture of the brokers.
+func (r *Router) SetTable(_ core.Time, table *registry.Table) {
+	for id := range r.brokers {
+		if instance := table.ByID[id]; instance == nil || instance.State == registry.Gone {
+			delete(r.brokers, id)
+		}
+	}
+	for _, p := range r.pools {
+		clear(p.brokers)
+		p.brokers = p.brokers[:0]
+	}
+	for service, instances := range table.ByService {
+		p := r.pool(service)
+		for _, instance := range instances {
+			if instance.State != registry.Gone {
+				p.brokers = append(p.brokers, r.broker(instance))
+			}
+		}
+	}
+}
+
+func (r *Router) broker(instance *registry.Instance) *broker {
+	b := r.brokers[instance.ID]
+	if b == nil {
+		b = newBroker(instance)
+		r.brokers[instance.ID] = b
+	}
+	b.replaced(instance)
+	return b
+}
+
+// replaced takes a newer entry of the instance: other weights end the doubt that a 421 left.
+func (b *broker) replaced(instance *registry.Instance) {
+	for model, version := range instance.Versions {
+		if b.instance.Versions[model] != version {
+			b.health.misdirectedUntil = 0
+		}
+	}
+	b.instance = instance
+}
+
+func (r *Router) pool(service string) *pool {
+	p := r.pools[service]
+	if p == nil {
+		p = newPool(service, newBudget(r.options.BudgetWindow))
+		r.pools[service] = p
+	}
+	return p
+}
+
+func (r *Router) class(now core.Time, route string) *class {
+	c := r.classes[route]
+	if c == nil {
+		r.forgetClasses(now)
+		c = newClass()
+		r.classes[route] = c
+	}
+	c.usedAt = now
+	return c
+}
+
+// forgetClasses drops the measures of routes without requests lately, so that a day of many changes leaves nothing behind.
+func (r *Router) forgetClasses(now core.Time) {
+	for name, c := range r.classes {
+		if now-c.usedAt > classKept {
+			delete(r.classes, name)
+		}
+	}
+}
+
+// Begin takes a request and decides at once.
+func (r *Router) Begin(now core.Time, request Request) (RequestID, Decision) {
+	req := r.take(now, request)
+	req.pool.refresh(now)
+	if req.Deadline-now < leastTime {
+		return req.id, r.refuse(now, req, RefusedDeadline, core.Never)
+	}
+	f := r.gather(now, req)
+	if len(f.sound) == 0 {
+		return req.id, r.withoutSound(now, req, f)
+	}
+	chosen, byPrediction := r.pick(now, req, f)
+	if r.hopeless(now, req, chosen) {
+		return req.id, r.refuse(now, req, RefusedDeadline, core.Never)
+	}
+	return req.id, r.send(now, req, chosen, byPrediction)
+}
+
+func (r *Router) take(now core.Time, received Request) *request {
+	r.lastID++
+	r.counters.Requests++
+	req := &request{
+		Request:    received,
+		id:         r.lastID,
+		pool:       r.pool(received.Service),
+		class:      r.class(now, received.Route.Name),
+		idempotent: received.Route.Idempotent(),
+	}
+	if req.Model != "" {
+		req.wall = r.walls.wall(req.Tenant)
+	}
+	req.class.came(req.TokensIn)
+	req.work = req.class.work(req.TokensIn)
+	req.pool.budget.requests.Add(milliseconds(now), 1)
+	r.requests[req.id] = req
+	return req
+}
+
+// withoutSound answers where no sound broker is left for a request that was not sent yet.
+func (r *Router) withoutSound(now core.Time, req *request, f *field) Decision {
+	switch {
+	case f.full > 0:
+		return r.refuse(now, req, RefusedFull, f.earliest)
+	case len(f.doubtful) == 0:
+		return r.refuse(now, req, RefusedNoBroker, core.Never)
+	}
+	doubtful := r.pickDoubtful(f)
+	h := &doubtful.broker.health
+	seenBad := h.aside || req.pool.hanging(now, doubtful.broker)
+	if seenBad && !req.idempotent && !h.unreachable {
+		return r.refuse(now, req, RefusedUnhealthy, core.Never) // it would be lost, where another proxy may serve it
+	}
+	r.counters.Fallback++
+	r.score(now, req, f, doubtful)
+	return r.send(now, req, doubtful, false)
+}
+
+// send makes the attempt.
+func (r *Router) send(now core.Time, req *request, chosen *candidate, byPrediction bool) Decision {
+	b := chosen.broker
+	if req.arrivals() > 0 {
+		req.pool.budget.further.Add(milliseconds(now), 1)
+	}
+	a := &attempt{
+		number:        len(req.attempts),
+		broker:        b,
+		sentAt:        now,
+		load:          chosen.load,
+		scale:         req.class.scale(now, req.pool, req.TokensIn),
+		features:      chosen.features,
+		predictedFast: !chosen.slow,
+		arrived:       true,
+	}
+	if b.health.aside {
+		b.health.trial = a
+	}
+	out := &Attempt{
+		Request:      req.id,
+		Number:       a.number,
+		Instance:     b.instance,
+		Priority:     enginePriority(req.Urgency),
+		ByPrediction: byPrediction,
+	}
+	if req.Model != "" {
+		r.describeModel(now, req, chosen, out)
+	}
+	req.attempts = append(req.attempts, a)
+	b.sent(a)
+	out.CopyAt = r.copyAt(now, req)
+	return Decision{Attempt: out}
+}
+
+// describeModel fills in what a model broker is told: its version, the salt, and where kept parts come from and go.
+func (r *Router) describeModel(now core.Time, req *request, chosen *candidate, out *Attempt) {
+	out.ExpectVersion = chosen.version
+	out.Salt = cacheSalt(req.Model, chosen.version, req.wall)
+	if out.FetchFrom = r.fetchSource(now, req, chosen); out.FetchFrom != "" {
+		r.counters.Fetches++
+	}
+	if out.SaveTo = r.saveTarget(now, req, chosen, out.Salt); out.SaveTo != "" {
+		r.counters.Saves++
+	}
+}
+
+// Started takes the head of an answer, for streams its first event: what the predictor learns from.
+func (r *Router) Started(now core.Time, id RequestID, number int, load *Load) {
+	req := r.requests[id]
+	if req == nil {
+		return
+	}
+	a := req.attempt(number)
+	if a == nil || a.ended || a.started {
+		return
+	}
+	a.started, req.answering = true, true
+	b, p := a.broker, req.pool
+	b.begun(a)
+	b.told(now, load)
+	b.answered(now)
+	b.fullUntil = 0
+	p.refresh(now)
+	latency := max(a.age(now), 0.1)
+	p.teach(now, a, latency > p.lineOf(now, b))
+	b.learnLatency(now, latency, a.load)
+	p.latencies.Add(milliseconds(now), latency)
+	req.class.latencies.Add(milliseconds(now), milliseconds(now-a.sentAt)/req.work)
+}
+
+// Finished takes the end of an attempt and decides on a further one.
+func (r *Router) Finished(now core.Time, id RequestID, number int, outcome Outcome, resumable bool) Decision {
+	req := r.requests[id]
+	if req == nil {
+		return Decision{}
+	}
+	a := req.attempt(number)
+	if a == nil || a.ended {
+		return Decision{}
+	}
+	req.pool.refresh(now)
+	r.settle(now, req, a, &outcome)
+	if outcome.Answered || outcome.Canceled || req.outstanding() {
+		return Decision{}
+	}
+	if req.answering && !resumable {
+		return Decision{}
+	}
+	return r.another(now, req, &outcome)
+}
+
+// settle books what an attempt's end tells of its broker.
+func (r *Router) settle(now core.Time, req *request, a *attempt, outcome *Outcome) {
+	b, p := a.broker, req.pool
+	a.ended = true
+	a.verdict = outcome.Verdict
+	a.arrived = !outcome.ConnectFailed
+	b.ended(a)
+	b.told(now, outcome.Load)
+	if !a.started && !outcome.NotExecuted && !outcome.ConnectFailed && !outcome.Misdirected {
+		if age := a.age(now); age > p.lineOf(now, b) {
+			p.teach(now, a, true)
+			b.tookLatency(now, age)
+		}
+	}
+	if b.health.trial == a && outcome.Canceled {
+		b.health.trial = nil // called off by this proxy, it says nothing of the broker: the trial stays due
+	}
+	switch {
+	case outcome.ConnectFailed:
+		req.unreachable++
+	case outcome.NotExecuted && !outcome.Misdirected:
+		req.turnedAway++
+		b.turnedAway(now, outcome)
+		b.answered(now)
+	}
+	if outcome.troubled() {
+		r.failed(now, b, a, outcome)
+	}
+}
+
+// another decides on a further attempt for a request of which nothing is out any more.
+func (r *Router) another(now core.Time, req *request, outcome *Outcome) Decision {
+	if !outcome.Verdict.MayRepeat(req.idempotent) || req.mayHaveRun() && !req.idempotent {
+		return Decision{}
+	}
+	reason := r.obstacle(now, req)
+	if reason == "" {
+		f := r.gather(now, req)
+		if len(f.sound) > 0 {
+			chosen, byPrediction := r.pick(now, req, f)
+			r.counters.Retries++
+			return r.send(now, req, chosen, byPrediction)
+		}
+		reason = req.lacking(f)
+	}
+	return r.giveUp(now, req, reason)
+}
+
+// obstacle names what keeps the request from a further attempt, or is empty.
+func (r *Router) obstacle(now core.Time, req *request) RefusalReason {
+	switch {
+	case req.Deadline-now < leastTime:
+		return RefusedDeadline
+	case req.runs() >= max(req.Route.MaxAttempts, 1), len(req.attempts) >= mostAttempts:
+		return RefusedAttempts
+	case req.arrivals() > 0 && !r.affords(now, &req.pool.budget, 1):
+		return RefusedBudget
+	}
+	return ""
+}
+
+// lacking tells why no sound broker is left.
+func (q *request) lacking(f *field) RefusalReason {
+	switch {
+	case f.full > 0 || q.turnedAway > 0:
+		return RefusedFull
+	case q.unreachable > 0 || len(f.doubtful) > 0:
+		return RefusedUnhealthy
+	default:
+		return RefusedNoBroker
+	}
+}
+
+// giveUp refuses where the request can't have run; where it may have, the caller answers by what it has, as a refusal
+// promises that it has not (verdict.MayPromise).
+func (r *Router) giveUp(now core.Time, req *request, reason RefusalReason) Decision {
+	if req.mayHaveRun() {
+		return Decision{}
+	}
+	if req.turnedAway > 0 && reason == RefusedAttempts {
+		reason = RefusedFull
+	}
+	return r.refuse(now, req, reason, core.Never)
+}
+
+// End forgets a request. What is still out of it counts as called off.
+func (r *Router) End(now core.Time, id RequestID) {
+	req := r.requests[id]
+	if req == nil {
+		return
+	}
+	for _, a := range req.attempts {
+		if !a.ended {
+			r.settle(now, req, a, &Outcome{Verdict: verdict.MayHaveRun, Canceled: true})
+		}
+	}
+	delete(r.requests, id)
+}
+
+// ObserveLoad takes a broker's count that came otherwise than with an answer to a request.
+func (r *Router) ObserveLoad(now core.Time, instance string, load Load) {
+	if b := r.brokers[instance]; b != nil {
+		b.told(now, &load)
+	}
+}
