--- /dev/null
+++ b/internal/node/rollout/campaign.go
@@ -0,0 +1,121 @@
+package rollout
+
+import (
+	"cmp"
+	"slices"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// candidate is a broker that lacks a version and at which nothing is under way.
+type candidate struct {
+	broker *broker
+	need   need
+}
+
+// pending lists the brokers that lack a version and at which nothing is under way.
+func (r *Rollout) pending() []candidate {
+	var list []candidate
+	for _, b := range r.brokers {
+		if b.busy() || b.instance.State != nodepb.InstanceState_READY {
+			continue
+		}
+		if lacking, any := r.targets.needOf(b); any {
+			list = append(list, candidate{broker: b, need: lacking})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.need.known, b.need.known), compareHash(a.broker, b.broker))
+	})
+	return list
+}
+
+// startPending takes as many of the pending brokers out of service as the pace of their services allows.
+func (r *Rollout) startPending(now core.Time, s *Situation, pending []candidate, outputs []core.Output) []core.Output {
+	if len(pending) == 0 || !r.holder.mayOrder(now, s) {
+		return outputs
+	}
+	services := r.countServices(pending)
+	for len(pending) > 0 {
+		next := r.choose(now, services, pending)
+		if next < 0 {
+			return outputs
+		}
+		chosen := pending[next]
+		pending = slices.Delete(pending, next, next+1)
+		services[chosen.broker.instance.Service].start(chosen.broker)
+		outputs = r.mark(now, chosen.broker, chosen.need, outputs)
+	}
+	return outputs
+}
+
+// serviceCount is how a service stands in a campaign.
+type serviceCount struct {
+	brokers int            // ready
+	busy    int            // out of service for the duty
+	left    int            // that lack a version, the busy ones included
+	known   core.Time      // the earliest bound of a pending broker counts from here
+	zones   map[string]int // busy ones by zone
+}
+
+func (c *serviceCount) start(b *broker) {
+	c.busy++
+	c.zones[b.instance.Zone]++
+}
+
+func (r *Rollout) countServices(pending []candidate) map[string]*serviceCount {
+	services := map[string]*serviceCount{}
+	for _, c := range pending {
+		count := services[c.broker.instance.Service]
+		if count == nil {
+			count = &serviceCount{known: c.need.known, zones: map[string]int{}}
+			services[c.broker.instance.Service] = count
+		}
+		count.left++
+	}
+	for _, b := range r.brokers {
+		count := services[b.instance.Service]
+		if count == nil || b.instance.State != nodepb.InstanceState_READY {
+			continue
+		}
+		count.brokers++
+		if b.busy() {
+			count.left++
+			count.start(b)
+		}
+	}
+	return services
+}
+
+// choose is the place among the pending of the broker to start next, -1 where none may be. The zone with the fewest brokers
+// out of service comes first, then the order of the list.
+func (r *Rollout) choose(now core.Time, services map[string]*serviceCount, pending []candidate) int {
+	best, bestBusy := -1, 0
+	for i, c := range pending {
+		if c.broker.retryAt > now {
+			continue
+		}
+		count := services[c.broker.instance.Service]
+		limit := r.paceOf(c.broker).limit(now, count.brokers, count.left, r.options.AtOnce, count.known, r.options.Version)
+		if count.busy >= limit {
+			continue
+		}
+		if best >= 0 && c.need.known > pending[best].need.known {
+			break
+		}
+		if busy := count.zones[c.broker.instance.Zone]; best < 0 || busy < bestBusy {
+			best, bestBusy = i, busy
+		}
+	}
+	return best
+}
+
+func (r *Rollout) paceOf(b *broker) *pace {
+	p := r.paces[b.instance.Service]
+	if p == nil {
+		p = &pace{}
+		r.paces[b.instance.Service] = p
+	}
+	return p
+}
--- /dev/null
+++ b/internal/node/rollout/results.go
@@ -0,0 +1,167 @@
+package rollout
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"kestrelspread/internal/must"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// versionOrderBody is the body of an order with op = version. Source: PROTOCOL.md, "Requests".
+type versionOrderBody struct {
+	Op      string `json:"op"`
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+	Mode    string `json:"mode"`
+	Holder  string `json:"holder"`
+	Fence   uint64 `json:"fence"`
+}
+
+func versionOrder(model string, version uint64, holder string, fence uint64) []byte {
+	body, err := json.Marshal(versionOrderBody{
+		Op: "version", Model: model, Version: version, Mode: "wait", Holder: holder, Fence: fence,
+	})
+	must.Hold(err == nil, "an order can be written as JSON")
+	return body
+}
+
+// MarkDone takes the confirmation of all nodes in touch that a broker is marked.
+func (r *Rollout) MarkDone(now core.Time, instance string) {
+	b := r.brokers[instance]
+	if b == nil || b.phase != marking {
+		return
+	}
+	b.phase = settling
+	b.nextAt = now + settleTime
+	r.wantBy(b.nextAt)
+}
+
+// GrantDone takes the end of a SubmitCommand.
+func (r *Rollout) GrantDone(now core.Time, result *nodepb.CommandResult) {
+	r.holder.submitted(now, result)
+	r.wantBy(now)
+}
+
+// OrderDone takes the end of an order: the broker's status, or an error where no answer came. ErrNotSent in its chain says
+// that certainly nothing was sent.
+func (r *Rollout) OrderDone(now core.Time, token uint64, status int, err error) []core.Output {
+	b := r.byToken(token)
+	if b == nil || b.phase != ordering {
+		return nil
+	}
+	b.token = 0
+	r.wantBy(now)
+	if err != nil {
+		return r.orderFailed(now, b, err)
+	}
+	return r.orderAnswered(now, b, status)
+}
+
+func (r *Rollout) orderFailed(now core.Time, b *broker, err error) []core.Output {
+	if !wasNotSent(err) {
+		b.doubt(now)
+		return nil
+	}
+	b.postpone(now)
+	return r.unmark(b, nil)
+}
+
+func (r *Rollout) orderAnswered(now core.Time, b *broker, status int) []core.Output {
+	switch status {
+	case http.StatusAccepted:
+		b.phase = loading
+		b.failures = 0
+		b.orderedAt = now
+		b.pause = reportPause
+		b.nextAt = max(now+reportLag, b.markedAt+r.paceOf(b).estimate())
+		return nil
+	case http.StatusOK:
+		return r.finish(now, b, nil)
+	case http.StatusConflict:
+		b.doubt(now)
+		return nil
+	case http.StatusPreconditionFailed:
+		r.holder.superseded(now)
+	case http.StatusMisdirectedRequest, http.StatusBadRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		// Turned away: another broker has the address, or the version is not named there yet.
+	default:
+		b.doubt(now)
+		return nil
+	}
+	b.postpone(now)
+	return r.unmark(b, nil)
+}
+
+// ReportDone takes a broker's report, or an error where none came.
+func (r *Rollout) ReportDone(now core.Time, token uint64, report *Report, err error) []core.Output {
+	b := r.byToken(token)
+	if b == nil {
+		return nil
+	}
+	asked := b.askedAt
+	b.token = 0
+	r.wantBy(now)
+	if err != nil || report == nil {
+		return r.reportFailed(now, b)
+	}
+	for _, model := range report.Models {
+		b.hasLoaded(model.Name, model.Version)
+	}
+	switch {
+	case report.version(b.model) >= b.version:
+		return r.finish(now, b, nil)
+	case report.Busy:
+		b.phase = loading
+		r.askAgain(now, b)
+		return nil
+	case asked < b.orderedAt+reportLag:
+		b.nextAt = b.orderedAt + reportLag
+		return nil
+	default: // idle, and any order must show by now: it was not taken
+		b.postpone(now)
+		return r.unmark(b, nil)
+	}
+}
+
+// reportFailed asks again, and gives a broker up for a while that stays out of reach.
+func (r *Rollout) reportFailed(now core.Time, b *broker) []core.Output {
+	b.failures++
+	if b.failures < 3 {
+		r.askAgain(now, b)
+		return nil
+	}
+	b.postpone(now)
+	return r.unmark(b, nil)
+}
+
+func (r *Rollout) askAgain(now core.Time, b *broker) {
+	b.nextAt = now + b.pause
+	b.pause = min(b.pause*5/4, longestReportPause)
+}
+
+// finish ends a broker's turn: it has the version.
+func (r *Rollout) finish(now core.Time, b *broker, outputs []core.Output) []core.Output {
+	if b.phase == loading {
+		r.paceOf(b).learn(now - b.markedAt)
+	}
+	b.hasLoaded(b.model, b.version)
+	b.phase = waiting
+	b.failures = 0
+	b.retryAt = 0
+	outputs = append(outputs, core.LoadedVersion{InstanceID: b.instance.Id, Model: b.model, Version: b.loaded[b.model]})
+	return r.unmark(b, outputs)
+}
+
+func (r *Rollout) byToken(token uint64) *broker {
+	if token == 0 {
+		return nil
+	}
+	for _, b := range r.brokers {
+		if b.token == token {
+			return b
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/rollout/world_test.go
@@ -0,0 +1,468 @@
+package rollout
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+const (
+	tick         = 10 * time.Millisecond
+	testModel    = "model"
+	testService  = "service"
+	testLease    = 3 * time.Second
+	testThaw     = 300 * time.Millisecond
+	testVersion  = 10 * time.Second
+	testLoadTime = 760 * time.Millisecond
+)
+
+// world is a fleet under a virtual clock: nodes that run the duty, brokers, the control state and the links between them.
+type world struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     core.Time
+	events  []event
+	nodes   []*testNode
+	brokers []*testBroker
+
+	epoch   uint64
+	head    int
+	target  uint64
+	named   map[uint64]core.Time
+	grant   *nodepb.DutyChange
+	history []grantChange
+	atOnce  int // brokers that load at full speed
+
+	orderLoss, answerLoss float64
+}
+
+// event is something that happens later.
+type event struct {
+	at core.Time
+	do func()
+}
+
+// grantChange is a committed state of the grant.
+type grantChange struct {
+	at    core.Time
+	grant *nodepb.DutyChange
+}
+
+// testNode is one node with its machine.
+type testNode struct {
+	world   *world
+	index   int
+	life    int
+	machine *Rollout
+	epoch   uint64 // newest it knows of
+	head    bool
+	lease   core.Time
+	asOf    core.Time
+	frozen  bool
+	held    []func() // what came while it was frozen
+	lag     time.Duration
+	named   map[uint64]core.Time
+}
+
+// testBroker is one broker.
+type testBroker struct {
+	id       string
+	zone     string
+	version  uint64
+	told     uint64 // version in the registry
+	fence    uint64 // mark in the registry
+	busy     bool
+	bringing uint64
+	runs     time.Duration // how long its runs last at any moment
+	waitEnd  core.Time     // when its runs have ended
+	work     time.Duration // left to load
+	sequence uint64
+	orders   []arrival
+	loads    map[uint64]int
+	old      []Report // its reports of the last moments, oldest first
+	gone     bool
+}
+
+// arrival is an order that reached a broker.
+type arrival struct {
+	at     core.Time
+	holder string
+	fence  uint64
+}
+
+func newWorld(t *testing.T, seed uint64, nodes, brokers int) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), epoch: 1, head: 0, target: 1,
+		named: map[uint64]core.Time{}, atOnce: max(1, (brokers+5)/6), now: time.Second,
+	}
+	for i := range nodes {
+		w.nodes = append(w.nodes, &testNode{world: w, index: i})
+		w.startNode(w.nodes[i])
+	}
+	for i := range brokers {
+		w.brokers = append(w.brokers, &testBroker{
+			id: fmt.Sprintf("i-%03d", i), zone: fmt.Sprintf("zone-%d", i%3), version: 1, told: 1,
+			runs: time.Duration(w.random.IntN(900)) * time.Millisecond, loads: map[uint64]int{},
+		})
+	}
+	w.elect(0)
+	return w
+}
+
+func (w *world) startNode(n *testNode) {
+	n.life++
+	n.machine = New(Options{Lease: testLease, Thaw: testThaw, Version: testVersion})
+	n.head, n.lease, n.asOf, n.frozen, n.held = false, 0, 0, false, nil
+	n.lag = time.Duration(w.random.IntN(200)) * time.Millisecond
+	n.named = map[uint64]core.Time{}
+}
+
+func (n *testNode) name() string { return fmt.Sprintf("node-%d/%d", n.index, n.life) }
+
+// later has something happen after a delay.
+func (w *world) later(delay time.Duration, do func()) {
+	w.events = append(w.events, event{at: w.now + delay, do: do})
+}
+
+// at a node, once it is not frozen; nothing where its process has ended meanwhile.
+func (n *testNode) later(delay time.Duration, do func()) {
+	life := n.life
+	n.world.later(delay, func() {
+		if n.life != life {
+			return
+		}
+		if n.frozen {
+			n.held = append(n.held, do)
+			return
+		}
+		do()
+	})
+}
+
+func (w *world) delay() time.Duration {
+	return time.Duration(1+w.random.IntN(15)) * time.Millisecond
+}
+
+// name a new version of the weights.
+func (w *world) name(version uint64) {
+	w.target = version
+	w.named[version] = w.now
+	for _, n := range w.nodes {
+		n.later(w.delay(), func() {
+			n.named[version] = w.now
+			n.step()
+		})
+	}
+}
+
+// elect makes a node the head of the next epoch; the former head learns of it only if it is in reach, after a while.
+func (w *world) elect(index int) {
+	w.epoch++
+	w.head = index
+	for _, n := range w.nodes {
+		epoch := w.epoch
+		n.later(w.delay(), func() {
+			if n.epoch < epoch {
+				n.epoch = epoch
+				n.head = n.index == index
+				n.lease = 0
+				n.step()
+			}
+		})
+	}
+}
+
+// barriers lets the head confirm its lease, and all nodes hear of the control state.
+func (w *world) barriers() {
+	for _, n := range w.nodes {
+		if n.frozen {
+			continue
+		}
+		started := w.now
+		if n.head && n.epoch == w.epoch {
+			n.later(w.delay(), func() {
+				if n.head && n.epoch == w.epoch {
+					n.lease = started
+				}
+			})
+		}
+		n.later(n.lag, func() { n.asOf = started })
+	}
+}
+
+func (n *testNode) seenGrant() *nodepb.DutyChange {
+	var grant *nodepb.DutyChange
+	for _, change := range n.world.history {
+		if change.at <= n.asOf || n.head && change.at <= n.world.now-20*time.Millisecond {
+			grant = change.grant
+		}
+	}
+	return grant
+}
+
+func (n *testNode) situation() *Situation {
+	s := &Situation{
+		Head: n.head, Epoch: n.epoch, LeaseFrom: n.lease, Grant: n.seenGrant(), GrantAsOf: n.asOf, Holder: n.name(),
+	}
+	for version, known := range n.named {
+		if len(s.Targets) == 0 {
+			s.Targets = []Target{{Model: testModel, Version: version, Known: known}}
+		} else if s.Targets[0].Version < version {
+			s.Targets[0] = Target{Model: testModel, Version: version, Known: known}
+		}
+	}
+	for _, b := range n.world.brokers {
+		if b.gone {
+			continue
+		}
+		s.Instances = append(s.Instances, &nodepb.Instance{
+			Id: b.id, Service: testService, Address: b.id, Zone: b.zone, LoadingFence: b.fence,
+			Models: []*nodepb.ModelOnInstance{{Name: testModel, Version: b.told}},
+		})
+	}
+	return s
+}
+
+func (n *testNode) step() {
+	if !n.frozen {
+		n.carryOut(n.machine.Step(n.world.now, n.situation()))
+	}
+}
+
+func (n *testNode) carryOut(outputs []core.Output) {
+	w := n.world
+	for _, output := range outputs {
+		switch output := output.(type) {
+		case core.Order:
+			n.later(time.Duration(w.random.IntN(4))*time.Millisecond, func() { n.write(output) })
+		case core.AskReport:
+			n.later(w.delay(), func() { n.askReport(output) })
+		case core.MarkLoading:
+			n.later(w.delay(), func() {
+				w.broker(output.InstanceID).fence = output.Fence
+				n.later(w.delay(), func() { n.machine.MarkDone(w.now, output.InstanceID) })
+			})
+		case core.LoadedVersion:
+			b := w.broker(output.InstanceID)
+			b.told = max(b.told, output.Version)
+		case core.SubmitCommand:
+			n.submit(output.Command)
+		}
+	}
+}
+
+// submit commits a change of the grant while its node is the head; grants rise by fence.
+func (n *testNode) submit(command *nodepb.Command) {
+	w := n.world
+	epoch := n.epoch
+	n.later(w.delay(), func() {
+		result := &nodepb.CommandResult{Code: nodepb.ResultCode_UNAVAILABLE}
+		if epoch == w.epoch {
+			result.Code = w.commit(command.GetDuty())
+		}
+		if w.random.Float64() < w.answerLoss {
+			result = &nodepb.CommandResult{Code: nodepb.ResultCode_UNAVAILABLE}
+		}
+		n.later(w.delay(), func() {
+			n.machine.GrantDone(w.now, result)
+			n.step()
+		})
+	})
+}
+
+func (w *world) commit(duty *nodepb.DutyChange) nodepb.ResultCode {
+	if w.grant != nil {
+		same := w.grant.Fence == duty.Fence && w.grant.Holder == duty.Holder
+		if duty.Released && !same || !duty.Released && duty.Fence <= w.grant.Fence {
+			return nodepb.ResultCode_CONFLICT
+		}
+	}
+	w.grant = duty
+	w.history = append(w.history, grantChange{at: w.now, grant: duty})
+	return nodepb.ResultCode_TAKEN
+}
+
+func (w *world) broker(id string) *testBroker {
+	for _, b := range w.brokers {
+		if b.id == id {
+			return b
+		}
+	}
+	w.t.Fatalf("no broker %s", id)
+	return nil
+}
+
+// write is the shell's: the lease is checked once more, then the order goes to the broker.
+func (n *testNode) write(order core.Order) {
+	w := n.world
+	if w.now >= order.ValidUntil {
+		n.ordered(order.Token, 0, ErrNotSent.New("too late"), 0)
+		return
+	}
+	if w.random.Float64() < w.orderLoss {
+		n.ordered(order.Token, 0, errors.New("timeout"), time.Second)
+		return
+	}
+	w.later(w.delay(), func() {
+		status := w.arrive(order)
+		if w.random.Float64() < w.answerLoss {
+			n.ordered(order.Token, 0, errors.New("timeout"), time.Second)
+			return
+		}
+		n.ordered(order.Token, status, nil, w.delay())
+	})
+}
+
+func (n *testNode) ordered(token uint64, status int, err error, delay time.Duration) {
+	n.later(delay, func() {
+		n.carryOut(n.machine.OrderDone(n.world.now, token, status, err))
+		n.step()
+	})
+}
+
+// arrive is a broker that takes an order. Source: PROTOCOL.md, "Requests".
+func (w *world) arrive(order core.Order) int {
+	var body versionOrderBody
+	assert.NilError(w.t, json.Unmarshal(order.Body, &body))
+	assert.Equal(w.t, body.Op, "version")
+	assert.Equal(w.t, body.Mode, "wait")
+	b := w.broker(order.InstanceID)
+	if b.gone {
+		return 421
+	}
+	w.judge(b, arrival{at: w.now, holder: body.Holder, fence: body.Fence})
+	switch {
+	case b.version == body.Version && !b.busy:
+		return 200
+	case b.busy:
+		return 409
+	}
+	b.sequence++
+	b.busy = true
+	b.bringing = body.Version
+	b.waitEnd = w.now + b.runs
+	b.work = testLoadTime
+	b.loads[body.Version]++
+	return 202
+}
+
+// judge holds an order against the rule ONE. Source: RULES.md, "Model brokers".
+func (w *world) judge(b *testBroker, next arrival) {
+	for _, last := range b.orders {
+		if last.holder == next.holder {
+			assert.Assert(w.t, next.fence >= last.fence, "fence fell at %v", w.now)
+			continue
+		}
+		assert.Assert(w.t, next.fence > last.fence, "fence %d of %s after %d of %s", next.fence, next.holder, last.fence, last.holder)
+		assert.Assert(w.t, next.at-last.at > testLease, "%s and %s take turns at %s within %v at %v", last.holder, next.holder, b.id,
+			next.at-last.at, w.now)
+	}
+	b.orders = append(b.orders, next)
+}
+
+func (n *testNode) askReport(ask core.AskReport) {
+	w := n.world
+	b := w.broker(ask.InstanceID)
+	if b.gone || w.random.Float64() < w.answerLoss {
+		n.reported(ask.Token, nil, errors.New("timeout"), time.Second)
+		return
+	}
+	report := b.old[0]
+	n.reported(ask.Token, &report, nil, w.delay())
+}
+
+func (n *testNode) reported(token uint64, report *Report, err error, delay time.Duration) {
+	n.later(delay, func() {
+		n.carryOut(n.machine.ReportDone(n.world.now, token, report, err))
+		n.step()
+	})
+}
+
+// load lets the brokers go on: more than atOnce of them load more slowly.
+func (w *world) load() {
+	loading := 0
+	for _, b := range w.brokers {
+		if b.busy && w.now >= b.waitEnd {
+			loading++
+		}
+	}
+	for _, b := range w.brokers {
+		if b.busy && w.now >= b.waitEnd {
+			b.work -= tick * time.Duration(min(loading, w.atOnce)) / time.Duration(loading)
+			if b.work <= 0 {
+				b.busy = false
+				b.version = b.bringing
+			}
+		}
+		b.old = append(b.old, Report{
+			Models: []ReportedModel{{Name: testModel, Version: b.version}}, Busy: b.busy, Sequence: b.sequence,
+		})
+		if len(b.old) > 20 {
+			b.old = b.old[1:]
+		}
+	}
+}
+
+// run lets the world go on for a time, or until done reports true.
+func (w *world) run(length time.Duration, done func() bool) {
+	end := w.now + length
+	for w.now < end && !done() {
+		w.now += tick
+		if w.now%(200*time.Millisecond) == 0 {
+			w.barriers()
+		}
+		w.load()
+		w.deliver()
+		for _, n := range w.nodes {
+			if !n.frozen && n.machine.Deadline() <= w.now {
+				n.step()
+			}
+		}
+	}
+}
+
+func (w *world) deliver() {
+	for {
+		next := -1
+		for i, e := range w.events {
+			if e.at <= w.now && (next < 0 || e.at < w.events[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			return
+		}
+		do := w.events[next].do
+		w.events = slices.Delete(w.events, next, next+1)
+		do()
+	}
+}
+
+func (w *world) thaw(n *testNode) {
+	n.frozen = false
+	held := n.held
+	n.held = nil
+	for _, do := range held {
+		do()
+	}
+	n.step()
+}
+
+// everywhere reports whether all brokers have the newest version and serve.
+func (w *world) everywhere() bool {
+	for _, b := range w.brokers {
+		if !b.gone && (b.version < w.target || b.told < w.target || b.fence != 0) {
+			return false
+		}
+	}
+	return true
+}
