--- /dev/null
+++ b/internal/node/wireproto/frame.go
@@ -0,0 +1,79 @@
+// Package wireproto is the codec of the messages between nodes: one nodepb.Envelope a frame, over a byte stream.
+//
+// A frame is a header of six bytes (the length of the rest as a big-endian uint32, a magic byte, the version of the
+// framing) and the envelope in protobuf encoding. The package does no I/O of its own besides reading from an
+// io.Reader; package link carries frames over TCP.
+package wireproto
+
+import (
+	"encoding/binary"
+
+	"google.golang.org/protobuf/proto"
+
+	"kestrelspread/internal/node/nodepb"
+)
+
+const (
+	// Protocol is the version of the schema that this node speaks, as Envelope.protocol holds it.
+	Protocol uint32 = 1
+
+	// MaxFrame bounds the encoded envelope of one frame, in bytes.
+	MaxFrame = 8 << 20
+
+	// HeaderSize is the number of bytes before the envelope.
+	HeaderSize = 6
+)
+
+const (
+	frameMagic   = 0xB7
+	frameVersion = 1
+
+	magicOffset   = 4
+	versionOffset = 5
+)
+
+// Append appends the envelope, as it is, to dst as one frame. On an error (Oversized, Unencodable) dst is returned
+// unchanged.
+func Append(dst []byte, envelope *nodepb.Envelope) ([]byte, error) {
+	return appendFrame(dst, envelope, nil)
+}
+
+// Sender encodes envelopes in the name of one node.
+type Sender struct {
+	// fields holds the encoded protocol, sender_id and sender_address. Written after the rest of the envelope they
+	// replace what the envelope itself has there, as the last value of a field counts. So the envelope isn't
+	// altered, and can be sent to several nodes at once.
+	fields []byte
+}
+
+// NewSender returns the encoder of the node with that id, which takes answers at address.
+func NewSender(nodeID, address string) (*Sender, error) {
+	header := &nodepb.Envelope{Protocol: Protocol, SenderId: nodeID, SenderAddress: address}
+	fields, err := proto.Marshal(header)
+	if err != nil {
+		return nil, Unencodable.Wrap(err, "sender %q at %q", nodeID, address)
+	}
+	return &Sender{fields: fields}, nil
+}
+
+// Append appends the envelope to dst as one frame, with protocol and sender filled in. On an error (Oversized,
+// Unencodable) dst is returned unchanged.
+func (s *Sender) Append(dst []byte, envelope *nodepb.Envelope) ([]byte, error) {
+	return appendFrame(dst, envelope, s.fields)
+}
+
+func appendFrame(dst []byte, envelope *nodepb.Envelope, fields []byte) ([]byte, error) {
+	start := len(dst)
+	frame := append(dst, 0, 0, 0, 0, frameMagic, frameVersion)
+	frame, err := proto.MarshalOptions{}.MarshalAppend(frame, envelope)
+	if err != nil {
+		return dst, Unencodable.Wrap(err, "kind %s", KindOf(envelope))
+	}
+	frame = append(frame, fields...)
+	length := len(frame) - start - HeaderSize
+	if length > MaxFrame {
+		return dst, Oversized.New("kind %s: %d bytes, the bound is %d", KindOf(envelope), length, MaxFrame)
+	}
+	binary.BigEndian.PutUint32(frame[start:], uint32(length))
+	return frame, nil
+}
--- /dev/null
+++ b/internal/node/wireproto/reader.go
@@ -0,0 +1,144 @@
+package wireproto
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+
+	"kestrelspread/internal/node/nodepb"
+)
+
+const (
+	// readBufferSize holds the usual frame whole. Every connection has one such buffer.
+	readBufferSize = 4 << 10
+	// firstBodySize is what is allocated at first for a larger frame: a length alone claims no memory.
+	firstBodySize = 64 << 10
+	// keptBodySize bounds what a Reader keeps allocated between frames.
+	keptBodySize = 64 << 10
+)
+
+// Reader takes envelopes off a byte stream. It is not safe for concurrent use.
+type Reader struct {
+	source *bufio.Reader
+	body   []byte
+	size   int
+}
+
+// NewReader returns a Reader of the stream.
+func NewReader(stream io.Reader) *Reader {
+	return &Reader{source: bufio.NewReaderSize(stream, readBufferSize)}
+}
+
+// Reset makes the Reader read another stream, and keeps its buffer.
+func (r *Reader) Reset(stream io.Reader) {
+	r.source.Reset(stream)
+}
+
+// Next returns the next envelope. It shares no memory with the Reader.
+//
+// The error is io.EOF where the stream ended between two frames, else one of the types of this package, or the
+// stream's own error where that came between two frames. Where Skipped(err) holds, Next may be called again.
+func (r *Reader) Next() (*nodepb.Envelope, error) {
+	r.size = 0
+	length, err := r.readHeader()
+	if err != nil {
+		return nil, err
+	}
+	body, err := r.readBody(length)
+	if err != nil {
+		return nil, Truncated.Wrap(err, "within the %d bytes of an envelope", length)
+	}
+	r.size = HeaderSize + length
+	return decode(body)
+}
+
+// Size returns the number of bytes, with its header, of the frame that the last call of Next read; 0 where it read
+// none whole.
+func (r *Reader) Size() int { return r.size }
+
+// Buffered returns the number of bytes that can be read without waiting for the stream.
+func (r *Reader) Buffered() int { return r.source.Buffered() }
+
+// readHeader returns the length of the envelope that follows.
+func (r *Reader) readHeader() (int, error) {
+	header, err := r.source.Peek(HeaderSize)
+	if err != nil {
+		if len(header) == 0 {
+			return 0, err
+		}
+		return 0, Truncated.Wrap(err, "within a header")
+	}
+	if header[magicOffset] != frameMagic || header[versionOffset] != frameVersion {
+		return 0, NotAFrame.New("header % x", header)
+	}
+	length := binary.BigEndian.Uint32(header)
+	if length > MaxFrame {
+		return 0, Oversized.New("an envelope of %d bytes, the bound is %d", length, MaxFrame)
+	}
+	_, err = r.source.Discard(HeaderSize)
+	return int(length), err
+}
+
+// readBody returns the next length bytes; they are valid until the next read.
+func (r *Reader) readBody(length int) ([]byte, error) {
+	if length <= r.source.Size() {
+		body, err := r.source.Peek(length)
+		if err != nil {
+			return nil, err
+		}
+		_, err = r.source.Discard(length)
+		return body, err
+	}
+	return r.readLargeBody(length)
+}
+
+// readLargeBody allocates in step with what has arrived.
+func (r *Reader) readLargeBody(length int) ([]byte, error) {
+	body := r.body[:0]
+	r.body = nil
+	for len(body) < length {
+		body = growTowards(body, length)
+		filled := len(body)
+		body = body[:cap(body)]
+		if len(body) > length {
+			body = body[:length]
+		}
+		read, err := io.ReadFull(r.source, body[filled:])
+		body = body[:filled+read]
+		if err != nil {
+			return nil, err
+		}
+	}
+	if cap(body) <= keptBodySize {
+		r.body = body[:0]
+	}
+	return body, nil
+}
+
+// growTowards returns body with room for more: firstBodySize at first, then twice what it had, at most length.
+func growTowards(body []byte, length int) []byte {
+	if len(body) < cap(body) {
+		return body
+	}
+	size := min(length, max(firstBodySize, 2*cap(body)))
+	grown := make([]byte, len(body), size)
+	copy(grown, body)
+	return grown
+}
+
+func decode(body []byte) (*nodepb.Envelope, error) {
+	envelope := new(nodepb.Envelope)
+	err := proto.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(body, envelope)
+	if err != nil {
+		return nil, Undecodable.Wrap(err, "an envelope of %d bytes", len(body))
+	}
+	if envelope.GetProtocol() != Protocol {
+		return nil, OtherProtocol.New("protocol %d, this node speaks %d", envelope.GetProtocol(), Protocol)
+	}
+	if envelope.GetBody() == nil {
+		return nil, Undecodable.New("an envelope without a known body")
+	}
+	return envelope, nil
+}
