--- /dev/null
+++ b/internal/node/config/change.go
@@ -0,0 +1,109 @@
+package config
+
+import (
+	"fmt"
+
+	"kestrelspread/internal/node/nodepb"
+)
+
+// MaxBodyBytes bounds the body of a change, and a whole configuration.
+const MaxBodyBytes = 8 << 20
+
+// preparedChange is a change of the configuration as read against one state.
+type preparedChange struct {
+	digest   changeDigest
+	previous *document
+	next     *document
+	changes  *changes
+}
+
+// checkConfig judges a change of the configuration: one that was taken is taken, whatever came since.
+func (s *State) checkConfig(change *nodepb.ConfigChange) (*nodepb.CommandResult, bool) {
+	if len(change.GetBody()) > MaxBodyBytes {
+		return s.invalidResult(invalid("body", "longer than %d bytes", MaxBodyBytes)), false
+	}
+	body, err := compactJSON(change.GetBody())
+	if err != nil {
+		return s.invalidResult(err), false
+	}
+	digest := digestOf(change.GetReplace(), change.GetBaseVersion(), body)
+	if known, ok := s.taken.find(digest); ok {
+		return s.accepted(known.index, known.version), false
+	}
+	if change.GetBaseVersion() != s.document.version {
+		return s.conflict(change), false
+	}
+	prepared, err := s.prepare(change, digest, body)
+	if err != nil {
+		return s.invalidResult(err), false
+	}
+	if err := s.checkPrepared(prepared); err != nil {
+		return s.invalidResult(err), false
+	}
+	s.prepared = prepared
+	return nil, true
+}
+
+// prepare reads a change and checks what Apply needs as well: form and version.
+func (s *State) prepare(change *nodepb.ConfigChange, digest changeDigest, body []byte) (*preparedChange, error) {
+	parse := parseUpdate
+	if change.GetReplace() {
+		parse = parseReplacement
+	}
+	next, changes, err := parse(body, s.document)
+	if err != nil {
+		return nil, err
+	}
+	if next.version <= s.document.version {
+		return nil, invalid(versionMember, "%d is not above the current one, %d", next.version, s.document.version)
+	}
+	if named := change.GetVersion(); named != 0 && named != next.version {
+		return nil, invalid(versionMember, "%d in the body, %d beside it", next.version, named)
+	}
+	if next.renderedSize() > MaxBodyBytes {
+		return nil, invalid("body", "the whole configuration is longer than %d bytes", MaxBodyBytes)
+	}
+	return &preparedChange{digest: digest, previous: s.document, next: next, changes: changes}, nil
+}
+
+func (s *State) checkPrepared(prepared *preparedChange) error {
+	if err := checkRules(prepared.next, prepared.previous, prepared.changes); err != nil {
+		return err
+	}
+	if s.checker == nil || len(prepared.changes.schema) == 0 {
+		return nil
+	}
+	return s.checker.CheckItems(prepared.changes.schema)
+}
+
+// applyConfig carries a change of the configuration out. The checks between items are not repeated: the head made them.
+func (s *State) applyConfig(change *nodepb.ConfigChange, prepared *preparedChange) *nodepb.CommandResult {
+	body, err := compactJSON(change.GetBody())
+	if err != nil {
+		return s.invalidResult(err)
+	}
+	digest := digestOf(change.GetReplace(), change.GetBaseVersion(), body)
+	if known, ok := s.taken.find(digest); ok {
+		return s.accepted(known.index, known.version)
+	}
+	if change.GetBaseVersion() != s.document.version {
+		return s.conflict(change)
+	}
+	if prepared == nil || prepared.digest != digest || prepared.previous != s.document {
+		if prepared, err = s.prepare(change, digest, body); err != nil {
+			return s.invalidResult(err)
+		}
+	}
+	s.document = prepared.next
+	s.taken.add(takenChange{digest: digest, version: s.document.version, index: s.index})
+	return s.accepted(s.index, s.document.version)
+}
+
+func (s *State) invalidResult(err error) *nodepb.CommandResult {
+	return s.refusal(nodepb.ResultCode_INVALID, reasonOf(err))
+}
+
+func (s *State) conflict(change *nodepb.ConfigChange) *nodepb.CommandResult {
+	text := fmt.Sprintf("based on version %d; version %d is current", change.GetBaseVersion(), s.document.version)
+	return s.refusal(nodepb.ResultCode_CONFLICT, text)
+}
--- a/internal/node/config/compiled.go
+++ b/internal/node/config/compiled.go
@@ -15,3 +15,14 @@
 	// Stores are the services with a KVStoreAddr, in order of name.
 	Stores []*Service
 }
+
+// Tenant is the tenant with an API key; nil where the key is not known.
+func (c *Compiled) Tenant(key string) *Tenant { return c.Tenants[key] }
+
+// ModelVersion is the newest named version of a model's weights, 1 where none was named.
+func (c *Compiled) ModelVersion(model string) uint64 {
+	if version, ok := c.ModelVersions[model]; ok {
+		return version
+	}
+	return firstModelVersion
+}
--- /dev/null
+++ b/internal/node/config/document.go
@@ -0,0 +1,195 @@
+package config
+
+import (
+	"bytes"
+	"slices"
+	"strconv"
+)
+
+// Names of the members of a configuration and of an update that have a meaning here.
+const (
+	versionMember = "version"
+	limitsMember  = "limits"
+	upsertMember  = "upsert"
+	removeMember  = "remove"
+)
+
+// document is one version of the configuration. Immutable; nil is the state before the first.
+type document struct {
+	version  uint64
+	routes   *section[Route]
+	services *section[Service]
+	tenants  *section[Tenant]
+	limits   Limits
+	others   []member // every other member, limits included, in order
+}
+
+// member is a member of the configuration that is kept as it was sent.
+type member struct {
+	name string
+	raw  []byte
+}
+
+// changes are the items of a change that are new or differ from those before.
+type changes struct {
+	routes  []changedItem[Route]
+	tenants []changedItem[Tenant]
+	schema  []SchemaItem
+}
+
+type changedItem[T any] struct {
+	path  string
+	value *T
+}
+
+func (c *changes) note(kind ItemKind, path string, raw []byte, value any) {
+	if kind != UnknownItem {
+		c.schema = append(c.schema, SchemaItem{Kind: kind, Path: path, JSON: raw})
+	}
+	switch value := value.(type) {
+	case *Route:
+		c.routes = append(c.routes, changedItem[Route]{path, value})
+	case *Tenant:
+		c.tenants = append(c.tenants, changedItem[Tenant]{path, value})
+	}
+}
+
+// emptyDocument stands for the state before the first configuration.
+var emptyDocument = &document{}
+
+// parseReplacement reads a whole configuration; items that previous holds as well are shared with it.
+func parseReplacement(body []byte, previous *document) (*document, *changes, error) {
+	if !isObject(body) {
+		return nil, nil, invalid("body", "must be an object")
+	}
+	next, changes := new(document), new(changes)
+	err := eachMember(body, func(name string, value []byte) error {
+		return next.setMember(name, value, previous, changes)
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	if next.version == 0 {
+		return nil, nil, invalid(versionMember, "is missing or 0")
+	}
+	return next, changes, nil
+}
+
+// setMember takes one member of a whole configuration.
+func (d *document) setMember(name string, value []byte, previous *document, changes *changes) (err error) {
+	switch name {
+	case versionMember:
+		d.version, err = decodeVersion(value)
+	case routeForm.key:
+		d.routes, err = parseWhole(routeForm, value, previous.routes, changes)
+	case serviceForm.key:
+		d.services, err = parseWhole(serviceForm, value, previous.services, changes)
+	case tenantForm.key:
+		d.tenants, err = parseWhole(tenantForm, value, previous.tenants, changes)
+	default:
+		err = d.setOther(name, value, previous, changes)
+	}
+	return err
+}
+
+// parseWhole reads a section of a whole configuration; previous itself is returned where nothing changed.
+func parseWhole[T any](form *form[T], array []byte, previous *section[T], changes *changes) (*section[T], error) {
+	items, err := form.parse(form.key, array, previous, changes)
+	if err != nil || isNull(array) {
+		return nil, err
+	}
+	if previous != nil && slices.Equal(items, previous.items) {
+		return previous, nil
+	}
+	return newSection(items), nil
+}
+
+// setOther takes a member that is not a list of known items, in the place of the one with its name.
+func (d *document) setOther(name string, value []byte, previous *document, changes *changes) error {
+	raw := bytes.Clone(value)
+	if name == limitsMember {
+		limits, err := decodeLimits(limitsMember, raw)
+		if err != nil {
+			return err
+		}
+		d.limits = limits
+		if !bytes.Equal(raw, previous.other(limitsMember)) {
+			changes.note(LimitsItem, limitsMember, raw, nil)
+		}
+	}
+	for i := range d.others {
+		if d.others[i].name == name {
+			d.others[i].raw = raw
+			return nil
+		}
+	}
+	d.others = append(d.others, member{name: name, raw: raw})
+	return nil
+}
+
+func (d *document) other(name string) []byte {
+	for _, member := range d.others {
+		if member.name == name {
+			return member.raw
+		}
+	}
+	return nil
+}
+
+func decodeVersion(value []byte) (uint64, error) {
+	if version, err := strconv.ParseUint(string(value), 10, 64); err == nil {
+		return version, nil
+	}
+	version, ok := decodedWhole(value)
+	if !ok || version < 0 {
+		return 0, invalid(versionMember, "must be a whole number above 0")
+	}
+	return uint64(version), nil
+}
+
+// render is the configuration as one JSON text, without white space.
+func (d *document) render() []byte {
+	text := make([]byte, 0, d.renderedSize())
+	text = append(text, `{"version":`...)
+	text = strconv.AppendUint(text, d.version, 10)
+	text = appendSection(text, routeForm, d.routes)
+	text = appendSection(text, serviceForm, d.services)
+	for _, member := range d.others {
+		text = appendName(text, member.name)
+		text = append(text, member.raw...)
+	}
+	text = appendSection(text, tenantForm, d.tenants)
+	return append(text, '}')
+}
+
+func appendSection[T any](text []byte, form *form[T], section *section[T]) []byte {
+	if section == nil {
+		return text
+	}
+	text = appendName(text, form.key)
+	text = append(text, '[')
+	for i, item := range section.items {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = append(text, item.raw...)
+	}
+	return append(text, ']')
+}
+
+func (d *document) renderedSize() int {
+	const frame = 96 // braces, names of the known members, version
+	size := frame + sizeOf(d.routes) + sizeOf(d.services) + sizeOf(d.tenants)
+	for _, member := range d.others {
+		size += len(member.name) + len(member.raw) + len(`,"":`)
+	}
+	return size
+}
+
+func sizeOf[T any](section *section[T]) int {
+	size := 0
+	for _, item := range section.list() {
+		size += len(item.raw) + 1
+	}
+	return size
+}
--- a/internal/node/config/routes.go
+++ b/internal/node/config/routes.go
@@ -1,7 +1,96 @@
 package config
 
-// RouteTable finds the route of a request.
-type RouteTable struct{}
+import "strings"
 
-// Match gives the route for the host whose prefix begins the raw path and is longest; nil where none does.
-func (t *RouteTable) Match(host, path string) *Route { return nil }
+// maxHostLength is that of a host with its port that is looked up; a longer one has no route.
+const maxHostLength = 320
+
+// RouteTable finds the route of a request. Immutable; versions share the tables of hosts that did not change.
+type RouteTable struct {
+	hosts map[string]*hostRoutes // by host in lower case
+	count int
+}
+
+// hostRoutes are the routes of one host. As every prefix ends with a slash, only the parts of a path up to a slash
+// are looked up, and none longer or deeper than the longest and deepest prefix.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	longest  int // bytes
+	deepest  int // slashes
+}
+
+// Len counts the routes.
+func (t *RouteTable) Len() int { return t.count }
+
+// Match gives the route for the host whose prefix begins the raw path and is longest; nil where none does. The host is
+// compared without regard to case and port; the path is neither cleaned nor unescaped, and ends before a query.
+// Source: PROTOCOL.md, "Requests".
+func (t *RouteTable) Match(host, path string) *Route {
+	routes := t.routesOf(host)
+	if routes == nil {
+		return nil
+	}
+	return routes.match(path)
+}
+
+func (t *RouteTable) routesOf(host string) *hostRoutes {
+	if len(host) > maxHostLength {
+		return nil
+	}
+	var buffer [maxHostLength]byte
+	lower := appendLower(buffer[:0], host)
+	if routes := t.hosts[string(lower)]; routes != nil {
+		return routes
+	}
+	return t.hosts[string(lower[:len(withoutPort(host))])]
+}
+
+// appendLower appends an ASCII host in lower case.
+func appendLower(buffer []byte, host string) []byte {
+	for i := range len(host) {
+		c := host[i]
+		if 'A' <= c && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		buffer = append(buffer, c)
+	}
+	return buffer
+}
+
+// withoutPort is the host without ":port"; an IPv6 address keeps its brackets.
+func withoutPort(host string) string {
+	colon := strings.LastIndexByte(host, ':')
+	if colon < 0 || strings.IndexByte(host[colon:], ']') >= 0 {
+		return host
+	}
+	return host[:colon]
+}
+
+func (r *hostRoutes) match(path string) *Route {
+	var best *Route
+	slashes := 0
+	for i := 0; i < len(path) && i < r.longest && slashes < r.deepest; i++ {
+		if path[i] == '?' {
+			break
+		}
+		if path[i] != '/' {
+			continue
+		}
+		slashes++
+		if route := r.byPrefix[path[:i+1]]; route != nil {
+			best = route
+		}
+	}
+	return best
+}
+
+// newHostRoutes makes the table of one host.
+func newHostRoutes(routes []*Route) *hostRoutes {
+	table := &hostRoutes{byPrefix: make(map[string]*Route, len(routes))}
+	for _, route := range routes {
+		table.byPrefix[route.PathPrefix] = route
+		table.longest = max(table.longest, len(route.PathPrefix))
+		table.deepest = max(table.deepest, strings.Count(route.PathPrefix, "/"))
+	}
+	return table
+}
--- /dev/null
+++ b/internal/node/config/section.go
@@ -0,0 +1,156 @@
+package config
+
+import (
+	"bytes"
+	"slices"
+)
+
+// item is one named entry of a section. Immutable, shared by all versions that hold it.
+type item[T any] struct {
+	name  string
+	raw   []byte // compact JSON, as sent
+	value *T
+}
+
+// section is one list of named items, in order. Immutable. A nil section is one that the configuration does not have.
+type section[T any] struct {
+	items     []*item[T]
+	positions map[string]int // in items, by name
+}
+
+// form is what tells the sections apart.
+type form[T any] struct {
+	key    string // name of the list in a configuration
+	kind   ItemKind
+	decode func(path string, object []byte) (*T, error)
+}
+
+var (
+	routeForm   = &form[Route]{key: "routes", kind: RouteItem, decode: decodeRoute}
+	serviceForm = &form[Service]{key: "services", kind: ServiceItem, decode: decodeService}
+	tenantForm  = &form[Tenant]{key: "tenants", kind: TenantItem, decode: decodeTenant}
+)
+
+func (s *section[T]) list() []*item[T] {
+	if s == nil {
+		return nil
+	}
+	return s.items
+}
+
+func (s *section[T]) byName(name string) *item[T] {
+	if s == nil {
+		return nil
+	}
+	if position, ok := s.positions[name]; ok {
+		return s.items[position]
+	}
+	return nil
+}
+
+func newSection[T any](items []*item[T]) *section[T] {
+	positions := make(map[string]int, len(items))
+	for position, item := range items {
+		positions[item.name] = position
+	}
+	return &section[T]{items: items, positions: positions}
+}
+
+// parse reads a list of items. Those that stand in previous as they are, are taken from there; the others are noted
+// in changes.
+func (f *form[T]) parse(path string, array []byte, previous *section[T], changes *changes) ([]*item[T], error) {
+	if isNull(array) {
+		return nil, nil
+	}
+	if !isArray(array) {
+		return nil, invalid(path, "must be a list")
+	}
+	var items []*item[T]
+	seen := map[string]int{}
+	err := eachElement(array, func(index int, object []byte) error {
+		parsed, err := f.parseItem(indexed(path, index), object, previous, changes)
+		if err != nil {
+			return err
+		}
+		if first, duplicate := seen[parsed.name]; duplicate {
+			return invalid(indexed(path, index)+".name", "%q is also the name of %s", parsed.name, indexed(path, first))
+		}
+		seen[parsed.name] = index
+		items = append(items, parsed)
+		return nil
+	})
+	return items, err
+}
+
+func (f *form[T]) parseItem(path string, object []byte, previous *section[T], changes *changes) (*item[T], error) {
+	name, err := itemName(path, object)
+	if err != nil {
+		return nil, err
+	}
+	if known := previous.byName(name); known != nil && bytes.Equal(known.raw, object) {
+		return known, nil
+	}
+	raw := bytes.Clone(object) // the rest of the body is not to be kept for it
+	value, err := f.decode(path, raw)
+	if err != nil {
+		return nil, err
+	}
+	changes.note(f.kind, path, raw, value)
+	return &item[T]{name: name, raw: raw, value: value}, nil
+}
+
+// itemName is the name of an item, which none may lack.
+func itemName(path string, object []byte) (string, error) {
+	if !isObject(object) {
+		return "", invalid(path, "must be an object")
+	}
+	quoted := memberNamed(object, "name")
+	if quoted == nil || !isString(quoted) {
+		return "", invalid(path+".name", "must be a string")
+	}
+	name := decodedString(quoted)
+	if name == "" {
+		return "", invalid(path+".name", "must not be empty")
+	}
+	return name, nil
+}
+
+// updated is the section without the items in remove and with those in upsert, each in the place of the item with its
+// name, else at the end.
+func (s *section[T]) updated(upsert []*item[T], remove []string) *section[T] {
+	if len(upsert) == 0 && len(remove) == 0 {
+		return s
+	}
+	items := slices.Clone(s.list())
+	if len(remove) > 0 {
+		items = without(items, remove)
+	}
+	positions := positionsOf(s, items)
+	for _, item := range upsert {
+		if position, ok := positions[item.name]; ok {
+			items[position] = item
+		} else {
+			items = append(items, item)
+		}
+	}
+	if s != nil && len(items) == len(positions) {
+		return &section[T]{items: items, positions: positions}
+	}
+	return newSection(items)
+}
+
+func without[T any](items []*item[T], names []string) []*item[T] {
+	removed := make(map[string]bool, len(names))
+	for _, name := range names {
+		removed[name] = true
+	}
+	return slices.DeleteFunc(items, func(item *item[T]) bool { return removed[item.name] })
+}
+
+// positionsOf gives the positions of items, which are those of s but for removed ones.
+func positionsOf[T any](s *section[T], items []*item[T]) map[string]int {
+	if s != nil && len(items) == len(s.items) {
+		return s.positions
+	}
+	return newSection(items).positions
+}
