--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -15,28 +15,20 @@
 import (
 	"math"
 
+	"kestrelspread/internal/predict"
 	"kestrelspread/internal/window"
 )
 
 const (
-	histSize   = 4      // the design's four latencies
-	histLife   = 1000.0 // the design's expiry
-	lineSpan   = 10000.
-	lineShare  = 0.90   // the design's line
-	lineFew    = 5      // answers under which a server's own line says less than the fleet's
-	lineFleet  = 1.5    // own line at most so many fleet lines, or a lasting slowness becomes its own measure
-	fadeOver   = 3000.0 // past the expiry, what was heard fades over so long
-	falseSpan  = 30000.
-	falseCost  = 3.0  // the design's weight for a predicted-fast answer over the line
-	learnRate  = 0.03 // few answers a second: fast enough for a day's first minutes, slow enough for noise
-	featureCap = 4.0  // one hang must not throw the weights
-	copyTop    = 0.95 // the design's pX
-	copyFloor  = 0.90
-	copyShare  = 0.10 // of a search's parts
-	crowdSlow  = 2.0  // medians that a server takes which is slow even among a crowd, as one that is cold
-	crowdTimes = 1.3  // the fleet's median latency against the lowest seen
-	hintTrust  = 0.5  // hints are rough: a small part is taken to be at least so big
-	copyFew    = 20   // answers of a query type before its pX means something
+	histSize   = predict.HistorySize
+	histLife   = predict.HistoryLife
+	featureCap = predict.FeatureCap
+	lineSpan   = predict.LineSpan
+	fadeOver   = 3000.0      // past the expiry, what was heard fades over so long
+	copyFew    = predict.Few // answers of a query type before its pX means something
+	copyShare  = 0.10        // of a search's parts
+	crowdSlow  = 2.0         // medians that a server takes which is slow even among a crowd, as one that is cold
+	hintTrust  = 0.5         // hints are rough: a small part is taken to be at least so big
 
 	// Between equals, in average loads: a choice that saves work is worth less than one that saves a wait.
 	tieJoin   = 1.1 // a call that is open anyway: more than its own load and chance make of it
@@ -96,9 +88,6 @@
 	stir      = 10.0 // while searches are held, look again after so long
 )
 
-// start is what a new instance knows: slow is who was slow lately, the latest answer first.
-var start = vector{-3.5, 1, 1.2, 0.7, 0.4, 0.3}
-
 // Latencies are told to a tenth; what is kept over a span, to a tenth of the span.
 func hist(span float64) *window.Hist     { return window.NewHist(10, span/10, 1, 1.1, 100) }
 func counts(span float64) *window.Counts { return window.NewCounts(12, span/10) }
@@ -110,8 +99,7 @@
 		lastWake: math.Inf(-1), lastLog: math.Inf(-1), shortAim: math.Inf(1), retries: 1}
 	b.Fleet(1, 1, 1, 0, false)
 	b.Limits(1, 0, false, false)
-	b.predict = predictor{weights: start, pool: hist(lineSpan), late: hist(tailSpan), fast: counts(falseSpan),
-		wrong: counts(falseSpan)}
+	b.predict = predictor{weights: predict.Start, pool: hist(lineSpan), late: hist(tailSpan), submits: predict.NewSubmits()}
 	b.sends = counts(paceSpan)
 	for i := range 2 {
 		b.links.lost[i], b.links.fine[i] = counts(idleSpan), counts(idleSpan)
@@ -476,8 +464,7 @@
 	case out > 1 || p.copied || p.open || !b.limits.copies || k.effect != Idempotent:
 		return keep
 	}
-	x := min(copyTop, 1-b.predict.falseRate(b.now))
-	limit, n := k.lat.Quantile(b.now, max(x, copyFloor))
+	limit, n := k.lat.Quantile(b.now, b.predict.submits.CopyShare(b.now))
 	if most := math.Ceil(copyShare*float64(q.want) - 1e-9); n < copyFew || b.now-last.at-last.extra < limit ||
 		float64(q.copies) >= most || b.predict.crowded() {
 		return keep
@@ -745,68 +732,31 @@
 
 func (g *predictor) teach(now float64, y *try, slow bool) {
 	y.noted = true
-	e := g.score(y.x)
-	if slow {
-		e--
-		if y.fast {
-			e *= falseCost
-		}
-	}
-	for i := range g.weights {
-		g.weights[i] -= learnRate * e * y.x[i]
-	}
+	g.weights.Teach(&y.x, slow, y.fast)
 	if y.fast {
-		g.fast.Add(now, 1)
-		if slow {
-			g.wrong.Add(now, 1)
-		}
-	}
-}
-
-func (g *predictor) falseRate(now float64) float64 {
-	n := g.fast.Sum(now, falseSpan)
-	if n < copyFew {
-		return 0
+		g.submits.Note(now, slow)
 	}
-	return g.wrong.Sum(now, falseSpan) / n
 }
 
 func (g *predictor) line(now float64, s *server) float64 {
-	own, n := s.line.Quantile(now, lineShare)
-	if g.seen == 0 {
-		return math.Inf(1)
-	}
-	if n < lineFew {
-		return g.top
-	}
-	return min(own, lineFleet*g.top)
+	return predict.Line(now, s.line, g.top, g.seen)
 }
 
-// features are scaled by the server's own line, so that one set of weights learns from all answers.
-func (g *predictor) features(now float64, s *server, load float64) (x vector) {
+func (g *predictor) features(now float64, s *server, load float64) vector {
 	line := g.line(now, s)
-	x[0] = 1
-	x[1] = min(load/(g.avgLoad+1), featureCap)
-	n := 0
-	add := func(lat, load float64) {
-		if n < histSize {
-			x[2+n] = min(lat/line, featureCap)
-			x[2+histSize+n] = min(load/(g.avgLoad+1), featureCap)
-			n++
-		}
-	}
+	f := predict.NewFeatures(line, g.avgLoad, load)
 	// A hang must not read as fast: a part out for longer than the line stands for the latest latency.
 	if len(s.tries) > 0 {
 		if age := now - s.tries[0].at - s.tries[0].extra; age > line {
-			add(age, s.tries[0].load)
+			f.Add(age, s.tries[0].load)
 		}
 	}
 	for _, h := range s.hist {
 		if h.at > 0 && now-h.at < histLife {
-			add(h.lat, h.load)
+			f.Add(h.lat, h.load)
 		}
 	}
-	return x
+	return f.X
 }
 
 // slow: an empty history counts as fast. Where this broker comes to each server within the expiry, it is
@@ -816,14 +766,6 @@
 	return (x[2] > 0 || b.pace() < histLife) && b.predict.score(x) > 0.5
 }
 
-func (g *predictor) score(x vector) float64 {
-	z := 0.0
-	for i, w := range g.weights {
-		z += w * x[i]
-	}
-	return 1 / (1 + math.Exp(-z))
-}
-
 // loadOf is the last reported count with what this broker changed since; its own calls where no report comes
 // with answers, as a probe for one tells of a queue that has passed, and costs; the average for a server
 // that has not reported.
@@ -860,9 +802,7 @@
 
 // crowded: slowness on most replicas together, where the design assumes short bursts on few. A copy then
 // takes from another part what it gives to its own.
-func (g *predictor) crowded() bool {
-	return g.calm > 0 && g.mid > crowdTimes*g.calm
-}
+func (g *predictor) crowded() bool { return predict.Crowded(g.mid, g.calm) }
 
 // expect is what answers took lately or, if longer, what has been out for; of a server not heard of for long,
 // what is typical: shedding on old news would keep itself true.
@@ -992,7 +932,7 @@
 func (b *Broker) tend() {
 	g := &b.predict
 	g.mid, _ = g.pool.Quantile(b.now, 0.5)
-	g.top, g.seen = g.pool.Quantile(b.now, lineShare)
+	g.top, g.seen = g.pool.Quantile(b.now, predict.LineShare)
 	if g.seen >= copyFew && (g.calm == 0 || g.mid < g.calm) {
 		g.calm = g.mid
 	}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 
+	"kestrelspread/internal/predict"
 	"kestrelspread/internal/window"
 )
 
@@ -142,7 +143,7 @@
 	in, copied, skip bool
 }
 
-type vector [2 + 2*histSize]float64
+type vector = predict.Vector
 
 type try struct {
 	p                               *part
@@ -234,9 +235,9 @@
 
 // predictor is the design's score, online: one set of weights for all servers.
 type predictor struct {
-	weights       vector
+	weights       predict.Weights
+	submits       predict.Submits
 	pool, late    *window.Hist // all servers' latencies, the second for a shorter time
-	fast, wrong   *window.Counts
 	avgLoad, calm float64
 	loads, heard  float64 // sum of the latest reports, and how many
 	mid, top      float64 // median and line of the pool, as of this round's start
@@ -248,6 +249,10 @@
 	was        bool              // found at fault when last looked at
 }
 
+func (g *predictor) score(x vector) float64 { return g.weights.Score(&x) }
+
+func (g *predictor) falseRate(now float64) float64 { return g.submits.FalseRate(now) }
+
 // reports tells where load reports come from.
 type reports struct {
 	onAnswers, mayProbe bool
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -14,7 +14,7 @@
 
 // cores are pure: neither sockets nor files, clocks, goroutines or shells. transport's types are allowed to those that
 // speak to the loop, as they name connections.
-var cores = []string{"decide", "window", "protocol", "routing", "h2", "grpcwire", "routes", "channels", "passthrough", "settings", "operator",
+var cores = []string{"decide", "predict", "window", "protocol", "routing", "h2", "grpcwire", "routes", "channels", "passthrough", "settings", "operator",
 	"ledger", "background", "fleet/site", "fleet/bear", "fleet/order", "fleet/plan", "fleet/stage", "fleet/statement", "fleet/owner", "fleet/owner/desk", "fleet/owner/fence", "fleet/owner/roster"}
 
 var barred = map[string]bool{"net": true, "net/http": true, "os": true, "os/exec": true, "sync": true, "context": true,
@@ -80,8 +80,12 @@
 
 func TestWhatIsLinked(t *testing.T) {
 	for _, pkg := range strings.Fields(deps(t, "kestrelspread/internal/decide")) {
-		if strings.HasPrefix(pkg, "kestrelspread/") && pkg != "kestrelspread/internal/decide" && pkg != "kestrelspread/internal/window" {
-			t.Error("the module imports", pkg)
+		switch pkg {
+		case "kestrelspread/internal/decide", "kestrelspread/internal/predict", "kestrelspread/internal/window":
+		default:
+			if strings.HasPrefix(pkg, "kestrelspread/") {
+				t.Error("the module imports", pkg)
+			}
 		}
 	}
 	lean, full := deps(t, "kestrelspread/cmd/kestrellean"), deps(t, "kestrelspread/cmd/kestrelspread")
--- a/internal/predict/predict.go
+++ b/internal/predict/predict.go
@@ -95,7 +95,7 @@
 
 // NewSubmits has counted nothing yet.
 func NewSubmits() Submits {
-	return Submits{window.NewCounts(12, FalseSpan/12), window.NewCounts(12, FalseSpan/12)}
+	return Submits{window.NewCounts(12, FalseSpan/10), window.NewCounts(12, FalseSpan/10)}
 }
 
 // Note counts a send that was predicted fast.
