--- /dev/null
+++ b/internal/node/controlapi/heartbeat.go
@@ -0,0 +1,163 @@
+package controlapi
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"net/netip"
+	"net/url"
+
+	"github.com/go-chi/chi/v5"
+
+	"kestrelspread/internal/node/nodepb"
+)
+
+// maxInstanceIDBytes bounds a broker's id.
+const maxInstanceIDBytes = 256
+
+// heartbeatBody is what a broker tells of itself. Unknown fields are ignored.
+type heartbeatBody struct {
+	Service         string          `json:"service"`
+	Address         string          `json:"address"`
+	Zone            string          `json:"zone"`
+	Version         any             `json:"version"` // of its software: kept where it is a text, else of no use
+	Slots           float64         `json:"slots"`
+	State           string          `json:"state"`
+	ColdRemainingMs float64         `json:"coldRemainingMs"`
+	Sequence        uint64          `json:"sequence"`
+	Stage           string          `json:"stage"`
+	Models          []modelOnBroker `json:"models"`
+}
+
+// modelOnBroker is one model that a broker holds.
+type modelOnBroker struct {
+	Name     string `json:"name"`
+	Version  uint64 `json:"version"`
+	Adapters []any  `json:"adapters"` // names; what is no text is of no use
+}
+
+// heartbeatReply is the body of an acknowledged heartbeat.
+type heartbeatReply struct {
+	HeartbeatURL string `json:"heartbeatUrl,omitempty"`
+}
+
+func (a *api) heartbeat(w http.ResponseWriter, r *http.Request) {
+	id, problem := instanceID(r)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	body, problem := readBody(w, r, maxSmallBodyBytes)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	instance, problem := decodeHeartbeat(id, body)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	ctx, cancel := a.callContext(r)
+	defer cancel()
+	answer, err := a.backend.Heartbeat(ctx, instance)
+	if err != nil {
+		writeUnavailable(w, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, heartbeatReply(answer))
+}
+
+// deregister takes a broker's last call; its body, if any, has no meaning.
+func (a *api) deregister(w http.ResponseWriter, r *http.Request) {
+	id, problem := instanceID(r)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	ctx, cancel := a.callContext(r)
+	defer cancel()
+	if err := a.backend.Deregister(ctx, id); err != nil {
+		writeUnavailable(w, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// instanceID reads the broker's id from the path, of which chi hands out the escaped form where there is one.
+func instanceID(r *http.Request) (string, *callError) {
+	id := chi.URLParam(r, "id")
+	if r.URL.RawPath != "" {
+		unescaped, err := url.PathUnescape(id)
+		if err != nil {
+			return "", badRequest("instance id: " + err.Error())
+		}
+		id = unescaped
+	}
+	if id == "" || len(id) > maxInstanceIDBytes {
+		return "", badRequest("instance id: empty or too long")
+	}
+	return id, nil
+}
+
+// decodeHeartbeat checks a heartbeat's body.
+func decodeHeartbeat(id string, body []byte) (*nodepb.Instance, *callError) {
+	var beat heartbeatBody
+	if err := json.Unmarshal(body, &beat); err != nil {
+		return nil, badRequest("heartbeat: " + err.Error())
+	}
+	if beat.Service == "" {
+		return nil, badRequest("service: is missing")
+	}
+	if _, err := netip.ParseAddrPort(beat.Address); err != nil {
+		return nil, badRequest("address: is not IP:port")
+	}
+	state, known := instanceStates[beat.State]
+	if !known {
+		return nil, badRequest("state: is neither ready nor draining")
+	}
+	software, _ := beat.Version.(string)
+	return &nodepb.Instance{
+		Id:              id,
+		Service:         beat.Service,
+		Address:         beat.Address,
+		Zone:            beat.Zone,
+		Software:        software,
+		Slots:           wholeUint32(beat.Slots),
+		State:           state,
+		ColdRemainingMs: wholeUint32(beat.ColdRemainingMs),
+		Sequence:        beat.Sequence,
+		Stage:           beat.Stage,
+		Models:          modelsOnInstance(beat.Models),
+	}, nil
+}
+
+// instanceStates are the states that a broker can say of itself.
+var instanceStates = map[string]nodepb.InstanceState{
+	"ready":    nodepb.InstanceState_READY,
+	"draining": nodepb.InstanceState_DRAINING,
+}
+
+func modelsOnInstance(models []modelOnBroker) []*nodepb.ModelOnInstance {
+	var held []*nodepb.ModelOnInstance
+	for _, model := range models {
+		held = append(held, &nodepb.ModelOnInstance{
+			Name: model.Name, Version: model.Version, Adapters: textsOf(model.Adapters),
+		})
+	}
+	return held
+}
+
+func textsOf(items []any) []string {
+	var texts []string
+	for _, item := range items {
+		if text, ok := item.(string); ok {
+			texts = append(texts, text)
+		}
+	}
+	return texts
+}
+
+// wholeUint32 rounds a number up and keeps it within the type's range.
+func wholeUint32(number float64) uint32 {
+	return uint32(min(max(math.Ceil(number), 0), math.MaxUint32))
+}
--- /dev/null
+++ b/internal/node/controlapi/message.go
@@ -0,0 +1,91 @@
+package controlapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+)
+
+// retryAfter is the wait named to callers that met a node which could not tell, in seconds: another node may know.
+const retryAfter = "0.2"
+
+// maxReservedBytes bounds the memory set aside for a body on its sender's word alone.
+const maxReservedBytes = 256 << 10
+
+// callError is a call that is answered here, without the Backend.
+type callError struct {
+	status int
+	text   string
+}
+
+// errorReply is the body of an answer to a call that was not carried out.
+type errorReply struct {
+	Error string `json:"error"`
+}
+
+func badRequest(text string) *callError {
+	return &callError{status: http.StatusBadRequest, text: text}
+}
+
+func (e *callError) write(w http.ResponseWriter) {
+	writeJSON(w, e.status, errorReply{Error: e.text})
+}
+
+// readBody reads a body of up to limit bytes. A longer one is a 413; one that ends before its stated length can not be
+// read whole, which is a 400; one that comes too slowly is a 408, so that its sender tries another node.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *callError) {
+	if r.ContentLength > limit {
+		text := "body: is longer than " + strconv.FormatInt(limit, 10) + " bytes"
+		return nil, &callError{status: http.StatusRequestEntityTooLarge, text: text}
+	}
+	var body bytes.Buffer
+	if r.ContentLength > 0 {
+		body.Grow(int(min(r.ContentLength, maxReservedBytes)) + bytes.MinRead)
+	}
+	_, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return body.Bytes(), nil
+	}
+	return nil, bodyError(err)
+}
+
+func bodyError(err error) *callError {
+	var tooLarge *http.MaxBytesError
+	var network net.Error
+	switch {
+	case errors.As(err, &tooLarge):
+		return &callError{status: http.StatusRequestEntityTooLarge, text: "body: " + err.Error()}
+	case errors.As(err, &network) && network.Timeout():
+		return &callError{status: http.StatusRequestTimeout, text: "body: " + err.Error()}
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return badRequest("body: is cut short")
+	default:
+		return badRequest("body: " + err.Error())
+	}
+}
+
+// writeUnavailable says that this node can't tell, and when to come back.
+func writeUnavailable(w http.ResponseWriter, text string) {
+	w.Header().Set("Retry-After", retryAfter)
+	writeJSON(w, http.StatusServiceUnavailable, errorReply{Error: text})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writeBody(w, status, body)
+}
+
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // a caller that has left asks again
+}
--- /dev/null
+++ b/internal/node/controlapi/operator.go
@@ -0,0 +1,144 @@
+package controlapi
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"kestrelspread/internal/node/nodepb"
+)
+
+// headerBaseVersion names the version that a configuration builds on; 0 for the first.
+const headerBaseVersion = "X-Kestrelspread-Base-Version"
+
+// commandIDBytes is how much of a command's hash makes its id.
+const commandIDBytes = 16
+
+// changeReply is the body of an answer to a change.
+type changeReply struct {
+	Version uint64 `json:"version"`         // in force after the change, or current where it was turned down
+	Error   string `json:"error,omitempty"` // path of the field and what is wrong with it
+}
+
+// modelVersionBody names new weights.
+type modelVersionBody struct {
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+}
+
+func (a *api) replaceConfig(w http.ResponseWriter, r *http.Request) {
+	a.changeConfig(w, r, pathReplace)
+}
+
+func (a *api) updateConfig(w http.ResponseWriter, r *http.Request) {
+	a.changeConfig(w, r, pathUpdate)
+}
+
+// changeConfig brings a configuration to the chain unread: whether it is valid is for the chain's head to say.
+func (a *api) changeConfig(w http.ResponseWriter, r *http.Request, path string) {
+	base, err := strconv.ParseUint(r.Header.Get(headerBaseVersion), 10, 64)
+	if err != nil {
+		badRequest(headerBaseVersion + ": is not a version").write(w)
+		return
+	}
+	body, problem := readBody(w, r, a.maxBodyBytes)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	change := &nodepb.ConfigChange{Replace: path == pathReplace, BaseVersion: base, Body: body}
+	a.submit(w, r, path, &nodepb.Command{
+		Id:     commandID(path, base, body),
+		Change: &nodepb.Command_ConfigChange{ConfigChange: change},
+	})
+}
+
+// putModelVersion names new weights of a model.
+func (a *api) putModelVersion(w http.ResponseWriter, r *http.Request) {
+	body, problem := readBody(w, r, maxSmallBodyBytes)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	var named modelVersionBody
+	if err := json.Unmarshal(body, &named); err != nil {
+		badRequest("body: " + err.Error()).write(w)
+		return
+	}
+	if named.Model == "" {
+		badRequest("model: is missing").write(w)
+		return
+	}
+	if named.Version == 0 {
+		badRequest("version: is missing; versions start at 1").write(w)
+		return
+	}
+	change := &nodepb.ModelVersionChange{Model: named.Model, Version: named.Version}
+	a.submit(w, r, pathVersionPut, &nodepb.Command{
+		Id:     commandID(pathVersionPut, named.Version, []byte(named.Model)),
+		Change: &nodepb.Command_ModelVersion{ModelVersion: change},
+	})
+}
+
+// submit brings a command to the chain and words its result.
+func (a *api) submit(w http.ResponseWriter, r *http.Request, path string, command *nodepb.Command) {
+	ctx, cancel := a.callContext(r)
+	defer cancel()
+	result, err := a.backend.Submit(ctx, command)
+	if err != nil {
+		a.log.Info("change without result", "path", path, "command", command.GetId(), "error", err)
+		writeUnavailable(w, err.Error())
+		return
+	}
+	a.log.Info("change", "path", path, "command", command.GetId(), "result", result.GetCode().String(),
+		"version", result.GetVersion(), "text", result.GetText())
+	writeResult(w, result)
+}
+
+// writeResult answers a change. Only the chain's own word turns a change down for good: whatever else became of it is
+// a 503, after which the operator sends it again.
+func writeResult(w http.ResponseWriter, result *nodepb.CommandResult) {
+	reply := changeReply{Version: result.GetVersion(), Error: result.GetText()}
+	switch result.GetCode() {
+	case nodepb.ResultCode_TAKEN:
+		writeJSON(w, http.StatusOK, changeReply{Version: result.GetVersion()})
+	case nodepb.ResultCode_CONFLICT:
+		writeJSON(w, http.StatusPreconditionFailed, reply)
+	case nodepb.ResultCode_INVALID:
+		writeJSON(w, http.StatusBadRequest, reply)
+	default:
+		writeUnavailable(w, result.GetText())
+	}
+}
+
+// fetchConfig returns the newest configuration as it was sent.
+func (a *api) fetchConfig(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := a.callContext(r)
+	defer cancel()
+	body, err := a.backend.Fetch(ctx)
+	if err != nil {
+		writeUnavailable(w, err.Error())
+		return
+	}
+	if len(body) == 0 {
+		writeUnavailable(w, "no configuration has been taken")
+		return
+	}
+	writeBody(w, http.StatusOK, body)
+}
+
+// commandID derives a command's id from its content, so that the same order sent again, to any node, has the same.
+func commandID(path string, version uint64, body []byte) string {
+	hash := sha256.New()
+	var number [8]byte
+	binary.BigEndian.PutUint64(number[:], uint64(len(path)))
+	hash.Write(number[:])
+	hash.Write([]byte(path))
+	binary.BigEndian.PutUint64(number[:], version)
+	hash.Write(number[:])
+	hash.Write(body)
+	return hex.EncodeToString(hash.Sum(nil)[:commandIDBytes])
+}
