--- /dev/null
+++ b/internal/node/registry/helpers_test.go
@@ -0,0 +1,9 @@
+package registry
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"kestrelspread/internal/node/nodepb"
+)
+
+func cloneMember(member *nodepb.Member) *nodepb.Member { return proto.Clone(member).(*nodepb.Member) }
