--- a/internal/node/routing/admission.go
+++ b/internal/node/routing/admission.go
@@ -9,6 +9,7 @@
 
 const (
 	fullPause       = 250 * time.Millisecond // a refusal for want of room is believed so long
+	urgentPause     = 0.5                    // of that by the most urgent requests, which try sooner
 	fullPauseMost   = time.Second
 	leastTime       = 15 * time.Millisecond // less than this till its deadline, a request can't be answered
 	adviceShare     = 3                     // clients follow advice of up to a third of the time they have left
@@ -33,7 +34,15 @@
 	if load := outcome.Load; load != nil && load.Waiting == 0 && 2*load.Running < load.Slots {
 		pause = fullPause / 2 // it turned it away for another reason than want of room
 	}
-	b.fullUntil = now + pause
+	b.fullAt, b.fullUntil = now, now+pause
+}
+
+// believedFull reports whether a request should leave the broker alone as it had no room lately.
+func (b *broker) believedFull(now core.Time, urgency int) bool {
+	if now >= b.fullUntil {
+		return false
+	}
+	return urgency > 0 || now < b.fullAt+core.Time(urgentPause*float64(b.fullUntil-b.fullAt))
 }
 
 // hopeless reports whether a request can't be answered in the time left: even the quickest of the lately answered ones took
--- a/internal/node/routing/affinity.go
+++ b/internal/node/routing/affinity.go
@@ -1,10 +1,16 @@
 package routing
 
-import "cmp"
+import (
+	"cmp"
+	"slices"
+)
 
 // affinitySet is how many brokers are candidates for the prediction on a sticky route.
 const affinitySet = 3
 
+// keptStep is how many tokens more a broker must keep to go before another.
+const keptStep = 256
+
 // stickyPart is the part of a prompt by which its broker is found without an exchange: the deepest that is shared, as the
 // last one belongs to the request or its session (PROTOCOL.md, "Requests").
 func stickyPart(parts []PromptPart) (PromptPart, bool) {
@@ -56,7 +62,7 @@
 	if !ok {
 		return 0
 	}
-	key := affinityKey(part, req.Model, req.wall)
+	key := affinityKey(part, req.model, req.wall)
 	for i := range found {
 		found[i].rank = weight(key, found[i].broker)
 	}
@@ -74,8 +80,9 @@
 	return n
 }
 
+// ranksBefore puts who keeps clearly more first; between equals the rendezvous order decides, so that all proxies agree.
 func ranksBefore(a, b *candidate) bool {
-	if c := cmp.Compare(a.kept, b.kept); c != 0 {
+	if c := cmp.Compare(a.kept/keptStep, b.kept/keptStep); c != 0 {
 		return c > 0
 	}
 	return a.rank > b.rank
@@ -84,20 +91,17 @@
 // rankHolders notes how many tokens of the prompt each candidate keeps, as far as the index knows.
 func (r *Router) rankHolders(req *request, found []candidate) {
 	req.store = Holder{}
-	if r.options.Index == nil {
+	if r.options.Index == nil || req.model == "" {
 		return
 	}
-	for i := range found {
-		found[i].kept = 0
-	}
-	asked := uint64(0)
+	r.asked = r.asked[:0]
 	for i := range found {
 		version := found[i].version
-		if version == asked {
+		if slices.Contains(r.asked, version) {
 			continue
 		}
-		asked = version
-		salt := SaltID(cacheSalt(req.Model, version, req.wall))
+		r.asked = append(r.asked, version)
+		salt := SaltID(cacheSalt(req.model, version, req.wall))
 		for _, holder := range r.options.Index.Holders(salt, req.Parts) {
 			r.noteHolder(req, found, version, holder)
 		}
@@ -106,7 +110,7 @@
 
 func (r *Router) noteHolder(req *request, found []candidate, version uint64, holder Holder) {
 	if holder.Store {
-		if version == r.versions.newest(req.Model) {
+		if version == r.versions.newest(req.model) {
 			req.store = holder
 		}
 		return
--- a/internal/node/routing/broker.go
+++ b/internal/node/routing/broker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/registry"
@@ -15,7 +16,7 @@
 	latencyLow     = 1.0 // ms
 	latencyStep    = 1.15
 	latencyBins    = 70 // up to 17 s
-	lineKept       = 250 * 1e6
+	lineKept       = 250 * time.Millisecond
 	tookWeight     = 0.5     // of the newest answer in what a broker takes
 	tookFade       = 10000.0 // ms after which what it took says nothing any more
 )
@@ -38,7 +39,8 @@
 	took     float64 // ms, scaled: smoothed latency
 	tookAt   core.Time
 	health   health
-	// fullUntil is how long its latest refusal for want of room is believed.
+	// fullAt is when it last turned a request away for want of room, and fullUntil how long that is believed.
+	fullAt    core.Time
 	fullUntil core.Time
 }
 
--- a/internal/node/routing/candidates.go
+++ b/internal/node/routing/candidates.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"slices"
+
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/predict"
 )
@@ -30,7 +32,8 @@
 // field is what is found for one request: brokers that are sound, and those in doubt.
 type field struct {
 	sound    []candidate
-	doubtful []candidate // set aside, silent or hanging
+	silent   []candidate // brokers that the registry misses heartbeats of: used where no sound one is left
+	doubtful []candidate // set aside
 	full     int         // turned requests away lately
 	earliest core.Time   // when the first of the full may have room
 	declined int         // other brokers of the service that take nothing now: loading, leaving, another version
@@ -40,7 +43,7 @@
 // gather finds the brokers that the request may go to. What it returns is valid until the next call.
 func (r *Router) gather(now core.Time, req *request) *field {
 	f := &r.field
-	f.sound, f.doubtful = f.sound[:0], f.doubtful[:0]
+	f.sound, f.silent, f.doubtful = f.sound[:0], f.silent[:0], f.doubtful[:0]
 	f.full, f.declined, f.earliest = 0, 0, core.Never
 	for _, b := range req.pool.brokers {
 		c, ok := r.permitted(now, req, b)
@@ -53,6 +56,9 @@
 		}
 		r.sort(now, req, f, c)
 	}
+	if len(f.sound) == 0 {
+		f.sound, f.silent = f.silent, f.sound
+	}
 	f.sound = r.newestFirst(now, req, f.sound)
 	r.weighLoads(now, f)
 	return f
@@ -64,9 +70,9 @@
 	if !b.instance.Usable() || now < b.health.misdirectedUntil {
 		return c, false
 	}
-	if req.Model != "" {
-		c.version = r.versions.believed(b.instance, req.Model)
-		return c, r.versions.allowed(now, req.Model, c.version)
+	if req.model != "" {
+		c.version = r.versions.believed(b.instance, req.model)
+		return c, r.versions.allowed(now, req.model, c.version)
 	}
 	return c, true
 }
@@ -75,17 +81,20 @@
 func (r *Router) sort(now core.Time, req *request, f *field, c candidate) {
 	b := c.broker
 	h := &b.health
+	if !h.aside() && r.hangs(now, req.pool, b) {
+		r.setAside(now, b, hanging)
+	}
 	switch {
-	case now < b.fullUntil:
+	case b.believedFull(now, req.Urgency):
 		f.full++
 		f.earliest = min(f.earliest, b.fullUntil)
-	case h.aside && h.trialDue(now) && r.mayTry(now, req, h):
+	case h.aside() && h.trialDue(now) && r.mayTry(now, req, h):
 		c.trial = true
 		f.sound = append(f.sound, c)
-	case h.aside, req.pool.hanging(now, b):
+	case h.aside():
 		f.doubtful = append(f.doubtful, c)
 	case b.instance.Silent && (h.answeredAt == 0 || now-h.answeredAt > answeredLately):
-		f.doubtful = append(f.doubtful, c)
+		f.silent = append(f.silent, c)
 	default:
 		f.sound = append(f.sound, c)
 	}
@@ -94,20 +103,16 @@
 // mayTry reports whether the request can be a trial: one that may be repeated, or at a broker that takes no connection at
 // all, as then it can't run unseen; any request after a longer wait, where no other came by.
 func (r *Router) mayTry(now core.Time, req *request, h *health) bool {
-	return req.idempotent || h.unreachable || now >= h.trialAt+h.backoff
+	return req.idempotent || h.ailment == unreachable || now >= h.trialAt+h.backoff
 }
 
 // newestFirst leaves only brokers with the newest weights when the time for older ones is nearly over.
 func (r *Router) newestFirst(now core.Time, req *request, sound []candidate) []candidate {
-	if req.Model == "" || !r.versions.preferNewest(now, req.Model) {
+	if req.model == "" || !r.versions.onlyNewest(now, req.model) {
 		return sound
 	}
-	newest := r.versions.newest(req.Model)
-	any := false
-	for i := range sound {
-		any = any || sound[i].version >= newest
-	}
-	if !any {
+	newest := r.versions.newest(req.model)
+	if !slices.ContainsFunc(sound, func(c candidate) bool { return c.version >= newest }) {
 		return sound
 	}
 	kept := sound[:0]
@@ -254,7 +259,7 @@
 	return tie + chanceTie*r.options.Random.Float64()
 }
 
-// pickDoubtful takes the broker in doubt that was so for longest: better than no answer where the request may be repeated.
+// pickDoubtful takes the broker in doubt whose trial is due first: better than no answer where the request may be repeated.
 func (r *Router) pickDoubtful(f *field) *candidate {
 	var best *candidate
 	for i := range f.doubtful {
--- a/internal/node/routing/copies.go
+++ b/internal/node/routing/copies.go
@@ -42,11 +42,9 @@
 	}
 	p := req.pool
 	p.refresh(now)
-	if age := waiting.age(now); age > p.lineOf(now, waiting.broker) {
-		p.teach(now, waiting, true)
-	}
+	r.teachOverdue(now, p, waiting)
 	// Where slowness is everywhere, a copy takes from another request what it gives to its own.
-	if p.crowded() && !p.hanging(now, waiting.broker) {
+	if p.crowded() && !r.hangs(now, p, waiting.broker) {
 		return Decision{}
 	}
 	f := r.gather(now, req)
--- a/internal/node/routing/counters.go
+++ b/internal/node/routing/counters.go
@@ -9,6 +9,7 @@
 	AllSlow      uint64 // all were predicted slow, and the first took it
 	Fallback     uint64 // sent to a broker that was set aside, full or silent, as nothing better was left
 	Trials       uint64 // of brokers set aside
+	SetAside     uint64 // brokers, for what came back from them
 	Copies       uint64
 	Retries      uint64
 	BudgetDenied uint64
--- a/internal/node/routing/fetch.go
+++ b/internal/node/routing/fetch.go
@@ -18,7 +18,8 @@
 
 // storeState is what is known of a store of kept prompts by its own signs of life.
 type storeState struct {
-	aliveAt core.Time // 0: never heard of
+	aliveAt core.Time
+	dead    bool // it was asked and gave none
 }
 
 // store is the store that brokers of this zone use, nil where the configuration has none.
@@ -34,14 +35,18 @@
 	return r.compiled.Stores[0]
 }
 
+// storeAlive reports whether a store gave a sign of life lately: only then it is fetched from.
 func (r *Router) storeAlive(now core.Time, address string) bool {
 	state, ok := r.stores[address]
-	return ok && now-state.aliveAt <= storeConfirmed
+	return ok && !state.dead && now-state.aliveAt <= storeConfirmed
 }
 
+// storeTakes reports whether parts may be sent to a store: it isn't known to be down. No request waits for that.
+func (r *Router) storeTakes(address string) bool { return !r.stores[address].dead }
+
 // fetchSource is the address that the chosen broker should fetch the prompt's shared parts from, or empty.
 func (r *Router) fetchSource(now core.Time, req *request, chosen *candidate) string {
-	if req.Model == "" || sharedTokens(req.Parts) < fetchLeastTokens {
+	if sharedTokens(req.Parts) < fetchLeastTokens {
 		return ""
 	}
 	if holder := r.bestHolder(now, req, chosen); holder != nil {
@@ -64,7 +69,7 @@
 	if !ok || len(req.Parts) < 2 {
 		return nil
 	}
-	key := affinityKey(part, req.Model, req.wall)
+	key := affinityKey(part, req.model, req.wall)
 	kept := 0
 	var best *broker
 	for i := range r.field.sound {
@@ -99,30 +104,30 @@
 // mayFetchFrom reports whether a broker is well enough to be named as a source, and has the same weights.
 func (r *Router) mayFetchFrom(now core.Time, req *request, chosen *candidate, b *broker) bool {
 	switch {
-	case b == chosen.broker, !b.instance.Usable(), b.instance.Silent, b.health.aside:
+	case b == chosen.broker, !b.instance.Usable(), b.instance.Silent, b.health.aside():
 		return false
-	case now < b.health.misdirectedUntil, req.pool.hanging(now, b):
+	case now < b.health.misdirectedUntil, r.hangs(now, req.pool, b):
 		return false
 	}
-	return r.versions.believed(b.instance, req.Model) == chosen.version
+	return r.versions.believed(b.instance, req.model) == chosen.version
 }
 
-// saveTarget is the store that the chosen broker should send the prompt's parts to, or empty: once for each set of shared
-// parts, as far as is known.
-func (r *Router) saveTarget(now core.Time, req *request, chosen *candidate, salt string) string {
+// saveTarget is the store that the chosen broker should send the prompt's parts to, or empty.
+//
+// With an index, parts go there that the store isn't known to keep. Without one, each proxy has a set of shared parts sent
+// once, and of all proxies about one does it at a time, as each takes its chance.
+func (r *Router) saveTarget(now core.Time, req *request, salt string) string {
 	store := r.store()
-	if store == nil || req.Model == "" || sharedTokens(req.Parts) < fetchLeastTokens {
-		return ""
-	}
-	if !r.storeAlive(now, store.KVStoreAddr) {
+	shared := sharedTokens(req.Parts)
+	switch {
+	case store == nil, shared < fetchLeastTokens, !r.storeTakes(store.KVStoreAddr):
 		return ""
-	}
-	if r.options.Index != nil && req.store.Store && req.store.Tokens >= sharedTokens(req.Parts) {
+	case req.store.Store && req.store.Tokens >= shared:
 		return ""
 	}
 	part, _ := stickyPart(req.Parts)
 	key := mix(part.ID ^ SaltID(salt))
-	if r.saved[key] {
+	if r.saved[key] || r.options.Random.IntN(max(r.peers.most(now), 1)) != 0 {
 		return ""
 	}
 	if len(r.saved) >= savedMost {
@@ -140,14 +145,15 @@
 	return tokens
 }
 
-// StoreSeen tells of a sign of life of a store, or that it gave none. lost: it came back empty.
+// StoreSeen tells of a sign of life of a store, or that it was asked and gave none. lost: what it kept is gone.
 func (r *Router) StoreSeen(now core.Time, address string, alive, lost bool) {
 	if lost {
 		clear(r.saved)
 	}
-	if !alive {
-		delete(r.stores, address)
-		return
+	state := r.stores[address]
+	state.dead = !alive
+	if alive {
+		state.aliveAt = now
 	}
-	r.stores[address] = storeState{aliveAt: now}
+	r.stores[address] = state
 }
--- a/internal/node/routing/health.go
+++ b/internal/node/routing/health.go
@@ -5,87 +5,124 @@
 
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/verdict"
+	"kestrelspread/internal/predict"
 	"kestrelspread/internal/window"
 )
 
 const (
 	errorSpan      = 4000. // ms: errors lately
-	errorFew       = 2.0   // errors before a share of them counts
-	errorShare     = 0.3   // a broker that fails more is set aside
+	errorBuckets   = 8
+	errorFew       = 2.0 // errors before a share of them counts
+	errorShare     = 0.3 // a broker that fails more is set aside
 	trialFirst     = time.Second
 	trialLongest   = 4 * time.Second
 	trialPerPeer   = 20 * time.Millisecond // so that many proxies' trials stay few for the broker
-	misdirectPause = 500 * time.Millisecond
+	misdirectFirst = 500 * time.Millisecond
+	misdirectMost  = 8 * time.Second
 	patienceLines  = 2.0
 	patienceLeast  = 400.0 // ms
-	patienceBlind  = 1000. // ms where no line is known
+	patienceBlind  = 1000. // ms, where too few answers tell a line
+	patienceAlone  = 3.0   // times as long where no other broker answers: then it may be this proxy that hears nothing
 	answeredLately = time.Second
 )
 
+// ailment is why a broker was set aside.
+type ailment uint8
+
+const (
+	well        ailment = iota
+	unreachable         // no connection came up: nothing can run there unseen
+	hanging             // attempts are out and nothing comes: frozen, cut off or lost alike
+	erring              // it fails too many requests, and quickly perhaps
+)
+
 // health is what this proxy makes of a broker by what came back, never by the list of brokers alone.
 type health struct {
-	aside bool
-	// unreachable: no connection came up, so that a trial can't run there unseen.
-	unreachable bool
-	since       core.Time
-	trialAt     core.Time
-	backoff     time.Duration
-	trial       *attempt
-	answeredAt  core.Time // 0: never
-	errors, oks *window.Counts
-	// misdirectedUntil: it has turned requests away for another instance's or version's.
+	ailment    ailment
+	trialAt    core.Time
+	backoff    time.Duration
+	trial      *attempt
+	answeredAt core.Time // last sign of life; 0: none
+	errors     *window.Counts
+	oks        *window.Counts
+	// misdirectedUntil: it turned requests away that were for another instance or version.
 	misdirectedUntil core.Time
+	misdirectPause   time.Duration
 }
 
-// patience is how long nothing may come from a broker with an attempt out, scaled ms, before it is taken for hanging.
-func (p *pool) patience(now core.Time, b *broker) float64 {
-	if p.seen < 5 {
-		return patienceBlind
-	}
-	return max(patienceLines*p.lineOf(now, b), patienceLeast)
-}
+func (h *health) aside() bool { return h.ailment != well }
 
-// hanging reports whether a broker has attempts out and answers nothing: frozen, cut off or lost alike.
-func (p *pool) hanging(now core.Time, b *broker) bool {
-	if len(b.waiting) == 0 {
-		return false
-	}
-	first := b.waiting[0]
-	if b.health.answeredAt > first.sentAt {
-		return false
+// trialDue reports whether a broker that was set aside is to be tried again.
+func (h *health) trialDue(now core.Time) bool { return h.trial == nil && now >= h.trialAt }
+
+// answered takes a sign of life. What was set aside for its errors must prove more than that.
+func (h *health) answered(now core.Time) {
+	h.answeredAt = now
+	if h.ailment != erring {
+		h.recover()
 	}
-	return first.age(now) > p.patience(now, b)
 }
 
-// trialDue reports whether a broker that was set aside is to be tried again.
-func (h *health) trialDue(now core.Time) bool {
-	return h.trial == nil && now >= h.trialAt
+func (h *health) recover() {
+	h.ailment, h.trial, h.backoff = well, nil, 0
 }
 
-// answered takes any sign of life that shows the broker at work.
-func (b *broker) answered(now core.Time) {
-	h := &b.health
-	h.answeredAt = now
-	if h.aside {
-		h.aside, h.unreachable, h.trial = false, false, nil
+// succeeded takes a request that went well.
+func (h *health) succeeded(now core.Time) {
+	h.answered(now)
+	h.misdirectPause = 0
+	note(&h.oks, now)
+	if h.ailment == erring {
+		h.recover()
 	}
-	h.note(&h.oks, now)
 }
 
-func (h *health) note(counts **window.Counts, now core.Time) {
+func note(counts **window.Counts, now core.Time) {
 	if *counts == nil {
-		*counts = window.NewCounts(8, errorSpan/8)
+		*counts = window.NewCounts(errorBuckets+1, errorSpan/errorBuckets)
 	}
 	(*counts).Add(milliseconds(now), 1)
 }
 
-func (h *health) lately(counts *window.Counts, now core.Time) float64 {
+func lately(counts *window.Counts, now core.Time) float64 {
 	if counts == nil {
 		return 0
 	}
 	return counts.Sum(milliseconds(now), errorSpan)
 }
 
+// fails reports whether too large a share of what was sent lately went wrong.
+func (h *health) fails(now core.Time) bool {
+	errors := lately(h.errors, now)
+	return errors >= errorFew && errors > errorShare*(errors+lately(h.oks, now))
+}
+
+// patience is how long nothing may come from a broker with an attempt out, scaled ms, before it is taken for hanging.
+func (p *pool) patience(now core.Time, b *broker) float64 {
+	if p.seen < predict.LineFew {
+		return patienceBlind
+	}
+	return max(patienceLines*p.lineOf(now, b), patienceLeast)
+}
+
+// hangs reports whether a broker has attempts out and answers nothing.
+func (r *Router) hangs(now core.Time, p *pool, b *broker) bool {
+	if len(b.waiting) == 0 {
+		return false
+	}
+	first := b.waiting[0]
+	if b.health.answeredAt > first.sentAt {
+		return false
+	}
+	silent := milliseconds(now-max(first.sentAt, r.awakeAt)) / first.scale
+	patience := p.patience(now, b)
+	if silent <= patience {
+		return false
+	}
+	othersAnswer := p.answeredAt > first.sentAt && p.answeredAt >= r.awakeAt
+	return othersAnswer || silent > patienceAlone*patience
+}
+
 // failed judges a broker by an attempt that went wrong there.
 func (r *Router) failed(now core.Time, b *broker, a *attempt, outcome *Outcome) {
 	h := &b.health
@@ -95,35 +132,36 @@
 	}
 	switch {
 	case outcome.Misdirected:
-		h.misdirectedUntil = now + misdirectPause
-		h.note(&h.errors, now)
+		h.misdirectPause = min(max(2*h.misdirectPause, misdirectFirst), misdirectMost)
+		h.misdirectedUntil = now + r.spread(h.misdirectPause)
 	case outcome.ConnectFailed:
-		r.setAside(now, b, true)
+		r.setAside(now, b, unreachable)
 	default:
-		h.note(&h.errors, now)
-		errors := h.lately(h.errors, now)
-		if errors >= errorFew && errors > errorShare*(errors+h.lately(h.oks, now)) {
-			r.setAside(now, b, false)
+		note(&h.errors, now)
+		if h.fails(now) {
+			r.setAside(now, b, erring)
 		}
 	}
 }
 
-func (r *Router) setAside(now core.Time, b *broker, unreachable bool) {
+func (r *Router) setAside(now core.Time, b *broker, why ailment) {
 	h := &b.health
-	h.unreachable = unreachable
-	if h.aside {
+	if h.aside() {
+		if why == unreachable {
+			h.ailment = why
+		}
 		return
 	}
-	h.aside = true
-	h.since = now
+	h.ailment = why
 	h.backoff = r.firstTrial(now)
 	h.trialAt = now + r.spread(h.backoff)
+	r.counters.SetAside++
 }
 
 // retreat puts the next trial off twice as long.
 func (r *Router) retreat(now core.Time, h *health) {
 	first := r.firstTrial(now)
-	h.backoff = min(2*max(h.backoff, first), max(trialLongest, 2*first))
+	h.backoff = min(2*max(h.backoff, first), max(trialLongest, 2*first, 2*r.options.Heartbeat))
 	h.trialAt = now + r.spread(h.backoff)
 }
 
@@ -136,15 +174,25 @@
 	return time.Duration(float64(d) * (0.75 + 0.5*r.options.Random.Float64()))
 }
 
-// troubled reports whether an outcome speaks against the broker.
-func (o *Outcome) troubled() bool {
+// Resumed tells that this process stood still until now: what it did not hear meanwhile is no silence of brokers, and
+// latencies that span it tell nothing.
+func (r *Router) Resumed(now core.Time) { r.awakeAt = now }
+
+// speaksAgainst reports whether an attempt's end speaks against its broker. That it came too late does not, where the broker
+// answered others meanwhile: it has too much to do.
+func (o *Outcome) speaksAgainst(a *attempt) bool {
 	switch {
-	case o.Canceled, o.NotExecuted && !o.Misdirected:
-		return false
-	case o.Misdirected, o.ConnectFailed, o.TimedOut:
+	case o.Misdirected, o.ConnectFailed:
 		return true
-	case o.Status >= 500:
+	case o.Canceled, o.NotExecuted, o.Status == statusTimeout:
+		return false
+	case o.TimedOut:
+		return a.broker.health.answeredAt <= a.sentAt
+	case o.failure():
 		return true
 	}
 	return o.Verdict == verdict.MayHaveRun && !o.Answered
 }
+
+// statusTimeout is a broker's answer at the request's deadline.
+const statusTimeout = 504
--- a/internal/node/routing/options.go
+++ b/internal/node/routing/options.go
@@ -10,25 +10,32 @@
 // Options are the figures of a deployment, from its settings file (DEPLOY.md, "Settings of a process").
 type Options struct {
 	Zone string
+	// Heartbeat is how often brokers report to the registry.
+	Heartbeat time.Duration
 	// RetryBudgetRatio, RetryBudgetSlack and BudgetWindow bound what all proxies together send beyond the first arrival of
 	// each request to a service (RULES.md, "Retries").
 	RetryBudgetRatio float64
 	RetryBudgetSlack float64
 	BudgetWindow     time.Duration
-	// VersionGrace is how long after this node learnt of a new version of a model's weights a broker with the one before
-	// may still be sent requests: less than versionMs.
+	// VersionGrace is the deployment's versionMs: no request may start on older weights later than that after a newer version
+	// of them was acknowledged (RULES.md, VERSION). The router keeps a margin of its own.
 	VersionGrace time.Duration
 	Random       *rand.Rand
-	// Index may be nil; then brokers are found by the hash of a prompt's parts alone.
+	// Index may be nil; then brokers are found by the hash of a prompt's parts alone. One that is an Observer too is told of
+	// the prompts that brokers have begun to answer.
 	Index Index
 }
 
+// Observer is told what ran where: its parts are kept there now.
+type Observer interface {
+	Observed(instance string, salt uint64, parts []PromptPart)
+}
+
+const defaultBudgetWindow = 10 * time.Second
+
 func (o *Options) withDefaults() {
 	if o.BudgetWindow <= 0 {
-		o.BudgetWindow = 10 * time.Second
-	}
-	if o.VersionGrace < 0 {
-		o.VersionGrace = 0
+		o.BudgetWindow = defaultBudgetWindow
 	}
 	if o.Random == nil {
 		o.Random = rand.New(rand.NewPCG(1, 2))
--- /dev/null
+++ b/internal/node/routing/outcomes.go
@@ -0,0 +1,129 @@
+package routing
+
+import (
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/verdict"
+)
+
+// latencyLeast keeps latencies above 0, which stands for none; ms.
+const latencyLeast = 0.1
+
+// Started takes the head of an answer, for streams its first event: what the predictor learns from.
+func (r *Router) Started(now core.Time, id RequestID, number int, load *Load) {
+	req := r.requests[id]
+	if req == nil {
+		return
+	}
+	a := req.attempt(number)
+	if a == nil || a.ended || a.started {
+		return
+	}
+	a.started, req.answering = true, true
+	a.latency = max(a.age(now), latencyLeast)
+	b, p := a.broker, req.pool
+	b.begun(a)
+	b.told(now, load)
+	b.health.answered(now)
+	b.fullUntil = 0
+	p.answeredAt = now
+	if req.Route.Kind == config.KindStreaming {
+		r.learn(now, req, a) // an event is no quick error
+	}
+}
+
+// learn takes an answer's latency into the measures, once it is known to be one that was worked for.
+func (r *Router) learn(now core.Time, req *request, a *attempt) {
+	if a.learnt || !a.started || a.sentAt < r.awakeAt {
+		return
+	}
+	a.learnt = true
+	b, p := a.broker, req.pool
+	p.refresh(now)
+	p.teach(now, a, a.latency > p.lineOf(now, b))
+	b.learnLatency(now, a.latency, a.load)
+	p.latencies.Add(milliseconds(now), a.latency)
+	req.class.latencies.Add(milliseconds(now), a.latency*a.scale/req.work)
+	if observer, ok := r.options.Index.(Observer); ok && a.salt != "" {
+		observer.Observed(b.instance.ID, SaltID(a.salt), req.Parts)
+	}
+}
+
+// teachOverdue tells the predictor of an attempt that has been out for longer than the line already.
+func (r *Router) teachOverdue(now core.Time, p *pool, a *attempt) {
+	if a.started || a.sentAt < r.awakeAt {
+		return
+	}
+	if age := a.age(now); age > p.lineOf(now, a.broker) {
+		p.teach(now, a, true)
+	}
+}
+
+// Finished takes the end of an attempt and decides on a further one.
+func (r *Router) Finished(now core.Time, id RequestID, number int, outcome Outcome, resumable bool) Decision {
+	req := r.requests[id]
+	if req == nil {
+		return Decision{}
+	}
+	a := req.attempt(number)
+	if a == nil || a.ended {
+		return Decision{}
+	}
+	req.pool.refresh(now)
+	r.settle(now, req, a, &outcome)
+	if outcome.Answered || outcome.Canceled || req.outstanding() {
+		return Decision{}
+	}
+	if req.answering && !resumable && !outcome.failure() {
+		return Decision{}
+	}
+	return r.another(now, req, &outcome)
+}
+
+// failure reports whether the broker answered that it failed.
+func (o *Outcome) failure() bool { return o.Status >= 500 }
+
+// settle books what an attempt's end tells of its broker.
+func (r *Router) settle(now core.Time, req *request, a *attempt, outcome *Outcome) {
+	b, p := a.broker, req.pool
+	if !a.started && r.hangs(now, p, b) {
+		r.setAside(now, b, hanging) // nothing that waits there shows it any more
+	}
+	if outcome.unanswered() {
+		r.teachOverdue(now, p, a)
+		if age := a.age(now); !a.started && a.sentAt >= r.awakeAt && age > b.expected(now, p.median) {
+			b.tookLatency(now, age)
+		}
+	}
+	a.ended = true
+	a.verdict = outcome.Verdict
+	a.arrived = !outcome.ConnectFailed
+	b.ended(a)
+	b.told(now, outcome.Load)
+	if b.health.trial == a && outcome.Canceled {
+		b.health.trial = nil // called off by this proxy, it says nothing of the broker: the trial stays due
+	}
+	switch {
+	case outcome.ConnectFailed:
+		req.unreachable++
+	case outcome.NotExecuted && !outcome.Misdirected:
+		req.turnedAway++
+		b.turnedAway(now, outcome)
+		if outcome.Status != 0 {
+			b.health.answered(now)
+			p.answeredAt = now
+		}
+	}
+	switch {
+	case outcome.speaksAgainst(a):
+		r.failed(now, b, a, outcome)
+	case outcome.Verdict == verdict.Ran && !outcome.Canceled:
+		r.learn(now, req, a)
+		b.health.succeeded(now)
+	}
+}
+
+// unanswered reports whether nothing that the broker said ended the attempt.
+func (o *Outcome) unanswered() bool {
+	return !o.NotExecuted && !o.ConnectFailed && !o.Misdirected && o.Status == 0
+}
--- a/internal/node/routing/pool.go
+++ b/internal/node/routing/pool.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"time"
+
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/predict"
 	"kestrelspread/internal/window"
@@ -8,7 +10,7 @@
 
 const (
 	reportFade  = 3000.0 // ms over which an expired report fades to the average
-	refreshKept = 250 * 1e6
+	refreshKept = 250 * time.Millisecond
 )
 
 // pool is one service's brokers and what is usual among them.
@@ -25,6 +27,8 @@
 	seen      int
 	calm      float64 // lowest median seen
 	updatedAt core.Time
+	// answeredAt is when any broker last answered.
+	answeredAt core.Time
 }
 
 func newPool(service string, budget budget) *pool {
--- a/internal/node/routing/request.go
+++ b/internal/node/routing/request.go
@@ -12,6 +12,7 @@
 	id         RequestID
 	pool       *pool
 	class      *class
+	model      string  // the request's, where its service runs models
 	wall       string  // tenant whose kept prompts are its own, else empty
 	work       float64 // against the usual of its class
 	idempotent bool
@@ -27,6 +28,7 @@
 // attempt is one send to a broker.
 type attempt struct {
 	number        int
+	salt          string
 	broker        *broker
 	sentAt        core.Time
 	load          float64 // there, when it was sent
@@ -35,6 +37,8 @@
 	predictedFast bool
 	taught        bool
 	started       bool
+	latency       float64 // ms, scaled, once started
+	learnt        bool
 	ended         bool
 	arrived       bool // false once it is known that no connection came up
 	verdict       verdict.Verdict
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -10,6 +10,9 @@
 // mostAttempts bounds the sends of one request, those included that brokers turned away.
 const mostAttempts = 5
 
+// turnedAwayMost: who was turned away so often does not take the place of another request at one more broker.
+const turnedAwayMost = 3
+
 // Router decides for one proxy. It isn't safe for concurrent use: see Guarded.
 type Router struct {
 	options  Options
@@ -28,7 +31,11 @@
 	stores   map[string]storeState // by address
 	saved    map[uint64]bool       // parts, with their salt, that a broker was told to save
 
-	field    field // used again by each choice
+	// awakeAt is when this process last came back from standing still.
+	awakeAt core.Time
+
+	field    field    // used again by each choice
+	asked    []uint64 // used again by rankHolders
 	counters Counters
 }
 
@@ -169,7 +176,8 @@
 		class:      r.class(now, received.Route.Name),
 		idempotent: received.Route.Idempotent(),
 	}
-	if req.Model != "" {
+	if r.runsModels(received.Service) && received.Model != "" {
+		req.model = received.Model
 		req.wall = r.walls.wall(req.Tenant)
 	}
 	req.class.came(req.TokensIn)
@@ -188,9 +196,7 @@
 		return r.refuse(now, req, RefusedNoBroker, core.Never)
 	}
 	doubtful := r.pickDoubtful(f)
-	h := &doubtful.broker.health
-	seenBad := h.aside || req.pool.hanging(now, doubtful.broker)
-	if seenBad && !req.idempotent && !h.unreachable {
+	if !req.idempotent && doubtful.broker.health.ailment == hanging {
 		return r.refuse(now, req, RefusedUnhealthy, core.Never) // it would be lost, where another proxy may serve it
 	}
 	r.counters.Fallback++
@@ -198,6 +204,15 @@
 	return r.send(now, req, doubtful, false)
 }
 
+// runsModels reports whether a service's brokers have an engine, and so versions of weights and kept prompts.
+func (r *Router) runsModels(service string) bool {
+	if r.compiled == nil {
+		return false
+	}
+	s := r.compiled.Services[service]
+	return s != nil && s.Engine != nil
+}
+
 // send makes the attempt.
 func (r *Router) send(now core.Time, req *request, chosen *candidate, byPrediction bool) Decision {
 	b := chosen.broker
@@ -214,7 +229,7 @@
 		predictedFast: !chosen.slow,
 		arrived:       true,
 	}
-	if b.health.aside {
+	if b.health.aside() && b.health.trial == nil {
 		b.health.trial = a
 	}
 	out := &Attempt{
@@ -224,8 +239,9 @@
 		Priority:     enginePriority(req.Urgency),
 		ByPrediction: byPrediction,
 	}
-	if req.Model != "" {
+	if req.model != "" {
 		r.describeModel(now, req, chosen, out)
+		a.salt = out.Salt
 	}
 	req.attempts = append(req.attempts, a)
 	b.sent(a)
@@ -236,90 +252,15 @@
 // describeModel fills in what a model broker is told: its version, the salt, and where kept parts come from and go.
 func (r *Router) describeModel(now core.Time, req *request, chosen *candidate, out *Attempt) {
 	out.ExpectVersion = chosen.version
-	out.Salt = cacheSalt(req.Model, chosen.version, req.wall)
+	out.Salt = cacheSalt(req.model, chosen.version, req.wall)
 	if out.FetchFrom = r.fetchSource(now, req, chosen); out.FetchFrom != "" {
 		r.counters.Fetches++
 	}
-	if out.SaveTo = r.saveTarget(now, req, chosen, out.Salt); out.SaveTo != "" {
+	if out.SaveTo = r.saveTarget(now, req, out.Salt); out.SaveTo != "" {
 		r.counters.Saves++
 	}
 }
 
-// Started takes the head of an answer, for streams its first event: what the predictor learns from.
-func (r *Router) Started(now core.Time, id RequestID, number int, load *Load) {
-	req := r.requests[id]
-	if req == nil {
-		return
-	}
-	a := req.attempt(number)
-	if a == nil || a.ended || a.started {
-		return
-	}
-	a.started, req.answering = true, true
-	b, p := a.broker, req.pool
-	b.begun(a)
-	b.told(now, load)
-	b.answered(now)
-	b.fullUntil = 0
-	p.refresh(now)
-	latency := max(a.age(now), 0.1)
-	p.teach(now, a, latency > p.lineOf(now, b))
-	b.learnLatency(now, latency, a.load)
-	p.latencies.Add(milliseconds(now), latency)
-	req.class.latencies.Add(milliseconds(now), milliseconds(now-a.sentAt)/req.work)
-}
-
-// Finished takes the end of an attempt and decides on a further one.
-func (r *Router) Finished(now core.Time, id RequestID, number int, outcome Outcome, resumable bool) Decision {
-	req := r.requests[id]
-	if req == nil {
-		return Decision{}
-	}
-	a := req.attempt(number)
-	if a == nil || a.ended {
-		return Decision{}
-	}
-	req.pool.refresh(now)
-	r.settle(now, req, a, &outcome)
-	if outcome.Answered || outcome.Canceled || req.outstanding() {
-		return Decision{}
-	}
-	if req.answering && !resumable {
-		return Decision{}
-	}
-	return r.another(now, req, &outcome)
-}
-
-// settle books what an attempt's end tells of its broker.
-func (r *Router) settle(now core.Time, req *request, a *attempt, outcome *Outcome) {
-	b, p := a.broker, req.pool
-	a.ended = true
-	a.verdict = outcome.Verdict
-	a.arrived = !outcome.ConnectFailed
-	b.ended(a)
-	b.told(now, outcome.Load)
-	if !a.started && !outcome.NotExecuted && !outcome.ConnectFailed && !outcome.Misdirected {
-		if age := a.age(now); age > p.lineOf(now, b) {
-			p.teach(now, a, true)
-			b.tookLatency(now, age)
-		}
-	}
-	if b.health.trial == a && outcome.Canceled {
-		b.health.trial = nil // called off by this proxy, it says nothing of the broker: the trial stays due
-	}
-	switch {
-	case outcome.ConnectFailed:
-		req.unreachable++
-	case outcome.NotExecuted && !outcome.Misdirected:
-		req.turnedAway++
-		b.turnedAway(now, outcome)
-		b.answered(now)
-	}
-	if outcome.troubled() {
-		r.failed(now, b, a, outcome)
-	}
-}
-
 // another decides on a further attempt for a request of which nothing is out any more.
 func (r *Router) another(now core.Time, req *request, outcome *Outcome) Decision {
 	if !outcome.Verdict.MayRepeat(req.idempotent) || req.mayHaveRun() && !req.idempotent {
@@ -345,6 +286,8 @@
 		return RefusedDeadline
 	case req.runs() >= max(req.Route.MaxAttempts, 1), len(req.attempts) >= mostAttempts:
 		return RefusedAttempts
+	case req.turnedAway >= turnedAwayMost:
+		return RefusedFull
 	case req.arrivals() > 0 && !r.affords(now, &req.pool.budget, 1):
 		return RefusedBudget
 	}
--- a/internal/node/routing/router_test.go
+++ b/internal/node/routing/router_test.go
@@ -20,29 +20,29 @@
 		outcome Outcome
 		want    next
 	}{
-		{"safe, full", func(w *world) Request { return w.request(safeRoute) }, full, attempt},
-		{"safe, unreachable", func(w *world) Request { return w.request(safeRoute) }, unreachable, attempt},
-		{"safe, misdirected", func(w *world) Request { return w.request(safeRoute) }, misdirected, attempt},
-		{"safe, reset", func(w *world) Request { return w.request(safeRoute) }, reset, attempt},
-		{"safe, 500", func(w *world) Request { return w.request(safeRoute) }, serverError, attempt},
-		{"unsafe, full", func(w *world) Request { return w.request(onceRoute) }, full, attempt},
-		{"unsafe, unreachable", func(w *world) Request { return w.request(onceRoute) }, unreachable, attempt},
-		{"unsafe, misdirected", func(w *world) Request { return w.request(onceRoute) }, misdirected, attempt},
-		{"unsafe, reset", func(w *world) Request { return w.request(onceRoute) }, reset, nothing},
-		{"unsafe, 500", func(w *world) Request { return w.request(onceRoute) }, serverError, nothing},
-		{"stream, full", func(w *world) Request { return w.prompt(flowRoute, 7) }, full, attempt},
-		{"stream, reset", func(w *world) Request { return w.prompt(flowRoute, 7) }, reset, nothing},
-		{"resumable stream, reset", func(w *world) Request { return w.prompt(againRoute, 7) }, reset, attempt},
+		{"safe, full", func(w *world) Request { return w.request(safeRoute) }, outcomeFull, attempt},
+		{"safe, unreachable", func(w *world) Request { return w.request(safeRoute) }, outcomeUnreachable, attempt},
+		{"safe, misdirected", func(w *world) Request { return w.request(safeRoute) }, outcomeMisdirected, attempt},
+		{"safe, reset", func(w *world) Request { return w.request(safeRoute) }, outcomeReset, attempt},
+		{"safe, 500", func(w *world) Request { return w.request(safeRoute) }, outcomeFailure, attempt},
+		{"unsafe, full", func(w *world) Request { return w.request(onceRoute) }, outcomeFull, attempt},
+		{"unsafe, unreachable", func(w *world) Request { return w.request(onceRoute) }, outcomeUnreachable, attempt},
+		{"unsafe, misdirected", func(w *world) Request { return w.request(onceRoute) }, outcomeMisdirected, attempt},
+		{"unsafe, reset", func(w *world) Request { return w.request(onceRoute) }, outcomeReset, nothing},
+		{"unsafe, 500", func(w *world) Request { return w.request(onceRoute) }, outcomeFailure, nothing},
+		{"stream, full", func(w *world) Request { return w.prompt(flowRoute, 7) }, outcomeFull, attempt},
+		{"stream, reset", func(w *world) Request { return w.prompt(flowRoute, 7) }, outcomeReset, nothing},
+		{"resumable stream, reset", func(w *world) Request { return w.prompt(againRoute, 7) }, outcomeReset, attempt},
 		{"safe, too late", func(w *world) Request {
 			q := w.request(safeRoute)
 			q.Deadline = w.now + 40*ms
 			return q
-		}, full, refusal},
+		}, outcomeFull, refusal},
 		{"unsafe, too late and may have run", func(w *world) Request {
 			q := w.request(onceRoute)
 			q.Deadline = w.now + 40*ms
 			return q
-		}, reset, nothing},
+		}, outcomeReset, nothing},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, instances(4))
@@ -71,5 +71,5 @@
 	assert.Equal(t, w.Holding(), 0)
 	assert.Equal(t, w.Router.brokers[a.Instance.ID].out, 0)
 	w.Started(w.now, a.Request, a.Number, nil)
-	assert.Equal(t, w.Finished(w.now, a.Request, a.Number, full, false), Decision{})
+	assert.Equal(t, w.Finished(w.now, a.Request, a.Number, outcomeFull, false), Decision{})
 }
--- a/internal/node/routing/world_test.go
+++ b/internal/node/routing/world_test.go
@@ -49,7 +49,8 @@
 
 func configOf(versions map[string]uint64) *config.Compiled {
 	return &config.Compiled{Version: 1, ModelVersions: versions,
-		Stores: []*config.Service{{Name: "store", KVStoreAddr: "10.9.0.1:9000", Zone: "z0"}}}
+		Services: map[string]*config.Service{service: {Name: service, Engine: &config.Engine{Slots: 64}}},
+		Stores:   []*config.Service{{Name: "store", KVStoreAddr: "10.9.0.1:9000", Zone: "z0"}}}
 }
 
 var (
@@ -122,11 +123,11 @@
 	}
 }
 
-// each outcome as forward reports it
+// Outcomes as the caller reports them.
 var (
-	full        = Outcome{Verdict: verdict.NotRun, NotExecuted: true, Status: 503}
-	unreachable = Outcome{Verdict: verdict.NotRun, ConnectFailed: true}
-	misdirected = Outcome{Verdict: verdict.NotRun, Misdirected: true, Status: 421}
-	reset       = Outcome{Verdict: verdict.MayHaveRun}
-	serverError = Outcome{Verdict: verdict.Ran, Status: 500}
+	outcomeFull        = Outcome{Verdict: verdict.NotRun, NotExecuted: true, Status: 503}
+	outcomeUnreachable = Outcome{Verdict: verdict.NotRun, ConnectFailed: true}
+	outcomeMisdirected = Outcome{Verdict: verdict.NotRun, Misdirected: true, Status: 421}
+	outcomeReset       = Outcome{Verdict: verdict.MayHaveRun}
+	outcomeFailure     = Outcome{Verdict: verdict.Ran, Status: 500}
 )
