--- a/internal/node/wireproto/errors.go
+++ b/internal/node/wireproto/errors.go
@@ -24,3 +24,11 @@
 func Skipped(err error) bool {
 	return errorx.IsOfType(err, OtherProtocol) || errorx.IsOfType(err, Undecodable)
 }
+
+// IsOtherProtocol reports whether err is of type OtherProtocol.
+func IsOtherProtocol(err error) bool { return errorx.IsOfType(err, OtherProtocol) }
+
+// Broken reports whether err says that a stream ended within a frame or does not consist of frames.
+func Broken(err error) bool {
+	return errorx.IsOfType(err, Truncated) || errorx.IsOfType(err, Oversized) || errorx.IsOfType(err, NotAFrame)
+}
--- /dev/null
+++ b/internal/node/wireproto/link/accept.go
@@ -0,0 +1,122 @@
+package link
+
+import (
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/wireproto"
+)
+
+// acceptPause follows an accept that failed, as it does where there are no descriptors left.
+const acceptPause = 100 * time.Millisecond
+
+// accept takes connections until the listener is closed.
+func (n *Network) accept() {
+	defer n.running.Done()
+	for {
+		connection, err := n.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.options.Log.Warn("accept failed", "error", err)
+			n.pause(acceptPause)
+			continue
+		}
+		n.serve(connection)
+	}
+}
+
+// pause waits, or until the Network is closed.
+func (n *Network) pause(span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-n.closing.Done():
+	}
+}
+
+// serve starts to read a connection where there is room for it.
+func (n *Network) serve(connection net.Conn) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.closed || len(n.accepted) >= n.options.MaxAccepted {
+		n.counters.acceptedRefused.Add(1)
+		_ = connection.Close()
+		return
+	}
+	n.counters.accepted.Add(1)
+	n.accepted[connection] = struct{}{}
+	n.running.Go(func() { n.read(connection) })
+}
+
+// read passes on what arrives on an accepted connection until it ends.
+func (n *Network) read(connection net.Conn) {
+	defer n.forget(connection)
+	if err := setAcceptedOptions(connection, n.options); err != nil {
+		n.options.Log.Debug("socket option not set", "error", err)
+	}
+	reader := wireproto.NewReader(&idleReader{connection: connection, limit: n.options.AcceptedIdle})
+	for {
+		err := n.receive(reader)
+		if err == nil {
+			continue
+		}
+		n.streamEnded(connection, err)
+		return
+	}
+}
+
+// receive passes on the next message. It returns an error where the stream is of no more use.
+func (n *Network) receive(reader *wireproto.Reader) error {
+	envelope, err := reader.Next()
+	switch {
+	case err == nil:
+		n.counters.received(wireproto.KindOf(envelope), reader.Size())
+		n.options.Receive(core.Peer{NodeID: envelope.SenderId, Address: envelope.SenderAddress}, envelope)
+		return nil
+	case wireproto.IsOtherProtocol(err):
+		n.counters.otherProtocol.Add(1)
+		return nil
+	case wireproto.Skipped(err):
+		n.counters.undecodable.Add(1)
+		return nil
+	default:
+		return err
+	}
+}
+
+// streamEnded counts and logs the end of a stream, unless its sender closed it properly or it was idle.
+func (n *Network) streamEnded(connection net.Conn, err error) {
+	if !wireproto.Broken(err) {
+		return
+	}
+	n.counters.brokenStreams.Add(1)
+	n.options.Log.Debug("stream broken", "from", connection.RemoteAddr().String(), "error", err)
+}
+
+func (n *Network) forget(connection net.Conn) {
+	_ = connection.Close()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	delete(n.accepted, connection)
+}
+
+// idleReader reads a connection, and fails where nothing arrives for limit.
+type idleReader struct {
+	connection net.Conn
+	limit      time.Duration
+}
+
+var _ io.Reader = (*idleReader)(nil)
+
+func (r *idleReader) Read(buffer []byte) (int, error) {
+	if err := r.connection.SetReadDeadline(time.Now().Add(r.limit)); err != nil {
+		return 0, err
+	}
+	return r.connection.Read(buffer)
+}
--- /dev/null
+++ b/internal/node/wireproto/link/loopback.go
@@ -0,0 +1,61 @@
+package link
+
+import (
+	"bytes"
+
+	"kestrelspread/internal/node/nodepb"
+	"kestrelspread/internal/node/wireproto"
+)
+
+// loopback brings messages to the node's own address to Receive, in their order. They pass through the codec like any
+// other, so that sender and receiver share no memory. The Network's mutex guards queue and delivering.
+type loopback struct {
+	network    *Network
+	queue      queue
+	delivering bool // a goroutine runs deliver
+
+	// source and reader belong to the goroutine that delivers.
+	source bytes.Reader
+	reader *wireproto.Reader
+}
+
+func newLoopback(network *Network) *loopback {
+	l := &loopback{network: network}
+	l.reader = wireproto.NewReader(&l.source)
+	return l
+}
+
+// send puts the envelope into the queue. The mutex is held.
+func (l *loopback) send(envelope *nodepb.Envelope) {
+	n := l.network
+	if n.enqueue(&l.queue, envelope) && !l.delivering {
+		l.delivering = true
+		n.startSender(l.deliver)
+	}
+}
+
+// deliver passes on what waits until nothing does.
+func (l *loopback) deliver() {
+	n := l.network
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for len(l.queue.frames) > 0 && !n.closed {
+		taken := l.queue.take()
+		n.mutex.Unlock()
+		l.pass(taken.frames)
+		n.mutex.Lock()
+		n.release(&l.queue, taken)
+	}
+	l.delivering = false
+	n.endSender()
+}
+
+func (l *loopback) pass(frames []byte) {
+	l.source.Reset(frames)
+	l.reader.Reset(&l.source)
+	for l.source.Len()+l.reader.Buffered() > 0 {
+		if err := l.network.receive(l.reader); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/wireproto/link/network.go
@@ -0,0 +1,139 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"kestrelspread/internal/node/nodepb"
+	"kestrelspread/internal/node/wireproto"
+)
+
+// Network is the end of one node in the net of connections. Its methods may be called from any goroutine.
+type Network struct {
+	options  Options
+	sender   *wireproto.Sender
+	dialer   *net.Dialer
+	listener net.Listener
+	local    *loopback
+	counters counters
+
+	// closing ends what waits: dials, and the pause after a failed accept.
+	closing context.Context
+	close   context.CancelFunc
+	// running counts the goroutines of the Network.
+	running sync.WaitGroup
+
+	// mutex guards what follows, and the fields of the peers and of local that say so.
+	mutex       sync.Mutex
+	closed      bool
+	peers       map[string]*peer
+	accepted    map[net.Conn]struct{}
+	queuedBytes int           // waiting or being written, over all peers
+	senders     int           // goroutines that write or deliver
+	allSent     chan struct{} // closed when senders falls to 0; nil where nobody waits for that
+}
+
+// New listens on options.ListenAddress and starts to receive. The error is of type CannotListen or
+// wireproto.Unencodable.
+func New(options Options) (*Network, error) {
+	options = options.withDefaults()
+	configuration := net.ListenConfig{KeepAliveConfig: keepAlive}
+	listener, err := configuration.Listen(context.Background(), "tcp4", options.ListenAddress)
+	if err != nil {
+		return nil, CannotListen.Wrap(err, "on %s", options.ListenAddress)
+	}
+	if options.SelfAddress == "" {
+		options.SelfAddress = listener.Addr().String()
+	}
+	sender, err := wireproto.NewSender(options.SelfID, options.SelfAddress)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	network := &Network{
+		options:  options,
+		sender:   sender,
+		dialer:   dialer(options),
+		listener: listener,
+		peers:    map[string]*peer{},
+		accepted: map[net.Conn]struct{}{},
+	}
+	network.local = newLoopback(network)
+	network.closing, network.close = context.WithCancel(context.Background())
+	network.running.Add(1)
+	go network.accept()
+	return network, nil
+}
+
+// Address returns the address that the Network listens on.
+func (n *Network) Address() string { return n.listener.Addr().String() }
+
+// Send sends the envelope to the node at address, with protocol and sender filled in; it never blocks. The envelope
+// is encoded before Send returns, and not altered. A message to the node's own address comes back through Receive,
+// from another goroutine.
+func (n *Network) Send(address string, envelope *nodepb.Envelope) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.closed {
+		return
+	}
+	if address == n.options.SelfAddress {
+		n.local.send(envelope)
+		return
+	}
+	n.peer(address).send(envelope)
+}
+
+// Flush waits until everything that waits has been written or dropped, or ctx ends.
+func (n *Network) Flush(ctx context.Context) error {
+	n.mutex.Lock()
+	if n.senders == 0 {
+		n.mutex.Unlock()
+		return nil
+	}
+	if n.allSent == nil {
+		n.allSent = make(chan struct{})
+	}
+	sent := n.allSent
+	n.mutex.Unlock()
+	select {
+	case <-sent:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close ends all connections at once and waits for the goroutines of the Network, thus for calls of Receive too.
+func (n *Network) Close() {
+	n.mutex.Lock()
+	if !n.closed {
+		n.closed = true
+		n.close()
+		_ = n.listener.Close()
+		for connection := range n.accepted {
+			_ = connection.Close()
+		}
+		for _, peer := range n.peers {
+			peer.shut()
+		}
+	}
+	n.mutex.Unlock()
+	n.running.Wait()
+}
+
+// startSender runs send in a goroutine of its own. The mutex is held.
+func (n *Network) startSender(send func()) {
+	n.senders++
+	n.running.Go(send)
+}
+
+// endSender is called at the end of what startSender started. The mutex is held.
+func (n *Network) endSender() {
+	n.senders--
+	if n.senders == 0 && n.allSent != nil {
+		close(n.allSent)
+		n.allSent = nil
+	}
+}
--- /dev/null
+++ b/internal/node/wireproto/link/peer.go
@@ -0,0 +1,171 @@
+package link
+
+import (
+	"net"
+	"time"
+
+	"kestrelspread/internal/node/nodepb"
+)
+
+// writeChunk is the most that has to be taken in by a peer within SendTimeout.
+const writeChunk = 256 << 10
+
+// peer is the sending side towards one address. The Network's mutex guards its fields.
+type peer struct {
+	network *Network
+	address string
+
+	queue   queue
+	writing bool // a goroutine runs write
+
+	connection net.Conn // nil where none stands
+	usedAt     time.Time
+	idleTimer  *time.Timer
+
+	backoff time.Duration // of the last failure; 0 after a success
+	retryAt time.Time     // messages are dropped until then
+}
+
+// peer returns the sending side towards the address, and makes it where there is none. The mutex is held.
+func (n *Network) peer(address string) *peer {
+	p := n.peers[address]
+	if p == nil {
+		p = &peer{network: n, address: address, usedAt: time.Now()}
+		p.idleTimer = time.AfterFunc(n.options.IdleClose, p.closeIdle)
+		n.peers[address] = p
+	}
+	return p
+}
+
+// send puts the envelope into the queue, and starts a writer where none runs. The mutex is held.
+func (p *peer) send(envelope *nodepb.Envelope) {
+	n := p.network
+	if p.backoff > 0 && time.Now().Before(p.retryAt) {
+		n.counters.droppedBackoff.Add(1)
+		return
+	}
+	if n.enqueue(&p.queue, envelope) && !p.writing {
+		p.writing = true
+		n.startSender(p.write)
+	}
+}
+
+// write sends what waits, in one write for all of it, until nothing waits.
+func (p *peer) write() {
+	n := p.network
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for len(p.queue.frames) > 0 {
+		taken := p.queue.take()
+		connection := p.connection
+		n.mutex.Unlock()
+		connection, err := p.deliver(connection, taken.frames)
+		n.mutex.Lock()
+		n.release(&p.queue, taken)
+		p.usedAt = time.Now()
+		if err != nil {
+			p.failed(connection, err)
+			n.counters.droppedConnection.Add(uint64(taken.messages))
+			continue
+		}
+		p.backoff = 0
+	}
+	p.writing = false
+	n.endSender()
+}
+
+// deliver writes the frames to the connection, and dials one first where it is nil. It returns the connection used.
+func (p *peer) deliver(connection net.Conn, frames []byte) (net.Conn, error) {
+	if connection == nil {
+		dialed, err := p.dial()
+		if err != nil {
+			return nil, err
+		}
+		connection = dialed
+	}
+	for len(frames) > 0 {
+		chunk := frames[:min(len(frames), writeChunk)]
+		frames = frames[len(chunk):]
+		if err := connection.SetWriteDeadline(time.Now().Add(p.network.options.SendTimeout)); err != nil {
+			return connection, err
+		}
+		if _, err := connection.Write(chunk); err != nil {
+			return connection, err
+		}
+	}
+	return connection, nil
+}
+
+func (p *peer) dial() (net.Conn, error) {
+	n := p.network
+	n.counters.dials.Add(1)
+	connection, err := n.dialer.DialContext(n.closing, "tcp4", p.address)
+	if err != nil {
+		n.counters.dialFailures.Add(1)
+		return nil, err
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.closed {
+		_ = connection.Close()
+		return nil, net.ErrClosed
+	}
+	p.connection = connection
+	n.running.Go(func() { p.watch(connection) })
+	return connection, nil
+}
+
+// watch waits for the end of a dialed connection, on which nothing is to arrive: so a peer that ended or became
+// unreachable is known before something is written to a connection that no longer leads anywhere.
+func (p *peer) watch(connection net.Conn) {
+	var unexpected [1]byte
+	_, _ = connection.Read(unexpected[:])
+	p.network.mutex.Lock()
+	defer p.network.mutex.Unlock()
+	p.disconnect(connection)
+}
+
+// failed drops what waits, and keeps from trying again for a moment. connection is nil where none came up. The mutex
+// is held.
+func (p *peer) failed(connection net.Conn, err error) {
+	n := p.network
+	p.disconnect(connection)
+	n.drop(&p.queue)
+	p.backoff = min(max(2*p.backoff, n.options.FirstBackoff), n.options.MaxBackoff)
+	p.retryAt = p.usedAt.Add(p.backoff)
+	n.options.Log.Debug("peer not reached", "address", p.address, "error", err, "retry_in", p.backoff)
+}
+
+// disconnect closes the connection. The mutex is held.
+func (p *peer) disconnect(connection net.Conn) {
+	if connection == nil {
+		return
+	}
+	_ = connection.Close()
+	if p.connection == connection {
+		p.connection = nil
+	}
+}
+
+// closeIdle forgets the peer where it wasn't used for IdleClose, else comes again when it may be so.
+func (p *peer) closeIdle() {
+	n := p.network
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.closed {
+		return
+	}
+	idle := time.Since(p.usedAt)
+	if p.writing || idle < n.options.IdleClose {
+		p.idleTimer.Reset(max(n.options.IdleClose-idle, n.options.IdleClose/10))
+		return
+	}
+	p.shut()
+	delete(n.peers, p.address)
+}
+
+// shut closes what the peer holds. The mutex is held.
+func (p *peer) shut() {
+	p.idleTimer.Stop()
+	p.disconnect(p.connection)
+}
