--- /dev/null
+++ b/internal/node/forward/call.go
@@ -0,0 +1,268 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/routing"
+	"kestrelspread/internal/node/verdict"
+)
+
+// call is one client's request on its way through the proxy. The goroutine that serves the request owns it; flights of a
+// race share what is below the mutex.
+type call struct {
+	proxy   *Proxy
+	writer  http.ResponseWriter
+	request *http.Request
+	client  *clientConn // nil where another server brought the request
+	intake  intake
+	body    *buffer
+	held    int64 // bytes counted in proxy.buffered
+
+	// startedAt is the moment intake.received by the clock of the system, which sockets' deadlines refer to.
+	startedAt time.Time
+
+	begun     bool
+	id        routing.RequestID
+	connLimit int
+	// sent: some attempt may have run, so nothing may be promised.
+	sent bool
+	// fallback is a failure that a broker answered, kept while another attempt is made.
+	fallback *arrival
+	racing   int
+	results  chan *arrival
+	stopLeft func() bool
+
+	mu      sync.Mutex
+	flights []*flight
+	left    bool // the client has left
+}
+
+// take checks the request and reads its body. It answers those that it does not take.
+func (c *call) take() bool {
+	if why := c.intake.checkRequest(c.request, c.framing()); why != nil {
+		c.deny(why)
+		return false
+	}
+	compiled := c.proxy.configuration()
+	if compiled == nil {
+		c.refuse(c.proxy.bounds.UnreadyRetryAfter)
+		return false
+	}
+	if !c.admit(compiled) || !c.readBody(compiled.Limits.MaxBodyBytes) {
+		return false
+	}
+	// The configuration may have changed while the body came.
+	if newer := c.proxy.configuration(); newer != nil && newer != compiled {
+		return c.admit(newer)
+	}
+	return true
+}
+
+// framing gives what is known of how the request was framed.
+func (c *call) framing() framing {
+	if c.client == nil {
+		return framing{}
+	}
+	return c.client.request
+}
+
+// admit checks the request under a configuration.
+func (c *call) admit(compiled *config.Compiled) bool {
+	why := checkLimits(c.request, c.framing(), &compiled.Limits)
+	if why == nil {
+		why = c.intake.resolve(c.request, compiled, c.proxy.match, c.proxy.options.Seed)
+	}
+	if why != nil {
+		return c.denyIfCurrent(why)
+	}
+	if !c.proxy.mayServe(c.now(), c.intake.route.Public) {
+		c.refuse(c.proxy.bounds.UnreadyRetryAfter)
+		return false
+	}
+	c.intake.setDeadline(c.request.Header)
+	return true
+}
+
+// denyIfCurrent denies a request, unless this proxy can't tell whether its configuration is the one in force.
+func (c *call) denyIfCurrent(why *denial) bool {
+	if (why == deniedRoute || why == deniedKey) && !c.proxy.mayServe(c.now(), true) {
+		c.refuse(c.proxy.bounds.UnreadyRetryAfter)
+		return false
+	}
+	c.deny(why)
+	return false
+}
+
+// readBody reads the whole body: nothing is sent on before it is here.
+func (c *call) readBody(most int64) bool {
+	if c.request.ContentLength == 0 {
+		return true
+	}
+	if most <= 0 {
+		most = c.proxy.bounds.MaxBufferedBytes
+	}
+	if !c.holdBytes(max(c.request.ContentLength, 0)) {
+		c.refuse(c.proxy.bounds.UnreadyRetryAfter)
+		return false
+	}
+	c.limitBody()
+	c.body = takeBuffer()
+	err := c.body.readAll(c.request.Body, c.request.ContentLength, most)
+	c.unlimitBody()
+	switch {
+	case err == nil:
+		return c.holdChunkedBody()
+	case errors.Is(err, errTooLarge):
+		c.deny(deniedBodySize)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.deny(deniedSlowBody)
+	default:
+		c.deny(deniedBody)
+	}
+	return false
+}
+
+// holdBytes counts bytes of a body, unless too many are held already.
+func (c *call) holdBytes(count int64) bool {
+	if c.proxy.buffered.Add(count) > c.proxy.bounds.MaxBufferedBytes {
+		c.proxy.buffered.Add(-count)
+		return false
+	}
+	c.held += count
+	return true
+}
+
+func (c *call) holdChunkedBody() bool {
+	if c.request.ContentLength >= 0 || c.holdBytes(int64(len(c.body.bytes))) {
+		return true
+	}
+	c.refuse(c.proxy.bounds.UnreadyRetryAfter)
+	return false
+}
+
+// limitBody bounds the time that a body may take by the request's deadline. A body that came with its head needs no limit.
+func (c *call) limitBody() {
+	if c.client != nil && !c.client.received {
+		c.client.SetReadDeadline(c.wall(c.intake.deadline))
+	}
+}
+
+func (c *call) unlimitBody() {
+	if c.client != nil && !c.client.received {
+		c.client.SetReadDeadline(time.Time{})
+	}
+}
+
+func (c *call) bodyBytes() []byte {
+	if c.body == nil {
+		return nil
+	}
+	return c.body.bytes
+}
+
+// run makes the attempts that the router asks for, until the client has an answer.
+func (c *call) run() {
+	now := c.now()
+	if now >= c.intake.deadline {
+		c.refuse(c.proxy.bounds.UnreadyRetryAfter)
+		return
+	}
+	c.connLimit = c.proxy.connectionShare(c.intake.compiled.Services[c.intake.service])
+	c.limitAnswer()
+	c.stopLeft = context.AfterFunc(c.request.Context(), c.clientLeft)
+	id, decision := c.proxy.options.Port.Begin(now, c.intake.routingRequest(c.request.Header, len(c.bodyBytes())))
+	c.begun, c.id = true, id
+	result, decision := c.obtain(decision, noEvent)
+	if result != nil {
+		c.deliver(result)
+		return
+	}
+	c.giveUp(decision.Refusal)
+}
+
+// limitAnswer bounds the time that the client may take to read the answer: one that neither reads nor leaves must not hold
+// what its request holds. net/http lifts the limit after the answer.
+func (c *call) limitAnswer() {
+	if c.client != nil {
+		c.client.SetWriteDeadline(c.holdUntil())
+	}
+}
+
+// giveUp answers a request for which no attempt brought an answer.
+func (c *call) giveUp(refusal *routing.Refusal) {
+	if c.clientHasLeft() {
+		c.proxy.counters.clientLeft.Add(1)
+	}
+	switch {
+	case c.fallback != nil:
+		c.deliver(c.fallback)
+	case !c.sent && refusal != nil:
+		c.refuse(refusal.RetryAfter)
+	case !c.sent:
+		c.refuse(c.proxy.bounds.UnreadyRetryAfter)
+	case c.now() >= c.intake.deadline:
+		c.fail(http.StatusGatewayTimeout)
+	default:
+		c.fail(http.StatusBadGateway)
+	}
+}
+
+// finish ends what is left of the request, in the usual case as well as where the answer was broken off.
+func (c *call) finish() {
+	if c.stopLeft != nil {
+		c.stopLeft()
+	}
+	for c.racing > 0 {
+		c.concludeLoser(c.nextResult())
+	}
+	if c.fallback != nil {
+		c.fallback.release()
+	}
+	if c.begun {
+		c.proxy.options.Port.End(c.now(), c.id)
+	}
+	c.body.release()
+	c.proxy.buffered.Add(-c.held)
+}
+
+// clientLeft is called when the client's connection has closed while its request was under way.
+func (c *call) clientLeft() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left = true
+	for _, f := range c.flights {
+		f.clientLeft()
+	}
+}
+
+func (c *call) clientHasLeft() bool { return c.request.Context().Err() != nil }
+
+func (c *call) now() core.Time { return c.proxy.options.Clock() }
+
+// wall turns a moment of the steady clock into one that sockets' deadlines understand.
+func (c *call) wall(at core.Time) time.Time { return c.startedAt.Add(at - c.intake.received) }
+
+// holdUntil is when the request ends whatever happens.
+func (c *call) holdUntil() time.Time { return c.wall(c.intake.deadline + c.proxy.bounds.AnswerGrace) }
+
+// noteVerdict remembers whether the request may have run.
+func (c *call) noteVerdict(v verdict.Verdict) {
+	counters := &c.proxy.counters
+	switch v {
+	case verdict.NotRun:
+		counters.notRun.Add(1)
+		return
+	case verdict.MayHaveRun:
+		counters.mayHaveRun.Add(1)
+	default:
+		counters.ran.Add(1)
+	}
+	c.sent = true
+}
--- /dev/null
+++ b/internal/node/forward/events.go
@@ -0,0 +1,176 @@
+package forward
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+
+	"kestrelspread/internal/node/forward/upstream"
+)
+
+// eventID is the id of an event of a stream; ids rise within a stream (PROTOCOL.md, "Requests").
+type eventID struct {
+	number int64
+	set    bool
+}
+
+// noEvent is where a stream starts.
+var noEvent eventID
+
+// eventReader cuts a stream into whole events. An event ends with an empty line.
+type eventReader struct {
+	answer *upstream.Answer
+	// after: events up to this one are left out, since the client has them.
+	after eventID
+
+	buffer *buffer
+	// taken bytes at the front of the buffer have been passed on; those up to whole are whole events.
+	taken, whole int
+	scanned      int
+	ended        bool // the broker ended the stream in the proper way
+}
+
+func newEventReader(answer *upstream.Answer, after eventID) *eventReader {
+	return &eventReader{answer: answer, after: after, buffer: takeBuffer()}
+}
+
+func (e *eventReader) release() {
+	e.buffer.release()
+	e.buffer = nil
+}
+
+// ready reports whether there is something to pass on: whole events, or the end.
+func (e *eventReader) ready() bool { return e.whole > e.taken || e.ended }
+
+// errEventTooLarge says that an event is larger than any broker sends.
+var errEventTooLarge = upstream.Garbled.New("event of a stream is too large")
+
+// maxEventBytes bounds one event.
+const maxEventBytes = 1 << 20
+
+// fill reads once. At the proper end of the stream what is left counts as an event.
+func (e *eventReader) fill() error {
+	e.compact()
+	if len(e.buffer.bytes) > maxEventBytes {
+		return errEventTooLarge
+	}
+	e.buffer.grow(readStep)
+	data := e.buffer.bytes
+	count, err := e.answer.Read(data[len(data):cap(data)])
+	e.buffer.bytes = data[:len(data)+count]
+	e.scan()
+	if errors.Is(err, io.EOF) {
+		e.ended = true
+		e.whole = len(e.buffer.bytes)
+		return nil
+	}
+	if err == nil && e.answer.EndsNow() {
+		return e.fill()
+	}
+	return err
+}
+
+// compact moves what is left to the front of the buffer.
+func (e *eventReader) compact() {
+	if e.taken == 0 {
+		return
+	}
+	rest := copy(e.buffer.bytes, e.buffer.bytes[e.taken:])
+	e.buffer.bytes = e.buffer.bytes[:rest]
+	e.whole -= e.taken
+	e.scanned -= e.taken
+	e.taken = 0
+}
+
+// scan finds the ends of events in the bytes that are new.
+func (e *eventReader) scan() {
+	data := e.buffer.bytes
+	for {
+		end := bytes.IndexByte(data[e.scanned:], '\n')
+		if end < 0 {
+			return
+		}
+		end += e.scanned
+		if e.emptyLine(end) {
+			e.whole = end + 1
+		}
+		e.scanned = end + 1
+	}
+}
+
+// emptyLine reports whether the line that ends at the position, and starts where scanning stands, is empty.
+func (e *eventReader) emptyLine(end int) bool {
+	line := e.buffer.bytes[e.scanned:end]
+	return len(line) == 0 || len(line) == 1 && line[0] == '\r'
+}
+
+// take gives the whole events that have not been passed on. The bytes hold until the next fill.
+func (e *eventReader) take() []byte {
+	events := e.buffer.bytes[e.taken:e.whole]
+	e.taken = e.whole
+	return events
+}
+
+// numbered is what takeNumbered found.
+type numbered struct {
+	events []byte
+	last   eventID
+	// unnumbered: some event has no id, so that nobody can go on behind it.
+	unnumbered bool
+}
+
+// takeNumbered gives the whole events that have not been passed on, and the id of the last of them. Where the client has
+// events of another run, those up to its last are left out.
+func (e *eventReader) takeNumbered(last eventID) numbered {
+	events := e.take()
+	found := numbered{events: events[:0], last: last}
+	for len(events) > 0 {
+		var event []byte
+		event, events = cutEvent(events)
+		id, hasData := parseEventID(event)
+		if !id.set {
+			found.unnumbered = found.unnumbered || hasData
+		} else if e.after.set && id.number <= found.last.number {
+			continue
+		} else {
+			found.last = id
+		}
+		found.events = append(found.events, event...)
+	}
+	return found
+}
+
+// cutEvent gives the first event and the rest.
+func cutEvent(events []byte) (event, rest []byte) {
+	start := 0
+	for {
+		end := bytes.IndexByte(events[start:], '\n')
+		if end < 0 {
+			return events, nil
+		}
+		line := events[start : start+end]
+		start += end + 1
+		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			return events[:start], events[start:]
+		}
+	}
+}
+
+// parseEventID reads the id of an event, and whether it has data at all: comments have neither.
+func parseEventID(event []byte) (id eventID, hasData bool) {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "data":
+			hasData = true
+		case "id":
+			number, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			if err == nil {
+				id = eventID{number: number, set: true}
+			}
+		}
+	}
+	return id, hasData
+}
--- /dev/null
+++ b/internal/node/forward/framing.go
@@ -0,0 +1,279 @@
+package forward
+
+import (
+	"bytes"
+	"errors"
+)
+
+// framing says how one request of a client was framed.
+type framing struct {
+	// malformed: nobody can be sure where the request ends, so that another request could be smuggled inside it.
+	malformed bool
+	headBytes int
+}
+
+// errChunks says that a body in chunks breaks the grammar of chunks.
+var errChunks = errors.New("malformed chunk")
+
+// scanState is where a requestScanner stands.
+type scanState uint8
+
+const (
+	scanHead scanState = iota
+	scanLengthBody
+	scanChunkSize
+	scanChunkData
+	scanChunkEnd
+	scanTrailer
+	// scanRefused: what follows a malformed head is not looked at.
+	scanRefused
+)
+
+// requestScanner follows the requests on a client's connection byte by byte. net/http parses them; the scanner sees what
+// net/http forgives and an intermediary must not (RFC 9112, sections 5.2, 6.1, 6.3 and 7.1): folded lines, lines that end in
+// a bare LF, a length beside chunks, a length given twice.
+type requestScanner struct {
+	state   scanState
+	current framing
+	started bool // some byte of the request has come
+
+	line      []byte // the start of a line that hasn't come whole
+	lines     int    // of the head
+	hasLength bool
+	length    int64
+	hasChunks bool
+	bodyLeft  int64
+}
+
+// maxLineBytes bounds a line that comes in several reads; net/http bounds heads as a whole.
+const maxLineBytes = 1 << 20
+
+// maxChunkLineBytes bounds the line that gives the size of a chunk.
+const maxChunkLineBytes = 256
+
+// scan looks at the next bytes. It stops at the end of a request: taken says how many of the bytes belong to it.
+func (s *requestScanner) scan(data []byte) (taken int, err error) {
+	for taken < len(data) {
+		rest := data[taken:]
+		switch s.state {
+		case scanLengthBody, scanChunkData:
+			step := int(min(int64(len(rest)), s.bodyLeft))
+			s.bodyLeft -= int64(step)
+			taken += step
+			if s.bodyLeft == 0 && s.endData() {
+				return taken, nil
+			}
+		case scanRefused:
+			return len(data), nil
+		default:
+			line, step, whole := s.nextLine(rest)
+			taken += step
+			if !whole {
+				return taken, s.checkPartialLine()
+			}
+			ended, err := s.takeLine(line)
+			if ended || err != nil {
+				return taken, err
+			}
+		}
+	}
+	return taken, nil
+}
+
+// between reports whether the connection rests between two requests.
+func (s *requestScanner) between() bool { return s.state == scanHead && !s.started }
+
+// endData ends a body with a length, which ends the request, or the data of a chunk.
+func (s *requestScanner) endData() (requestEnds bool) {
+	if s.state == scanChunkData {
+		s.state = scanChunkEnd
+		return false
+	}
+	s.next()
+	return true
+}
+
+// next begins the next request.
+func (s *requestScanner) next() {
+	*s = requestScanner{current: s.current, line: s.line[:0]}
+}
+
+// nextLine gives the next line with its end.
+func (s *requestScanner) nextLine(data []byte) (line []byte, taken int, whole bool) {
+	end := bytes.IndexByte(data, '\n')
+	if end < 0 {
+		s.line = append(s.line, data...)
+		if s.state == scanHead {
+			s.begin()
+		}
+		return nil, len(data), false
+	}
+	taken = end + 1
+	if len(s.line) == 0 {
+		return data[:taken], taken, true
+	}
+	s.line = append(s.line, data[:taken]...)
+	line, s.line = s.line, s.line[:0]
+	return line, taken, true
+}
+
+func (s *requestScanner) checkPartialLine() error {
+	if s.state == scanChunkSize && len(s.line) > maxChunkLineBytes || len(s.line) > maxLineBytes {
+		return errChunks
+	}
+	return nil
+}
+
+// begin notes that the head of a request has begun.
+func (s *requestScanner) begin() {
+	if !s.started {
+		s.started = true
+		s.current = framing{}
+	}
+}
+
+func (s *requestScanner) takeLine(line []byte) (requestEnds bool, err error) {
+	content, crlf := bytes.CutSuffix(line, []byte("\r\n"))
+	switch s.state {
+	case scanHead:
+		return s.takeHeadLine(content, crlf, len(line)), nil
+	case scanChunkSize:
+		return false, s.takeChunkSize(content, crlf)
+	case scanChunkEnd:
+		if len(content) > 0 || !crlf {
+			return false, errChunks
+		}
+		s.state = scanChunkSize
+		return false, nil
+	default: // scanTrailer
+		if !crlf {
+			return false, errChunks
+		}
+		if len(content) > 0 {
+			return false, nil
+		}
+		s.next()
+		return true, nil
+	}
+}
+
+func (s *requestScanner) takeHeadLine(content []byte, crlf bool, size int) (requestEnds bool) {
+	s.begin()
+	s.current.headBytes += size
+	if !crlf || bytes.IndexByte(content, '\r') >= 0 {
+		s.current.malformed = true
+	}
+	if len(content) == 0 && s.lines == 0 && crlf {
+		return false // an empty line before the request line
+	}
+	if len(bytes.TrimRight(content, "\r\n")) == 0 {
+		return s.endHead()
+	}
+	s.lines++
+	if s.lines == 1 {
+		return false
+	}
+	if content[0] == ' ' || content[0] == '\t' {
+		s.current.malformed = true
+		return false
+	}
+	s.takeField(content)
+	return false
+}
+
+// takeField looks at a header line for what frames the body.
+func (s *requestScanner) takeField(line []byte) {
+	const (
+		lengthName = "Content-Length"
+		codingName = "Transfer-Encoding"
+	)
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch len(name) {
+	case len(lengthName):
+		if bytes.EqualFold(name, []byte(lengthName)) {
+			s.takeLength(bytes.Trim(value, " \t"))
+		}
+	case len(codingName):
+		if bytes.EqualFold(name, []byte(codingName)) {
+			s.current.malformed = s.current.malformed || s.hasChunks
+			s.hasChunks = true
+		}
+	}
+}
+
+func (s *requestScanner) takeLength(text []byte) {
+	const mostDigits = 18
+	if s.hasLength || len(text) == 0 || len(text) > mostDigits {
+		s.current.malformed = true
+		return
+	}
+	s.hasLength = true
+	for _, digit := range text {
+		if digit < '0' || digit > '9' {
+			s.current.malformed = true
+			return
+		}
+		s.length = s.length*10 + int64(digit-'0')
+	}
+}
+
+func (s *requestScanner) endHead() (requestEnds bool) {
+	if s.hasLength && s.hasChunks {
+		s.current.malformed = true
+	}
+	switch {
+	case s.current.malformed:
+		s.state = scanRefused
+		return true
+	case s.hasChunks:
+		s.state = scanChunkSize
+		return false
+	case s.length > 0:
+		s.state = scanLengthBody
+		s.bodyLeft = s.length
+		return false
+	default:
+		s.next()
+		return true
+	}
+}
+
+// takeChunkSize reads the line before a chunk's data: the size in hex, perhaps extensions after a semicolon.
+func (s *requestScanner) takeChunkSize(content []byte, crlf bool) error {
+	const mostDigits = 15
+	if !crlf || len(content) > maxChunkLineBytes {
+		return errChunks
+	}
+	digits, _, _ := bytes.Cut(content, []byte(";"))
+	digits = bytes.TrimRight(digits, " \t")
+	if len(digits) == 0 || len(digits) > mostDigits {
+		return errChunks
+	}
+	var size int64
+	for _, digit := range digits {
+		value, ok := hexValue(digit)
+		if !ok {
+			return errChunks
+		}
+		size = size<<4 | value
+	}
+	if size == 0 {
+		s.state = scanTrailer
+		return nil
+	}
+	s.state, s.bodyLeft = scanChunkData, size
+	return nil
+}
+
+func hexValue(digit byte) (int64, bool) {
+	switch {
+	case '0' <= digit && digit <= '9':
+		return int64(digit - '0'), true
+	case 'a' <= digit && digit <= 'f':
+		return int64(digit-'a') + 10, true
+	case 'A' <= digit && digit <= 'F':
+		return int64(digit-'A') + 10, true
+	default:
+		return 0, false
+	}
+}
--- /dev/null
+++ b/internal/node/forward/headers.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Names of headers, in the form in which net/http keeps them. Source: PROTOCOL.md.
+const (
+	headerRequestID      = "X-Kestrelspread-Request-Id"
+	headerDeadline       = "X-Kestrelspread-Deadline-Ms"
+	headerExpectInstance = "X-Kestrelspread-Expect-Instance"
+	headerTenant         = "X-Kestrelspread-Tenant-Id"
+	headerModel          = "X-Kestrelspread-Model"
+	headerTokenCount     = "X-Kestrelspread-Token-Count"
+	headerPromptPrefix   = "X-Kestrelspread-Prompt-Prefix"
+	headerSeal           = "X-Kestrelspread-Response-Seal"
+	headerNotExecuted    = "X-Kestrelspread-Not-Executed"
+	headerServerLoad     = "X-Kestrelspread-Server-Load"
+	headerInstanceID     = "X-Kestrelspread-Instance-Id"
+	headerExpectVersion  = "Expect-Version"
+	headerSalt           = "Cache-Salt"
+	headerFetch          = "Kv-Fetch"
+	headerSave           = "Kv-Save"
+	headerPriority       = "Priority"
+	headerLastEventID    = "Last-Event-Id"
+	headerRetryAfter     = "Retry-After"
+)
+
+// perConnection reports whether a header concerns one connection only (PROTOCOL.md, "Requests").
+func perConnection(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	default:
+		return strings.HasPrefix(name, "Proxy-")
+	}
+}
+
+// setByUs reports whether a client's header is left out of what is sent on, because this proxy sets it, or because it was
+// meant for this proxy alone.
+func setByUs(name string) bool {
+	switch name {
+	case headerExpectInstance, headerExpectVersion, headerSalt, headerFetch, headerSave, headerPriority, headerTenant,
+		headerDeadline, headerRequestID, "Authorization", "Content-Length", "Expect", "Host":
+		return true
+	default:
+		return false
+	}
+}
+
+// internalToFleet reports whether a broker's header is meant for this proxy and not for its client.
+func internalToFleet(name string) bool {
+	switch name {
+	case headerServerLoad, headerInstanceID, headerNotExecuted:
+		return true
+	default:
+		return false
+	}
+}
+
+// namedByConnection lists the headers that Connection names as concerning one connection only; nil in the usual case.
+func namedByConnection(header http.Header) []string {
+	var names []string
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))
+			if name != "" && name != "Close" && name != "Keep-Alive" {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
+// appendHeader adds one line of a head.
+func appendHeader(head []byte, name, value string) []byte {
+	head = append(head, name...)
+	head = append(head, ": "...)
+	head = append(head, value...)
+	return append(head, "\r\n"...)
+}
+
+func appendNumberHeader(head []byte, name string, value int64) []byte {
+	head = append(head, name...)
+	head = append(head, ": "...)
+	head = strconv.AppendInt(head, value, 10)
+	return append(head, "\r\n"...)
+}
+
+// formatSeconds writes a duration as Retry-After gives it: in seconds with fractions.
+func formatSeconds(duration time.Duration) string {
+	return strconv.FormatFloat(max(duration.Seconds(), 0), 'f', 3, 64)
+}
+
+// parseSeconds reads a Retry-After; 0 where there is none that can be read.
+func parseSeconds(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	const most = 3600
+	if err != nil || !(seconds > 0) || seconds > most {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/node/forward/intake.go
@@ -0,0 +1,213 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/routing"
+)
+
+// denial is an answer of our own to a request that is not sent on.
+type denial struct {
+	status int
+	reason string
+	// hangUp: what follows on the connection can't be trusted, or won't be read.
+	hangUp bool
+}
+
+// Denials. Clients do not try again after 400, 401, 404, 413 and 431.
+var (
+	deniedFraming    = &denial{http.StatusBadRequest, "malformed request", true}
+	deniedVersion    = &denial{http.StatusHTTPVersionNotSupported, "HTTP/1.1 only", true}
+	deniedTarget     = &denial{http.StatusBadRequest, "malformed request target", true}
+	deniedID         = &denial{http.StatusBadRequest, "missing or malformed " + headerRequestID, true}
+	deniedHeaderSize = &denial{http.StatusRequestHeaderFieldsTooLarge, "header too large", true}
+	deniedBodySize   = &denial{http.StatusRequestEntityTooLarge, "body too large", true}
+	deniedBody       = &denial{http.StatusBadRequest, "body cut short", true}
+	deniedSlowBody   = &denial{http.StatusRequestTimeout, "body too slow", true}
+	deniedRoute      = &denial{http.StatusNotFound, "no route", false}
+	deniedKey        = &denial{http.StatusUnauthorized, "unknown key", false}
+)
+
+// maxRequestIDBytes bounds X-Kestrelspread-Request-Id.
+const maxRequestIDBytes = 128
+
+// intake is what a client's request turned out to be.
+type intake struct {
+	id       string
+	path     string // raw, without the query
+	compiled *config.Compiled
+	route    *config.Route
+	service  string
+	tenant   *config.Tenant // nil: none
+	received core.Time
+	deadline core.Time
+}
+
+// checkRequest checks what does not depend on the configuration, and finds id and path.
+func (in *intake) checkRequest(r *http.Request, framing framing) *denial {
+	switch {
+	case framing.malformed:
+		return deniedFraming
+	case r.ProtoMajor != 1 || r.ProtoMinor != 1:
+		return deniedVersion
+	case !strings.HasPrefix(r.RequestURI, "/"):
+		return deniedTarget
+	}
+	ids := r.Header[headerRequestID]
+	if len(ids) != 1 || !validRequestID(ids[0]) {
+		return deniedID
+	}
+	in.id = ids[0]
+	in.path, _, _ = strings.Cut(r.RequestURI, "?")
+	return nil
+}
+
+func validRequestID(id string) bool {
+	if len(id) == 0 || len(id) > maxRequestIDBytes {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// checkLimits checks the size of the head and the announced size of the body.
+func checkLimits(r *http.Request, framing framing, limits *config.Limits) *denial {
+	if limits.MaxHeaderBytes > 0 && framing.headBytes > limits.MaxHeaderBytes+headSlackBytes {
+		return deniedHeaderSize
+	}
+	if limits.MaxBodyBytes > 0 && r.ContentLength > limits.MaxBodyBytes {
+		return deniedBodySize
+	}
+	return nil
+}
+
+// headSlackBytes allows for what may be counted as head or not: the request line and the line ends.
+const headSlackBytes = 1 << 10
+
+// resolve finds route, service and tenant under a configuration.
+func (in *intake) resolve(r *http.Request, compiled *config.Compiled, match matcher, seed uint64) *denial {
+	in.compiled, in.tenant = compiled, nil
+	in.route = match(compiled, r.Host, in.path)
+	if in.route == nil {
+		return deniedRoute
+	}
+	if compiled.TenantsInUse && !in.route.Public {
+		in.tenant = compiled.Tenants[bearerKey(r.Header)]
+		if in.tenant == nil {
+			return deniedKey
+		}
+	}
+	in.service = chooseService(in.route, seed, in.id)
+	return nil
+}
+
+// matcher finds the route of a request in a configuration.
+type matcher func(compiled *config.Compiled, host, path string) *config.Route
+
+func matchRoute(compiled *config.Compiled, host, path string) *config.Route {
+	return compiled.Routes.Match(host, path)
+}
+
+// bearerKey reads the key of Authorization: Bearer KEY. Two such headers hold none.
+func bearerKey(header http.Header) string {
+	values := header["Authorization"]
+	if len(values) != 1 {
+		return ""
+	}
+	scheme, key, found := strings.Cut(values[0], " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// chooseService picks a service of a split route by the weights. One id always gives the same service.
+func chooseService(route *config.Route, seed uint64, id string) string {
+	if len(route.TrafficSplit) == 0 {
+		return route.Service
+	}
+	var sum float64
+	for _, part := range route.TrafficSplit {
+		sum += max(part.Weight, 0)
+	}
+	point := fraction(seed, id) * sum
+	chosen := ""
+	for _, part := range route.TrafficSplit {
+		if part.Weight <= 0 {
+			continue
+		}
+		chosen = part.Service
+		if point < part.Weight {
+			break
+		}
+		point -= part.Weight
+	}
+	return chosen
+}
+
+// setDeadline takes the earlier of the client's deadline and the route's, both counted from the receipt.
+func (in *intake) setDeadline(header http.Header) {
+	allowed := milliseconds(in.route.TimeoutMs)
+	if wait, ok := clientWait(header); ok && wait < allowed {
+		allowed = wait
+	}
+	in.deadline = in.received + allowed
+}
+
+// clientWait reads X-Kestrelspread-Deadline-Ms.
+func clientWait(header http.Header) (time.Duration, bool) {
+	text := strings.TrimSpace(first(header, headerDeadline))
+	if text == "" {
+		return 0, false
+	}
+	number, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(number >= 0) {
+		return 0, false
+	}
+	return milliseconds(number), true
+}
+
+// milliseconds turns a number of the configuration into a duration, bounded by a day.
+func milliseconds(number float64) time.Duration {
+	const most = 24 * time.Hour
+	if !(number < float64(most/time.Millisecond)) {
+		return most
+	}
+	return time.Duration(number * float64(time.Millisecond))
+}
+
+// urgency is the priority in force: a tenant's goes before its route's.
+func (in *intake) urgency() int {
+	if in.tenant != nil && in.tenant.Priority != nil {
+		return *in.tenant.Priority
+	}
+	return in.route.Priority
+}
+
+// routingRequest tells the router what it needs to know.
+func (in *intake) routingRequest(header http.Header, bodyBytes int) routing.Request {
+	tokensIn, tokensOut := tokenCounts(header)
+	return routing.Request{
+		Route:     in.route,
+		Service:   in.service,
+		Tenant:    in.tenant,
+		Urgency:   in.urgency(),
+		Received:  in.received,
+		Deadline:  in.deadline,
+		Model:     first(header, headerModel),
+		Parts:     promptParts(header),
+		TokensIn:  tokensIn,
+		TokensOut: tokensOut,
+		BodyBytes: bodyBytes,
+		Resumes:   first(header, headerLastEventID) != "",
+	}
+}
--- /dev/null
+++ b/internal/node/forward/options.go
@@ -0,0 +1,83 @@
+package forward
+
+import (
+	"log/slog"
+	"time"
+
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/forward/upstream"
+	"kestrelspread/internal/node/routing"
+)
+
+// Options are what a Proxy needs. Port, Clock, Config and MayServe must be set.
+type Options struct {
+	// Port decides; its calls come from many goroutines, so it must be serialised already.
+	Port routing.Port
+	// Clock gives the steady time that Port's decisions refer to.
+	Clock func() core.Time
+	// Config gives the configuration in force; nil: none yet.
+	Config func() *config.Compiled
+	// MayServe says whether a request may be taken, and, asked again right before it is sent on, whether it still may:
+	// not without a confirmed configuration, nor where keys can be revoked everywhere and the last confirmation is too old.
+	MayServe func(now core.Time, public bool) bool
+	// Proxies tells how many proxies share the connections that a broker accepts; nil: this one alone.
+	Proxies func() int
+	Log     *slog.Logger
+	Bounds  Bounds
+	// Upstream bounds the connections to brokers.
+	Upstream upstream.Options
+	// Seed spreads requests over the services of a split route differently from fleet to fleet.
+	Seed uint64
+}
+
+// Bounds limit what requests may take of the process. Zero values take the defaults.
+type Bounds struct {
+	// MaxBufferedBytes bounds the bodies of requests held at the same time.
+	MaxBufferedBytes int64
+	// MaxWholeAnswerBytes: answers up to this size are read whole before any of it goes to the client, so that one that is
+	// cut short becomes a clean failure or another attempt.
+	MaxWholeAnswerBytes int
+	// AnswerGrace is how long after the deadline an answer is still awaited: brokers answer 504 themselves at the deadline.
+	AnswerGrace time.Duration
+	// FinishAfterLeave is how long an answer is awaited whose client has left.
+	FinishAfterLeave time.Duration
+	// IdleTimeout and HeaderTimeout are used for clients' connections until a configuration gives others.
+	IdleTimeout   time.Duration
+	HeaderTimeout time.Duration
+	// UnreadyRetryAfter is told to clients while MayServe forbids to serve.
+	UnreadyRetryAfter time.Duration
+	// SpreadConnections: a proxy may hold this many times its even share of the connections that a broker accepts, since
+	// clients are not spread evenly over the proxies.
+	SpreadConnections int
+}
+
+// Defaults of Bounds.
+const (
+	DefaultMaxBufferedBytes    = 96 << 20
+	DefaultMaxWholeAnswerBytes = 256 << 10
+	DefaultAnswerGrace         = 150 * time.Millisecond
+	DefaultFinishAfterLeave    = 2 * time.Second
+	DefaultIdleTimeout         = 60 * time.Second
+	DefaultHeaderTimeout       = 10 * time.Second
+	DefaultUnreadyRetryAfter   = 200 * time.Millisecond
+	DefaultSpreadConnections   = 3
+)
+
+func (b Bounds) withDefaults() Bounds {
+	setDefault(&b.MaxBufferedBytes, DefaultMaxBufferedBytes)
+	setDefault(&b.MaxWholeAnswerBytes, DefaultMaxWholeAnswerBytes)
+	setDefault(&b.AnswerGrace, DefaultAnswerGrace)
+	setDefault(&b.FinishAfterLeave, DefaultFinishAfterLeave)
+	setDefault(&b.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&b.HeaderTimeout, DefaultHeaderTimeout)
+	setDefault(&b.UnreadyRetryAfter, DefaultUnreadyRetryAfter)
+	setDefault(&b.SpreadConnections, DefaultSpreadConnections)
+	return b
+}
+
+func setDefault[T int | int64 | time.Duration](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
--- /dev/null
+++ b/internal/node/forward/proxy.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/forward/upstream"
+)
+
+// Proxy serves clients' requests. It implements http.Handler; Serve runs the HTTP server that belongs to it, whose
+// connections are also checked for their framing.
+type Proxy struct {
+	options  Options
+	bounds   Bounds
+	pool     *upstream.Pool
+	match    matcher
+	server   *http.Server
+	draining atomic.Bool
+	buffered atomic.Int64 // bytes of requests' bodies that are held
+	counters counters
+}
+
+// New returns a proxy that takes no requests yet.
+func New(options Options) *Proxy {
+	proxy := &Proxy{
+		options: options,
+		bounds:  options.Bounds.withDefaults(),
+		pool:    upstream.NewPool(options.Upstream),
+		match:   matchRoute,
+	}
+	proxy.server = proxy.newServer()
+	return proxy
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.counters.requests.Add(1)
+	c := &call{proxy: p, writer: w, request: r, client: clientConnOf(r.Context()), startedAt: time.Now()}
+	c.intake.received = p.options.Clock()
+	defer c.finish()
+	if c.take() {
+		c.run()
+	}
+}
+
+// mayServe asks whether a request may be taken, or sent on.
+func (p *Proxy) mayServe(now core.Time, public bool) bool { return p.options.MayServe(now, public) }
+
+// connectionShare is how many connections to one broker of the service this proxy may hold.
+func (p *Proxy) connectionShare(service *config.Service) int {
+	if service == nil || service.MaxConnections <= 0 {
+		return 0
+	}
+	proxies := 1
+	if p.options.Proxies != nil {
+		proxies = max(p.options.Proxies(), 1)
+	}
+	share := service.MaxConnections * p.bounds.SpreadConnections / proxies
+	return min(max(share, 1), service.MaxConnections)
+}
--- /dev/null
+++ b/internal/node/forward/reply.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"kestrelspread/internal/node/forward/upstream"
+)
+
+// passOnHead sets the headers of a broker's answer on the client's.
+func (c *call) passOnHead(answer *upstream.Answer) http.Header {
+	header := c.newHeader()
+	named := namedByConnection(answer.Header)
+	for name, values := range answer.Header {
+		if perConnection(name) || internalToFleet(name) || contains(named, name) || name == "Content-Length" {
+			continue
+		}
+		header[name] = values
+	}
+	if c.request.Method == http.MethodHead {
+		if length, ok := answer.Header["Content-Length"]; ok {
+			header["Content-Length"] = length
+		}
+	}
+	return header
+}
+
+func contains(names []string, name string) bool {
+	for _, candidate := range names {
+		if candidate == name {
+			return true
+		}
+	}
+	return false
+}
+
+// newHeader begins the head of an answer. Headers with no values keep net/http from adding its own.
+func (c *call) newHeader() http.Header {
+	header := c.writer.Header()
+	header["Date"] = nil
+	header["Content-Type"] = nil
+	if c.proxy.draining.Load() {
+		header["Connection"] = []string{"close"}
+	}
+	return header
+}
+
+// deny answers a request that is not taken.
+func (c *call) deny(why *denial) {
+	c.proxy.counters.denied.Add(1)
+	if why == deniedFraming {
+		c.proxy.counters.badFraming.Add(1)
+	}
+	header := c.newHeader()
+	if why.hangUp {
+		header["Connection"] = []string{"close"}
+	}
+	c.answerOurselves(header, why.status)
+}
+
+// refuse answers that the request has not run and never will, and when to come again.
+func (c *call) refuse(retryAfter time.Duration) {
+	c.proxy.counters.refused.Add(1)
+	header := c.newHeader()
+	header[headerRetryAfter] = []string{formatSeconds(retryAfter)}
+	c.answerOurselves(header, http.StatusServiceUnavailable)
+}
+
+// fail answers without a promise: the request may have run.
+func (c *call) fail(status int) {
+	c.proxy.counters.failed.Add(1)
+	c.answerOurselves(c.newHeader(), status)
+}
+
+func (c *call) answerOurselves(header http.Header, status int) {
+	if c.intake.id != "" {
+		header[headerRequestID] = []string{c.intake.id}
+	}
+	header["Content-Length"] = []string{"0"}
+	c.writer.WriteHeader(status)
+}
+
+// abort breaks the client's connection off, so that an answer that has begun never looks complete.
+func (c *call) abort() {
+	c.proxy.counters.aborted.Add(1)
+	panic(http.ErrAbortHandler)
+}
+
+// lengthHeader gives a Content-Length.
+func lengthHeader(length int64) []string { return []string{strconv.FormatInt(length, 10)} }
--- /dev/null
+++ b/internal/node/forward/upstream/answer.go
@@ -0,0 +1,205 @@
+package upstream
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Names of headers that brokers set. Source: PROTOCOL.md, "Brokers".
+const (
+	headerRequestID   = "X-Kestrelspread-Request-Id"
+	headerNotExecuted = "X-Kestrelspread-Not-Executed"
+)
+
+// maxSkippedAnswers bounds the answers that may stand before the one that is due: interim ones and surplus ones.
+const maxSkippedAnswers = 8
+
+// maxSkippedBytes bounds the body of a surplus answer that is read over.
+const maxSkippedBytes = 256 << 10
+
+// Answer is an answer whose head was read and found to belong to the request. Its body is read through Read.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length of the body in bytes; -1 where it comes in chunks.
+	Length int64
+	// NotExecuted: the broker says that it did not run the request.
+	NotExecuted bool
+
+	conn     *Conn
+	body     io.ReadCloser
+	whole    bool
+	mustHang bool // the connection ends with this answer
+}
+
+// requests of which only the method matters: http.ReadResponse asks it whether a body may follow.
+var (
+	requestWithBody = &http.Request{Method: http.MethodGet}
+	requestHead     = &http.Request{Method: http.MethodHead}
+)
+
+// ReadHead reads the head of the answer to the request with the id and method given. Answers to earlier requests, which a
+// broker in trouble may send late, are read over. Errors are Garbled, Cut or TimedOut; the connection is then to be closed.
+func (c *Conn) ReadHead(method, id string) (*Answer, error) {
+	request := requestWithBody
+	if method == http.MethodHead {
+		request = requestHead
+	}
+	for range maxSkippedAnswers {
+		answer, err := c.readAnswer(request)
+		if err != nil {
+			return nil, err
+		}
+		if answer.Status < http.StatusOK {
+			if answer.Status == http.StatusSwitchingProtocols {
+				return nil, Garbled.New("protocol switched")
+			}
+			continue
+		}
+		if c.belongs(answer, id) {
+			c.answers++
+			return answer, nil
+		}
+		if err := c.skip(answer); err != nil {
+			return nil, err
+		}
+	}
+	return nil, Garbled.New("too many answers before the one that is due")
+}
+
+// belongs reports whether the answer is to the request with the id. A broker that turns a request away may leave the id out;
+// that is believed only where no earlier request of ours could be meant.
+func (c *Conn) belongs(answer *Answer, id string) bool {
+	ids := answer.Header[headerRequestID]
+	if len(ids) == 1 {
+		return ids[0] == id
+	}
+	return len(ids) == 0 && answer.NotExecuted && !c.reused && !c.doubtful
+}
+
+// skip reads over an answer to an earlier request.
+func (c *Conn) skip(answer *Answer) error {
+	c.pool.Counters.Surplus.Add(1)
+	c.doubtful = true
+	if len(answer.Header[headerRequestID]) != 1 {
+		return Garbled.New("answer without the id of a request")
+	}
+	count, err := io.CopyN(io.Discard, answer, maxSkippedBytes)
+	if err == nil || count == maxSkippedBytes {
+		return Garbled.New("surplus answer is too large")
+	}
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	if answer.mustHang {
+		return Cut.New("closed after a surplus answer")
+	}
+	return nil
+}
+
+func (c *Conn) readAnswer(request *http.Request) (*Answer, error) {
+	c.source.limited, c.source.left = true, c.pool.options.MaxHeadBytes
+	response, err := http.ReadResponse(c.reader, request)
+	c.source.limited = false
+	if err != nil {
+		return nil, headFailure(err)
+	}
+	answer := &Answer{
+		Status:   response.StatusCode,
+		Header:   response.Header,
+		Length:   response.ContentLength,
+		conn:     c,
+		body:     response.Body,
+		mustHang: response.Close || response.ProtoMajor != 1 || response.ProtoMinor != 1,
+	}
+	answer.NotExecuted = answer.Status == http.StatusMisdirectedRequest || len(answer.Header[headerNotExecuted]) > 0
+	if response.Body == http.NoBody {
+		answer.whole, answer.Length = true, 0
+	}
+	if answer.Length < 0 && len(response.TransferEncoding) == 0 {
+		c.pool.Counters.Unframed.Add(1)
+		return nil, Garbled.New("answer without a length")
+	}
+	return answer, nil
+}
+
+// headFailure tells bytes that are no answer from a connection that ended or a time that ran out.
+func headFailure(err error) error {
+	var network interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return TimedOut.Wrap(err, "head of an answer")
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
+		return Cut.Wrap(err, "head of an answer")
+	default:
+		return Garbled.Wrap(err, "head of an answer")
+	}
+}
+
+// Read reads the body. io.EOF comes only after the whole of it; a body that was cut short gives Cut.
+func (a *Answer) Read(buffer []byte) (int, error) {
+	if a.whole {
+		return 0, io.EOF
+	}
+	count, err := a.body.Read(buffer)
+	if err == nil {
+		return count, nil
+	}
+	if errors.Is(err, io.EOF) {
+		a.whole = true
+		return count, io.EOF
+	}
+	return count, readFailure(err)
+}
+
+// EndsNow reports whether the rest of a body in chunks is only its end, and is here already: the next Read then gives io.EOF
+// without waiting.
+func (a *Answer) EndsNow() bool {
+	buffered := a.conn.reader.Buffered()
+	if a.Length >= 0 || buffered < len(lastChunk) || buffered > len(lastChunk)+len("\r\n") {
+		return false
+	}
+	rest, err := a.conn.reader.Peek(buffered)
+	return err == nil && bytes.HasSuffix(rest, lastChunk)
+}
+
+// lastChunk ends a body in chunks.
+var lastChunk = []byte("0\r\n\r\n")
+
+// Done gives the connection back: it is kept if the answer was whole and nothing speaks against it, else closed.
+func (a *Answer) Done() {
+	conn := a.conn
+	if conn.reader.Buffered() > 0 && a.whole {
+		conn.pool.Counters.Surplus.Add(1)
+		conn.doubtful = true
+	}
+	if !a.whole || a.mustHang || conn.doubtful {
+		conn.Close()
+		return
+	}
+	conn.keepAlive = keepAliveTime(a.Header)
+	conn.pool.put(conn)
+}
+
+// keepAliveTime reads the timeout of Keep-Alive, in whole seconds; 0 where none is given.
+func keepAliveTime(header http.Header) time.Duration {
+	for _, value := range header["Keep-Alive"] {
+		for parameter := range strings.SplitSeq(value, ",") {
+			name, text, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+			if !strings.EqualFold(strings.TrimSpace(name), "timeout") {
+				continue
+			}
+			seconds, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(text), `"`), 10, 31)
+			if err == nil {
+				return time.Duration(seconds) * time.Second
+			}
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/node/forward/upstream/conn.go
@@ -0,0 +1,204 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// readBufferBytes is the size of a connection's read buffer.
+const readBufferBytes = 4 << 10
+
+// joinBytes is the size of a body up to which it is copied behind the head, so that one plain write sends both.
+const joinBytes = 8 << 10
+
+// Conn is a connection to a broker, which carries one request at a time. Its methods are called by one goroutine at a time;
+// Interrupt and LimitWait may be called by others.
+type Conn struct {
+	pool   *Pool
+	host   *host
+	socket net.Conn
+	raw    syscall.RawConn
+	reader *bufio.Reader
+	source limitedSource
+
+	reused       bool // carried a request before this one
+	answers      int  // answers read from it
+	doubtful     bool // not to be kept: bytes came that belong to no request
+	keepAlive    time.Duration
+	restingSince time.Time
+	usableUntil  time.Time
+
+	closed atomic.Bool
+
+	mu        sync.Mutex
+	wanted    time.Time // the read deadline that the owner asked for
+	waitLimit time.Time // the bound set by LimitWait
+	effective time.Time
+}
+
+func newConn(pool *Pool, h *host, socket net.Conn) (*Conn, error) {
+	raw, err := socket.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	conn := &Conn{pool: pool, host: h, socket: socket, raw: raw}
+	conn.source.socket = socket
+	conn.reader = bufio.NewReaderSize(&conn.source, readBufferBytes)
+	return conn, nil
+}
+
+// Reused reports whether the connection carried a request before.
+func (c *Conn) Reused() bool { return c.reused }
+
+// quiet reports whether the connection is open and holds no byte. Nothing is due on a connection at rest: what comes there
+// belongs to no request.
+func (c *Conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		c.pool.Counters.Surplus.Add(1)
+		return false
+	}
+	c.setReadDeadline(time.Time{})
+	var probe [1]byte
+	var count int
+	var failure error
+	err := c.raw.Read(func(descriptor uintptr) bool {
+		count, failure = syscall.Read(int(descriptor), probe[:])
+		return true
+	})
+	if count > 0 {
+		c.pool.Counters.Surplus.Add(1)
+	}
+	return err == nil && errors.Is(failure, syscall.EAGAIN)
+}
+
+// Send writes a request once. The time bounds the writing. Where the connection took no byte, the error is Unsent.
+func (c *Conn) Send(head, body []byte, until time.Time) error {
+	if err := c.socket.SetWriteDeadline(until); err != nil {
+		return Unsent.Wrap(err, "request")
+	}
+	written, err := c.write(head, body)
+	if err == nil {
+		return nil
+	}
+	if written == 0 {
+		return Unsent.Wrap(err, "request")
+	}
+	return SentInPart.Wrap(err, "request: %d bytes left", written)
+}
+
+func (c *Conn) write(head, body []byte) (int64, error) {
+	if len(body) <= joinBytes {
+		written, err := c.socket.Write(append(head, body...))
+		return int64(written), err
+	}
+	buffers := net.Buffers{head, body}
+	return buffers.WriteTo(c.socket)
+}
+
+// Await waits until a byte has come that was not read yet. A time that runs out gives TimedOut, after which the connection
+// can be used on; silence alone is no failure.
+func (c *Conn) Await(until time.Time) error {
+	if c.reader.Buffered() > 0 {
+		return nil
+	}
+	c.setReadDeadline(until)
+	if _, err := c.reader.Peek(1); err != nil {
+		return readFailure(err)
+	}
+	return nil
+}
+
+// SetDeadline bounds the reads that follow.
+func (c *Conn) SetDeadline(until time.Time) { c.setReadDeadline(until) }
+
+// Interrupt ends all that is under way on the connection.
+func (c *Conn) Interrupt() { c.socket.Close() }
+
+// LimitWait bounds all reads from now on, those under way included.
+func (c *Conn) LimitWait(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waitLimit = until
+	c.applyDeadline()
+}
+
+// clearWaitLimit forgets LimitWait, as the next request has bounds of its own.
+func (c *Conn) clearWaitLimit() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waitLimit = time.Time{}
+}
+
+func (c *Conn) setReadDeadline(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wanted = until
+	c.applyDeadline()
+}
+
+func (c *Conn) applyDeadline() {
+	until := c.wanted
+	if !c.waitLimit.IsZero() && (until.IsZero() || c.waitLimit.Before(until)) {
+		until = c.waitLimit
+	}
+	if until.Equal(c.effective) {
+		return
+	}
+	c.effective = until
+	c.socket.SetReadDeadline(until) // fails only where the socket is closed, which the next read tells
+}
+
+// Close gives the connection up.
+func (c *Conn) Close() {
+	if c.closeSocket() {
+		c.pool.release(c.host)
+	}
+}
+
+// closeSocket closes the socket, and reports whether this call did so first.
+func (c *Conn) closeSocket() bool {
+	if !c.closed.CompareAndSwap(false, true) {
+		return false
+	}
+	c.socket.Close()
+	return true
+}
+
+// readFailure tells a deadline that passed from a connection that broke.
+func readFailure(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return TimedOut.Wrap(err, "answer")
+	}
+	return Cut.Wrap(err, "answer")
+}
+
+// errHeadTooLarge says that the head of an answer is larger than any broker sends.
+var errHeadTooLarge = errors.New("head of an answer is too large")
+
+// limitedSource reads from the socket and bounds what the head of an answer may take.
+type limitedSource struct {
+	socket  net.Conn
+	limited bool
+	left    int
+}
+
+func (s *limitedSource) Read(buffer []byte) (int, error) {
+	if !s.limited {
+		return s.socket.Read(buffer)
+	}
+	if s.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	count, err := s.socket.Read(buffer)
+	s.left -= count
+	return count, err
+}
+
+var _ io.Reader = (*limitedSource)(nil)
