--- /dev/null
+++ b/internal/node/distribution/options.go
@@ -0,0 +1,86 @@
+package distribution
+
+import (
+	"time"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// State is the control state of this node. It belongs to the distribution alone: nobody else applies entries to it.
+type State interface {
+	// Apply takes the entry that follows Index.
+	Apply(entry *nodepb.Entry) *nodepb.CommandResult
+	// Index is that of the last entry applied.
+	Index() uint64
+	// Snapshot returns the whole state, Restore replaces it.
+	Snapshot() []byte
+	Restore(snapshot []byte) error
+}
+
+// Options are what a distribution is told at its start.
+type Options struct {
+	SelfID      string
+	SelfAddress string // internal address
+	// SelfDiskID names this node in the chain; empty for a node without a disk. Where it is not given, the chain's members are
+	// known by their addresses.
+	SelfDiskID string
+	Zone       string
+	Counts     bool // this node is a machine of the core
+	State      State
+	// Seeds are internal addresses to ask while no member is known.
+	Seeds []string
+	// PollInterval is the time between two polls of the upstream; 0: half a second.
+	PollInterval time.Duration
+}
+
+const (
+	defaultPollInterval = 500 * time.Millisecond
+	// startInterval is the time between polls of a node that has no confirmed state yet, for startPolls polls.
+	startInterval = 150 * time.Millisecond
+	startPolls    = 60
+	// hedgeAfter is how long an upstream may take to answer before the next one is asked as well.
+	hedgeAfter = 200 * time.Millisecond
+	// firstRetest and longestRetest are when an upstream that owes an answer, and so is passed over, is asked again.
+	firstRetest   = time.Second
+	longestRetest = 8 * time.Second
+	// staleAge is the age of a confirmation from which on an upstream is taken to have lost touch with the core, and
+	// staleFor is how long others go first then.
+	staleAge = 2500 * time.Millisecond
+	staleFor = time.Second
+	// subscribedFor is how long after a poll changes are pushed to who polled.
+	subscribedFor = 2 * time.Second
+	// confirmationAge is the age of the tail's own confirmation from which on it wants another.
+	confirmationAge = 300 * time.Millisecond
+	// confirmationRetry bounds how often it asks for one.
+	confirmationRetry = 150 * time.Millisecond
+	// treeFanOut is how many nodes of a zone poll the same one.
+	treeFanOut = 8
+
+	// ringEntries and ringBytes bound the entries kept for who lags; who lags more is given a snapshot.
+	ringEntries = 128
+	ringBytes   = 512 << 10
+	// mostEntriesInReply is from how many missing entries on a snapshot takes less work.
+	mostEntriesInReply = 32
+	// snapshotKept is how long an encoded snapshot is kept for others that ask for it.
+	snapshotKept = 2 * time.Second
+)
+
+// homeKey ranks the nodes of a zone as home of the configuration.
+const homeKey = "config"
+
+func (o Options) pollInterval() time.Duration {
+	if o.PollInterval <= 0 {
+		return defaultPollInterval
+	}
+	return o.PollInterval
+}
+
+// milliseconds rounds a time span up, so that no age is understated.
+func milliseconds(span core.Time) uint32 {
+	if span <= 0 {
+		return 0
+	}
+	const most = 1<<32 - 1
+	return uint32(min((span+time.Millisecond-1)/time.Millisecond, most))
+}
