--- /dev/null
+++ b/internal/node/kvindex/changes.go
@@ -0,0 +1,56 @@
+package kvindex
+
+import "kestrelspread/internal/node/nodepb"
+
+// Changes in a message are kept short: an empty holder or a salt of 0 stands for that of the change before. A change of part
+// 0 concerns the holder as a whole.
+const (
+	wholeHolder = uint64(0) // as the part: the change concerns the holder
+	lostAll     = uint32(0) // as the tokens of wholeHolder: it keeps nothing of what was told before
+	signOfLife  = uint32(1) // as the tokens of wholeHolder: a store has answered
+)
+
+func resetChange(name string) *nodepb.IndexChange {
+	return &nodepb.IndexChange{Instance: name, Part: wholeHolder, Tokens: lostAll}
+}
+
+func aliveChange(name string) *nodepb.IndexChange {
+	return &nodepb.IndexChange{Instance: name, Part: wholeHolder, Tokens: signOfLife}
+}
+
+// appendChanges writes the keys, which are ordered by holder and salt.
+func appendChanges(changes []*nodepb.IndexChange, keys []pendingKey, tokens func(pendingKey) uint32) []*nodepb.IndexChange {
+	holder, salt := "", uint64(0)
+	for _, key := range keys {
+		if key.part == wholeHolder {
+			continue
+		}
+		change := &nodepb.IndexChange{Part: key.part, Tokens: tokens(key)}
+		if key.holder != holder {
+			holder, salt = key.holder, 0
+			change.Instance = holder
+		}
+		if key.salt != salt {
+			salt = key.salt
+			change.Salt = salt
+		}
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+// eachChange calls apply with holder and salt filled in.
+func eachChange(update *nodepb.IndexUpdate, apply func(holder string, salt, part uint64, tokens uint32)) {
+	holder, salt := "", uint64(0)
+	for _, change := range update.Changes {
+		if change.Instance != "" {
+			holder, salt = change.Instance, 0
+		}
+		if change.Salt != 0 {
+			salt = change.Salt
+		}
+		if holder != "" {
+			apply(holder, salt, change.Part, change.Tokens)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/kvindex/index_test.go
@@ -0,0 +1,162 @@
+package kvindex
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"kestrelspread/internal/node/routing"
+)
+
+const saltA, saltB = uint64(11), uint64(12)
+
+var prompt = []routing.PromptPart{{ID: 1, Tokens: 800}, {ID: 2, Tokens: 410}, {ID: 3, Tokens: 250}}
+
+func TestHoldersCountOnlyWhatFollowsWithoutAGap(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		kept   map[uint64]int // tokens by part
+		tokens int            // 0: not named
+	}{
+		{"nothing", nil, 0},
+		{"first part", map[uint64]int{1: 800}, 800},
+		{"second without first", map[uint64]int{2: 410}, 0},
+		{"all", map[uint64]int{1: 800, 2: 410, 3: 250}, 1460},
+		{"whole blocks count as the whole part", map[uint64]int{1: 800, 2: 400, 3: 250}, 1450},
+		{"part of the first", map[uint64]int{1: 640, 2: 410}, 640},
+		{"gap in the middle", map[uint64]int{1: 800, 3: 250}, 800},
+		{"part of the second", map[uint64]int{1: 800, 2: 128, 3: 250}, 928},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			index := NewIndex(100)
+			for part, tokens := range test.kept {
+				index.Set("i-1", saltA, part, tokens)
+				index.Set("i-2", saltB, part, tokens)
+			}
+			found := index.Holders(saltA, prompt)
+			if test.tokens == 0 {
+				assert.Equal(t, len(found), 0)
+				return
+			}
+			assert.DeepEqual(t, found, []routing.Holder{{Instance: "i-1", Tokens: test.tokens}})
+		})
+	}
+}
+
+func TestHoldersNamesTheBestFirstAndStoresByAddress(t *testing.T) {
+	index := NewIndex(100)
+	index.Set("i-2", saltA, 1, 800)
+	index.Set("i-1", saltA, 1, 800)
+	index.Set(StoreName("10.0.0.1:80"), saltA, 1, 800)
+	index.Set(StoreName("10.0.0.1:80"), saltA, 2, 410)
+	assert.DeepEqual(t, index.Holders(saltA, prompt), []routing.Holder{
+		{Instance: "10.0.0.1:80", Store: true, Tokens: 1210},
+		{Instance: "i-1", Tokens: 800},
+		{Instance: "i-2", Tokens: 800},
+	})
+}
+
+func TestPartsAreDropped(t *testing.T) {
+	index := NewIndex(100)
+	index.Observed("i-1", saltA, prompt)
+	assert.Equal(t, index.Holders(saltA, prompt)[0].Tokens, 1460)
+	index.Set("i-1", saltA, 2, 0)
+	assert.Equal(t, index.Holders(saltA, prompt)[0].Tokens, 800)
+	index.Reset("i-1")
+	assert.Equal(t, len(index.Holders(saltA, prompt)), 0)
+	index.Set("i-1", saltA, 1, 800)
+	assert.Equal(t, index.Holders(saltA, prompt)[0].Tokens, 800)
+	index.Forget("i-1")
+	assert.Equal(t, len(index.Holders(saltA, prompt)), 0)
+	index.Set("i-1", saltA, 1, 0)
+	assert.Equal(t, len(index.byName), 0)
+}
+
+func TestIndexIsBoundedAndKeepsWhatIsUsed(t *testing.T) {
+	index := NewIndex(64)
+	index.Set("i-1", saltA, 1, 800)
+	for part := range uint64(1000) {
+		index.Set("i-2", saltA, 1000+part, 100)
+		assert.Equal(t, len(index.Holders(saltA, prompt[:1])), 1, "after %d", part)
+		assert.Assert(t, index.Records() <= 64)
+	}
+	assert.Equal(t, len(index.first), index.Records())
+}
+
+func TestNumbersOfFormerHoldersAreUsedAgain(t *testing.T) {
+	index := NewIndex(16)
+	for life := range 200 {
+		name := string(rune('a' + life%26))
+		index.Set(name, saltA, 1, 100)
+		index.Forget(name)
+		assert.Equal(t, len(index.Holders(saltA, prompt)), 0)
+	}
+	assert.Assert(t, len(index.holders) <= 40, "%d", len(index.holders))
+}
+
+// TestIndexAgreesWithAModel runs random changes against a plain map.
+func TestIndexAgreesWithAModel(t *testing.T) {
+	names := []string{"a", "b", "c", StoreName("s")}
+	rapid.Check(t, func(t *rapid.T) {
+		index := NewIndex(1000)
+		model := map[string]map[uint64]int{}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		for range rapid.IntRange(0, 200).Draw(t, "changes") {
+			name := names[random.IntN(len(names))]
+			if model[name] == nil {
+				model[name] = map[uint64]int{}
+			}
+			part := uint64(1 + random.IntN(3))
+			tokens := 16 * random.IntN(60)
+			switch random.IntN(12) {
+			case 0:
+				index.Reset(name)
+				model[name] = nil
+			case 1:
+				index.Forget(name)
+				model[name] = nil
+			default:
+				index.Set(name, saltA, part, tokens)
+				model[name][part] = tokens
+			}
+		}
+		found := map[string]int{}
+		for _, h := range index.Holders(saltA, prompt) {
+			found[h.Instance] = h.Tokens
+		}
+		for _, name := range names {
+			want := 0
+			for _, part := range prompt {
+				kept := min(model[name][part.ID], part.Tokens)
+				want += kept
+				if kept+blockTokens <= part.Tokens {
+					break
+				}
+			}
+			shown, _ := storeAddress(name)
+			if shown == "" || name == shown {
+				shown = name
+			}
+			if found[shown] != want {
+				t.Fatalf("%s keeps %d, index says %d", name, want, found[shown])
+			}
+		}
+	})
+}
+
+func BenchmarkHolders(b *testing.B) {
+	index := NewIndex(50000)
+	random := rand.New(rand.NewPCG(1, 2))
+	for part := range uint64(2000) {
+		for range 4 {
+			index.Set(string(rune('a'+random.IntN(18))), saltA, part, 500)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		part := random.Uint64N(2000)
+		index.Holders(saltA, []routing.PromptPart{{ID: part, Tokens: 500}, {ID: part + 1, Tokens: 500}, {ID: part + 2, Tokens: 500}})
+	}
+}
--- /dev/null
+++ b/internal/node/kvindex/spread_test.go
@@ -0,0 +1,302 @@
+package kvindex
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+	"kestrelspread/internal/node/routing"
+)
+
+// fleet is homes, subscribers and brokers under a virtual clock.
+type fleet struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     core.Time
+	home    *Home
+	sources map[string]*testSource // by address
+	subs    map[string]*testSubscriber
+	loss    float64 // of messages
+	sent    int     // changes, each counted for one subscriber
+	calls   int
+	lost    int // StoreSeen with Lost
+	alive   int
+}
+
+type testSubscriber struct {
+	index *Guarded
+	core  *Subscriber
+}
+
+// testSource is a broker or store that keeps parts and tells events of it.
+type testSource struct {
+	epoch  uint64
+	down   bool
+	kept   map[partKey]int
+	events []Event
+	calls  int
+}
+
+func newFleet(t *testing.T, seed uint64, subscribers int) *fleet {
+	f := &fleet{
+		t: t, random: rand.New(rand.NewPCG(seed, 3)), sources: map[string]*testSource{}, subs: map[string]*testSubscriber{},
+		home: NewHome(HomeOptions{Epoch: 1000}),
+	}
+	var addresses []string
+	for i := range subscribers {
+		index := NewGuarded(NewIndex(10000))
+		address := fmt.Sprintf("sub-%d", i)
+		addresses = append(addresses, address)
+		f.subs[address] = &testSubscriber{index: index, core: NewSubscriber(index)}
+	}
+	f.home.SetSubscribers(addresses)
+	return f
+}
+
+func (f *fleet) add(instance, address string) Source {
+	f.sources[address] = &testSource{epoch: 7, kept: map[partKey]int{}}
+	return Source{Instance: instance, Address: address, Service: "llm", Zone: "z"}
+}
+
+func (s *testSource) set(salt, part uint64, tokens int) {
+	s.kept[partKey{salt, part}] = tokens
+	s.events = append(s.events, Event{Salt: salt, Part: part, Tokens: tokens})
+}
+
+func (s *testSource) restart() {
+	s.epoch++
+	s.events = nil
+	clear(s.kept)
+}
+
+// run lets a time pass.
+func (f *fleet) run(length time.Duration) {
+	for end := f.now + length; f.now < end; f.now += 50 * time.Millisecond {
+		if f.home.Deadline() <= f.now {
+			f.deliver(f.home.Step(f.now), core.Peer{Address: "home"})
+		}
+	}
+}
+
+func (f *fleet) deliver(outputs []core.Output, from core.Peer) {
+	for _, output := range outputs {
+		switch output := output.(type) {
+		case core.AskEvents:
+			f.calls++
+			f.answer(output)
+		case core.StoreSeen:
+			if output.Lost {
+				f.lost++
+			}
+			f.alive++
+		case core.Send:
+			if f.random.Float64() >= f.loss {
+				f.receive(output, from)
+			}
+		}
+	}
+}
+
+func (f *fleet) receive(send core.Send, from core.Peer) {
+	switch body := send.Message.Body.(type) {
+	case *nodepb.Envelope_IndexUpdate:
+		f.sent += len(body.IndexUpdate.Changes)
+		f.deliver(f.subs[send.To].core.HandleUpdate(f.now, from, body.IndexUpdate), core.Peer{Address: send.To})
+	case *nodepb.Envelope_IndexPoll:
+		f.deliver(f.home.HandlePoll(f.now, from, body.IndexPoll), core.Peer{Address: "home"})
+	}
+}
+
+func (f *fleet) answer(ask core.AskEvents) {
+	s := f.sources[ask.Address]
+	s.calls++
+	if s.down {
+		f.home.EventsDone(f.now, ask.Token, nil, errors.New("no connection"))
+		return
+	}
+	events := &Events{Epoch: s.epoch, Next: uint64(len(s.events))}
+	if since := int(ask.Since); since < len(s.events) {
+		events.List = s.events[since:]
+	}
+	f.home.EventsDone(f.now, ask.Token, events, nil)
+}
+
+// holds asserts what every subscriber believes of a part.
+func (f *fleet) holds(name string, part uint64, tokens int) {
+	f.t.Helper()
+	for address, sub := range f.subs {
+		got := 0
+		for _, h := range sub.index.Holders(saltA, []routing.PromptPart{{ID: part, Tokens: 1 << 20}}) {
+			if h.Instance == name {
+				got = h.Tokens
+			}
+		}
+		assert.Equal(f.t, got, tokens, "%s of %s at %s", fmt.Sprint(part), name, address)
+	}
+}
+
+func TestWhatBrokersKeepReachesTheSubscribers(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	f.home.SetSources(f.now, []Source{f.add("i-1", "a:1"), f.add("i-2", "a:2")})
+	f.sources["a:1"].set(saltA, 5, 800)
+	f.sources["a:2"].set(saltA, 6, 400)
+	f.sources["a:2"].set(saltA, 7, 32) // too small to be told
+	f.run(3 * time.Second)
+	f.holds("i-1", 5, 800)
+	f.holds("i-2", 6, 400)
+	f.holds("i-2", 7, 0)
+	f.sources["a:1"].set(saltA, 5, 128)
+	f.sources["a:2"].set(saltA, 6, 0)
+	f.run(3 * time.Second)
+	f.holds("i-1", 5, 128)
+	f.holds("i-2", 6, 0)
+	f.sources["a:1"].set(saltA, 5, 16) // what was told before is taken back although it is small now
+	f.run(3 * time.Second)
+	f.holds("i-1", 5, 16)
+}
+
+func TestARestartDropsWhatWasKept(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.home.SetSources(f.now, []Source{f.add("", "store:1")})
+	f.sources["store:1"].set(saltA, 5, 800)
+	f.sources["store:1"].set(saltA, 6, 800)
+	f.run(3 * time.Second)
+	f.holds("store:1", 5, 800)
+	f.sources["store:1"].restart()
+	f.sources["store:1"].set(saltA, 6, 700)
+	f.run(4 * time.Second)
+	f.holds("store:1", 5, 0)
+	f.holds("store:1", 6, 700)
+	assert.Assert(t, f.lost >= 2)
+}
+
+func TestAStoreGivesSignsOfLifeOnlyWhileItAnswers(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.home.SetSources(f.now, []Source{f.add("", "store:1")})
+	f.run(10 * time.Second)
+	assert.Assert(t, f.alive >= 8, "%d", f.alive)
+	f.sources["store:1"].down = true
+	f.run(2 * time.Second)
+	before := f.alive
+	f.run(20 * time.Second)
+	assert.Equal(t, f.alive, before)
+	assert.Assert(t, f.sources["store:1"].calls < 25)
+}
+
+func TestCallsAreAtMostOneASecond(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.home.SetSources(f.now, []Source{f.add("i-1", "a:1"), f.add("i-2", "a:2"), f.add("i-3", "a:3")})
+	for part := range uint64(60) {
+		f.sources["a:1"].set(saltA, part+1, 100)
+		f.run(time.Second)
+	}
+	assert.Assert(t, f.calls <= 3*62, "%d", f.calls)
+	f.holds("i-1", 30, 100)
+}
+
+func TestLostUpdatesAreAskedForAndRepaired(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(t, seed, 4)
+		f.home.SetSources(f.now, []Source{f.add("i-1", "a:1"), f.add("i-2", "a:2")})
+		f.loss = 0.4
+		for range 40 {
+			source := f.sources[[]string{"a:1", "a:2"}[f.random.IntN(2)]]
+			source.set(saltA, 1+f.random.Uint64N(50), 64*f.random.IntN(20))
+			if f.random.IntN(10) == 0 {
+				source.restart()
+			}
+			f.run(time.Duration(f.random.IntN(1500)) * time.Millisecond)
+		}
+		f.loss = 0
+		f.sources["a:1"].set(saltA, 99, 100) // the next update shows the gap
+		f.run(5 * time.Second)
+		f.sources["a:1"].set(saltA, 99, 200)
+		f.run(5 * time.Second)
+		for part := uint64(1); part <= 50; part++ {
+			f.holds("i-1", part, f.sources["a:1"].kept[partKey{saltA, part}])
+			f.holds("i-2", part, f.sources["a:2"].kept[partKey{saltA, part}])
+		}
+	}
+}
+
+func TestANewSubscriberGetsEverything(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.home.SetSources(f.now, []Source{f.add("i-1", "a:1")})
+	f.sources["a:1"].set(saltA, 5, 800)
+	f.run(3 * time.Second)
+	for range 20 {
+		f.sources["a:1"].set(saltA, 6, 64+f.random.IntN(1000))
+		f.run(time.Second)
+	}
+	index := NewGuarded(NewIndex(100))
+	f.subs["late"] = &testSubscriber{index: index, core: NewSubscriber(index)}
+	f.home.SetSubscribers([]string{"sub-0", "sub-1", "late"})
+	f.sources["a:1"].set(saltA, 6, 640)
+	f.run(3 * time.Second)
+	f.holds("i-1", 5, 800)
+	f.holds("i-1", 6, 640)
+}
+
+func TestALaterHomeTakesOver(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.home.SetSources(f.now, []Source{f.add("i-1", "a:1")})
+	f.sources["a:1"].set(saltA, 5, 800)
+	f.run(3 * time.Second)
+	former := f.home
+	f.home = NewHome(HomeOptions{Epoch: 1000})
+	f.home.SetSubscribers([]string{"sub-0", "sub-1"})
+	f.home.SetSources(f.now, []Source{{Instance: "i-1", Address: "a:1", Service: "llm", Zone: "z"}})
+	f.sources["a:1"].set(saltA, 5, 0)
+	f.sources["a:1"].set(saltA, 6, 300)
+	f.run(3 * time.Second)
+	f.holds("i-1", 5, 0)
+	f.holds("i-1", 6, 300)
+	f.deliver(former.Step(f.now), core.Peer{Address: "former"}) // still believes that it is the home
+	f.holds("i-1", 6, 300)
+}
+
+func TestWhatIsSpreadIsBounded(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.home = NewHome(HomeOptions{Epoch: 1000, BytesPerSecond: 100 * changeBytes})
+	f.home.SetSubscribers([]string{"sub-0"})
+	f.home.SetSources(f.now, []Source{f.add("i-1", "a:1"), f.add("i-2", "a:2")})
+	f.run(2 * time.Second)
+	next := uint64(1000)
+	for second := range 20 {
+		for range 500 {
+			next++
+			f.sources["a:1"].set(saltA, next, 900)
+		}
+		shared := uint64(1 + second)
+		f.sources["a:1"].set(saltA, shared, 100)
+		f.sources["a:2"].set(saltA, shared, 100)
+		f.run(time.Second)
+	}
+	f.run(3 * time.Second)
+	assert.Assert(t, f.sent <= 25*103, "%d", f.sent)
+	topic := f.home.topics[topicID{"llm", "z"}]
+	assert.Assert(t, len(topic.pending) <= 500*7, "%d", len(topic.pending))
+	for second := range uint64(20) {
+		f.holds("i-2", 1+second, 100) // read twice, so shared: told before what is larger but was read once
+	}
+}
+
+func TestABrokerWithNewWeightsKeepsNothing(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.home.SetSources(f.now, []Source{f.add("i-1", "a:1")})
+	f.sources["a:1"].set(saltA, 5, 800)
+	f.run(3 * time.Second)
+	f.subs["sub-0"].core.Reloaded("i-1")
+	f.holds("i-1", 5, 0)
+	f.sources["a:1"].set(saltA, 5, 800)
+	f.subs["sub-0"].index.Observed("i-1", saltA, []routing.PromptPart{{ID: 5, Tokens: 800}})
+	f.holds("i-1", 5, 800)
+	f.subs["sub-0"].core.Forget("i-1")
+	f.holds("i-1", 5, 0)
+}
--- a/internal/node/rollout/orders/body.go
+++ b/internal/node/rollout/orders/body.go
@@ -4,9 +4,6 @@
 	"bytes"
 	"errors"
 	"sync/atomic"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
 // errNotAllowed says that the right to order had ended when the order was about to be written.
@@ -29,12 +26,3 @@
 	}
 	return b.reader.Read(p)
 }
-
-// setUserTimeout has a connection fail whose peer is silently gone, also while data waits.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(callTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
--- a/internal/node/rollout/orders/sender.go
+++ b/internal/node/rollout/orders/sender.go
@@ -1,19 +1,18 @@
 // Package orders sends orders to model brokers and asks their reports, for package rollout.
 //
-// Each call is made once: an order is never repeated by the client library, and whether it may still leave is checked right before
-// its first byte is written. Source: PROTOCOL.md, "Requests".
+// Each order is sent once: the client library never repeats it, and whether it may still leave is checked right before its first
+// byte is written. Source: PROTOCOL.md, "Requests".
 package orders
 
 import (
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
+	"kestrelspread/internal/node/brokercall"
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/rollout"
 )
@@ -23,12 +22,16 @@
 	callTimeout = time.Second
 	// idleTimeout is how long a connection to a broker is kept for the next call.
 	idleTimeout = 4 * time.Second
-	// maxReportBytes bounds what is read of a report.
-	maxReportBytes = 64 << 10
+	// maxAnswerBytes bounds what is read of an answer.
+	maxAnswerBytes = 64 << 10
 
-	expectInstance = "X-Kestrelspread-Expect-Instance"
-	orderPath      = "/kestrelspread/order"
-	reportPath     = "/kestrelspread/report"
+	orderPath  = "/kestrelspread/order"
+	reportPath = "/kestrelspread/report"
+)
+
+var (
+	errUnanswered = rollout.Errors.NewType("unanswered")
+	errReport     = rollout.Errors.NewType("no_report")
 )
 
 // Options are what a Sender needs. The two callbacks run on goroutines of the Sender, once for each call.
@@ -46,15 +49,8 @@
 
 // New returns a Sender; Close ends its idle connections.
 func New(options Options) *Sender {
-	dialer := &net.Dialer{Timeout: callTimeout, Control: setUserTimeout}
-	transport := &http.Transport{
-		DialContext:         dropOnClose(dialer),
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: 1,
-		DisableCompression:  true,
-	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Sender{options: options, client: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	client := brokercall.NewClient(brokercall.Options{Connect: callTimeout, Idle: idleTimeout})
+	return &Sender{options: options, client: client}
 }
 
 // Close ends the connections that are idle.
@@ -85,7 +81,7 @@
 			return s.options.Clock() < order.ValidUntil && (allowed == nil || allowed(order))
 		},
 	}
-	request, err := newRequest(ctx, http.MethodPost, order.Address, orderPath, order.InstanceID, body)
+	request, err := brokercall.NewRequest(ctx, http.MethodPost, order.Address, orderPath, order.InstanceID, body)
 	if err != nil {
 		return 0, rollout.ErrNotSent.Wrap(err, "build the order")
 	}
@@ -95,7 +91,7 @@
 	if err != nil {
 		return 0, orderError(err, body)
 	}
-	discard(answer.Body)
+	brokercall.Discard(answer.Body, maxAnswerBytes)
 	return answer.StatusCode, nil
 }
 
@@ -110,57 +106,21 @@
 func (s *Sender) get(ask core.AskReport) (*rollout.Report, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	request, err := newRequest(ctx, http.MethodGet, ask.Address, reportPath, ask.InstanceID, nil)
+	request, err := brokercall.NewRequest(ctx, http.MethodGet, ask.Address, reportPath, ask.InstanceID, nil)
 	if err != nil {
 		return nil, errReport.Wrap(err, "build the call")
 	}
 	answer, err := s.client.Do(request)
 	if err != nil {
-		return nil, errReport.Wrap(err, "ask for the report")
+		return nil, errReport.Wrap(err, "ask")
 	}
-	defer discard(answer.Body)
+	defer brokercall.Discard(answer.Body, maxAnswerBytes)
 	if answer.StatusCode != http.StatusOK {
 		return nil, errReport.New("status %d", answer.StatusCode)
 	}
 	report := &rollout.Report{}
-	if err := json.NewDecoder(io.LimitReader(answer.Body, maxReportBytes)).Decode(report); err != nil {
-		return nil, errReport.Wrap(err, "read the report")
+	if err := json.NewDecoder(io.LimitReader(answer.Body, maxAnswerBytes)).Decode(report); err != nil {
+		return nil, errReport.Wrap(err, "read")
 	}
 	return report, nil
 }
-
-var (
-	errUnanswered = rollout.Errors.NewType("unanswered")
-	errReport     = rollout.Errors.NewType("no_report")
-)
-
-func newRequest(ctx context.Context, method, address, path, instance string, body io.Reader) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
-	if err != nil {
-		return nil, err
-	}
-	request.Header.Set(expectInstance, instance)
-	return request, nil
-}
-
-// discard reads the rest of a short body, so that its connection can be used again.
-func discard(body io.ReadCloser) {
-	_, _ = io.CopyN(io.Discard, body, maxReportBytes)
-	_ = body.Close()
-}
-
-// dropOnClose makes connections lose what is not yet sent when they are closed: an order that is given up must not arrive later.
-func dropOnClose(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		connection, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		if tcp, ok := connection.(*net.TCPConn); ok {
-			if err := tcp.SetLinger(0); err != nil {
-				return nil, errors.Join(err, connection.Close())
-			}
-		}
-		return connection, nil
-	}
-}
