--- /dev/null
+++ b/internal/node/chain/barrier.go
@@ -0,0 +1,187 @@
+package chain
+
+import (
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+	"kestrelspread/internal/node/view"
+)
+
+// barrierStart is a barrier at the head: what for, and once it has started its number and time.
+type barrierStart struct {
+	origin     *nodepb.Origin
+	rejection  *nodepb.CommandResult
+	wantsState bool
+	nonce      uint64
+	number     uint64
+	started    core.Time
+}
+
+// confirmation is what the tail knows of the age of the committed state.
+type confirmation struct {
+	nonce   uint64
+	asked   core.Time
+	running bool
+	at      core.Time // as of when the committed state was the newest
+	once    bool
+}
+
+// startBarrier sends a barrier through the chain. It waits while an inherited entry is not committed, which may have been
+// acknowledged.
+func (s *Store) startBarrier(start barrierStart) {
+	if !s.isHead() || !s.member() {
+		return
+	}
+	if s.inherited || !s.viewDurable {
+		if len(s.waiting) < queueLimit {
+			s.waiting = append(s.waiting, start)
+		}
+		return
+	}
+	s.barrierCount++
+	start.number = s.barrierCount
+	start.started = s.now
+	if len(s.barriers) >= barriersKept {
+		s.barriers = append(s.barriers[:0], s.barriers[1:]...)
+	}
+	s.barriers = append(s.barriers, start)
+	barrier := &nodepb.Barrier{
+		Epoch:          s.view.GetEpoch(),
+		Origin:         start.origin,
+		Rejection:      start.rejection,
+		Committed:      s.committed.index,
+		CommittedEpoch: s.committed.epoch,
+		LastIndex:      s.last().index,
+		Nonce:          start.nonce,
+		WantsState:     start.wantsState,
+		Number:         start.number,
+	}
+	s.passBarrier(barrier)
+}
+
+// startWaiting starts the barriers that waited for an inherited entry.
+func (s *Store) startWaiting() {
+	if s.inherited || !s.viewDurable {
+		return
+	}
+	waiting := s.waiting
+	s.waiting = nil
+	for _, start := range waiting {
+		s.startBarrier(start)
+	}
+}
+
+func (s *Store) receiveBarrier(from core.Peer, barrier *nodepb.Barrier) {
+	if !s.inForce(from, barrier.GetEpoch()) || !s.member() || s.isHead() {
+		return
+	}
+	s.commitUpTo(position{index: barrier.GetCommitted(), epoch: barrier.GetCommittedEpoch()})
+	if s.committed.index < barrier.GetCommitted() {
+		return
+	}
+	if s.pending != nil && s.pending.GetIndex() > barrier.GetLastIndex() && s.pending.GetEpoch() < barrier.GetEpoch() {
+		s.dropPending(func() { s.passBarrier(barrier) })
+		return
+	}
+	s.passBarrier(barrier)
+}
+
+// passBarrier passes a barrier on if its epoch is in force here; the tail answers it.
+func (s *Store) passBarrier(barrier *nodepb.Barrier) {
+	if !s.member() || !s.viewDurable || barrier.GetEpoch() != s.view.GetEpoch() {
+		return
+	}
+	if s.isTail() {
+		s.answerBarrier(barrier)
+		return
+	}
+	successor := view.Successor(s.view, s.diskID())
+	s.send(successor.GetAddress(), &nodepb.Envelope{Body: &nodepb.Envelope_Barrier{Barrier: barrier}})
+}
+
+func (s *Store) answerBarrier(barrier *nodepb.Barrier) {
+	switch {
+	case barrier.GetWantsState():
+		s.answer(barrier.GetOrigin(), nil, s.snapshot())
+	case barrier.GetRejection() != nil:
+		s.answer(barrier.GetOrigin(), barrier.GetRejection(), nil)
+	}
+	if s.confirm.running && barrier.GetNonce() == s.confirm.nonce {
+		s.confirm.running = false
+		s.confirmed(s.confirm.asked)
+	}
+	if s.isHead() {
+		s.barrierDone(barrier.GetNumber())
+		return
+	}
+	s.notifyCommitted(barrier.GetNumber())
+}
+
+func (s *Store) confirmed(at core.Time) {
+	s.confirm.at = max(s.confirm.at, at)
+	s.confirm.once = true
+}
+
+// barrierDone notes at the head that one of its barriers has passed every member.
+func (s *Store) barrierDone(number uint64) {
+	for i, start := range s.barriers {
+		if start.number != number {
+			continue
+		}
+		s.leaseFrom = max(s.leaseFrom, start.started)
+		s.leased = true
+		s.barriers = append(s.barriers[:i], s.barriers[i+1:]...)
+		return
+	}
+}
+
+// WantConfirmation starts a barrier at the tail, for the age of its state, or at the head, for its lease, unless the last is
+// young enough or one is running.
+func (s *Store) WantConfirmation(now core.Time) []core.Output {
+	s.advance(now)
+	switch {
+	case !s.member():
+	case s.isTail():
+		s.wantConfirmationAtTail()
+	case s.isHead():
+		s.wantLease()
+	}
+	return s.finish()
+}
+
+func (s *Store) wantConfirmationAtTail() {
+	if s.confirm.once && s.now-s.confirm.at < ConfirmEvery {
+		return
+	}
+	if s.confirm.running && s.now-s.confirm.asked < confirmTimeout {
+		return
+	}
+	s.confirm.nonce = s.random.Uint64() | 1
+	s.confirm.asked = s.now
+	s.confirm.running = true
+	if s.isHead() {
+		s.startBarrier(barrierStart{nonce: s.confirm.nonce})
+		return
+	}
+	head := view.Head(s.view)
+	s.send(head.GetAddress(), &nodepb.Envelope{Body: &nodepb.Envelope_BarrierRequest{BarrierRequest: &nodepb.BarrierRequest{
+		Epoch: s.view.GetEpoch(),
+		Nonce: s.confirm.nonce,
+	}}})
+}
+
+func (s *Store) wantLease() {
+	if s.leased && s.now-s.leaseFrom < ConfirmEvery {
+		return
+	}
+	if running := len(s.barriers); running > 0 && s.now-s.barriers[running-1].started < confirmTimeout {
+		return
+	}
+	s.startBarrier(barrierStart{})
+}
+
+func (s *Store) receiveBarrierRequest(from core.Peer, request *nodepb.BarrierRequest) {
+	if !s.inForce(from, request.GetEpoch()) {
+		return
+	}
+	s.startBarrier(barrierStart{origin: request.GetOrigin(), nonce: request.GetNonce(), wantsState: request.GetWantsState()})
+}
--- /dev/null
+++ b/internal/node/chain/checks_test.go
@@ -0,0 +1,124 @@
+package chain_test
+
+import (
+	"fmt"
+
+	"kestrelspread/internal/node/chain"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// checks watches the promises of the control state.
+type checks struct {
+	world    *world
+	byIndex  map[uint64]string // command id and epoch
+	byID     map[string]uint64 // index by command id
+	rejected map[string]string // command ids that were turned down for good, and how
+	acked    map[string]uint64 // index by command id
+	ackedBy  map[uint64]string // command id by base version
+	newest   uint64            // index that an answer has shown
+	views    map[uint64]string
+}
+
+func newChecks(w *world) *checks {
+	return &checks{
+		world:    w,
+		byIndex:  make(map[uint64]string),
+		byID:     make(map[string]uint64),
+		rejected: make(map[string]string),
+		acked:    make(map[string]uint64),
+		ackedBy:  make(map[uint64]string),
+		views:    make(map[uint64]string),
+	}
+}
+
+func (c *checks) errorf(format string, arguments ...any) {
+	c.world.logf("VIOLATION "+format, arguments...)
+	c.world.t.Errorf(format, arguments...)
+}
+
+// applied is called at every node for every entry it applies, also while it takes up its journal.
+func (c *checks) applied(n *node, entry *nodepb.Entry) {
+	id := entry.GetCommand().GetId()
+	name := fmt.Sprintf("%s@%d", id, entry.GetEpoch())
+	if known, ok := c.byIndex[entry.GetIndex()]; ok && known != name {
+		c.errorf("%s commits %s at index %d, others %s", n.address, name, entry.GetIndex(), known)
+	}
+	c.byIndex[entry.GetIndex()] = name
+	c.byID[id] = entry.GetIndex()
+	if how, ok := c.rejected[id]; ok {
+		c.errorf("%s commits %s, which was turned down: %s", n.address, id, how)
+	}
+}
+
+// published is called for what goes to the data plane of a node.
+func (c *checks) published(n *node, index uint64) {
+	if index < n.committed {
+		c.errorf("%s goes back from %d to %d", n.address, n.committed, index)
+	}
+	n.committed = index
+}
+
+func (c *checks) observed(n *node, status chain.Status) {
+	if status.Committed < n.committed {
+		c.errorf("%s goes back from %d to %d", n.address, n.committed, status.Committed)
+	}
+	if status.Epoch == 0 {
+		return
+	}
+	described := fmt.Sprint(status.View.GetChain(), status.View.GetVoters())
+	if known, ok := c.views[status.Epoch]; ok && known != described {
+		c.errorf("%s has view %s in epoch %d, others %s", n.address, described, status.Epoch, known)
+	}
+	c.views[status.Epoch] = described
+}
+
+// answered takes the answer of a command.
+func (c *checks) answered(command *nodepb.Command, reply core.Reply) {
+	id := command.GetId()
+	switch reply.Result.GetCode() {
+	case nodepb.ResultCode_TAKEN:
+		c.takenAnswer(command)
+	case nodepb.ResultCode_CONFLICT, nodepb.ResultCode_INVALID:
+		if _, taken := c.byID[id]; taken {
+			c.errorf("%s was taken and is turned down: %v", id, reply.Result)
+		}
+		c.rejected[id] = reply.Result.GetCode().String()
+	}
+}
+
+func (c *checks) takenAnswer(command *nodepb.Command) {
+	id := command.GetId()
+	index, taken := c.byID[id]
+	if !taken {
+		c.errorf("%s acknowledged but not taken", id)
+	}
+	base := command.GetConfigChange().GetBaseVersion()
+	if other, ok := c.ackedBy[base]; ok && other != id {
+		c.errorf("%s and %s both acknowledged on version %d", other, id, base)
+	}
+	c.ackedBy[base] = id
+	c.acked[id] = index
+	c.newest = max(c.newest, index)
+}
+
+// readAnswer takes the answer of a read that was asked when the newest index shown was floor.
+func (c *checks) readAnswer(floor uint64, reply core.Reply) (registerState, bool) {
+	if reply.State == nil {
+		return registerState{}, false
+	}
+	state, err := decodeRegister(reply.State.GetState())
+	if err != nil {
+		c.errorf("state can't be read: %v", err)
+	}
+	if reply.State.GetIndex() < floor {
+		c.errorf("read shows index %d, but %d was shown before it was asked", reply.State.GetIndex(), floor)
+	}
+	for id, index := range c.acked {
+		if _, there := state.Taken[id]; !there && index <= reply.State.GetIndex() {
+			c.errorf("acknowledged %s (index %d) is missing from the state at %d", id, index, reply.State.GetIndex())
+		}
+	}
+	c.newest = max(c.newest, reply.State.GetIndex())
+	return state, true
+}
--- /dev/null
+++ b/internal/node/chain/disk_test.go
@@ -0,0 +1,62 @@
+package chain_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"kestrelspread/internal/node/core"
+)
+
+var errDisk = errors.New("disk refuses writes")
+
+// disk keeps the journal of one machine through its lives.
+type disk struct {
+	id      string
+	records []core.Record
+	// sync is how long a write takes; failing refuses writes, hangs until the time delays them.
+	sync      time.Duration
+	failing   bool
+	hangUntil core.Time
+	// out is the write under way.
+	out *core.Write
+}
+
+// end is when a write that begins now is over.
+func (d *disk) end(now core.Time, random *rand.Rand) core.Time {
+	at := now + d.sync/2 + time.Duration(random.Int64N(int64(d.sync)+1))
+	return max(at, d.hangUntil)
+}
+
+// complete makes the write under way durable, or fails it with a part of it on the disk.
+func (d *disk) complete(random *rand.Rand) error {
+	write := d.out
+	d.out = nil
+	if d.failing {
+		d.keepPart(write, random)
+		return errDisk
+	}
+	if write.Checkpoint {
+		d.records = nil
+	}
+	d.records = append(d.records, write.Records...)
+	return nil
+}
+
+// stop ends the write under way with the process or the power: a part of it may have come through.
+func (d *disk) stop(random *rand.Rand) {
+	if d.out != nil {
+		d.keepPart(d.out, random)
+	}
+	d.out = nil
+}
+
+func (d *disk) keepPart(write *core.Write, random *rand.Rand) {
+	if write.Checkpoint {
+		if random.IntN(2) == 0 {
+			d.records = write.Records
+		}
+		return
+	}
+	d.records = append(d.records, write.Records[:random.IntN(len(write.Records)+1)]...)
+}
--- /dev/null
+++ b/internal/node/chain/operator_test.go
@@ -0,0 +1,127 @@
+package chain_test
+
+import (
+	"fmt"
+	"time"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// operator sends changes and reads, one after another, through machines it picks at random. A change with no clear
+// answer is sent again as it was.
+type operator struct {
+	world   *world
+	name    string
+	pause   time.Duration
+	count   int
+	version uint64 // as it knows
+	stopped bool
+	command *nodepb.Command // without a clear answer yet
+	acked   int
+	reads   int
+}
+
+func (w *world) newOperator(name string, pause time.Duration) *operator {
+	o := &operator{world: w, name: name, pause: pause}
+	w.after(time.Second, o.next)
+	return o
+}
+
+func (o *operator) next() {
+	if o.stopped {
+		return
+	}
+	w := o.world
+	n := w.nodes[w.order[w.random.IntN(len(w.order))]]
+	if !n.running {
+		w.after(50*time.Millisecond, o.next)
+		return
+	}
+	o.giveUpAfter(n)
+	if o.command == nil && w.random.IntN(3) == 0 {
+		o.read(n)
+		return
+	}
+	o.change(n)
+}
+
+// giveUpAfter goes on where the machine dies before it answers.
+func (o *operator) giveUpAfter(n *node) {
+	w := o.world
+	round := o.count
+	o.count++
+	w.after(1500*time.Millisecond, func() {
+		if o.count == round+1 {
+			o.next()
+		}
+	})
+}
+
+func (o *operator) again() {
+	o.count++
+	o.world.after(time.Duration(o.world.random.Int64N(int64(2*o.pause)+1)), o.next)
+}
+
+func (o *operator) read(n *node) {
+	floor := o.world.checks.newest
+	round := o.count
+	n.call(nil, func(reply core.Reply) {
+		state, ok := o.world.checks.readAnswer(floor, reply)
+		if o.count != round {
+			return
+		}
+		if ok {
+			o.version = state.Version
+			o.reads++
+		}
+		o.again()
+	})
+}
+
+func (o *operator) change(n *node) {
+	w := o.world
+	if o.command == nil {
+		o.command = o.newCommand()
+	}
+	command := o.command
+	round := o.count
+	n.call(command, func(reply core.Reply) {
+		w.checks.answered(command, reply)
+		if o.command == command {
+			o.settle(reply.Result)
+		}
+		if o.count == round {
+			o.again()
+		}
+	})
+}
+
+func (o *operator) settle(result *nodepb.CommandResult) {
+	switch result.GetCode() {
+	case nodepb.ResultCode_TAKEN:
+		o.acked++
+		o.version = o.command.GetConfigChange().GetVersion()
+		o.command = nil
+	case nodepb.ResultCode_CONFLICT:
+		o.version = result.GetVersion()
+		o.command = nil
+	case nodepb.ResultCode_INVALID:
+		o.command = nil
+	}
+}
+
+func (o *operator) newCommand() *nodepb.Command {
+	w := o.world
+	version := o.version + 1 + uint64(w.random.IntN(3))
+	if w.random.IntN(10) == 0 {
+		version = o.version
+	}
+	return &nodepb.Command{
+		Id: fmt.Sprintf("%s-%d", o.name, o.count),
+		Change: &nodepb.Command_ConfigChange{ConfigChange: &nodepb.ConfigChange{
+			BaseVersion: o.version,
+			Version:     version,
+		}},
+	}
+}
--- /dev/null
+++ b/internal/node/chain/reconfigure.go
@@ -0,0 +1,380 @@
+package chain
+
+import (
+	"slices"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+	"kestrelspread/internal/node/view"
+)
+
+// acceptorAddress is who is asked in a round; the id is the disk id, in epoch 1 the address.
+type acceptorAddress struct {
+	id      string
+	address string
+}
+
+// round is a ballot of this node for the next view.
+type round struct {
+	*view.Round
+	base      *nodepb.View // nil while founding
+	acceptors []acceptorAddress
+	started   core.Time
+	resendAt  core.Time
+	spoken    bool // this node's own vote of the phase is durable, so that the others may be asked
+}
+
+// situation is what this node knows for the choice of the next view.
+func (s *Store) situation() *view.Situation {
+	return &view.Situation{
+		View:      s.view,
+		Self:      s.diskID(),
+		Tolerance: s.options.Tolerance,
+		Reach:     s.detector,
+		Joiners:   s.readyJoiners(),
+		Leaving:   s.now < s.leaving,
+		Wedged:    s.wedged,
+	}
+}
+
+// evaluate proposes a view if the one in force should change and this node is the one to do so.
+func (s *Store) evaluate() {
+	if s.view == nil {
+		s.considerFounding()
+		return
+	}
+	if s.round != nil || !s.inChain() || !s.viewDurable || s.now < s.evaluateAt {
+		return
+	}
+	s.evaluateAt = s.now + evaluateEvery
+	situation := s.situation()
+	if !situation.Wanted() {
+		s.wantedSince = core.Never
+		return
+	}
+	s.wantedSince = min(s.wantedSince, s.now)
+	if s.mayPropose(situation) {
+		s.startRound()
+	}
+}
+
+func (s *Store) mayPropose(situation *view.Situation) bool {
+	switch {
+	case s.now < s.notBefore || !s.writer.healthy(s.now):
+		return false
+	case !situation.MajorityReachable():
+		return false
+	case !s.wedged && !situation.Settled():
+		return false
+	case s.now < s.wantedSince+core.Time(situation.Rank())*rankDelay:
+		return false
+	default:
+		return situation.Next() != nil
+	}
+}
+
+// startRound begins a ballot: this node's own promise is durable before anyone else is asked.
+func (s *Store) startRound() {
+	acceptors := s.acceptors()
+	ids := make([]string, len(acceptors))
+	for i := range acceptors {
+		ids[i] = acceptors[i].id
+	}
+	ballot := &nodepb.Ballot{Round: max(s.acceptor.Round(), s.seenRound) + 1, Proposer: s.proposerID()}
+	r := &round{
+		Round:     view.NewRound(s.acceptor.Epoch, ballot, ids),
+		base:      s.view,
+		acceptors: acceptors,
+		started:   s.now,
+		resendAt:  s.now + resendEvery,
+	}
+	s.round = r
+	promise, _ := s.acceptor.Prepare(ballot)
+	promise.Voter = s.acceptorID()
+	s.persist(kindAcceptor, s.acceptor.Record(), func() {
+		if s.round != r {
+			return
+		}
+		r.spoken = true
+		s.ask()
+		r.Promised(promise)
+		s.progress()
+	})
+}
+
+// proposerID makes ballots of different lives of a machine differ: a disk id is of one disk, and what was promised to
+// one's own ballots is durable.
+func (s *Store) proposerID() string {
+	if s.diskID() == "" {
+		return s.address()
+	}
+	return s.diskID()
+}
+
+// acceptorID is this node's name as an acceptor of the next epoch, empty if it is none.
+func (s *Store) acceptorID() string {
+	switch {
+	case s.view == nil && slices.Contains(s.founders, s.address()):
+		return s.address()
+	case view.IsVoter(s.view, s.diskID()):
+		return s.diskID()
+	default:
+		return ""
+	}
+}
+
+func (s *Store) acceptors() []acceptorAddress {
+	var acceptors []acceptorAddress
+	for _, voter := range s.view.GetVoters() {
+		acceptors = append(acceptors, acceptorAddress{voter.GetDiskId(), voter.GetAddress()})
+	}
+	for _, founder := range s.founders {
+		acceptors = append(acceptors, acceptorAddress{founder, founder})
+	}
+	return acceptors
+}
+
+// ask sends the question of the phase to all who have not answered.
+func (s *Store) ask() {
+	r := s.round
+	for _, acceptor := range r.acceptors {
+		if !r.Waiting(acceptor.id) || acceptor.id == s.acceptorID() {
+			continue
+		}
+		switch r.Phase() {
+		case view.Preparing:
+			s.send(acceptor.address, &nodepb.Envelope{Body: &nodepb.Envelope_Prepare{Prepare: &nodepb.Prepare{
+				Epoch: r.Epoch, Ballot: r.Ballot, Base: r.base,
+			}}})
+		case view.Accepting:
+			s.send(acceptor.address, &nodepb.Envelope{Body: &nodepb.Envelope_Accept{Accept: &nodepb.Accept{
+				Epoch: r.Epoch, Ballot: r.Ballot, View: r.Value(), Base: r.base,
+			}}})
+		}
+	}
+}
+
+// driveRound asks again, and gives up a ballot that takes too long.
+func (s *Store) driveRound() {
+	r := s.round
+	switch {
+	case r == nil:
+	case s.now >= r.started+roundTimeout:
+		s.abandonRound()
+	case s.now >= r.resendAt:
+		r.resendAt = s.now + resendEvery
+		if r.spoken {
+			s.ask()
+		}
+	}
+}
+
+func (s *Store) roundDeadline() core.Time {
+	if s.round == nil {
+		return core.Never
+	}
+	return min(s.round.resendAt, s.round.started+roundTimeout)
+}
+
+// abandonRound ends a ballot; the next waits for a random while, so that one of several proposers comes through.
+func (s *Store) abandonRound() {
+	s.round = nil
+	s.notBefore = s.now + backoffBase + core.Time(s.random.Int64N(int64(3*backoffBase)))
+	s.evaluateAt = s.notBefore
+	s.takeNext()
+}
+
+func (s *Store) receivePromise(promise *nodepb.Promise) {
+	s.learn(promise.GetDecided())
+	if s.round == nil || !s.round.spoken {
+		return
+	}
+	s.round.Promised(promise)
+	s.progress()
+}
+
+func (s *Store) receiveAccepted(accepted *nodepb.Accepted) {
+	s.learn(accepted.GetDecided())
+	if s.round == nil || !s.round.spoken {
+		return
+	}
+	s.round.Accepted(accepted)
+	s.progress()
+}
+
+// progress goes on after an answer.
+func (s *Store) progress() {
+	switch s.round.Phase() {
+	case view.Choosing:
+		s.choose()
+	case view.Decided:
+		s.decide()
+	case view.Beaten:
+		s.raiseRound(s.round.HigherRound())
+		s.abandonRound()
+	}
+}
+
+// raiseRound lets the next ballot of this node be above one that was seen elsewhere.
+func (s *Store) raiseRound(higher uint64) { s.seenRound = max(s.seenRound, higher) }
+
+// choose starts the second phase: with the view that another proposer may have got through, else with the one that is
+// right now, once this node has wedged itself.
+func (s *Store) choose() {
+	r := s.round
+	value := r.Value()
+	if value == nil {
+		value = s.ownChoice()
+	}
+	if value == nil {
+		s.abandonRound()
+		return
+	}
+	r.Choose(value)
+	accepted, changed := s.acceptor.Accept(r.Ballot, value)
+	if !changed {
+		s.abandonRound()
+		return
+	}
+	accepted.Voter = s.acceptorID()
+	r.spoken = false
+	s.persist(kindAcceptor, s.acceptor.Record(), func() {
+		if s.round != r {
+			return
+		}
+		r.spoken = true
+		s.ask()
+		r.Accepted(accepted)
+		s.progress()
+	})
+}
+
+// ownChoice is the view that this node proposes by itself; nil if there is none by now. From here on it passes on and
+// acknowledges nothing of the epoch any more, and its last entry stays what it is.
+func (s *Store) ownChoice() *nodepb.View {
+	if s.view == nil {
+		return s.foundingView()
+	}
+	situation := s.situation()
+	if !situation.Wanted() || !situation.MajorityReachable() {
+		return nil
+	}
+	next := situation.Next()
+	if next != nil && !s.wedged {
+		s.wedged = true
+		s.persist(kindWedge, &nodepb.WedgeRecord{Epoch: s.view.GetEpoch()}, nil)
+	}
+	return next
+}
+
+// decide ends the round: a majority has accepted.
+func (s *Store) decide() {
+	r := s.round
+	decided := r.Value()
+	s.learn(decided)
+	for _, acceptor := range r.acceptors {
+		s.tellView(acceptor.address)
+	}
+	for _, voter := range decided.GetVoters() {
+		if !slices.ContainsFunc(r.acceptors, func(a acceptorAddress) bool { return a.address == voter.GetAddress() }) {
+			s.tellView(voter.GetAddress())
+		}
+	}
+}
+
+func (s *Store) tellView(address string) {
+	if address != s.address() {
+		s.sendView(address)
+	}
+}
+
+func (s *Store) receivePrepare(from core.Peer, message *nodepb.Prepare) {
+	s.learn(message.GetBase())
+	if message.GetEpoch() < s.acceptor.Epoch {
+		s.sendPromise(from.Address, &nodepb.Promise{Epoch: message.GetEpoch(), Refused: true, Decided: s.view})
+		return
+	}
+	id := s.acceptorID()
+	if id == "" || message.GetEpoch() != s.acceptor.Epoch {
+		return
+	}
+	promise, _ := s.acceptor.Prepare(message.GetBallot())
+	promise.Voter = id
+	if promise.GetRefused() {
+		s.sendPromise(from.Address, promise)
+		return
+	}
+	s.persist(kindAcceptor, s.acceptor.Record(), func() { s.sendPromise(from.Address, promise) })
+}
+
+func (s *Store) sendPromise(address string, promise *nodepb.Promise) {
+	s.send(address, &nodepb.Envelope{Body: &nodepb.Envelope_Promise{Promise: promise}})
+}
+
+func (s *Store) receiveAccept(from core.Peer, message *nodepb.Accept) {
+	s.learn(message.GetBase())
+	if message.GetEpoch() < s.acceptor.Epoch {
+		s.sendAccepted(from.Address, &nodepb.Accepted{Epoch: message.GetEpoch(), Refused: true, Decided: s.view})
+		return
+	}
+	id := s.acceptorID()
+	proper := view.Valid(message.GetView()) && message.GetView().GetEpoch() == message.GetEpoch()
+	if id == "" || message.GetEpoch() != s.acceptor.Epoch || !proper {
+		return
+	}
+	accepted, _ := s.acceptor.Accept(message.GetBallot(), message.GetView())
+	accepted.Voter = id
+	if accepted.GetRefused() {
+		s.sendAccepted(from.Address, accepted)
+		return
+	}
+	s.persist(kindAcceptor, s.acceptor.Record(), func() { s.sendAccepted(from.Address, accepted) })
+}
+
+func (s *Store) sendAccepted(address string, accepted *nodepb.Accepted) {
+	s.send(address, &nodepb.Envelope{Body: &nodepb.Envelope_Accepted{Accepted: accepted}})
+}
+
+// learn installs a decided view if it is newer than the one known.
+func (s *Store) learn(decided *nodepb.View) {
+	if decided == nil || decided.GetEpoch() <= view.Epoch(s.view) || !view.Valid(decided) {
+		return
+	}
+	s.view = decided
+	s.viewDurable = false
+	s.acceptor = view.NewAcceptor(decided.GetEpoch() + 1)
+	s.seenRound = 0
+	s.wedged = false
+	s.round = nil
+	s.wantedSince = core.Never
+	s.notBefore = 0
+	s.founders = nil
+	s.leaveHead()
+	s.joinAt = s.now
+	s.wholeState = false
+	s.watch()
+	s.persist(kindView, decided, func() {
+		if s.view != decided {
+			return
+		}
+		s.viewDurable = true
+		s.enterEpoch()
+	})
+	s.emit(core.Log{Message: "control state: view installed", Fields: []any{
+		"epoch", decided.GetEpoch(), "chain", decided.GetChain(), "voters", len(decided.GetVoters()),
+	}})
+}
+
+// leaveHead forgets what this node held as the head of the epoch before.
+func (s *Store) leaveHead() {
+	s.inherited = false
+	s.waiting = nil
+	s.barriers = nil
+	s.leased = false
+	s.leaseFrom = 0
+	s.holdUntil = 0
+	clear(s.joiners)
+	if !s.isHead() {
+		s.passQueueOn()
+	}
+}
--- /dev/null
+++ b/internal/node/view/next.go
@@ -0,0 +1,274 @@
+package view
+
+import (
+	"slices"
+	"time"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// DropAfter is for how long a voter must have been out of reach before it may be dropped or replaced by another machine.
+const DropAfter core.Time = 3 * time.Second
+
+// Condition is what a node knows of its way to a voter and back.
+type Condition uint8
+
+// The conditions of a voter.
+const (
+	Unknown   Condition = iota // neither proven nor long enough without proof
+	Reachable                  // a round trip lately, and a healthy disk
+	Missing                    // no round trip for a second, or a disk in trouble, or a machine whose disk was replaced
+)
+
+// Reach tells how voters can be reached. Detector implements it.
+type Reach interface {
+	Condition(diskID string) Condition
+	// MissingFor is for how long the voter has been missing, 0 if it isn't.
+	MissingFor(diskID string) core.Time
+	// LinkBroken reports whether one of the two said that it misses the other.
+	LinkBroken(a, b string) bool
+	// Stuck reports whether the voter is wedged in the current epoch for longer than a proposal takes.
+	Stuck(diskID string) bool
+}
+
+// Situation is what a member of the chain knows when it considers the next view.
+type Situation struct {
+	View      *nodepb.View
+	Self      string // disk id
+	Tolerance int    // faultTolerance.machines
+	Reach     Reach
+	// Joiners made the whole state of this node, the head, durable.
+	Joiners []*nodepb.Voter
+	// Leaving: this node ends soon.
+	Leaving bool
+	// Wedged: this node has proposed in this epoch before, so that the view must change.
+	Wedged bool
+}
+
+// Wanted reports whether the view should change.
+func (s *Situation) Wanted() bool {
+	switch {
+	case s.Wedged || s.chainBroken():
+		return true
+	case s.Leaving && len(s.View.GetChain()) > 1:
+		return !slices.Equal(s.nextChain(), s.View.GetChain())
+	case Position(s.View, s.Self) != 0:
+		return false
+	default:
+		return len(s.Joiners) > 0 || len(s.droppable(s.View.GetVoters())) > 0
+	}
+}
+
+// MajorityReachable reports whether a proposal can succeed just now.
+func (s *Situation) MajorityReachable() bool { return s.reachesMajority(s.View.GetVoters()) }
+
+// Settled reports whether every member of the chain is known to be in reach or not.
+func (s *Situation) Settled() bool {
+	for _, diskID := range s.View.GetChain() {
+		if s.condition(diskID) == Unknown {
+			return false
+		}
+	}
+	return true
+}
+
+// Rank is the number of members before this node in the chain that could propose in its place.
+func (s *Situation) Rank() int {
+	rank := 0
+	for _, diskID := range s.View.GetChain() {
+		if diskID == s.Self {
+			break
+		}
+		if s.condition(diskID) == Reachable && !s.Reach.Stuck(diskID) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Next is the view to propose. It names only members of the chain and joiners, and leaves voters enough that a majority of
+// the new ones is in reach; nil if that can't be.
+func (s *Situation) Next() *nodepb.View {
+	chain := s.nextChain()
+	if len(chain) == 0 {
+		return nil
+	}
+	voters := s.nextVoters(chain)
+	next := &nodepb.View{
+		Epoch:   s.View.GetEpoch() + 1,
+		Voters:  voters,
+		Chain:   chain,
+		Removed: s.nextRemoved(voters),
+	}
+	if !Valid(next) || !s.reachesMajority(voters) {
+		return nil
+	}
+	return next
+}
+
+func (s *Situation) condition(diskID string) Condition {
+	if diskID == s.Self {
+		return Reachable
+	}
+	return s.Reach.Condition(diskID)
+}
+
+func (s *Situation) chainBroken() bool {
+	chain := s.View.GetChain()
+	for i, diskID := range chain {
+		if s.condition(diskID) == Missing {
+			return true
+		}
+		if diskID != s.Self && s.Reach.Stuck(diskID) {
+			return true
+		}
+		for _, other := range chain[:i] {
+			if s.Reach.LinkBroken(diskID, other) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// nextChain is this node, the members it reaches in their order, and the joiners. One that is leaving takes no joiners
+// and puts itself last, or nowhere if the others are enough.
+func (s *Situation) nextChain() []string {
+	var others []string
+	for _, diskID := range s.View.GetChain() {
+		if diskID != s.Self && s.condition(diskID) == Reachable {
+			others = append(others, diskID)
+		}
+	}
+	others = s.withoutBrokenLinks(others)
+	if s.Leaving && len(others) > 0 {
+		if len(others) >= AcknowledgedBy(s.View, s.Tolerance) {
+			return others
+		}
+		return append(others, s.Self)
+	}
+	chain := append([]string{s.Self}, others...)
+	for _, joiner := range s.Joiners {
+		if !slices.Contains(chain, joiner.GetDiskId()) {
+			chain = append(chain, joiner.GetDiskId())
+		}
+	}
+	return chain
+}
+
+// withoutBrokenLinks takes out the member with the most broken links, the later one of two, until none is left.
+func (s *Situation) withoutBrokenLinks(members []string) []string {
+	for {
+		worst, most := -1, 0
+		for i, member := range members {
+			if broken := s.brokenLinks(member, members); broken >= most && broken > 0 {
+				worst, most = i, broken
+			}
+		}
+		if worst < 0 {
+			return members
+		}
+		members = slices.Delete(members, worst, worst+1)
+	}
+}
+
+func (s *Situation) brokenLinks(member string, members []string) int {
+	broken := 0
+	if s.Reach.LinkBroken(member, s.Self) {
+		broken++
+	}
+	for _, other := range members {
+		if other != member && s.Reach.LinkBroken(member, other) {
+			broken++
+		}
+	}
+	return broken
+}
+
+// nextVoters adds the joiners, each in the place of its former self, else of a voter that is lost, else as one more;
+// then it drops who may be dropped.
+func (s *Situation) nextVoters(chain []string) []*nodepb.Voter {
+	voters := slices.Clone(s.View.GetVoters())
+	if s.Leaving {
+		return voters
+	}
+	for _, joiner := range s.Joiners {
+		voters = s.addVoter(voters, joiner, chain)
+	}
+	dropped := s.droppable(voters)
+	return slices.DeleteFunc(voters, func(voter *nodepb.Voter) bool {
+		return slices.Contains(dropped, voter.GetDiskId())
+	})
+}
+
+func (s *Situation) addVoter(voters []*nodepb.Voter, joiner *nodepb.Voter, chain []string) []*nodepb.Voter {
+	place := slices.IndexFunc(voters, func(voter *nodepb.Voter) bool {
+		return voter.GetDiskId() == joiner.GetDiskId()
+	})
+	if place < 0 {
+		place = slices.IndexFunc(voters, func(voter *nodepb.Voter) bool {
+			return voter.GetAddress() == joiner.GetAddress()
+		})
+	}
+	if place < 0 {
+		place = slices.IndexFunc(voters, func(voter *nodepb.Voter) bool {
+			return s.lost(voter.GetDiskId()) && !slices.Contains(chain, voter.GetDiskId())
+		})
+	}
+	if place < 0 {
+		return append(voters, joiner)
+	}
+	voters[place] = joiner
+	return voters
+}
+
+func (s *Situation) lost(diskID string) bool {
+	return diskID != s.Self && s.Reach.MissingFor(diskID) >= DropAfter
+}
+
+// droppable lists voters that have been out of reach for long, if enough others stay and all those are in reach.
+func (s *Situation) droppable(voters []*nodepb.Voter) []string {
+	var lost []string
+	for _, voter := range voters {
+		diskID := voter.GetDiskId()
+		switch {
+		case s.isJoiner(diskID):
+		case s.lost(diskID):
+			lost = append(lost, diskID)
+		case s.condition(diskID) != Reachable:
+			return nil
+		}
+	}
+	if len(voters)-len(lost) < 2*s.Tolerance+1 {
+		return nil
+	}
+	return lost
+}
+
+func (s *Situation) isJoiner(diskID string) bool {
+	return slices.ContainsFunc(s.Joiners, func(joiner *nodepb.Voter) bool { return joiner.GetDiskId() == diskID })
+}
+
+func (s *Situation) reachesMajority(voters []*nodepb.Voter) bool {
+	reached := 0
+	for _, voter := range voters {
+		if s.condition(voter.GetDiskId()) == Reachable || s.isJoiner(voter.GetDiskId()) {
+			reached++
+		}
+	}
+	return reached >= Majority(len(voters))
+}
+
+func (s *Situation) nextRemoved(voters []*nodepb.Voter) []string {
+	isVoter := func(diskID string) bool {
+		return slices.ContainsFunc(voters, func(voter *nodepb.Voter) bool { return voter.GetDiskId() == diskID })
+	}
+	removed := slices.DeleteFunc(slices.Clone(s.View.GetRemoved()), isVoter)
+	for _, voter := range s.View.GetVoters() {
+		if !isVoter(voter.GetDiskId()) {
+			removed = append(removed, voter.GetDiskId())
+		}
+	}
+	return removed[max(0, len(removed)-maxRemoved):]
+}
