--- a/internal/node/distribution/distribution.go
+++ b/internal/node/distribution/distribution.go
@@ -96,6 +96,8 @@
 	return d.takeOutputs()
 }
 
+func (d *Distribution) staleAge() core.Time { return d.options.confirmationAge() + staleSlack }
+
 // LocalConfirmed tells that this node's own store, as the tail, knows its state to be confirmed by the whole chain as of a moment of
 // this node's steady clock.
 func (d *Distribution) LocalConfirmed(_ core.Time, at core.Time) { d.confirm(at) }
--- a/internal/node/distribution/options.go
+++ b/internal/node/distribution/options.go
@@ -32,6 +32,9 @@
 	Seeds []string
 	// PollInterval is the time between two polls of the upstream; 0: half a second.
 	PollInterval time.Duration
+	// ConfirmationAge is the age of the tail's own confirmation from which on it wants another; 0: 300 ms. Where no bound
+	// on the age of a key's revocation is in force, a longer one saves barriers.
+	ConfirmationAge time.Duration
 }
 
 const (
@@ -44,14 +47,13 @@
 	// firstRetest and longestRetest are when an upstream that owes an answer, and so is passed over, is asked again.
 	firstRetest   = time.Second
 	longestRetest = 8 * time.Second
-	// staleAge is the age of a confirmation from which on an upstream is taken to have lost touch with the core, and
-	// staleFor is how long others go first then.
-	staleAge = 2500 * time.Millisecond
-	staleFor = time.Second
+	// staleSlack is by how much the age of an upstream's confirmation may exceed ConfirmationAge before it is taken to
+	// have lost touch with the core, and staleFor is how long others go first then.
+	staleSlack = 2200 * time.Millisecond
+	staleFor   = time.Second
 	// subscribedFor is how long after a poll changes are pushed to who polled.
-	subscribedFor = 2 * time.Second
-	// confirmationAge is the age of the tail's own confirmation from which on it wants another.
-	confirmationAge = 300 * time.Millisecond
+	subscribedFor          = 2 * time.Second
+	defaultConfirmationAge = 300 * time.Millisecond
 	// confirmationRetry bounds how often it asks for one.
 	confirmationRetry = 150 * time.Millisecond
 	// treeFanOut is how many nodes of a zone poll the same one.
@@ -76,6 +78,13 @@
 	return o.PollInterval
 }
 
+func (o Options) confirmationAge() time.Duration {
+	if o.ConfirmationAge <= 0 {
+		return defaultConfirmationAge
+	}
+	return o.ConfirmationAge
+}
+
 // milliseconds rounds a time span up, so that no age is understated.
 func milliseconds(span core.Time) uint32 {
 	if span <= 0 {
--- a/internal/node/distribution/poll.go
+++ b/internal/node/distribution/poll.go
@@ -56,8 +56,11 @@
 
 // orderCandidates puts those that are passed over behind the others. Where all are, they take turns.
 func (d *Distribution) orderCandidates(now core.Time) []*upstream {
+	if !slices.ContainsFunc(d.candidates, func(candidate *upstream) bool { return candidate.passedOver(now) }) {
+		return d.candidates
+	}
 	order := slices.Clone(d.candidates)
-	if len(order) > 0 && d.allPassedOver(now) {
+	if d.allPassedOver(now) {
 		turn := d.polls % len(order)
 		return append(order[turn:], order[:turn]...)
 	}
@@ -142,10 +145,7 @@
 	if len(d.round.sent) > sentPollsKept {
 		d.round.sent = slices.Delete(d.round.sent, 0, len(d.round.sent)-sentPollsKept)
 	}
-	poll := &nodepb.StatePoll{
-		Nonce: d.nonce, Index: d.state.Index(), ViewEpoch: d.view.GetEpoch(), Subscribe: subscribe,
-		Zone: d.options.Zone,
-	}
+	poll := &nodepb.StatePoll{Nonce: d.nonce, Index: d.state.Index(), ViewEpoch: d.view.GetEpoch(), Subscribe: subscribe}
 	d.send(to.address, &nodepb.Envelope{Body: &nodepb.Envelope_StatePoll{StatePoll: poll}})
 }
 
@@ -170,7 +170,7 @@
 // judge ends the round, unless the upstream has lost touch with the core and there are others that may not have.
 func (d *Distribution) judge(now core.Time, asked *upstream, reply *nodepb.StatePollReply) {
 	asked.staleUntil = 0
-	if !reply.Confirmed || time.Duration(reply.AgeMs)*time.Millisecond > staleAge {
+	if !reply.Confirmed || time.Duration(reply.AgeMs)*time.Millisecond > d.staleAge() {
 		asked.staleUntil = now + staleFor
 	}
 	if asked.staleUntil == 0 || d.allPassedOver(now) {
--- a/internal/node/distribution/serve.go
+++ b/internal/node/distribution/serve.go
@@ -79,7 +79,7 @@
 
 // wantConfirmation asks for a barrier through the chain where the tail's own confirmation is getting old.
 func (d *Distribution) wantConfirmation(now core.Time) {
-	fresh := d.confirmedOnce && now-d.confirmedAt <= confirmationAge
+	fresh := d.confirmedOnce && now-d.confirmedAt <= d.options.confirmationAge()
 	if fresh || now-d.confirmationAsked < confirmationRetry {
 		return
 	}
--- a/internal/node/distribution/spread_test.go
+++ b/internal/node/distribution/spread_test.go
@@ -135,7 +135,7 @@
 	w.within(900*time.Millisecond, "the others hold the change", w.reached(index, home))
 	for _, node := range w.nodes {
 		if node != home {
-			assert.Assert(t, node.age() < staleAge+time.Second, "%s: %v", node.ID, node.age())
+			assert.Assert(t, node.age() < node.distribution.staleAge()+time.Second, "%s: %v", node.ID, node.age())
 		}
 	}
 }
--- a/internal/node/distribution/upstream.go
+++ b/internal/node/distribution/upstream.go
@@ -65,7 +65,7 @@
 	if len(addresses) == 0 && !d.Tail() {
 		addresses = slices.Clone(d.options.Seeds)
 	}
-	d.candidates = d.candidates[:0]
+	d.candidates = nil // the polls under way keep the former list
 	for _, address := range addresses {
 		if address != d.options.SelfAddress {
 			d.addCandidate(address)
--- a/internal/node/registry/heartbeat.go
+++ b/internal/node/registry/heartbeat.go
@@ -39,6 +39,7 @@
 
 // call brings a broker's call to its home.
 func (r *Registry) call(now core.Time, from asker, instance *nodepb.Instance) {
+	r.clock = now
 	if instance.Id == "" {
 		r.answer(now, from, instance, false)
 		return
--- a/internal/node/registry/home.go
+++ b/internal/node/registry/home.go
@@ -82,7 +82,7 @@
 func (r *Registry) recomputeHomes(now core.Time) {
 	for key, t := range r.topics {
 		before := t.home
-		t.home = r.rankHomes(key)[0]
+		t.home = r.bestHome(key)
 		if t.home.self && !before.self {
 			t.homeSince = now
 			t.doubtFrom = 0
@@ -91,14 +91,22 @@
 	}
 }
 
-// rankHomes lists nodes as homes of a topic, best first: those of its zone that are not suspected, else all of them. The list is never empty,
-// as this node is one of them.
+// bestHome is the home of a topic.
+func (r *Registry) bestHome(key topicKey) *peer {
+	return rendezvous.Best(key.name(), r.homeCandidates(key.zone), addressOf)
+}
+
+// rankHomes lists nodes as homes of a topic, best first.
 func (r *Registry) rankHomes(key topicKey) []*peer {
 	ranked := r.homeCandidates(key.zone)
-	rendezvous.Rank(key.name(), ranked, func(p *peer) string { return p.address })
+	rendezvous.Rank(key.name(), ranked, addressOf)
 	return ranked
 }
 
+func addressOf(p *peer) string { return p.address }
+
+// homeCandidates lists the nodes of a zone that are not suspected, or all nodes where it has none. The list is never
+// empty, as this node is among those that can be.
 func (r *Registry) homeCandidates(zone string) []*peer {
 	inZone := make([]*peer, 0, len(r.others)+1)
 	for _, candidate := range r.others {
--- a/internal/node/registry/loading.go
+++ b/internal/node/registry/loading.go
@@ -2,7 +2,6 @@
 
 import (
 	"kestrelspread/internal/node/core"
-	"kestrelspread/internal/node/nodepb"
 )
 
 // SetLoading marks a broker at all nodes as one that new weights are being brought to under a fence, so that no new
@@ -27,28 +26,15 @@
 }
 
 // SetModelVersion tells all nodes that a broker now has a version of the weights of a model, before its next heartbeat
-// does.
+// does. Models that the broker does not name are left alone.
 func (r *Registry) SetModelVersion(now core.Time, id, model string, version uint64) []core.Output {
 	rec := r.records[id]
 	if rec == nil || rec.gone() {
 		return nil
 	}
-	rec.addModel(model)
 	rec.raiseVersion(model, version)
 	if r.place(now, rec, r.topics[keyOf(rec.told)]) {
 		r.enqueue(now, id, 0)
 	}
 	return r.takeOutputs()
 }
-
-// addModel adds a model that the broker did not name, at version 0.
-func (r *record) addModel(name string) {
-	for _, model := range r.told.Models {
-		if model.Name == name {
-			return
-		}
-	}
-	told := shallowCopy(r.told)
-	told.Models = append([]*nodepb.ModelOnInstance{{Name: name}}, r.told.Models...)
-	r.told = told
-}
--- a/internal/node/registry/picture.go
+++ b/internal/node/registry/picture.go
@@ -23,6 +23,9 @@
 
 // refreshPicture makes the broker's entry in the table anew.
 func (r *Registry) refreshPicture(now core.Time, rec *record) {
+	if rec.gone() && rec.picture == nil {
+		return
+	}
 	rec.picture = nil
 	if !rec.gone() {
 		rec.picture = rec.paint(now)
--- a/internal/node/registry/registry.go
+++ b/internal/node/registry/registry.go
@@ -41,6 +41,7 @@
 	firstPolls       int  // polls before that
 	pollCursor       int
 
+	clock   core.Time // of the newest input
 	outputs []core.Output
 }
 
@@ -68,6 +69,7 @@
 
 // Receive takes a message of another node.
 func (r *Registry) Receive(now core.Time, from core.Peer, message *nodepb.Envelope) []core.Output {
+	r.clock = now
 	r.heardOf(from)
 	switch body := message.Body.(type) {
 	case *nodepb.Envelope_HeartbeatForward:
@@ -95,6 +97,7 @@
 
 // Tick does what is due.
 func (r *Registry) Tick(now core.Time) []core.Output {
+	r.clock = now
 	if late := now - r.Deadline(); late > stallLimit {
 		r.excuseSilence(now)
 	}
@@ -130,13 +133,13 @@
 	return next
 }
 
-// Instances lists the brokers that have not gone, as they would be told to another node, apart from the times. The
-// messages belong to the caller.
+// Instances lists the brokers that have not gone, as another node would be told of them. The messages belong to the
+// caller.
 func (r *Registry) Instances() []*nodepb.Instance {
 	list := make([]*nodepb.Instance, 0, len(r.records))
 	for _, rec := range r.records {
 		if !rec.gone() {
-			list = append(list, clone(rec.message(rec.learned)))
+			list = append(list, clone(rec.message(r.clock)))
 		}
 	}
 	sortByID(list)
--- a/internal/node/registry/topic.go
+++ b/internal/node/registry/topic.go
@@ -51,7 +51,7 @@
 		return known
 	}
 	made := &topic{key: key, records: map[string]*record{}, homeSince: now}
-	made.home = r.rankHomes(key)[0]
+	made.home = r.bestHome(key)
 	r.topics[key] = made
 	r.watchSilence(now, made)
 	return made
--- a/internal/node/registry/world_test.go
+++ b/internal/node/registry/world_test.go
@@ -129,35 +129,43 @@
 	request := b.world.request
 	b.instance.Sequence++
 	heartbeat := clone(b.instance)
+	if !node.Running() {
+		return request
+	}
 	node.Do(func(now core.Time) []core.Output { return node.registry.Heartbeat(now, request, heartbeat) })
 	return request
 }
 
-// keepBeating sends heartbeats until the broker is stopped, as PROTOCOL.md describes: to the address named, or to
-// another node after a failure.
+// keepBeating sends heartbeats until the broker is stopped, as PROTOCOL.md describes: to the address named; after a
+// second without an acknowledgement to another node.
 func (b *broker) keepBeating() {
 	if b.stopped {
 		return
 	}
 	node := b.target
 	request := b.beat(node)
-	b.world.network.After(testHeartbeat, func() {
-		b.follow(node, request)
+	b.world.network.After(time.Second, func() {
+		if b.follow(node, request) {
+			b.world.network.After(testHeartbeat-time.Second, b.keepBeating)
+			return
+		}
+		b.target = b.world.nodes[b.world.network.Random.IntN(len(b.world.nodes))]
 		b.keepBeating()
 	})
 }
 
-func (b *broker) follow(node *worldNode, request uint64) {
+// follow goes on to the node that an acknowledgement names; it reports whether one came.
+func (b *broker) follow(node *worldNode, request uint64) bool {
 	answer, ok := node.answers[request]
-	if !ok || !answer.Taken {
-		b.target = b.world.nodes[b.world.network.Random.IntN(len(b.world.nodes))]
-		return
+	if !ok || !answer.Taken || !node.Running() {
+		return false
 	}
 	for _, candidate := range b.world.nodes {
 		if candidate.member.ControlAddress == answer.HeartbeatURL {
 			b.target = candidate
 		}
 	}
+	return true
 }
 
 func (b *broker) deregister(node *worldNode) uint64 {
--- a/internal/node/rendezvous/rendezvous.go
+++ b/internal/node/rendezvous/rendezvous.go
@@ -22,6 +22,19 @@
 // separator keeps apart pairs whose concatenations are equal.
 var separator = []byte{0}
 
+// Best returns the candidate that Rank would put first; there must be one.
+func Best[T any](key string, candidates []T, name func(T) string) T {
+	best := candidates[0]
+	bestScore := Score(key, name(best))
+	for _, candidate := range candidates[1:] {
+		score := Score(key, name(candidate))
+		if score > bestScore || score == bestScore && name(candidate) < name(best) {
+			best, bestScore = candidate, score
+		}
+	}
+	return best
+}
+
 // Rank sorts candidates for a key, best first, by the name that each goes under.
 func Rank[T any](key string, candidates []T, name func(T) string) {
 	slices.SortFunc(candidates, func(a, b T) int {
