--- /dev/null
+++ b/internal/node/agent/dataplane.go
@@ -0,0 +1,78 @@
+package agent
+
+import (
+	"time"
+
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/forward"
+	"kestrelspread/internal/node/routing"
+)
+
+// revocationMargin is kept between the bound of a key's revocation and the last moment at which a request is sent on:
+// the way to the broker and a late thread.
+const revocationMargin = 600 * time.Millisecond
+
+// buildDataPlane makes the router and the proxy.
+func (a *Agent) buildDataPlane(now core.Time) {
+	bounds := a.settings.Bounds
+	a.router = routing.NewGuarded(routing.New(now, routing.Options{
+		Zone:             a.self.Zone,
+		RetryBudgetRatio: bounds.RetryBudgetRatio,
+		BudgetWindow:     bounds.BudgetWindow(),
+		RetryBudgetSlack: bounds.RetryBudgetSlack,
+		VersionGrace:     versionGrace(bounds.Version()),
+		Random:           newRandom(),
+	}))
+	a.proxy = forward.New(forward.Options{
+		Port:     a.router,
+		Clock:    a.now,
+		Config:   a.compiled.Load,
+		MayServe: a.mayServe,
+		Log:      a.log,
+	})
+}
+
+// versionReserve is kept between the last start on older weights and the bound: what acknowledged the version may have
+// done so before this node learnt of it, and a request takes its time to begin.
+const versionReserve = 2500 * time.Millisecond
+
+// versionGrace is how long requests may still start on older weights. Source: RULES.md, "Model brokers", VERSION.
+func versionGrace(bound time.Duration) time.Duration { return max(bound-versionReserve, bound/2) }
+
+// mayServe reports whether a request may be sent on now. Source: RULES.md, "API keys".
+func (a *Agent) mayServe(now core.Time, public bool) bool {
+	compiled := a.compiled.Load()
+	if compiled == nil || compiled.Version == 0 {
+		return false
+	}
+	return public || !a.settings.Bounds.GlobalRevocation || a.leaseHolds(now)
+}
+
+// leaseHolds reports whether the configuration here was confirmed recently enough for keys to be trusted.
+func (a *Agent) leaseHolds(now core.Time) bool {
+	confirmed := core.Time(a.confirmed.Load())
+	return confirmed != 0 && now-confirmed < a.settings.Bounds.Revoke()-revocationMargin
+}
+
+// ready is the answer to the platform.
+func (a *Agent) ready() bool {
+	now := a.now()
+	return !a.stopping.Load() && a.confirmed.Load() != 0 && a.mayServe(now, false)
+}
+
+// stateChanged publishes a new control state to the data plane.
+func (a *Agent) stateChanged(now core.Time) {
+	compiled := a.state.Compile()
+	a.compiled.Store(compiled)
+	a.router.SetConfig(now, compiled)
+	a.noteTargets(now, compiled)
+}
+
+// publishTable hands the brokers known to the data plane.
+func (a *Agent) publishTable(now core.Time) {
+	a.router.SetTable(now, a.registry.Table())
+}
+
+// fetchSnapshot gives the newest configuration of a state that was read through the chain.
+func fetchSnapshot(snapshot []byte) ([]byte, error) { return config.FetchSnapshot(snapshot) }
--- /dev/null
+++ b/internal/node/agent/lifecycle.go
@@ -0,0 +1,155 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"kestrelspread/internal/node/controlapi"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/settings"
+	"kestrelspread/internal/node/wireproto/link"
+)
+
+// Shares of the grace after SIGTERM (DEPLOY.md: graceS, then SIGKILL).
+const (
+	acceptShare   = 0.45 // new connections are still taken: the platform needs two missed checks to notice
+	finishShare   = 0.88 // requests under way have ended or are cut off
+	leaveMargin   = 300 * time.Millisecond
+	defaultGrace  = 8 * time.Second
+	serverStopped = 2 * time.Second
+)
+
+// serve runs the node until ctx ends or a signal tells it to stop.
+func (a *Agent) serve(ctx context.Context, path string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+
+	if err := a.openNetwork(); err != nil {
+		return err
+	}
+	defer a.network.Close()
+	servers, err := a.startServers()
+	if err != nil {
+		return err
+	}
+	go a.loop(ctx)
+	watcher := settings.NewWatcher(path, a.settings, settingsCheck, a.settingsChanged)
+	go watcher.Run(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			servers.close()
+			return nil
+		case received := <-signals:
+			if received == syscall.SIGHUP {
+				watcher.Poke()
+				continue
+			}
+			a.stop(servers)
+			return nil
+		}
+	}
+}
+
+func (a *Agent) openNetwork() error {
+	network, err := link.New(link.Options{
+		ListenAddress: a.self.Address,
+		SelfID:        a.self.NodeId,
+		SelfAddress:   a.self.Address,
+		Receive:       a.receive,
+		Log:           a.log,
+	})
+	a.network = network
+	return err
+}
+
+// servers are the node's listeners besides the one for its peers.
+type servers struct {
+	control   *http.Server
+	readiness *http.Server
+	front     net.Listener
+}
+
+func (s *servers) close() {
+	for _, server := range []*http.Server{s.control, s.readiness} {
+		if server != nil {
+			_ = server.Close()
+		}
+	}
+	if s.front != nil {
+		_ = s.front.Close()
+	}
+}
+
+func (a *Agent) startServers() (*servers, error) {
+	started := &servers{}
+	listen := a.settings.Listen
+	if listen.Control != "" {
+		listener, err := net.Listen("tcp", listen.Control)
+		if err != nil {
+			return nil, err
+		}
+		started.control = controlapi.NewServer(controlapi.Handler(backend{a}, controlapi.Options{Log: a.log}))
+		go func() { _ = started.control.Serve(listener) }()
+	}
+	if listen.Readiness != "" {
+		listener, err := net.Listen("tcp", listen.Readiness)
+		if err != nil {
+			return nil, err
+		}
+		started.readiness = controlapi.NewServer(controlapi.ReadinessHandler(a.ready))
+		go func() { _ = started.readiness.Serve(listener) }()
+	}
+	if listen.Front != "" {
+		listener, err := net.Listen("tcp", listen.Front)
+		if err != nil {
+			return nil, err
+		}
+		started.front = listener
+		go func() { _ = a.proxy.Serve(listener) }()
+	}
+	return started, nil
+}
+
+// settingsChanged takes over what may change while the node runs: the seeds.
+func (a *Agent) settingsChanged(changed *settings.Settings) {
+	a.post(func(now core.Time) {
+		a.log.Info("settings changed")
+		a.membership.SetSeeds(changed.SeedInternalAddresses())
+	})
+}
+
+// stop ends the node within the grace: readiness falls, duties and the head's place are handed over, requests end.
+func (a *Agent) stop(servers *servers) {
+	grace := a.settings.Bounds.Grace()
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	a.log.Info("stopping", "grace", grace)
+	a.stopping.Store(true)
+	a.proxy.Drain()
+	if a.store != nil {
+		a.post(func(now core.Time) { a.carryOut(now, a.store.Transfer(now)) })
+	}
+	begun := time.Now()
+	time.Sleep(time.Duration(float64(grace) * acceptShare))
+	finish, cancel := context.WithDeadline(context.Background(), begun.Add(time.Duration(float64(grace)*finishShare)))
+	defer cancel()
+	_ = a.proxy.Shutdown(finish)
+	left := make(chan struct{})
+	a.post(func(now core.Time) {
+		a.carryOut(now, a.membership.Leave(now))
+		close(left)
+	})
+	<-left
+	time.Sleep(leaveMargin)
+	servers.close()
+}
