--- /dev/null
+++ b/internal/node/membership/gossip.go
@@ -0,0 +1,57 @@
+package membership
+
+import (
+	"math/bits"
+	"slices"
+
+	"kestrelspread/internal/node/nodepb"
+)
+
+// update is a change that is to be passed on: what is known of the node at the time of sending.
+type update struct {
+	nodeID string
+	left   int // how often it is still to be sent
+}
+
+// gossip is the row of updates that travel on probes and their answers: the newest and those sent least are ahead.
+type gossip struct {
+	row []update
+}
+
+// minTransmissions is how often an update is sent at least that is pushed besides.
+const minTransmissions = 2
+
+// transmissions returns how often an update is sent by each of so many nodes. By then the chance that a node was told
+// by nobody is about e to the power of minus that number.
+func transmissions(nodes int) int { return 3 + bits.Len(uint(nodes)) }
+
+// add puts an update ahead of all others.
+func (g *gossip) add(nodeID string, times int) {
+	g.row = slices.DeleteFunc(g.row, func(other update) bool { return other.nodeID == nodeID })
+	if times > 0 {
+		g.row = slices.Insert(g.row, 0, update{nodeID: nodeID, left: times})
+	}
+}
+
+// take appends up to count updates to list, and moves those sent to the end of the row.
+func (g *gossip) take(list []*nodepb.Member, count int, members *table) []*nodepb.Member {
+	count = min(count, len(g.row))
+	if count <= 0 {
+		return list
+	}
+	sent := slices.Clone(g.row[:count])
+	g.row = slices.Delete(g.row, 0, count)
+	for _, item := range sent {
+		member := members.get(item.nodeID)
+		if member == nil {
+			continue
+		}
+		if !slices.Contains(list, member) {
+			list = append(list, member)
+		}
+		if item.left > 1 {
+			g.row = append(g.row, update{nodeID: item.nodeID, left: item.left - 1})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/node/membership/join.go
@@ -0,0 +1,138 @@
+package membership
+
+import (
+	"slices"
+
+	"kestrelspread/internal/node/core"
+)
+
+// join is the way into the list: calls to the seeds until they have answered. Seeds need not listen yet when this
+// node starts (DEPLOY.md, "Settings of a process").
+type join struct {
+	started core.Time
+	next    core.Time // of the next calls; Never once the node has joined
+	seeds   []seed
+	settle  []core.Time // when the list is asked for again
+}
+
+type seed struct {
+	address  string
+	answered bool
+}
+
+func newJoin(now core.Time, addresses []string) join {
+	j := join{started: now, next: core.Never}
+	for _, address := range addresses {
+		j.seeds = append(j.seeds, seed{address: address})
+	}
+	if len(j.seeds) > 0 {
+		j.next = now
+	}
+	return j
+}
+
+// otherAddresses returns the addresses without the node's own, each once.
+func otherAddresses(addresses []string, own string) []string {
+	var others []string
+	for _, address := range addresses {
+		if address != own && address != "" && !slices.Contains(others, address) {
+			others = append(others, address)
+		}
+	}
+	return others
+}
+
+// answers returns how many seeds have answered.
+func (j *join) answers() int {
+	count := 0
+	for _, seed := range j.seeds {
+		if seed.answered {
+			count++
+		}
+	}
+	return count
+}
+
+// SetSeeds replaces the seeds, as the settings may while the node runs. Those that aren't members are called from
+// time to time.
+func (m *Membership) SetSeeds(seeds []string) {
+	former := m.join.seeds
+	m.join.seeds = nil
+	for _, address := range otherAddresses(seeds, m.table.self.Address) {
+		answered := slices.ContainsFunc(former, func(s seed) bool { return s.address == address && s.answered })
+		m.join.seeds = append(m.join.seeds, seed{address: address, answered: answered})
+	}
+	m.due = m.nextDue()
+}
+
+func (m *Membership) joinDeadline() core.Time {
+	next := m.join.next
+	for _, at := range m.join.settle {
+		next = min(next, at)
+	}
+	return next
+}
+
+// stepJoin calls the seeds that have not answered, and later asks for the list once more.
+func (m *Membership) stepJoin() {
+	m.stepSettle()
+	j := &m.join
+	if m.now < j.next {
+		return
+	}
+	early := m.now < j.started+joinSpan
+	if answers := j.answers(); answers == len(j.seeds) || answers > 0 && !early {
+		j.next = core.Never
+		return
+	}
+	for _, seed := range j.seeds {
+		if !seed.answered {
+			m.ask(seed.address)
+		}
+	}
+	j.next = m.now + joinRetryLate
+	if early {
+		j.next = m.now + joinRetry
+	}
+}
+
+// seedAnswered takes note that the node at the address sent its list.
+func (m *Membership) seedAnswered(address string) {
+	j := &m.join
+	for i := range j.seeds {
+		if j.seeds[i].address != address || j.seeds[i].answered {
+			continue
+		}
+		if j.answers() == 0 {
+			j.settle = []core.Time{m.now + firstSettle, m.now + secondSettle}
+		}
+		j.seeds[i].answered = true
+	}
+	if j.answers() == len(j.seeds) {
+		j.next = core.Never
+	}
+}
+
+// stepSettle asks a seed for its list again, as others may have joined at the same moment as this node.
+func (m *Membership) stepSettle() {
+	due := 0
+	m.join.settle = slices.DeleteFunc(m.join.settle, func(at core.Time) bool {
+		if m.now < at {
+			return false
+		}
+		due++
+		return true
+	})
+	if due == 0 {
+		return
+	}
+	var known []string
+	for _, seed := range m.join.seeds {
+		if seed.answered {
+			known = append(known, seed.address)
+		}
+	}
+	if len(known) > 0 {
+		m.ask(known[m.random.IntN(len(known))])
+	}
+}
--- /dev/null
+++ b/internal/node/membership/membership.go
@@ -0,0 +1,138 @@
+package membership
+
+import (
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/proto"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// Membership is one node's list of members. It is not safe for concurrent use.
+type Membership struct {
+	options Options
+	random  *rand.Rand
+	started core.Time
+	now     core.Time // of the input that is being taken
+	due     core.Time // when Tick is wanted; of the end of the last input
+	outputs []core.Output
+	left    bool
+
+	table  *table
+	gossip gossip
+	pushes pushes
+	probes probes
+	health health
+	join   join
+	rejoin rejoin
+	sync   syncs
+	// answer holds what the sender of the message that is being taken has to hear.
+	answer []*nodepb.Member
+}
+
+// New returns the list of a node that starts now and knows of nobody but its seeds. The first Tick is due at once.
+func New(now core.Time, options Options, random *rand.Rand) *Membership {
+	options = options.withDefaults()
+	self := proto.CloneOf(options.Self)
+	self.State = nodepb.MemberState_ALIVE
+	self.Incarnation = max(self.Incarnation, 1)
+	m := &Membership{options: options, random: random, started: now, now: now, table: newTable(self)}
+	m.probes = newProbes(random)
+	m.rejoin = rejoin{deadAt: now, seedAt: now}
+	m.join = newJoin(now, otherAddresses(options.Seeds, self.Address))
+	m.sync.next = now + m.syncInterval()
+	m.due = m.nextDue()
+	return m
+}
+
+// Deadline returns when Tick is wanted next; core.Never after Leave.
+func (m *Membership) Deadline() core.Time { return m.due }
+
+func (m *Membership) nextDue() core.Time {
+	if m.left {
+		return core.Never
+	}
+	next := min(m.probes.deadline(), m.pushes.deadline(), m.joinDeadline(), m.rejoinDeadline(), m.syncDeadline())
+	for _, suspect := range m.table.suspects {
+		next = min(next, suspect.expiresAt)
+	}
+	return max(next, m.now)
+}
+
+// Tick does what is due.
+func (m *Membership) Tick(now core.Time) []core.Output {
+	m.begin(now)
+	if m.left {
+		return m.finish()
+	}
+	m.endSuspicions()
+	m.forgetDown()
+	m.stepJoin()
+	m.stepProbes()
+	m.stepRejoin()
+	m.stepSync()
+	m.stepPushes()
+	return m.finish()
+}
+
+// begin takes the time of an input, and notices where it comes so late that this node must have been stopped.
+func (m *Membership) begin(now core.Time) {
+	late := now - min(m.due, now)
+	m.now = max(m.now, now)
+	if late > stallAfter && len(m.table.ring) > 0 {
+		m.recoverFromStall(late)
+	}
+}
+
+// finish ends an input: it returns what was collected, and settles when Tick is wanted.
+func (m *Membership) finish() []core.Output {
+	outputs := m.outputs
+	m.outputs = nil
+	m.due = m.nextDue()
+	return outputs
+}
+
+// Leave says farewell: the members are told, and nothing is sent any more but answers to probes.
+func (m *Membership) Leave(now core.Time) []core.Output {
+	m.now = max(m.now, now)
+	if m.left {
+		return nil
+	}
+	m.left = true
+	self := withState(m.table.self, nodepb.MemberState_LEFT)
+	self.Incarnation++
+	m.table.setSelf(self)
+	m.pushTo(m.table.pick(leaveFanout, "", m.random), []*nodepb.Member{self})
+	return m.finish()
+}
+
+// UpdateSelf changes the description of this node and tells the others. Node id, address, state and incarnation stay
+// out of the caller's hands.
+func (m *Membership) UpdateSelf(now core.Time, change func(*nodepb.Member)) []core.Output {
+	m.now = max(m.now, now)
+	former := m.table.self
+	self := proto.CloneOf(former)
+	change(self)
+	self.NodeId, self.Address, self.State = former.NodeId, former.Address, former.State
+	self.Incarnation = former.Incarnation + 1
+	m.table.setSelf(self)
+	if !m.left {
+		m.spread(self.NodeId)
+		m.stepPushes()
+	}
+	return m.finish()
+}
+
+// Members returns the members that are alive or suspected, and this node, by node id. The slice and its members are
+// never altered: a change makes another slice.
+func (m *Membership) Members() []*nodepb.Member { return m.table.members() }
+
+// Revision is raised whenever Members changes in more than suspicions and incarnations. It is never 0.
+func (m *Membership) Revision() uint64 { return m.table.revision }
+
+// Suspected reports whether the node is a member that did not answer lately.
+func (m *Membership) Suspected(nodeID string) bool {
+	known := m.table.entries[nodeID]
+	return known != nil && known.member.State == nodepb.MemberState_SUSPECT
+}
--- /dev/null
+++ b/internal/node/membership/merge.go
@@ -0,0 +1,172 @@
+package membership
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// merge takes what another node says of a node. Of two claims the one with the higher incarnation holds; with equal
+// ones it is the graver one. Who left does not come back.
+func (m *Membership) merge(from core.Peer, claim *nodepb.Member, passOn bool) {
+	if claim.GetNodeId() == "" || claim.Address == "" {
+		return
+	}
+	known := m.table.entries[claim.NodeId]
+	switch {
+	case claim.NodeId == m.table.self.NodeId:
+		m.mergeSelf(from, claim)
+	case claim.Address == m.table.self.Address:
+		m.mergeFormerSelf(claim)
+	case known == nil:
+		m.mergeUnknown(from, claim, passOn)
+	case known.member.State == nodepb.MemberState_LEFT, claim.Address != known.member.Address:
+	case claim.State == nodepb.MemberState_LEFT:
+		m.takeDown(claim)
+		m.spread(claim.NodeId)
+	case claim.Incarnation >= known.member.Incarnation:
+		m.mergeKnown(from, known, claim, passOn)
+	}
+}
+
+// mergeSelf refutes claims that this node is suspected or dead.
+func (m *Membership) mergeSelf(from core.Peer, claim *nodepb.Member) {
+	if claim.State != nodepb.MemberState_SUSPECT && claim.State != nodepb.MemberState_DEAD {
+		return
+	}
+	if claim.Incarnation >= m.table.self.Incarnation {
+		m.health.suspected()
+		m.raiseIncarnation(claim.Incarnation)
+	}
+	m.tell(m.table.self)
+}
+
+// mergeFormerSelf makes sure that this life counts as later than a former one at the same address.
+func (m *Membership) mergeFormerSelf(claim *nodepb.Member) {
+	if !isLive(claim.State) {
+		return
+	}
+	if claim.Incarnation >= m.table.self.Incarnation {
+		m.raiseIncarnation(claim.Incarnation)
+	}
+	m.tell(m.table.self)
+}
+
+// raiseIncarnation puts the own incarnation above another one, and tells some members.
+func (m *Membership) raiseIncarnation(above uint64) {
+	self := proto.CloneOf(m.table.self)
+	self.Incarnation = above + 1
+	m.table.setSelf(self)
+	m.mention(self.NodeId)
+	m.pushTo(m.table.pick(pushFanout, "", m.random), []*nodepb.Member{self})
+}
+
+func (m *Membership) mergeUnknown(from core.Peer, claim *nodepb.Member, passOn bool) {
+	if len(m.table.entries) >= maxEntries {
+		return
+	}
+	if !isLive(claim.State) {
+		m.takeDown(claim)
+		return
+	}
+	if !m.takeAddress(from, claim) {
+		return
+	}
+	m.takeLive(claim)
+	if passOn {
+		m.spread(claim.NodeId)
+	}
+}
+
+// mergeKnown takes a claim whose incarnation is not below the known one.
+func (m *Membership) mergeKnown(from core.Peer, known *entry, claim *nodepb.Member, passOn bool) {
+	newer := claim.Incarnation > known.member.Incarnation
+	state := known.member.State
+	switch claim.State {
+	case nodepb.MemberState_ALIVE:
+		if newer {
+			m.mergeNewer(from, known, claim, passOn)
+		}
+	case nodepb.MemberState_SUSPECT:
+		switch {
+		case newer && state == nodepb.MemberState_DEAD:
+			m.mergeNewer(from, known, claim, passOn)
+		case newer || state == nodepb.MemberState_ALIVE:
+			m.takeLive(claim)
+			m.mention(claim.NodeId)
+		}
+	case nodepb.MemberState_DEAD:
+		m.mergeDead(known, claim)
+	}
+}
+
+// mergeNewer takes a claim by which a node is alive in a later incarnation.
+func (m *Membership) mergeNewer(from core.Peer, known *entry, claim *nodepb.Member, passOn bool) {
+	returned := !isLive(known.member.State)
+	changed := returned || !sameDescription(known.member, claim)
+	if returned {
+		if !m.takeAddress(from, claim) {
+			return
+		}
+		m.hasReturned()
+	}
+	m.takeLive(claim)
+	switch {
+	case changed && passOn:
+		m.spread(claim.NodeId)
+	case !changed:
+		m.mention(claim.NodeId)
+	}
+}
+
+// mergeDead takes a claim that a node is dead. One that seemed well so far is given the time to refute it: the claim
+// may come from the other side of a cut that has healed, or from a node that was stopped.
+func (m *Membership) mergeDead(known *entry, claim *nodepb.Member) {
+	switch known.member.State {
+	case nodepb.MemberState_ALIVE:
+		m.takeLive(withState(claim, nodepb.MemberState_SUSPECT))
+		m.mention(claim.NodeId)
+	case nodepb.MemberState_SUSPECT:
+		m.takeDown(claim)
+		m.mention(claim.NodeId)
+	case nodepb.MemberState_DEAD:
+		if claim.Incarnation > known.member.Incarnation {
+			known.member = claim
+		}
+	}
+}
+
+// takeAddress reports whether the node of the claim may be a member at its address. Of two lives at one address the
+// one with the higher incarnation holds; a later life that is not aware of a former one is told of it, and raises its
+// incarnation.
+func (m *Membership) takeAddress(from core.Peer, claim *nodepb.Member) bool {
+	holderID, held := m.table.atAddress[claim.Address]
+	if !held || holderID == claim.NodeId {
+		return true
+	}
+	holder := m.table.entries[holderID].member
+	if claim.Incarnation > holder.Incarnation {
+		m.takeDown(withState(holder, nodepb.MemberState_DEAD)).replaced = true
+		return true
+	}
+	if from.NodeID == claim.NodeId {
+		m.tell(holder)
+	}
+	return false
+}
+
+// takeLive takes over a member that is alive or suspected.
+func (m *Membership) takeLive(member *nodepb.Member) {
+	expiresAt := core.Never
+	if member.State == nodepb.MemberState_SUSPECT {
+		expiresAt = m.now + m.suspicionTime()
+	}
+	m.table.set(member, expiresAt, m.random)
+	m.wakeProbes()
+}
+
+// takeDown takes over a member that is dead or has left.
+func (m *Membership) takeDown(member *nodepb.Member) *entry {
+	return m.table.set(member, m.now+m.options.DeadRetention, m.random)
+}
--- /dev/null
+++ b/internal/node/membership/options.go
@@ -0,0 +1,119 @@
+// Package membership keeps the list of the nodes that are there, by SWIM: every node probes one other a period, asks
+// others to probe where that one does not answer, and spreads what it learns on the probes and their answers. What a
+// node sends in a second does not depend on the number of nodes.
+//
+// A node that does not answer is first a suspect. It stays a member meanwhile, and refutes the suspicion by raising its
+// incarnation; only where it doesn't is it held dead. A node that was held dead by mistake, as after a cut, comes back
+// in the same way. The package is a state machine without I/O: see package core.
+//
+// Where SWIM leaves room, the package follows Lifeguard: a node whose own probes fail in a row, or that was stopped,
+// doubts itself before it blames others.
+package membership
+
+import (
+	"time"
+
+	"kestrelspread/internal/node/nodepb"
+)
+
+// Defaults of Options.
+const (
+	DefaultPeriod            = time.Second
+	DefaultProbeTimeout      = 300 * time.Millisecond
+	DefaultIndirectProbes    = 3
+	DefaultMinSuspicion      = 2500 * time.Millisecond
+	DefaultDeadRetention     = 60 * time.Second
+	DefaultUpdatesPerMessage = 8
+	DefaultSyncInterval      = 30 * time.Second
+)
+
+// Options of a Membership. Zero values stand for the defaults.
+type Options struct {
+	// Self describes this node. Its node id is unique for each life of the process.
+	Self *nodepb.Member
+	// Seeds are the internal addresses of nodes to join by; the node's own address may be among them.
+	Seeds []string
+
+	// Period is the time between two probes.
+	Period time.Duration
+	// ProbeTimeout is how long a probe may stay without an answer until others are asked to probe.
+	ProbeTimeout time.Duration
+	// IndirectProbes is how many others are asked.
+	IndirectProbes int
+	// MinSuspicion is the least time that a suspect has to refute the suspicion.
+	MinSuspicion time.Duration
+	// DeadRetention is how long a dead node is remembered, and tried now and then.
+	DeadRetention time.Duration
+	// UpdatesPerMessage bounds the news that a probe or its answer carries.
+	UpdatesPerMessage int
+	// SyncInterval is the mean time between two exchanges of the whole list with a random member, as long as there
+	// are no more than syncMembers members; with more it grows with them.
+	SyncInterval time.Duration
+}
+
+// Figures that are no options.
+const (
+	// joinRetry is the pause between calls to seeds that have not answered, for joinSpan after the start; then it is
+	// joinRetryLate, as long as none has answered.
+	joinRetry     = 200 * time.Millisecond
+	joinRetryLate = time.Second
+	joinSpan      = 3 * time.Second
+
+	// A node that joined asks for the list again after these times: others may have joined at the same moment.
+	firstSettle  = time.Second
+	secondSettle = 3 * time.Second
+	// settleSpan after its start, a node takes answers to its own questions without passing them on.
+	settleSpan = 5 * time.Second
+
+	// deadRetry is the time between two probes of members that are held dead.
+	deadRetry = 2 * time.Second
+	// returnRetry bounds that time where another dead member has just come back, as a cut may have healed.
+	returnRetry = 200 * time.Millisecond
+	// seedRetry is the time between two calls to seeds that aren't members.
+	seedRetry = 3 * time.Second
+
+	// News is pushed in rounds, pushPause apart: each item in pushRounds of them, to pushFanout members a round.
+	pushPause   = 100 * time.Millisecond
+	pushRounds  = 2
+	pushFanout  = 3
+	pushMembers = 32
+	// leaveFanout is the number of members that a leaving node tells.
+	leaveFanout = 8
+
+	// stallAfter is how late an input may be until the node takes itself to have been stopped.
+	stallAfter = 500 * time.Millisecond
+	// stallSyncs is the number of members that a node asks for the list after it was stopped.
+	stallSyncs = 3
+	// syncPause is the least time between two questions for the list out of such an occasion.
+	syncPause = time.Second
+
+	// syncMembers is the number of members up to which SyncInterval is not stretched.
+	syncMembers = 100
+	// maxEntries bounds the nodes that are remembered, dead ones too.
+	maxEntries = 8192
+	// maxRelays bounds the probes that run for others.
+	maxRelays = 64
+)
+
+func (o Options) withDefaults() Options {
+	setDuration(&o.Period, DefaultPeriod)
+	setDuration(&o.ProbeTimeout, DefaultProbeTimeout)
+	setInt(&o.IndirectProbes, DefaultIndirectProbes)
+	setDuration(&o.MinSuspicion, DefaultMinSuspicion)
+	setDuration(&o.DeadRetention, DefaultDeadRetention)
+	setInt(&o.UpdatesPerMessage, DefaultUpdatesPerMessage)
+	setDuration(&o.SyncInterval, DefaultSyncInterval)
+	return o
+}
+
+func setDuration(field *time.Duration, value time.Duration) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+func setInt(field *int, value int) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/node/membership/probe.go
@@ -0,0 +1,196 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// probes is the state of the probe of this period, and of those that run for other nodes.
+type probes struct {
+	sequence uint64
+	next     core.Time // when the period ends; Never while there is nobody to probe
+
+	target    string // node id; empty where no probe runs
+	awaited   uint64 // its sequence
+	sentAt    core.Time
+	timeoutAt core.Time // when others are asked; Never once they are
+
+	relays []relay
+}
+
+// relay is a probe that runs for another node.
+type relay struct {
+	sequence  uint64
+	requester string // address
+	answer    uint64 // the requester's sequence
+	expiresAt core.Time
+}
+
+func newProbes(random *rand.Rand) probes {
+	// A random start keeps answers to a former life from being taken for answers to this one.
+	return probes{sequence: uint64(random.Uint32()), next: core.Never, timeoutAt: core.Never}
+}
+
+func (p *probes) deadline() core.Time { return min(p.next, p.timeoutAt) }
+
+func (p *probes) nextSequence() uint64 {
+	p.sequence++
+	return p.sequence
+}
+
+// end ends the running probe without a verdict.
+func (p *probes) end() {
+	p.target = ""
+	p.timeoutAt = core.Never
+}
+
+// wakeProbes starts the periods where there was nobody to probe before.
+func (m *Membership) wakeProbes() {
+	if m.probes.next == core.Never {
+		m.probes.next = m.now + m.randomSpan(m.options.Period)
+	}
+}
+
+// randomSpan returns a random time below span.
+func (m *Membership) randomSpan(span core.Time) core.Time {
+	return core.Time(m.random.Int64N(int64(span)))
+}
+
+// stepProbes asks others where the probe is not answered, and at the end of the period judges it and sends the next.
+func (m *Membership) stepProbes() {
+	p := &m.probes
+	if m.now >= p.timeoutAt {
+		p.timeoutAt = core.Never
+		m.askOthers()
+	}
+	if m.now < p.next {
+		return
+	}
+	if p.target != "" {
+		m.judgeMiss()
+	}
+	p.end()
+	m.sendProbe()
+}
+
+func (m *Membership) sendProbe() {
+	p := &m.probes
+	target := m.table.nextInRing(m.random)
+	if target == nil {
+		p.next = core.Never
+		return
+	}
+	p.next = m.now + m.health.stretch(m.options.Period)
+	p.timeoutAt = m.now + m.health.stretch(m.options.ProbeTimeout)
+	p.target = target.member.NodeId
+	p.awaited = p.nextSequence()
+	p.sentAt = m.now
+	m.send(target.member.Address, m.probeFor(target.member, p.awaited))
+}
+
+// probeFor returns a probe of the member. One that is suspected or dead is told so, which lets it refute that.
+func (m *Membership) probeFor(member *nodepb.Member, sequence uint64) *nodepb.Envelope {
+	var first []*nodepb.Member
+	if member.State != nodepb.MemberState_ALIVE {
+		first = append(first, member)
+	}
+	return probeMessage(&nodepb.Probe{Sequence: sequence, TargetId: member.NodeId, Updates: m.updatesFor(first)})
+}
+
+// askOthers has the target probed by other members, and once more by this node: the first message may have been lost
+// with a connection that had ended.
+func (m *Membership) askOthers() {
+	p := &m.probes
+	target := m.table.entries[p.target]
+	if target == nil || !isLive(target.member.State) {
+		return
+	}
+	m.send(target.member.Address, m.probeFor(target.member, p.awaited))
+	for _, helper := range m.table.pick(m.options.IndirectProbes, p.target, m.random) {
+		m.send(helper.Address, probeRequest(&nodepb.ProbeRequest{
+			Sequence:      p.awaited,
+			TargetId:      p.target,
+			TargetAddress: target.member.Address,
+			Updates:       m.updatesFor(nil),
+		}))
+	}
+}
+
+// judgeMiss suspects the target, unless the fault seems to be this node's own.
+func (m *Membership) judgeMiss() {
+	p := &m.probes
+	target := m.table.entries[p.target]
+	if target == nil || !isLive(target.member.State) {
+		return
+	}
+	if m.health.missed(p.target, p.sentAt) {
+		return
+	}
+	if target.member.State == nodepb.MemberState_ALIVE {
+		suspect := withState(target.member, nodepb.MemberState_SUSPECT)
+		m.takeLive(suspect)
+		m.mention(suspect.NodeId)
+		m.send(suspect.Address, memberSync(false, []*nodepb.Member{suspect}))
+	}
+}
+
+// receiveProbe answers, unless the probe is for another life at this address.
+func (m *Membership) receiveProbe(from core.Peer, probe *nodepb.Probe) {
+	m.learn(from, probe.Updates, true)
+	if probe.TargetId != m.table.self.NodeId {
+		m.tell(m.table.self)
+		m.sendAnswer(from)
+		return
+	}
+	m.send(from.Address, probeAck(probe.Sequence, m.updatesFor(m.answer)))
+}
+
+func (m *Membership) receiveAck(from core.Peer, ack *nodepb.ProbeAck) {
+	m.learn(from, ack.Updates, true)
+	m.sendAnswer(from)
+	p := &m.probes
+	if p.target != "" && ack.Sequence == p.awaited {
+		p.end()
+		m.health.answered()
+		return
+	}
+	m.passAck(ack.Sequence)
+}
+
+// receiveRequest probes a node for another one.
+func (m *Membership) receiveRequest(from core.Peer, request *nodepb.ProbeRequest) {
+	m.learn(from, request.Updates, true)
+	m.sendAnswer(from)
+	p := &m.probes
+	p.relays = slices.DeleteFunc(p.relays, func(r relay) bool { return r.expiresAt <= m.now })
+	if len(p.relays) >= maxRelays {
+		return
+	}
+	sequence := p.nextSequence()
+	p.relays = append(p.relays, relay{
+		sequence:  sequence,
+		requester: from.Address,
+		answer:    request.Sequence,
+		expiresAt: m.now + 2*m.options.Period,
+	})
+	m.send(request.TargetAddress, probeMessage(&nodepb.Probe{
+		Sequence: sequence,
+		TargetId: request.TargetId,
+		Updates:  m.updatesFor(nil),
+	}))
+}
+
+// passAck passes the answer to a probe that ran for another node on to that node.
+func (m *Membership) passAck(sequence uint64) {
+	p := &m.probes
+	position := slices.IndexFunc(p.relays, func(r relay) bool { return r.sequence == sequence })
+	if position < 0 {
+		return
+	}
+	done := p.relays[position]
+	p.relays = slices.Delete(p.relays, position, position+1)
+	m.send(done.requester, probeAck(done.answer, m.updatesFor(nil)))
+}
