--- /dev/null
+++ b/internal/node/journal/doc.go
@@ -0,0 +1,28 @@
+// Package journal keeps records on the disk of a machine that counts for the quorum, in a ring of preallocated files.
+//
+// # What is on the disk
+//
+// Each file of the ring, a segment, holds one generation: a start frame, the records of a checkpoint, and the records
+// appended after it. The next checkpoint begins the next generation in the next file of the ring, so that the one before
+// stays whole until the new one is durable. The newest generation whose checkpoint is complete is the journal's state.
+//
+// A frame is a header of 64 bytes and a payload, both with a CRC32C. Its header names the generation, the sequence
+// number within it, and the attempt to write: a random number that changes at every start of the process and after every
+// failed write. A frame is read only where it follows the frame before it in all three, so that neither bytes of an
+// earlier round of the ring nor remains of a write that was given up are ever taken for records.
+//
+// # What lasts
+//
+// Append and Checkpoint return nil only once a sync has covered their records, and, for a new file, a sync of the folder
+// its name. After a failed write nothing is known of its bytes: they are written again from the last position that is
+// known to be durable, as a second sync of the same bytes would prove nothing. So is the last batch that Open recovers: a
+// process that was killed may have left it in the system's memory only.
+//
+// Source: DEPLOY.md, "Disk" and "Settings of a process".
+//
+// # Identity
+//
+// The start frame names the disk: a random id, chosen at the first start. A journal that turns out to be damaged (records
+// that had been durable can't be read) gets a new identity and begins empty: a voter must not act as its former self
+// with a part of its memory.
+package journal
--- /dev/null
+++ b/internal/node/journal/segment.go
@@ -0,0 +1,140 @@
+package journal
+
+import (
+	"errors"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+)
+
+const (
+	// preallocatedStep is by how much a segment grows at least, so that most writes don't change a file's length.
+	preallocatedStep = 256 << 10
+	// writeBufferBytes is how much of a batch is gathered before it is written.
+	writeBufferBytes = 64 << 10
+)
+
+// zeros is what preallocated space is filled with.
+var zeros [writeBufferBytes]byte
+
+// segment is one file of the ring.
+type segment struct {
+	fileSystem FileSystem
+	folder     string
+	path       string
+	limit      int64 // the greatest size
+	file       File  // nil: not there yet
+	size       int64 // how much was preallocated
+	nameSynced bool  // the folder was synced after the file was made
+}
+
+func newSegment(fileSystem FileSystem, folder string, number int, limit int64) *segment {
+	name := "journal-" + strconv.Itoa(number)
+	return &segment{fileSystem: fileSystem, folder: folder, path: filepath.Join(folder, name), limit: limit}
+}
+
+// open opens the file if there is one.
+func (s *segment) open() error {
+	file, err := s.fileSystem.Open(s.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	size, err := file.Size()
+	if err != nil {
+		return errors.Join(err, file.Close())
+	}
+	s.file, s.size = file, size
+	return nil
+}
+
+// create makes the file if it is not there.
+func (s *segment) create() error {
+	if s.file != nil {
+		return nil
+	}
+	if err := s.fileSystem.MakeDir(s.folder); err != nil {
+		return err
+	}
+	file, err := s.fileSystem.Create(s.path)
+	if err != nil {
+		return err
+	}
+	s.file, s.size, s.nameSynced = file, 0, false
+	return nil
+}
+
+// preallocate makes sure that the file reaches beyond end, up to which its caller will write.
+func (s *segment) preallocate(end int64) error {
+	if end <= s.size {
+		return nil
+	}
+	size := min((end+preallocatedStep-1)/preallocatedStep*preallocatedStep, s.limit)
+	for at := end; at < size; {
+		part := zeros[:min(int64(len(zeros)), size-at)]
+		if err := s.write(part, at); err != nil {
+			return err
+		}
+		at += int64(len(part))
+	}
+	s.size = size
+	return nil
+}
+
+func (s *segment) write(b []byte, offset int64) error {
+	_, err := s.file.WriteAt(b, offset)
+	return err
+}
+
+// sync makes the file and its name durable.
+func (s *segment) sync() error {
+	if err := s.file.Sync(); err != nil {
+		return err
+	}
+	if s.nameSynced {
+		return nil
+	}
+	if err := s.fileSystem.SyncDir(s.folder); err != nil {
+		return err
+	}
+	s.nameSynced = true
+	return nil
+}
+
+// void overwrites the start frame, so that the segment holds no generation.
+func (s *segment) void() error {
+	if s.file == nil {
+		return nil
+	}
+	if err := s.write(zeros[:headerBytes], 0); err != nil {
+		return err
+	}
+	return s.sync()
+}
+
+// rewrite writes what the file is said to hold, from an offset to another, once more and syncs it.
+func (s *segment) rewrite(from, end int64) error {
+	chunk := make([]byte, min(writeBufferBytes, end-from))
+	for at := from; at < end; {
+		part := chunk[:min(int64(len(chunk)), end-at)]
+		if _, err := s.file.ReadAt(part, at); err != nil {
+			return err
+		}
+		if err := s.write(part, at); err != nil {
+			return err
+		}
+		at += int64(len(part))
+	}
+	return s.sync()
+}
+
+func (s *segment) close() error {
+	if s.file == nil {
+		return nil
+	}
+	err := s.file.Close()
+	s.file = nil
+	return err
+}
