--- a/internal/node/routing/admission.go
+++ b/internal/node/routing/admission.go
@@ -26,6 +26,13 @@
 	return min(max(urgency, 0)*priorityPerRank, priorityLast)
 }
 
+// turnedAwayMost is how many brokers may turn a request away before it gives its place at one more to another request: the
+// least urgent give up first.
+func turnedAwayMost(urgency int) int { return max(4-urgency, 2) }
+
+// retryShare is the part of the retry budget that requests of an urgency may use up.
+func retryShare(urgency int) float64 { return max(1-0.1*float64(max(urgency, 0)), 0.7) }
+
 // turnedAway notes that a broker had no room, by its own word.
 func (b *broker) turnedAway(now core.Time, outcome *Outcome) {
 	pause := min(fullPause<<min(b.refusals, fullDoublings), fullPauseMost)
--- a/internal/node/routing/broker.go
+++ b/internal/node/routing/broker.go
@@ -39,16 +39,21 @@
 	took     float64 // ms, scaled: smoothed latency
 	tookAt   core.Time
 	health   health
+	moves    moves
 	// fullAt is when it last turned a request away for want of room, and fullUntil how long that is believed.
 	fullAt    core.Time
 	fullUntil core.Time
 	refusals  int // for want of room, since it last took a request
+	// youngUntil: it has come lately, and another broker may still keep the parts of its prompts.
+	youngUntil core.Time
 }
 
-// sample is a latency, when it ended and the load when its request was sent. Latencies are scaled to the usual work.
+// sample is a latency, when it ended, and when its request was sent, with the load then. Latencies are scaled to the usual
+// work; 0 stands for none.
 type sample struct {
 	latency float64
 	at      core.Time
+	sentAt  core.Time
 	load    float64
 }
 
@@ -85,15 +90,22 @@
 }
 
 // learnLatency keeps an answer's scaled latency.
-func (b *broker) learnLatency(now core.Time, latency, load float64) {
+func (b *broker) learnLatency(now core.Time, a *attempt) {
 	copy(b.history[1:], b.history[:])
-	b.history[0] = sample{latency, now, load}
+	b.history[0] = sample{latency: a.latency, at: now, sentAt: a.sentAt, load: a.load}
 	if b.lately == nil {
 		b.lately = newLatencies()
 	}
-	b.lately.Add(milliseconds(now), latency)
+	b.lately.Add(milliseconds(now), a.latency)
 	b.lineAt = -lineKept
-	b.tookLatency(now, latency)
+	b.tookLatency(now, a.latency)
+}
+
+// unlearn takes back the latency of an attempt that turned out a failure: quick errors must not read as fast.
+func (b *broker) unlearn(a *attempt) {
+	if a.learnt && b.history[0].sentAt == a.sentAt {
+		b.history[0].latency = 0
+	}
 }
 
 // tookLatency smooths what the broker takes; of attempts that were called off too, as they would have taken longer still.
--- a/internal/node/routing/candidates.go
+++ b/internal/node/routing/candidates.go
@@ -14,6 +14,7 @@
 	otherZone      = 0.6  // what another zone counts against a broker, in average loads
 	tookTie        = 0.5  // what a broker's latency counts, in medians
 	chanceTie      = 0.1
+	coldFactor     = 2.0 // what each request counts at a broker that is slow from its start
 )
 
 // candidate is a broker that a request may go to.
@@ -21,6 +22,7 @@
 	broker   *broker
 	version  uint64
 	load     float64
+	tie      float64 // between brokers with as many own requests
 	features predict.Vector
 	scored   bool
 	slow     bool
@@ -88,7 +90,7 @@
 	case b.believedFull(now, req.Urgency):
 		f.full++
 		f.earliest = min(f.earliest, b.fullUntil)
-	case h.aside() && h.trialDue(now) && r.mayTry(now, req, h):
+	case h.aside() && r.mayTry(now, req, b):
 		c.trial = true
 		f.sound = append(f.sound, c)
 	case h.aside():
@@ -100,9 +102,14 @@
 	}
 }
 
-// mayTry reports whether the request can be a trial: one that may be repeated, or at a broker that takes no connection at
-// all, as then it can't run unseen; any request after a longer wait, where no other came by.
-func (r *Router) mayTry(now core.Time, req *request, h *health) bool {
+// mayTry reports whether the request can be a trial of a broker that was set aside: a first send, of what may be repeated, or
+// to a broker that takes no connection at all, as then it can't run unseen; any request after a longer wait, where no other
+// came by. Whom the registry misses as well is not tried.
+func (r *Router) mayTry(now core.Time, req *request, b *broker) bool {
+	h := &b.health
+	if !h.trialDue(now) || b.instance.Silent || len(req.attempts) > 0 {
+		return false
+	}
 	return req.idempotent || h.ailment == unreachable || now >= h.trialAt+h.backoff
 }
 
@@ -135,17 +142,19 @@
 		trusts += trust
 		own += b.out
 	}
-	if trusts == 0 {
+	reported := trusts > 0
+	if f.average = sum / trusts; !reported {
 		f.average = float64(own) / float64(max(len(f.sound), 1))
-		for i := range f.sound {
-			f.sound[i].load = float64(f.sound[i].broker.out)
-		}
-		return
 	}
-	f.average = sum / trusts
 	for i := range f.sound {
-		load, trust := f.sound[i].broker.load(now)
-		f.sound[i].load = trust*load + (1-trust)*f.average
+		c := &f.sound[i]
+		load, trust := c.broker.load(now)
+		if c.load = trust*load + (1-trust)*f.average; !reported {
+			c.load = float64(c.broker.out)
+		}
+		if now < c.broker.instance.ColdUntil {
+			c.load = coldFactor*c.load + 1
+		}
 	}
 }
 
@@ -216,36 +225,41 @@
 // pickByLoad is the design's choice: predicted-slow brokers are skipped, and of the rest the one with the fewest own requests
 // takes it; ties go by load, what answers took, the own zone and chance. If all look slow, the first still takes it.
 func (r *Router) pickByLoad(now core.Time, req *request, f *field) (*candidate, bool) {
-	var best *candidate
-	bestTie, skipped := 0.0, false
 	for i := range f.sound {
-		c := &f.sound[i]
-		r.score(now, req, f, c)
-		skipped = skipped || c.slow
-		tie := r.tie(now, req.pool, f, c)
-		if best == nil || better(c, best, tie, bestTie) {
-			best, bestTie = c, tie
-		}
+		f.sound[i].tie = r.tie(now, req.pool, f, &f.sound[i])
 	}
-	switch {
-	case best.slow:
-		r.counters.AllSlow++
-	case skipped:
-		r.counters.ByPrediction++
-	default:
-		r.counters.ByLoad++
+	for {
+		best := leastLoaded(f.sound, false)
+		if best == nil {
+			r.counters.AllSlow++
+			return leastLoaded(f.sound, true), false
+		}
+		if r.score(now, req, f, best); best.slow {
+			continue
+		}
+		if slices.ContainsFunc(f.sound, func(c candidate) bool { return c.slow }) {
+			r.counters.ByPrediction++
+		} else {
+			r.counters.ByLoad++
+		}
+		return best, len(f.sound) > 1
 	}
-	return best, len(f.sound) > 1 && !best.slow
 }
 
-func better(c, best *candidate, tie, bestTie float64) bool {
-	if c.slow != best.slow {
-		return best.slow
-	}
-	if c.broker.out != best.broker.out {
-		return c.broker.out < best.broker.out
+// leastLoaded is the candidate with the fewest own requests, of those not known to look slow or of all; nil where there is
+// none.
+func leastLoaded(found []candidate, slowToo bool) *candidate {
+	var best *candidate
+	for i := range found {
+		c := &found[i]
+		if c.slow && !slowToo {
+			continue
+		}
+		if best == nil || c.broker.out < best.broker.out || c.broker.out == best.broker.out && c.tie < best.tie {
+			best = c
+		}
 	}
-	return tie < bestTie
+	return best
 }
 
 func (r *Router) tie(now core.Time, p *pool, f *field, c *candidate) float64 {
--- a/internal/node/routing/fetch.go
+++ b/internal/node/routing/fetch.go
@@ -5,6 +5,7 @@
 
 	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/window"
 )
 
 // Moves of kept prompts between brokers and the store (PROTOCOL.md, "KV cache"). A fetch is far cheaper than reading the
@@ -14,8 +15,34 @@
 	fetchLeastTokens = 256 // fewer are read sooner than moved
 	storeConfirmed   = 2500 * time.Millisecond
 	savedMost        = 4096 // keys of parts that are remembered as saved
+	youngFor         = 20 * time.Second
+	moveSpan         = 5000. // ms
+	moveFew          = 3.0   // slow moves before a share of them counts
+	moveShare        = 0.5   // of the moves to a broker: more slow ones, and none is asked for
 )
 
+// moves counts the answers of a broker that had parts to fetch, and those of them that were slow: links between brokers may
+// turn so slow that reading anew is quicker.
+type moves struct{ all, late *window.Counts }
+
+func (m *moves) done(now core.Time, late bool) {
+	if m.all == nil {
+		m.all, m.late = window.NewCounts(6, moveSpan/5), window.NewCounts(6, moveSpan/5)
+	}
+	m.all.Add(milliseconds(now), 1)
+	if late {
+		m.late.Add(milliseconds(now), 1)
+	}
+}
+
+func (m *moves) slow(now core.Time) bool {
+	if m.all == nil {
+		return false
+	}
+	late := m.late.Sum(milliseconds(now), moveSpan)
+	return late >= moveFew && late > moveShare*m.all.Sum(milliseconds(now), moveSpan)
+}
+
 // storeState is what is known of a store of kept prompts by its own signs of life.
 type storeState struct {
 	aliveAt core.Time
@@ -46,7 +73,7 @@
 
 // fetchSource is the address that the chosen broker should fetch the prompt's shared parts from, or empty.
 func (r *Router) fetchSource(now core.Time, req *request, chosen *candidate) string {
-	if sharedTokens(req.Parts) < fetchLeastTokens {
+	if sharedTokens(req.Parts) < fetchLeastTokens || chosen.broker.moves.slow(now) {
 		return ""
 	}
 	if holder := r.bestHolder(now, req, chosen); holder != nil {
@@ -87,24 +114,25 @@
 }
 
 // keeper is the owner of the parts by the rendezvous order, among all brokers that can be fetched from; nil if that is the
-// chosen one.
+// chosen one. Where the chosen one has come lately, it is who owned them before.
 func (r *Router) keeper(now core.Time, req *request, chosen *candidate, key uint64) *broker {
-	best, bestWeight := chosen.broker, weight(key, chosen.broker)
+	var best *broker
+	bestWeight := uint64(0)
+	if now >= chosen.broker.youngUntil {
+		bestWeight = weight(key, chosen.broker)
+	}
 	for _, b := range req.pool.brokers {
 		if w := weight(key, b); w > bestWeight && r.mayFetchFrom(now, req, chosen, b) {
 			best, bestWeight = b, w
 		}
 	}
-	if best == chosen.broker {
-		return nil
-	}
 	return best
 }
 
 // mayFetchFrom reports whether a broker is well enough to be named as a source, and has the same weights.
 func (r *Router) mayFetchFrom(now core.Time, req *request, chosen *candidate, b *broker) bool {
 	switch {
-	case b == chosen.broker, !b.instance.Usable(), b.instance.Silent, b.health.aside():
+	case b == chosen.broker, req.tried(b), !b.instance.Usable(), b.instance.Silent, b.health.aside():
 		return false
 	case now < b.health.misdirectedUntil, r.hangs(now, req.pool, b):
 		return false
--- a/internal/node/routing/guarded.go
+++ b/internal/node/routing/guarded.go
@@ -89,6 +89,13 @@
 	g.router.ObserveLoad(now, instance, load)
 }
 
+// Resumed is Router.Resumed.
+func (g *Guarded) Resumed(now core.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.Resumed(now)
+}
+
 // Counters is Router.Counters.
 func (g *Guarded) Counters() Counters {
 	g.mutex.Lock()
--- a/internal/node/routing/outcomes.go
+++ b/internal/node/routing/outcomes.go
@@ -25,7 +25,9 @@
 	b.begun(a)
 	b.told(now, load)
 	b.health.answered(now)
-	b.fullUntil, b.refusals = 0, 0
+	if a.sentAt > b.fullAt {
+		b.fullUntil, b.refusals = 0, 0 // it took a request after it had turned one away
+	}
 	p.answeredAt = now
 	if req.Route.Kind == config.KindStreaming {
 		r.learn(now, req, a) // an event is no quick error
@@ -40,8 +42,12 @@
 	a.learnt = true
 	b, p := a.broker, req.pool
 	p.refresh(now)
-	p.teach(now, a, a.latency > p.lineOf(now, b))
-	b.learnLatency(now, a.latency, a.load)
+	slow := a.latency > p.lineOf(now, b)
+	p.teach(now, a, slow)
+	if a.fetches {
+		b.moves.done(now, slow)
+	}
+	b.learnLatency(now, a)
 	p.latencies.Add(milliseconds(now), a.latency)
 	req.class.latencies.Add(milliseconds(now), a.latency*a.scale/req.work)
 	if observer, ok := r.options.Index.(Observer); ok && a.salt != "" {
@@ -108,7 +114,9 @@
 		req.unreachable++
 	case outcome.NotExecuted && !outcome.Misdirected:
 		req.turnedAway++
-		b.turnedAway(now, outcome)
+		if !req.oversized {
+			b.turnedAway(now, outcome)
+		}
 		if outcome.Status != 0 {
 			b.health.answered(now)
 			p.answeredAt = now
@@ -116,6 +124,7 @@
 	}
 	switch {
 	case outcome.speaksAgainst(a):
+		b.unlearn(a)
 		r.failed(now, b, a, outcome)
 	case outcome.Verdict == verdict.Ran && !outcome.Canceled:
 		r.learn(now, req, a)
--- a/internal/node/routing/request.go
+++ b/internal/node/routing/request.go
@@ -16,6 +16,7 @@
 	wall       string  // tenant whose kept prompts are its own, else empty
 	work       float64 // against the usual of its class
 	idempotent bool
+	oversized  bool // no broker's memory holds it
 	copied     bool
 	answering  bool   // an answer has begun
 	store      Holder // what the store keeps of the prompt, by the index
@@ -29,6 +30,7 @@
 type attempt struct {
 	number        int
 	salt          string
+	fetches       bool // parts are fetched for it
 	broker        *broker
 	sentAt        core.Time
 	load          float64 // there, when it was sent
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -10,9 +10,6 @@
 // mostAttempts bounds the sends of one request, those included that brokers turned away.
 const mostAttempts = 5
 
-// turnedAwayMost: who was turned away so often does not take the place of another request at one more broker.
-const turnedAwayMost = 3
-
 // Router decides for one proxy. It isn't safe for concurrent use: see Guarded.
 type Router struct {
 	options  Options
@@ -79,7 +76,8 @@
 }
 
 // SetTable takes a newer picture of the brokers.
-func (r *Router) SetTable(_ core.Time, table *registry.Table) {
+func (r *Router) SetTable(now core.Time, table *registry.Table) {
+	first := len(r.brokers) == 0
 	for id := range r.brokers {
 		if instance := table.ByID[id]; instance == nil || instance.State == registry.Gone {
 			delete(r.brokers, id)
@@ -93,16 +91,19 @@
 		p := r.pool(service)
 		for _, instance := range instances {
 			if instance.State != registry.Gone {
-				p.brokers = append(p.brokers, r.broker(instance))
+				p.brokers = append(p.brokers, r.broker(now, instance, first))
 			}
 		}
 	}
 }
 
-func (r *Router) broker(instance *registry.Instance) *broker {
+func (r *Router) broker(now core.Time, instance *registry.Instance, first bool) *broker {
 	b := r.brokers[instance.ID]
 	if b == nil {
 		b = newBroker(instance)
+		if !first {
+			b.youngUntil = now + youngFor
+		}
 		r.brokers[instance.ID] = b
 	}
 	b.replaced(instance)
@@ -178,6 +179,7 @@
 	}
 	if r.runsModels(received.Service) && received.Model != "" {
 		req.model = received.Model
+		req.oversized = r.oversized(&received)
 		req.wall = r.walls.wall(req.Tenant)
 	}
 	req.class.came(req.TokensIn)
@@ -213,6 +215,12 @@
 	return s != nil && s.Engine != nil
 }
 
+// oversized reports whether a request is larger than a broker's memory, which turns it away as if it were full.
+func (r *Router) oversized(received *Request) bool {
+	capacity := r.compiled.Services[received.Service].Engine.KVCapacityTokens
+	return capacity > 0 && float64(received.TokensIn+received.TokensOut) > capacity
+}
+
 // send makes the attempt.
 func (r *Router) send(now core.Time, req *request, chosen *candidate, byPrediction bool) Decision {
 	b := chosen.broker
@@ -241,7 +249,7 @@
 	}
 	if req.model != "" {
 		r.describeModel(now, req, chosen, out)
-		a.salt = out.Salt
+		a.salt, a.fetches = out.Salt, out.FetchFrom != ""
 	}
 	req.attempts = append(req.attempts, a)
 	b.sent(a)
@@ -286,9 +294,9 @@
 		return RefusedDeadline
 	case req.runs() >= max(req.Route.MaxAttempts, 1), len(req.attempts) >= mostAttempts:
 		return RefusedAttempts
-	case req.turnedAway >= turnedAwayMost:
+	case req.turnedAway >= turnedAwayMost(req.Urgency):
 		return RefusedFull
-	case req.arrivals() > 0 && !r.affords(now, &req.pool.budget, 1):
+	case req.arrivals() > 0 && !r.affords(now, &req.pool.budget, retryShare(req.Urgency)):
 		return RefusedBudget
 	}
 	return ""
