--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -189,9 +189,11 @@
 
 // limitAnswer bounds the time that the client may take to read the answer: one that neither reads nor leaves must not hold
 // what its request holds. net/http lifts the limit after the answer.
-func (c *call) limitAnswer() {
+func (c *call) limitAnswer() { c.limitWrites(c.holdUntil()) }
+
+func (c *call) limitWrites(until time.Time) {
 	if c.client != nil {
-		c.client.SetWriteDeadline(c.holdUntil())
+		c.client.SetWriteDeadline(until)
 	}
 }
 
--- a/internal/node/forward/events.go
+++ b/internal/node/forward/events.go
@@ -18,9 +18,16 @@
 // noEvent is where a stream starts.
 var noEvent eventID
 
+// eventSource is the body of a stream.
+type eventSource interface {
+	io.Reader
+	// EndsNow reports whether the next Read gives io.EOF without waiting.
+	EndsNow() bool
+}
+
 // eventReader cuts a stream into whole events. An event ends with an empty line.
 type eventReader struct {
-	answer *upstream.Answer
+	source eventSource
 	// after: events up to this one are left out, since the client has them.
 	after eventID
 
@@ -29,10 +36,12 @@
 	taken, whole int
 	scanned      int
 	ended        bool // the broker ended the stream in the proper way
+	// failed is what broke the stream off behind the whole events that are here.
+	failed error
 }
 
-func newEventReader(answer *upstream.Answer, after eventID) *eventReader {
-	return &eventReader{answer: answer, after: after, buffer: takeBuffer()}
+func newEventReader(source eventSource, after eventID) *eventReader {
+	return &eventReader{source: source, after: after, buffer: takeBuffer()}
 }
 
 func (e *eventReader) release() {
@@ -49,15 +58,19 @@
 // maxEventBytes bounds one event.
 const maxEventBytes = 1 << 20
 
-// fill reads once. At the proper end of the stream what is left counts as an event.
+// fill reads once. At the proper end of the stream what is left counts as an event. An error comes only after the whole
+// events before it have been passed on.
 func (e *eventReader) fill() error {
+	if e.failed != nil {
+		return e.failed
+	}
 	e.compact()
 	if len(e.buffer.bytes) > maxEventBytes {
 		return errEventTooLarge
 	}
 	e.buffer.grow(readStep)
 	data := e.buffer.bytes
-	count, err := e.answer.Read(data[len(data):cap(data)])
+	count, err := e.source.Read(data[len(data):cap(data)])
 	e.buffer.bytes = data[:len(data)+count]
 	e.scan()
 	if errors.Is(err, io.EOF) {
@@ -65,7 +78,11 @@
 		e.whole = len(e.buffer.bytes)
 		return nil
 	}
-	if err == nil && e.answer.EndsNow() {
+	if err != nil && e.ready() {
+		e.failed = err
+		return nil
+	}
+	if err == nil && e.source.EndsNow() {
 		return e.fill()
 	}
 	return err
--- a/internal/node/forward/fixture_test.go
+++ b/internal/node/forward/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -327,7 +328,8 @@
 	config  *testConfig
 	address string
 	mayRun  atomic.Bool
-	offset  atomic.Int64 // added to the clock
+	// contexts holds the contexts of the requests that the server handed to the proxy.
+	contexts chan context.Context
 }
 
 // setup changes a world before its proxy starts.
@@ -340,7 +342,7 @@
 	start := time.Now()
 	options := Options{
 		Port:     port,
-		Clock:    func() core.Time { return time.Since(start) + time.Duration(w.offset.Load()) },
+		Clock:    func() core.Time { return time.Since(start) },
 		Config:   func() *config.Compiled { return w.config.compiled },
 		MayServe: func(core.Time, bool) bool { return w.mayRun.Load() },
 	}
@@ -351,6 +353,11 @@
 	w.proxy.match = func(compiled *config.Compiled, host, path string) *config.Route {
 		return w.config.match(compiled, host, path)
 	}
+	w.contexts = make(chan context.Context, 1000)
+	w.proxy.server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, r *http.Request) {
+		w.contexts <- r.Context()
+		w.proxy.ServeHTTP(writer, r)
+	})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	w.address = listener.Addr().String()
--- a/internal/node/forward/flight.go
+++ b/internal/node/forward/flight.go
@@ -125,6 +125,7 @@
 	defer head.release()
 	now := c.now()
 	head.bytes = f.appendHead(head.bytes, now)
+	head.grow(min(len(c.bodyBytes()), upstream.JoinedBytes))
 	if c.clientHasLeft() || now >= c.intake.deadline || !c.proxy.mayServe(now, c.intake.route.Public) {
 		return errWithheld.New("client left, deadline passed or configuration too old")
 	}
--- /dev/null
+++ b/internal/node/forward/lifecycle_test.go
@@ -0,0 +1,330 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/routing"
+	"kestrelspread/internal/node/verdict"
+)
+
+// TestClientLeavesAStream: its broker is called off.
+func TestClientLeavesAStream(t *testing.T) {
+	for _, path := range []string{"/stream/a", "/resumable/a"} {
+		closed := make(chan struct{})
+		only := newBroker(t, "i-1", func(e *exchange) {
+			e.streamHead()
+			e.event(1)
+			e.awaitClose()
+			e.close()
+			close(closed)
+		})
+		second := newBroker(t, "i-2", streamOf(2, 3))
+		w := newWorld(t, newPort(only.instance, second.instance))
+		c := w.client()
+		c.send(post(path, "r1", "prompt"))
+		_, err := c.reader.ReadString('\n')
+		assert.NilError(t, err)
+		c.socket.Close()
+		<-closed
+		w.port.awaitEnds(t, 1)
+		assert.Assert(t, w.port.outcome(t, 0).Canceled)
+		assert.Equal(t, second.arrived(), 0)
+	}
+}
+
+// TestClientLeavesBeforeTheFirstEvent of its stream.
+func TestClientLeavesBeforeTheFirstEvent(t *testing.T) {
+	only, closed := silent(t, "i-1")
+	second := newBroker(t, "i-2", streamOf(1, 3))
+	w := newWorld(t, newPort(only.instance, second.instance))
+	c := w.client()
+	c.send(post("/resumable/a", "r1", "prompt"))
+	only.next()
+	c.socket.Close()
+	<-closed
+	w.port.awaitEnds(t, 1)
+	assert.Assert(t, w.port.outcome(t, 0).Canceled)
+	assert.Equal(t, second.arrived(), 0)
+	assert.Equal(t, w.proxy.Metrics().ClientLeft, uint64(1))
+}
+
+// TestClientLeavesWhileItsBrokerWorks: the answer is let come for a while, and its connection is kept.
+func TestClientLeavesWhileItsBrokerWorks(t *testing.T) {
+	left := make(chan struct{})
+	only := newBroker(t, "i-1", func(e *exchange) {
+		<-left
+		e.answer(200, "for nobody")
+	})
+	w := newWorld(t, newPort(only.instance))
+	c := w.client()
+	c.send(post("/unsafe/a", "r1", "body"))
+	only.next()
+	c.socket.Close()
+	close(left)
+	w.port.awaitEnds(t, 1)
+	assert.Equal(t, w.proxy.Metrics().ConnectionsIdle, 1)
+}
+
+// TestAnswerForNobodyIsNotAwaitedForever.
+func TestAnswerForNobodyIsNotAwaitedForever(t *testing.T) {
+	only, closed := silent(t, "i-1")
+	w := newWorld(t, newPort(only.instance), func(_ *world, options *Options) {
+		options.Bounds.FinishAfterLeave = time.Millisecond
+	})
+	c := w.client()
+	c.send(post("/unsafe/a", "r1", "body"))
+	only.next()
+	c.socket.Close()
+	<-closed
+	w.port.awaitEnds(t, 1)
+	outcome := w.port.outcome(t, 0)
+	assert.Equal(t, outcome.Verdict, verdict.MayHaveRun)
+	assert.Assert(t, outcome.Canceled)
+}
+
+// TestNothingIsSentForAClientThatHasLeft while its request was decided on.
+func TestNothingIsSentForAClientThatHasLeft(t *testing.T) {
+	only := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
+	port := newPort(only.instance)
+	w := newWorld(t, port)
+	c := w.client()
+	port.attempt = func(*routing.Attempt) {
+		c.socket.Close()
+		<-(<-w.contexts).Done()
+	}
+	c.send(post("/unsafe/a", "r1", "body"))
+	w.port.awaitEnds(t, 1)
+	assert.Equal(t, only.arrived(), 0)
+	assert.Equal(t, port.outcome(t, 0).Verdict, verdict.NotRun)
+}
+
+// TestNoFurtherAttemptForAClientThatHasLeft.
+func TestNoFurtherAttemptForAClientThatHasLeft(t *testing.T) {
+	first := newBroker(t, "i-1", func(e *exchange) { e.reject(503) })
+	second := newBroker(t, "i-2", func(e *exchange) { e.answer(200, "ok") })
+	port := newPort(first.instance, second.instance)
+	w := newWorld(t, port)
+	c := w.client()
+	port.again = func(routing.Outcome, bool) bool {
+		c.socket.Close()
+		<-(<-w.contexts).Done()
+		return true
+	}
+	c.send(get("/safe/a", "r1"))
+	w.port.awaitEnds(t, 1)
+	assert.Equal(t, second.arrived(), 0)
+}
+
+// TestDeadlineOfWhatWasSent: what was sent may run on, so that its client gets no promise.
+func TestDeadlineOfWhatWasSent(t *testing.T) {
+	for _, path := range []string{"/unsafe/a", "/safe/a", "/stream/a", "/resumable/a"} {
+		only, closed := silent(t, "i-1")
+		second := newBroker(t, "i-2", func(e *exchange) { e.answer(200, "ok") })
+		w := newWorld(t, newPort(only.instance, second.instance), func(_ *world, options *Options) {
+			options.Bounds.AnswerGrace = time.Millisecond
+		})
+		got := w.do(post(path, "r1", "body", "X-Kestrelspread-Deadline-Ms: 30"))
+		assert.Equal(t, got.StatusCode, 504)
+		assert.Equal(t, got.Header.Get(headerRetryAfter), "")
+		<-closed
+		w.port.awaitEnds(t, 1)
+		assert.Assert(t, w.port.outcome(t, 0).TimedOut)
+		assert.Equal(t, second.arrived(), 0)
+	}
+}
+
+// TestDeadlineInAStream ends it, never as complete.
+func TestDeadlineInAStream(t *testing.T) {
+	for _, path := range []string{"/stream/a", "/resumable/a"} {
+		only := newBroker(t, "i-1", func(e *exchange) {
+			e.streamHead()
+			e.event(1)
+			e.awaitClose()
+			e.close()
+		})
+		w := newWorld(t, newPort(only.instance), func(_ *world, options *Options) {
+			options.Bounds.AnswerGrace = time.Millisecond
+		})
+		got := w.do(post(path, "r1", "body", "X-Kestrelspread-Deadline-Ms: 30"))
+		assert.Equal(t, got.StatusCode, 200)
+		assert.Equal(t, got.body, events(1, 1))
+		assert.Assert(t, got.bodyErr != nil)
+	}
+}
+
+// TestDeadlineThatHasPassed before anything was sent: the request has not run.
+func TestDeadlineThatHasPassed(t *testing.T) {
+	only := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
+	w := newWorld(t, newPort(only.instance))
+	got := w.do(post("/unsafe/a", "r1", "body", "X-Kestrelspread-Deadline-Ms: 0"))
+	assert.Equal(t, got.StatusCode, 503)
+	assert.Equal(t, only.arrived(), 0)
+}
+
+// TestClientThatDoesNotRead cannot hold its request beyond the deadline.
+func TestClientThatDoesNotRead(t *testing.T) {
+	stuck := make(chan struct{})
+	only := newBroker(t, "i-1", func(e *exchange) {
+		e.streamHead()
+		event := "id: 1\ndata: " + strings.Repeat("a", 60000) + "\n\n"
+		for range 1000 {
+			e.chunk(event)
+		}
+		e.close()
+		close(stuck)
+	})
+	w := newWorld(t, newPort(only.instance), func(_ *world, options *Options) {
+		options.Bounds.AnswerGrace = time.Millisecond
+	})
+	c := w.client()
+	c.send(post("/stream/a", "r1", "body", "X-Kestrelspread-Deadline-Ms: 50"))
+	w.port.awaitEnds(t, 1)
+	<-stuck
+	assert.Equal(t, w.proxy.Metrics().Aborted, uint64(1))
+}
+
+// TestDrain: each answer asks for the connection to be closed; those at rest stay until Shutdown.
+func TestDrain(t *testing.T) {
+	only := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
+	w := newWorld(t, newPort(only.instance, only.instance, only.instance, only.instance))
+	resting, other := w.client(), w.client()
+	for _, c := range []*client{resting, other} {
+		c.send(get("/safe/a", "r1"))
+		assert.Equal(t, c.read("GET").Close, false)
+	}
+	w.proxy.Drain()
+	resting.send(post("/unsafe/a", "r2", "body"))
+	got := resting.read("POST")
+	assert.Equal(t, got.StatusCode, 200)
+	assert.Assert(t, got.Close)
+	resting.closed()
+	got = w.do(get("/none/a", "r3"))
+	assert.Equal(t, got.StatusCode, 404)
+	assert.Assert(t, got.Close)
+	assert.NilError(t, w.proxy.Shutdown(t.Context()))
+	other.closed()
+	_, err := net.Dial("tcp4", w.address)
+	assert.Assert(t, err != nil)
+}
+
+// TestShutdownWaitsForRequests under way (RULES.md, LOST).
+func TestShutdownWaitsForRequests(t *testing.T) {
+	proceed := make(chan struct{})
+	only := newBroker(t, "i-1", func(e *exchange) {
+		<-proceed
+		e.answer(200, "ok")
+	})
+	w := newWorld(t, newPort(only.instance))
+	c := w.client()
+	c.send(post("/unsafe/a", "r1", "body"))
+	only.next()
+	down := make(chan error, 1)
+	go func() { down <- w.proxy.Shutdown(context.Background()) }()
+	close(proceed)
+	got := c.read("POST")
+	assert.Equal(t, got.StatusCode, 200)
+	assert.NilError(t, <-down)
+}
+
+// TestShutdownEnds although a request is under way.
+func TestShutdownEnds(t *testing.T) {
+	only, closed := silent(t, "i-1")
+	w := newWorld(t, newPort(only.instance))
+	c := w.client()
+	c.send(post("/stream/a", "r1", "body"))
+	only.next()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, w.proxy.Shutdown(ctx) != nil)
+	<-closed
+}
+
+// TestClientTimeouts are those of the configuration with a margin, never less.
+func TestClientTimeouts(t *testing.T) {
+	w := newWorld(t, newPort())
+	times := w.proxy.clientTimeouts()
+	assert.Equal(t, times.idle, 15*time.Second*5/4+time.Second)
+	assert.Equal(t, times.header, 3*time.Second*5/4+time.Second)
+}
+
+// TestSlowClients are let go: one that rests too long, and one that does not come to the end of a head.
+func TestSlowClients(t *testing.T) {
+	for _, text := range []string{"", "GET /safe/a HT", get("/safe/a", "r1")[:60]} {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		w := newWorld(t, newPort())
+		short := func() clientTimeouts { return clientTimeouts{idle: 5 * time.Millisecond, header: 5 * time.Millisecond} }
+		go w.proxy.server.Serve(&clientListener{TCPListener: listener.(*net.TCPListener), timeouts: short})
+		socket, err := net.Dial("tcp4", listener.Addr().String())
+		assert.NilError(t, err)
+		assert.NilError(t, socket.SetDeadline(time.Now().Add(patience)))
+		_, err = socket.Write([]byte(text))
+		assert.NilError(t, err)
+		rest, err := io.ReadAll(socket)
+		assert.NilError(t, err)
+		// What net/http says of a head that breaks off is its own; it never waits on.
+		assert.Assert(t, len(rest) == 0 || strings.HasPrefix(string(rest), "HTTP/1.1 400 "), "%q", rest)
+		t.Logf("%q: %q", text, rest)
+		socket.Close()
+	}
+}
+
+// TestLongAnswersOutliveTheIdleTime: it is for clients at rest only.
+func TestLongAnswersOutliveTheIdleTime(t *testing.T) {
+	proceed := make(chan struct{})
+	only := newBroker(t, "i-1", func(e *exchange) {
+		<-proceed
+		e.answer(200, "ok")
+	})
+	w := newWorld(t, newPort(only.instance))
+	reads := make(chan struct{}, 100)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	short := func() clientTimeouts {
+		reads <- struct{}{}
+		return clientTimeouts{idle: 20 * time.Millisecond, header: 20 * time.Millisecond}
+	}
+	go w.proxy.server.Serve(&clientListener{TCPListener: listener.(*net.TCPListener), timeouts: short})
+	w.address = listener.Addr().String()
+	c := w.client()
+	c.send(post("/unsafe/a", "r1", "body"))
+	only.next()
+	select {
+	case <-(<-w.contexts).Done():
+		t.Fatal("the client was taken for gone")
+	case <-time.After(60 * time.Millisecond):
+	}
+	close(proceed)
+	assert.Equal(t, c.read("POST").StatusCode, 200)
+}
+
+// TestHeldBodiesAreBounded: beyond the bound requests are refused, not taken into memory.
+func TestHeldBodiesAreBounded(t *testing.T) {
+	proceed := make(chan struct{})
+	only := newBroker(t, "i-1", func(e *exchange) {
+		<-proceed
+		e.answer(200, "ok")
+	})
+	w := newWorld(t, newPort(only.instance, only.instance, only.instance), func(_ *world, options *Options) {
+		options.Bounds.MaxBufferedBytes = 1000
+	})
+	c := w.client()
+	c.send(post("/unsafe/a", "r1", strings.Repeat("a", 600)))
+	only.next()
+	got := w.do(post("/unsafe/a", "r2", strings.Repeat("a", 600)))
+	assert.Equal(t, got.StatusCode, 503)
+	assert.Assert(t, got.Header.Get(headerRetryAfter) != "")
+	close(proceed)
+	assert.Equal(t, c.read("POST").StatusCode, 200)
+	w.port.awaitEnds(t, 1)
+	assert.Equal(t, w.do(post("/unsafe/a", "r3", strings.Repeat("a", 600))).StatusCode, 200)
+	w.port.awaitEnds(t, 1)
+	assert.Equal(t, w.proxy.buffered.Load(), int64(0))
+}
--- a/internal/node/forward/proxy.go
+++ b/internal/node/forward/proxy.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 
 // New returns a proxy that takes no requests yet.
 func New(options Options) *Proxy {
+	if options.Log == nil {
+		options.Log = slog.New(slog.DiscardHandler)
+	}
 	proxy := &Proxy{
 		options: options,
 		bounds:  options.Bounds.withDefaults(),
--- a/internal/node/forward/reply.go
+++ b/internal/node/forward/reply.go
@@ -73,11 +73,15 @@
 	c.answerOurselves(c.newHeader(), status)
 }
 
+// ownAnswerTime is how long an answer of our own may take to be written: also one that is given at the deadline must come out.
+const ownAnswerTime = time.Second
+
 func (c *call) answerOurselves(header http.Header, status int) {
 	if c.intake.id != "" {
 		header[headerRequestID] = []string{c.intake.id}
 	}
 	header["Content-Length"] = []string{"0"}
+	c.limitWrites(time.Now().Add(ownAnswerTime))
 	c.writer.WriteHeader(status)
 }
 
--- a/internal/node/forward/server.go
+++ b/internal/node/forward/server.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -25,17 +24,21 @@
 const timeoutSlack = time.Second
 
 func (p *Proxy) newServer() *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
 	return &http.Server{
 		Handler:        p,
+		Protocols:      protocols,
 		MaxHeaderBytes: maxServerHeaderBytes,
-		ConnContext:    withClientConn,
+		// OPTIONS * is no request for a broker, and a success without a broker's seal must not be answered.
+		DisableGeneralOptionsHandler: true,
+		ConnContext:                  withClientConn,
 		ConnState: func(connection net.Conn, state http.ConnState) {
 			if client, ok := connection.(*clientConn); ok {
 				client.stateChanged(state)
 			}
 		},
-		// What clients do to their connections is counted, not logged.
-		ErrorLog: log.New(io.Discard, "", 0),
+		ErrorLog: slog.NewLogLogger(p.options.Log.Handler(), slog.LevelWarn),
 	}
 }
 
@@ -46,7 +49,7 @@
 		return errorx.IllegalArgument.New("clients connect over TCP, not %s", listener.Addr().Network())
 	}
 	err := p.server.Serve(&clientListener{TCPListener: tcp, timeouts: p.clientTimeouts})
-	if errors.Is(err, http.ErrServerClosed) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errorx.Decorate(err, "front server")
@@ -81,11 +84,12 @@
 // Then it closes all.
 func (p *Proxy) Shutdown(ctx context.Context) error {
 	p.Drain()
+	defer p.pool.Close()
 	err := p.server.Shutdown(ctx)
-	if err != nil {
-		p.server.Close()
+	if err == nil {
+		return nil
 	}
-	p.pool.Close()
+	p.server.Close()
 	return errorx.Decorate(err, "requests were under way")
 }
 
--- a/internal/node/forward/upstream/conn.go
+++ b/internal/node/forward/upstream/conn.go
@@ -15,8 +15,8 @@
 // readBufferBytes is the size of a connection's read buffer.
 const readBufferBytes = 4 << 10
 
-// joinBytes is the size of a body up to which it is copied behind the head, so that one plain write sends both.
-const joinBytes = 8 << 10
+// JoinedBytes is the size of a body up to which it is copied behind its head, so that one plain write sends both.
+const JoinedBytes = 8 << 10
 
 // Conn is a connection to a broker, which carries one request at a time. Its methods are called by one goroutine at a time;
 // Interrupt and LimitWait may be called by others.
@@ -38,7 +38,7 @@
 	closed atomic.Bool
 
 	mu        sync.Mutex
-	wanted    time.Time // the read deadline that the owner asked for
+	wanted    time.Time // the deadline that the owner asked for
 	waitLimit time.Time // the bound set by LimitWait
 	effective time.Time
 }
@@ -64,7 +64,6 @@
 		c.pool.Counters.Surplus.Add(1)
 		return false
 	}
-	c.setReadDeadline(time.Time{})
 	var probe [1]byte
 	var count int
 	var failure error
@@ -80,9 +79,7 @@
 
 // Send writes a request once. The time bounds the writing. Where the connection took no byte, the error is Unsent.
 func (c *Conn) Send(head, body []byte, until time.Time) error {
-	if err := c.socket.SetWriteDeadline(until); err != nil {
-		return Unsent.Wrap(err, "request")
-	}
+	c.SetDeadline(until)
 	written, err := c.write(head, body)
 	if err == nil {
 		return nil
@@ -94,7 +91,7 @@
 }
 
 func (c *Conn) write(head, body []byte) (int64, error) {
-	if len(body) <= joinBytes {
+	if len(body) <= JoinedBytes {
 		written, err := c.socket.Write(append(head, body...))
 		return int64(written), err
 	}
@@ -108,20 +105,25 @@
 	if c.reader.Buffered() > 0 {
 		return nil
 	}
-	c.setReadDeadline(until)
+	c.SetDeadline(until)
 	if _, err := c.reader.Peek(1); err != nil {
 		return readFailure(err)
 	}
 	return nil
 }
 
-// SetDeadline bounds the reads that follow.
-func (c *Conn) SetDeadline(until time.Time) { c.setReadDeadline(until) }
+// SetDeadline bounds what is read and written from now on.
+func (c *Conn) SetDeadline(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wanted = until
+	c.applyDeadline()
+}
 
 // Interrupt ends all that is under way on the connection.
 func (c *Conn) Interrupt() { c.socket.Close() }
 
-// LimitWait bounds all reads from now on, those under way included.
+// LimitWait bounds all that is under way on the connection, beside SetDeadline.
 func (c *Conn) LimitWait(until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -129,20 +131,15 @@
 	c.applyDeadline()
 }
 
-// clearWaitLimit forgets LimitWait, as the next request has bounds of its own.
-func (c *Conn) clearWaitLimit() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.waitLimit = time.Time{}
-}
-
-func (c *Conn) setReadDeadline(until time.Time) {
+// clearDeadlines forgets the bounds of one request, so that no timer of a connection at rest fires.
+func (c *Conn) clearDeadlines() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.wanted = until
+	c.wanted, c.waitLimit = time.Time{}, time.Time{}
 	c.applyDeadline()
 }
 
+// applyDeadline sets one deadline for both directions, which takes one timer.
 func (c *Conn) applyDeadline() {
 	until := c.wanted
 	if !c.waitLimit.IsZero() && (until.IsZero() || c.waitLimit.Before(until)) {
@@ -152,7 +149,7 @@
 		return
 	}
 	c.effective = until
-	c.socket.SetReadDeadline(until) // fails only where the socket is closed, which the next read tells
+	c.socket.SetDeadline(until) // fails only where the socket is closed, which the next read or write tells
 }
 
 // Close gives the connection up.
--- a/internal/node/forward/upstream/pool.go
+++ b/internal/node/forward/upstream/pool.go
@@ -251,7 +251,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conn.clearWaitLimit()
+	conn.clearDeadlines()
 	conn.restingSince = now
 	conn.usableUntil = now.Add(p.restTime(conn))
 	if p.closed || p.idle >= p.options.MaxIdle || !now.Before(conn.usableUntil) {
