--- a/internal/node/chain/store.go
+++ b/internal/node/chain/store.go
@@ -85,7 +85,7 @@
 		now:         now,
 		wakeAt:      core.Never,
 		writer:      newWriter(),
-		detector:    view.NewDetector(now, options.Self),
+		detector:    view.NewDetector(now, options.Self, uint64(random.Uint32())),
 		view:        r.view,
 		viewDurable: r.view != nil,
 		acceptor:    view.NewAcceptor(view.Epoch(r.view) + 1),
--- a/internal/node/chain/world_test.go
+++ b/internal/node/chain/world_test.go
@@ -175,7 +175,7 @@
 			w.logf("%s running=%v frozen=%v %s", address, n.running, w.now < n.frozenUntil, n.describe())
 		}
 	}
-	lines := w.trace[max(0, len(w.trace)-120):]
+	lines := w.trace[max(0, len(w.trace)-400):]
 	w.t.Fatalf("at %v\n%s", w.now, strings.Join(lines, "\n"))
 }
 
@@ -418,7 +418,10 @@
 	cuts      map[[2]string]bool // from, to
 }
 
+var debugSend = func(*node, core.Send) {}
+
 func (t *network) send(from *node, output core.Send) {
+	debugSend(from, output)
 	t.deliver(from, output)
 	if t.world.random.Float64() < t.duplicate {
 		t.deliver(from, output)
--- a/internal/node/view/detector.go
+++ b/internal/node/view/detector.go
@@ -84,18 +84,22 @@
 	outsider bool              // this node is not among the voters
 	interval core.Time
 	nextPing core.Time
+
+	firstSequence uint64
 }
 
-// NewDetector starts without anybody to watch.
-func NewDetector(now core.Time, self *nodepb.Voter) *Detector {
+// NewDetector starts without anybody to watch. Pings are numbered from firstSequence on, which should differ between the
+// lives of a process, so that a pong to a former life proves nothing.
+func NewDetector(now core.Time, self *nodepb.Voter, firstSequence uint64) *Detector {
 	return &Detector{
-		self:     self,
-		now:      now,
-		peers:    make(map[string]*peer),
-		voters:   make(map[string]string),
-		outsider: true,
-		interval: PingEvery,
-		nextPing: now,
+		self:          self,
+		now:           now,
+		peers:         make(map[string]*peer),
+		voters:        make(map[string]string),
+		outsider:      true,
+		interval:      PingEvery,
+		nextPing:      now,
+		firstSequence: firstSequence,
 	}
 }
 
@@ -137,7 +141,14 @@
 func (d *Detector) peer(address string) *peer {
 	p := d.peers[address]
 	if p == nil {
-		p = &peer{since: d.now, heard: d.now, nextPing: d.now, unhealthySince: core.Never, wedgedSince: core.Never}
+		p = &peer{
+			since:          d.now,
+			heard:          d.now,
+			nextPing:       d.now,
+			sequence:       d.firstSequence,
+			unhealthySince: core.Never,
+			wedgedSince:    core.Never,
+		}
 		d.peers[address] = p
 	}
 	return p
@@ -256,8 +267,9 @@
 		Wedged:      pong.GetWedged(),
 		Missing:     pong.GetMissing(),
 	})
-	p.acknowledged = max(p.acknowledged, pong.GetSequence())
-	d.confirm(p, p.pings[pong.GetSequence()%sentKept], pong.GetSequence())
+	if d.confirm(p, p.pings[pong.GetSequence()%sentKept], pong.GetSequence()) {
+		p.acknowledged = max(p.acknowledged, pong.GetSequence())
+	}
 }
 
 // Proven notes a round trip that other messages have shown: one that left at the time was answered.
@@ -271,12 +283,14 @@
 	p.confirmed = max(p.confirmed, left)
 }
 
-func (d *Detector) confirm(p *peer, message sent, sequence uint64) {
+// confirm notes that the numbered message arrived, if it is one that this life of the node sent.
+func (d *Detector) confirm(p *peer, message sent, sequence uint64) bool {
 	if sequence == 0 || message.sequence != sequence {
-		return
+		return false
 	}
 	p.proven = true
 	p.confirmed = max(p.confirmed, message.at)
+	return true
 }
 
 func (d *Detector) note(p *peer, told Told) {
