--- a/internal/node/kvindex/doc.go
+++ b/internal/node/kvindex/doc.go
@@ -14,8 +14,8 @@
 // # Bounds
 //
 // Index holds a fixed number of records and gives up those that were not used for longest. A home spreads at most
-// Options.BytesPerSecond for each topic, parts first that were seen more than once, as they are shared; small parts
-// (under Options.LeastTokens) are left out.
+// HomeOptions.BytesPerSecond for each topic, parts first that were seen more than once, as they are shared; small parts
+// (under HomeOptions.LeastTokens) are left out.
 //
 // # Next step: shards by prefix
 //
--- a/internal/node/kvindex/home.go
+++ b/internal/node/kvindex/home.go
@@ -46,7 +46,7 @@
 	return &Home{options: options, topics: map[topicID]*topic{}, sources: map[string]*source{}, deadline: core.Never}
 }
 
-// Deadline is when Step is to be called; it may change with each input.
+// Deadline is when Tick is to be called; it may change with each input.
 func (h *Home) Deadline() core.Time { return h.deadline }
 
 // SetSubscribers names the internal addresses of all nodes that are to hear of changes.
@@ -83,7 +83,7 @@
 
 func (h *Home) addSource(now core.Time, item Source) {
 	h.lastNumber++
-	s := &source{Source: item, number: h.lastNumber, kept: map[partKey]uint32{}, nextAt: now + h.stagger()}
+	s := &source{Source: item, number: h.lastNumber, kept: map[partKey]keptPart{}, nextAt: now + h.stagger()}
 	h.sources[item.name()] = s
 	id := topicID{item.Service, item.Zone}
 	t := h.topics[id]
@@ -115,8 +115,8 @@
 	}
 }
 
-// Step makes the calls and sends the updates that are due.
-func (h *Home) Step(now core.Time) []core.Output {
+// Tick makes the calls and sends the updates that are due.
+func (h *Home) Tick(now core.Time) []core.Output {
 	var outputs []core.Output
 	for _, s := range h.dueSources(now) {
 		outputs = append(outputs, h.call(now, s))
--- a/internal/node/kvindex/source.go
+++ b/internal/node/kvindex/source.go
@@ -39,13 +39,20 @@
 // partKey is a part under a salt.
 type partKey struct{ salt, part uint64 }
 
+// keptPart is how much of a part is kept, and which change told of it.
+type keptPart struct {
+	tokens uint32
+	noted  uint64
+}
+
 // source is what a home knows of one Source.
 type source struct {
 	Source
 	number   uint64 // order among the sources of this home
 	epoch    uint64 // of its events; 0: none seen
 	since    uint64
-	kept     map[partKey]uint32
+	kept     map[partKey]keptPart
+	noted    uint64 // changes so far
 	token    uint64 // of the call that is out; 0: none
 	calledAt core.Time
 	nextAt   core.Time
@@ -96,7 +103,7 @@
 			changed = append(changed, key)
 		}
 	}
-	return reset, changed
+	return reset, append(changed, s.outdated()...)
 }
 
 // note reports whether what is kept of a part changed.
@@ -106,9 +113,23 @@
 		delete(s.kept, key)
 		return known
 	}
-	if !known && len(s.kept) >= mostParts {
-		return false
+	s.noted++
+	s.kept[key] = keptPart{tokens: tokens, noted: s.noted}
+	return before.tokens != tokens
+}
+
+// outdated takes out the parts that were told of longest ago where there are too many: events that never came have left some
+// behind that are not kept any more.
+func (s *source) outdated() []partKey {
+	if len(s.kept) <= mostParts {
+		return nil
+	}
+	var old []partKey
+	for key, part := range s.kept {
+		if part.noted+mostParts*7/8 <= s.noted {
+			old = append(old, key)
+			delete(s.kept, key)
+		}
 	}
-	s.kept[key] = tokens
-	return before != tokens
+	return old
 }
--- a/internal/node/kvindex/spread_test.go
+++ b/internal/node/kvindex/spread_test.go
@@ -11,6 +11,7 @@
 
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/nodepb"
+	"kestrelspread/internal/node/registry"
 	"kestrelspread/internal/node/routing"
 )
 
@@ -79,7 +80,7 @@
 func (f *fleet) run(length time.Duration) {
 	for end := f.now + length; f.now < end; f.now += 50 * time.Millisecond {
 		if f.home.Deadline() <= f.now {
-			f.deliver(f.home.Step(f.now), core.Peer{Address: "home"})
+			f.deliver(f.home.Tick(f.now), core.Peer{Address: "home"})
 		}
 	}
 }
@@ -257,7 +258,7 @@
 	f.run(3 * time.Second)
 	f.holds("i-1", 5, 0)
 	f.holds("i-1", 6, 300)
-	f.deliver(former.Step(f.now), core.Peer{Address: "former"}) // still believes that it is the home
+	f.deliver(former.Tick(f.now), core.Peer{Address: "former"}) // still believes that it is the home
 	f.holds("i-1", 6, 300)
 }
 
@@ -287,16 +288,24 @@
 	}
 }
 
-func TestABrokerWithNewWeightsKeepsNothing(t *testing.T) {
+func TestABrokerWithNewWeightsOrGoneKeepsNothing(t *testing.T) {
 	f := newFleet(t, 1, 1)
-	f.home.SetSources(f.now, []Source{f.add("i-1", "a:1")})
-	f.sources["a:1"].set(saltA, 5, 800)
-	f.run(3 * time.Second)
-	f.subs["sub-0"].core.Reloaded("i-1")
-	f.holds("i-1", 5, 0)
-	f.sources["a:1"].set(saltA, 5, 800)
-	f.subs["sub-0"].index.Observed("i-1", saltA, []routing.PromptPart{{ID: 5, Tokens: 800}})
+	subscriber, index := f.subs["sub-0"].core, f.subs["sub-0"].index
+	parts := []routing.PromptPart{{ID: 5, Tokens: 800}}
+	table := func(version uint64) *registry.Table {
+		return &registry.Table{ByID: map[string]*registry.Instance{
+			"i-1": {ID: "i-1", Versions: map[string]uint64{"m": version}},
+			"i-2": {ID: "i-2", Versions: map[string]uint64{"m": 1}},
+		}}
+	}
+	subscriber.SetTable(table(1))
+	index.Observed("i-1", saltA, parts)
+	index.Observed("i-2", saltA, parts)
+	subscriber.SetTable(table(1))
 	f.holds("i-1", 5, 800)
-	f.subs["sub-0"].core.Forget("i-1")
+	subscriber.SetTable(table(2))
 	f.holds("i-1", 5, 0)
+	f.holds("i-2", 5, 800)
+	subscriber.SetTable(&registry.Table{})
+	f.holds("i-2", 5, 0)
 }
--- a/internal/node/kvindex/subscriber.go
+++ b/internal/node/kvindex/subscriber.go
@@ -1,10 +1,12 @@
 package kvindex
 
 import (
+	"maps"
 	"time"
 
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/nodepb"
+	"kestrelspread/internal/node/registry"
 )
 
 const (
@@ -26,13 +28,14 @@
 
 // Subscriber applies what homes spread to an index.
 type Subscriber struct {
-	index  *Guarded
-	topics map[topicID]*subscription
+	index    *Guarded
+	topics   map[topicID]*subscription
+	versions map[string]map[string]uint64 // of weights, by instance and model, as last seen
 }
 
 // NewSubscriber returns one that has heard of nothing.
 func NewSubscriber(index *Guarded) *Subscriber {
-	return &Subscriber{index: index, topics: map[topicID]*subscription{}}
+	return &Subscriber{index: index, topics: map[topicID]*subscription{}, versions: map[string]map[string]uint64{}}
 }
 
 // HandleUpdate applies an update, or asks its sender for what is missing before it.
@@ -101,15 +104,25 @@
 	clear(t.holders)
 }
 
-// Forget drops a broker that is gone.
-func (s *Subscriber) Forget(instance string) {
+// SetTable drops what brokers kept that are gone or have got new weights (PROTOCOL.md: an order of op = version drops it).
+func (s *Subscriber) SetTable(table *registry.Table) {
+	for id := range s.versions {
+		if table.ByID[id] == nil {
+			s.forget(id)
+		}
+	}
+	for id, instance := range table.ByID {
+		if known, ok := s.versions[id]; ok && !maps.Equal(known, instance.Versions) {
+			s.index.Update(func(index *Index) { index.Reset(id) })
+		}
+		s.versions[id] = instance.Versions
+	}
+}
+
+func (s *Subscriber) forget(instance string) {
+	delete(s.versions, instance)
 	s.index.Update(func(index *Index) { index.Forget(instance) })
 	for _, t := range s.topics {
 		delete(t.holders, instance)
 	}
 }
-
-// Reloaded drops all that a broker kept, as it has got new weights.
-func (s *Subscriber) Reloaded(instance string) {
-	s.index.Update(func(index *Index) { index.Reset(instance) })
-}
--- a/internal/node/kvindex/topic.go
+++ b/internal/node/kvindex/topic.go
@@ -75,7 +75,7 @@
 		t.alive = append(t.alive, name)
 	}
 	for _, key := range changed {
-		t.noteChange(now, name, key, s.kept[key], leastTokens)
+		t.noteChange(now, name, key, s.kept[key].tokens, leastTokens)
 	}
 }
 
@@ -144,9 +144,8 @@
 // choose picks the changes to tell, those of shared parts first, then the largest. What is left and old is dropped.
 func (t *topic) choose(now core.Time, most int) []pendingKey {
 	keys := make([]pendingKey, 0, len(t.pending))
-	for key, change := range t.pending {
+	for key := range t.pending {
 		keys = append(keys, key)
-		_ = change
 	}
 	if len(keys) > most {
 		slices.SortFunc(keys, t.compareUrgency)
@@ -224,7 +223,7 @@
 			key := pendingKey{name, part}
 			if t.told[key] {
 				keys = append(keys, key)
-				tokens[key] = kept
+				tokens[key] = kept.tokens
 			}
 		}
 	}
--- a/internal/node/rollout/brokers_test.go
+++ b/internal/node/rollout/brokers_test.go
@@ -99,4 +99,3 @@
 		}
 	}
 }
-
