--- /dev/null
+++ b/internal/node/forward/encode.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"time"
+
+	"kestrelspread/internal/node/core"
+)
+
+// appendHead writes the head of the request as the broker gets it.
+func (f *flight) appendHead(head []byte, now core.Time) []byte {
+	c := f.call
+	r := c.request
+	head = append(head, r.Method...)
+	head = append(head, ' ')
+	head = append(head, r.RequestURI...)
+	head = append(head, " HTTP/1.1\r\n"...)
+	head = appendHeader(head, "Host", r.Host)
+	head = c.appendClientHeaders(head, f.after.set)
+	head = appendHeader(head, headerRequestID, c.intake.id)
+	head = appendNumberHeader(head, headerDeadline, max(int64((c.intake.deadline-now)/time.Millisecond), 1))
+	head = f.appendOwnHeaders(head)
+	if length := len(c.bodyBytes()); length > 0 || r.ContentLength != 0 || r.Header["Content-Length"] != nil {
+		head = appendNumberHeader(head, "Content-Length", int64(length))
+	}
+	return append(head, "\r\n"...)
+}
+
+// appendClientHeaders passes the client's headers on, except for those of one connection and those that are ours to set.
+func (c *call) appendClientHeaders(head []byte, resumes bool) []byte {
+	named := namedByConnection(c.request.Header)
+	for name, values := range c.request.Header {
+		if perConnection(name) || setByUs(name) || contains(named, name) || resumes && name == headerLastEventID {
+			continue
+		}
+		for _, value := range values {
+			head = appendHeader(head, name, value)
+		}
+	}
+	return head
+}
+
+// appendOwnHeaders adds what this proxy says to the broker.
+func (f *flight) appendOwnHeaders(head []byte) []byte {
+	attempt, in := f.attempt, &f.call.intake
+	head = appendHeader(head, headerExpectInstance, attempt.Instance.ID)
+	if in.tenant != nil {
+		head = appendHeader(head, headerTenant, in.tenant.Name)
+	}
+	if attempt.ExpectVersion != 0 {
+		head = appendNumberHeader(head, headerExpectVersion, int64(attempt.ExpectVersion))
+	}
+	if attempt.Salt != "" {
+		head = appendHeader(head, headerSalt, attempt.Salt)
+	}
+	if attempt.FetchFrom != "" {
+		head = appendHeader(head, headerFetch, attempt.FetchFrom)
+	}
+	if attempt.SaveTo != "" {
+		head = appendHeader(head, headerSave, attempt.SaveTo)
+	}
+	if service := in.compiled.Services[in.service]; service != nil && service.Engine != nil {
+		head = appendNumberHeader(head, headerPriority, int64(attempt.Priority))
+	}
+	if f.after.set {
+		head = appendNumberHeader(head, headerLastEventID, f.after.number)
+	}
+	return head
+}
--- a/internal/node/forward/fixture_test.go
+++ b/internal/node/forward/fixture_test.go
@@ -152,7 +152,6 @@
 	script   func(*exchange)
 	arrivals chan arrivalAtBroker
 	conns    atomic.Int32
-	wait     sync.WaitGroup
 }
 
 // exchange is one request at a scripted broker.
--- /dev/null
+++ b/internal/node/forward/upstream/pool_test.go
@@ -0,0 +1,515 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/verdict"
+)
+
+// patience bounds every wait of the tests; a passing test never waits it out.
+const patience = 20 * time.Second
+
+func soon() time.Time { return time.Now().Add(patience) }
+
+// peer is the other end of connections. It answers each request by its script.
+type peer struct {
+	listener net.Listener
+	conns    atomic.Int32
+	sockets  chan *net.TCPConn
+}
+
+func newPeer(t *testing.T, script func(socket *net.TCPConn, request *http.Request)) *peer {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := &peer{listener: listener, sockets: make(chan *net.TCPConn, 1000)}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			p.conns.Add(1)
+			p.sockets <- socket.(*net.TCPConn)
+			go serve(socket.(*net.TCPConn), script)
+		}
+	}()
+	return p
+}
+
+func serve(socket *net.TCPConn, script func(*net.TCPConn, *http.Request)) {
+	defer socket.Close()
+	reader := bufio.NewReader(socket)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		script(socket, request)
+	}
+}
+
+func (p *peer) target(id string) Target {
+	return Target{InstanceID: id, Address: p.listener.Addr().String()}
+}
+
+// ok answers with extra header lines.
+func ok(headers string) func(*net.TCPConn, *http.Request) {
+	return func(socket *net.TCPConn, request *http.Request) {
+		fmt.Fprintf(socket, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: 2\r\n\r\nok",
+			headerRequestID, request.Header.Get(headerRequestID), headers)
+	}
+}
+
+func newPool(t *testing.T, options Options) *Pool {
+	pool := NewPool(options)
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+// exchange makes one request and reads the whole answer.
+func exchange(t *testing.T, pool *Pool, target Target) *Conn {
+	t.Helper()
+	conn, err := pool.Get(t.Context(), target, soon())
+	assert.NilError(t, err)
+	finish(t, conn)
+	return conn
+}
+
+func finish(t *testing.T, conn *Conn) {
+	t.Helper()
+	assert.NilError(t, conn.Send(request("r1"), nil, soon()))
+	answer, err := conn.ReadHead("GET", "r1")
+	assert.NilError(t, err)
+	body, err := io.ReadAll(answer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "ok")
+	answer.Done()
+}
+
+func request(id string) []byte {
+	return []byte("GET / HTTP/1.1\r\nHost: h\r\n" + headerRequestID + ": " + id + "\r\n\r\n")
+}
+
+// TestTransportRepeats pins why http.Transport isn't used: it sends a GET a second time by itself.
+func TestTransportRepeats(t *testing.T) {
+	var arrivals atomic.Int32
+	p := newPeer(t, func(socket *net.TCPConn, request *http.Request) {
+		if arrivals.Add(1) == 2 {
+			socket.Close()
+			return
+		}
+		ok("")(socket, request)
+	})
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for range 2 {
+		response, err := client.Get("http://" + p.listener.Addr().String() + "/")
+		assert.NilError(t, err)
+		_, err = io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		response.Body.Close()
+	}
+	assert.Equal(t, int(arrivals.Load()), 3)
+}
+
+// TestLastUsedIsUsedFirst, so that those not needed come to rest and are closed.
+func TestLastUsedIsUsedFirst(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{})
+	var conns []*Conn
+	for range 3 {
+		conn, err := pool.Get(t.Context(), p.target("i-1"), soon())
+		assert.NilError(t, err)
+		conns = append(conns, conn)
+	}
+	for _, conn := range conns {
+		finish(t, conn)
+	}
+	for range 5 {
+		assert.Equal(t, exchange(t, pool, p.target("i-1")), conns[2])
+	}
+	open, idle := pool.Open()
+	assert.Equal(t, open, 3)
+	assert.Equal(t, idle, 3)
+}
+
+// TestRestTime by what the broker says of Keep-Alive.
+func TestRestTime(t *testing.T) {
+	for _, test := range []struct {
+		headers string
+		want    time.Duration
+	}{
+		{"", DefaultUnstatedIdleTime},
+		{"Keep-Alive: timeout=5\r\n", 5*time.Second - DefaultKeepAliveMargin},
+		{"Keep-Alive: timeout=1, max=3\r\n", time.Second - DefaultKeepAliveMargin},
+		{"Keep-Alive: max=3 , Timeout = \"7\"\r\n", 7*time.Second - DefaultKeepAliveMargin},
+		{"Keep-Alive: timeout=600\r\n", DefaultIdleTime},
+		{"Keep-Alive: timeout=0\r\n", DefaultUnstatedIdleTime},
+		{"Keep-Alive: timeout=soon\r\n", DefaultUnstatedIdleTime},
+	} {
+		p := newPeer(t, ok(test.headers))
+		pool := newPool(t, Options{})
+		conn := exchange(t, pool, p.target("i-1"))
+		assert.Equal(t, conn.usableUntil.Sub(conn.restingSince), test.want, test.headers)
+	}
+}
+
+// TestRestedTooLong: such a connection isn't used any more, nor kept.
+func TestRestedTooLong(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{})
+	old := exchange(t, pool, p.target("i-1"))
+	old.usableUntil = time.Now()
+	assert.Assert(t, exchange(t, pool, p.target("i-1")) != old)
+	open, _ := pool.Open()
+	assert.Equal(t, open, 1)
+	assert.Equal(t, pool.Counters.Stale.Load(), uint64(0))
+}
+
+// TestSweepClosesWhatRestedTooLong, without any request.
+func TestSweepClosesWhatRestedTooLong(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{})
+	first, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	second, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	finish(t, first)
+	finish(t, second)
+	first.usableUntil = time.Now()
+	pool.sweep()
+	open, idle := pool.Open()
+	assert.Equal(t, open, 1)
+	assert.Equal(t, idle, 1)
+	assert.Assert(t, pool.sweeping)
+	second.usableUntil = time.Now()
+	pool.sweep()
+	open, idle = pool.Open()
+	assert.Equal(t, open, 0)
+	assert.Equal(t, idle, 0)
+	assert.Assert(t, !pool.sweeping, "no timer runs where there is nothing to close")
+	assert.Equal(t, len(pool.hosts), 0)
+}
+
+// TestUnstatedTimeIsLearned from connections found closed.
+func TestUnstatedTimeIsLearned(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{})
+	held, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	conn := exchange(t, pool, p.target("i-1"))
+	conn.restingSince = time.Now().Add(-600 * time.Millisecond)
+	<-p.sockets
+	socket := <-p.sockets
+	socket.Close()
+	awaitClosed(t, conn)
+	exchange(t, pool, p.target("i-1"))
+	assert.Equal(t, pool.Counters.Stale.Load(), uint64(1))
+	learned := held.host.unstated
+	assert.Assert(t, learned >= 300*time.Millisecond && learned < time.Second, "%v", learned)
+	held.Close()
+}
+
+// awaitClosed waits until the end of the connection has come, without taking it.
+func awaitClosed(t *testing.T, conn *Conn) {
+	t.Helper()
+	var probe [1]byte
+	err := conn.raw.Read(func(descriptor uintptr) bool {
+		count, _, err := unix.Recvfrom(int(descriptor), probe[:], unix.MSG_PEEK)
+		return count == 0 && err == nil
+	})
+	assert.NilError(t, err)
+}
+
+// TestConnectionsBelongToTheInstance, not to its address, which another broker may have later.
+func TestConnectionsBelongToTheInstance(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{})
+	old := exchange(t, pool, p.target("i-1"))
+	assert.Assert(t, exchange(t, pool, p.target("i-2")) != old)
+	elsewhere := newPeer(t, ok(""))
+	moved := exchange(t, pool, elsewhere.target("i-1"))
+	assert.Assert(t, moved != old)
+	assert.Assert(t, old.closed.Load())
+}
+
+func TestBounds(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{MaxIdle: 1})
+	target := p.target("i-1")
+	target.MaxConnections = 2
+	first, err := pool.Get(t.Context(), target, soon())
+	assert.NilError(t, err)
+	second, err := pool.Get(t.Context(), target, soon())
+	assert.NilError(t, err)
+	_, err = pool.Get(t.Context(), target, soon())
+	assert.Assert(t, errorx.IsOfType(err, Exhausted))
+	assert.Equal(t, VerdictOf(err), verdict.NotRun)
+	finish(t, first)
+	finish(t, second)
+	open, idle := pool.Open()
+	assert.Equal(t, open, 1)
+	assert.Equal(t, idle, 1)
+}
+
+// TestClosedPoolKeepsNothing.
+func TestClosedPoolKeepsNothing(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{})
+	conn, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	exchange(t, pool, p.target("i-1"))
+	pool.Close()
+	_, idle := pool.Open()
+	assert.Equal(t, idle, 0)
+	finish(t, conn)
+	open, _ := pool.Open()
+	assert.Equal(t, open, 0)
+}
+
+// TestSocketOptions: a cut says nothing, so the kernel has to find it out.
+func TestSocketOptions(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{})
+	conn, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	defer conn.Close()
+	for _, test := range []struct{ level, option, want int }{
+		{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 3000},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, 1},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, 1},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 3},
+		{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		{unix.IPPROTO_TCP, unix.TCP_NODELAY, 1},
+	} {
+		var value int
+		var failure error
+		assert.NilError(t, conn.raw.Control(func(descriptor uintptr) {
+			value, failure = unix.GetsockoptInt(int(descriptor), test.level, test.option)
+		}))
+		assert.NilError(t, failure)
+		assert.Equal(t, value, test.want, "%v", test)
+	}
+}
+
+// hungAddress is an address that takes no connection and refuses none: the queue of its listener is full.
+func hungAddress(t *testing.T) string {
+	t.Helper()
+	descriptor, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { syscall.Close(descriptor) })
+	assert.NilError(t, syscall.Bind(descriptor, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	assert.NilError(t, syscall.Listen(descriptor, 0))
+	name, err := syscall.Getsockname(descriptor)
+	assert.NilError(t, err)
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	filler, err := net.Dial("tcp4", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { filler.Close() })
+	return address
+}
+
+// TestConnectTimes: a connection that does not come up is given up at the time given, or when the client leaves.
+func TestConnectTimes(t *testing.T) {
+	target := Target{InstanceID: "i-1", Address: hungAddress(t)}
+	pool := newPool(t, Options{ConnectTimeout: time.Hour})
+	_, err := pool.Get(t.Context(), target, time.Now().Add(5*time.Millisecond))
+	assert.Assert(t, errorx.IsOfType(err, ConnectFailed))
+	assert.Equal(t, VerdictOf(err), verdict.NotRun)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = pool.Get(ctx, target, soon())
+	assert.Assert(t, errorx.IsOfType(err, ConnectFailed))
+
+	pool = newPool(t, Options{ConnectTimeout: 5 * time.Millisecond})
+	_, err = pool.Get(t.Context(), target, soon())
+	assert.Assert(t, errorx.IsOfType(err, ConnectFailed))
+	open, _ := pool.Open()
+	assert.Equal(t, open, 0)
+	assert.Equal(t, pool.Counters.Failed.Load(), uint64(1))
+}
+
+// TestUnsent: a connection that took no byte leaves the request not run.
+func TestUnsent(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{})
+	for _, body := range []string{"", strings.Repeat("a", 20<<10)} {
+		conn, err := pool.Get(t.Context(), p.target("i-1"), soon())
+		assert.NilError(t, err)
+		conn.Interrupt()
+		err = conn.Send(request("r1"), []byte(body), soon())
+		assert.Assert(t, errorx.IsOfType(err, Unsent), "%v", err)
+		assert.Equal(t, VerdictOf(err), verdict.NotRun)
+		conn.Close()
+	}
+}
+
+// TestSentInPart: a peer that reads nothing holds the writer up; what it took may have run.
+func TestSentInPart(t *testing.T) {
+	pool := newPool(t, Options{})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	conn, err := pool.Get(t.Context(), Target{InstanceID: "i-1", Address: listener.Addr().String()}, soon())
+	assert.NilError(t, err)
+	defer conn.Close()
+	err = conn.Send(request("r1"), make([]byte, 64<<20), time.Now().Add(20*time.Millisecond))
+	assert.Assert(t, errorx.IsOfType(err, SentInPart), "%v", err)
+	assert.Equal(t, VerdictOf(err), verdict.MayHaveRun)
+}
+
+// TestSilenceIsNoFailure: after a wait that brought nothing the connection goes on.
+func TestSilenceIsNoFailure(t *testing.T) {
+	proceed := make(chan struct{})
+	p := newPeer(t, func(socket *net.TCPConn, request *http.Request) {
+		<-proceed
+		ok("")(socket, request)
+	})
+	pool := newPool(t, Options{})
+	conn, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Send(request("r1"), nil, soon()))
+	for range 3 {
+		err = conn.Await(time.Now().Add(time.Millisecond))
+		assert.Assert(t, errorx.IsOfType(err, TimedOut), "%v", err)
+	}
+	close(proceed)
+	assert.NilError(t, conn.Await(soon()))
+	answer, err := conn.ReadHead("GET", "r1")
+	assert.NilError(t, err)
+	_, err = io.ReadAll(answer)
+	assert.NilError(t, err)
+	answer.Done()
+	_, idle := pool.Open()
+	assert.Equal(t, idle, 1)
+}
+
+// TestLimitWait bounds a read that is under way, and is forgotten with the request.
+func TestLimitWait(t *testing.T) {
+	received := make(chan struct{}, 1)
+	p := newPeer(t, func(socket *net.TCPConn, request *http.Request) {
+		if request.Header.Get(headerRequestID) == "silent" {
+			received <- struct{}{}
+			return
+		}
+		ok("")(socket, request)
+	})
+	pool := newPool(t, Options{})
+	conn, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	conn.LimitWait(time.Now().Add(time.Hour))
+	finish(t, conn)
+	conn.mu.Lock()
+	assert.Assert(t, conn.effective.IsZero(), "no timer runs for a connection at rest")
+	conn.mu.Unlock()
+
+	again, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	assert.Equal(t, again, conn)
+	assert.NilError(t, conn.Send(request("silent"), nil, soon()))
+	<-received
+	conn.LimitWait(time.Now().Add(time.Millisecond))
+	err = conn.Await(soon())
+	assert.Assert(t, errorx.IsOfType(err, TimedOut), "%v", err)
+	conn.Close()
+}
+
+// TestInterrupt ends a read that is under way.
+func TestInterrupt(t *testing.T) {
+	received := make(chan struct{})
+	p := newPeer(t, func(*net.TCPConn, *http.Request) { close(received) })
+	pool := newPool(t, Options{})
+	conn, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Send(request("r1"), nil, soon()))
+	go func() {
+		<-received
+		conn.Interrupt()
+	}()
+	err = conn.Await(soon())
+	assert.Assert(t, errorx.IsOfType(err, Cut), "%v", err)
+	assert.Equal(t, VerdictOf(err), verdict.MayHaveRun)
+	conn.Close()
+	conn.Close()
+	open, _ := pool.Open()
+	assert.Equal(t, open, 0)
+}
+
+// TestAnswerLeftUnread closes its connection: nobody knows what is still to come.
+func TestAnswerLeftUnread(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{})
+	conn, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Send(request("r1"), nil, soon()))
+	answer, err := conn.ReadHead("GET", "r1")
+	assert.NilError(t, err)
+	answer.Done()
+	open, _ := pool.Open()
+	assert.Equal(t, open, 0)
+}
+
+// TestManyAtOnce: requests from many goroutines each get their own answer.
+func TestManyAtOnce(t *testing.T) {
+	p := newPeer(t, ok("Keep-Alive: timeout=5\r\n"))
+	pool := newPool(t, Options{MaxIdle: 4})
+	done := make(chan error)
+	const workers, requests = 16, 20
+	for worker := range workers {
+		go func() {
+			var failure error
+			for number := range requests {
+				failure = once(pool, p.target(fmt.Sprintf("i-%d", worker%3)), fmt.Sprintf("r-%d-%d", worker, number))
+				if failure != nil {
+					break
+				}
+			}
+			done <- failure
+		}()
+	}
+	for range workers {
+		assert.NilError(t, <-done)
+	}
+	open, idle := pool.Open()
+	assert.Equal(t, open, idle)
+	assert.Assert(t, idle <= 4)
+}
+
+func once(pool *Pool, target Target, id string) error {
+	conn, err := pool.Get(context.Background(), target, soon())
+	if err != nil {
+		return err
+	}
+	if err := conn.Send(request(id), nil, soon()); err != nil {
+		return err
+	}
+	answer, err := conn.ReadHead("GET", id)
+	if err != nil {
+		return err
+	}
+	if _, err := io.ReadAll(answer); err != nil {
+		return err
+	}
+	answer.Done()
+	return nil
+}
