--- a/internal/node/chain/seeds_test.go
+++ b/internal/node/chain/seeds_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"kestrelspread/internal/node/chain"
 	"kestrelspread/internal/node/core"
 )
 
@@ -164,7 +165,8 @@
 // allSettled reports whether every core machine runs and is in the chain.
 func (w *world) allSettled() bool {
 	for _, address := range w.order[:w.settings.core] {
-		if n := w.nodes[address]; !n.running || n.frozenUntil > w.now {
+		n := w.nodes[address]
+		if !n.running || n.frozenUntil > w.now || n.store.Status().Role == chain.None {
 			return false
 		}
 	}
@@ -216,7 +218,7 @@
 	w.run(f.until + 6*time.Second) // the last troubles end
 	w.runUntil("acknowledges again", 3*time.Second, a.acksAgain(1))
 	again := b.acksAgain(2)
-	w.runUntil("all in the chain again", 5*time.Second, w.whole(w.settings.core))
+	w.runUntil("all in the chain again", 5*time.Second, w.allSettled)
 	w.runUntil("the other operator is answered too", 5*time.Second, again)
 	a.stopped, b.stopped = true, true
 	w.runFor(2 * time.Second)
--- a/internal/node/chain/store.go
+++ b/internal/node/chain/store.go
@@ -214,7 +214,7 @@
 			deadline = min(deadline, s.holdUntil)
 		}
 	}
-	if s.wantedSince != core.Never {
+	if s.wantedSince != core.Never && s.round == nil {
 		deadline = min(deadline, s.evaluateAt)
 	}
 	return deadline
--- a/internal/node/chain/world_test.go
+++ b/internal/node/chain/world_test.go
@@ -309,8 +309,12 @@
 func (n *node) tick() {
 	n.wakeAt = core.Never
 	n.carryOut(n.client.Tick(n.world.now))
-	if n.store != nil {
-		n.carryOut(n.store.Tick(n.world.now))
+	if n.store == nil {
+		return
+	}
+	n.carryOut(n.store.Tick(n.world.now))
+	if n.store.Deadline() <= n.world.now {
+		n.world.checks.errorf("%s wants to be woken again at once", n.address)
 	}
 }
 
--- a/internal/node/view/detector.go
+++ b/internal/node/view/detector.go
@@ -126,6 +126,7 @@
 		if !p.target {
 			p.target = true
 			p.nextPing = min(p.nextPing, now)
+			d.nextPing = min(d.nextPing, now)
 		}
 		if target.DiskID != "" {
 			p.expects = target.DiskID
@@ -135,7 +136,6 @@
 	if founding {
 		d.interval = FoundingPing
 	}
-	d.nextPing = min(d.nextPing, d.now)
 }
 
 func (d *Detector) peer(address string) *peer {
