--- a/internal/node/coretest/network.go
+++ b/internal/node/coretest/network.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// Isolated reports whether an address is cut off from any other.
+func (n *Network) Isolated(address string) bool {
+	for cut := range n.cuts {
+		if cut[0] == address {
+			return true
+		}
+	}
+	return false
+}
+
 // After calls do at a time from now, between the events of that time.
 func (n *Network) After(delay time.Duration, do func()) {
 	n.steps = append(n.steps, step{at: n.now + delay, do: do})
--- a/internal/node/registry/home.go
+++ b/internal/node/registry/home.go
@@ -19,6 +19,8 @@
 
 	// unresponsiveUntil: it left a call or an update without an answer lately.
 	unresponsiveUntil core.Time
+	// noPollUntil: it left a poll without an answer lately.
+	noPollUntil core.Time
 }
 
 // responsive reports whether an answer may wait for the peer.
@@ -46,6 +48,7 @@
 		updated := peerOf(member)
 		if before := known[member.NodeId]; before != nil {
 			updated.unresponsiveUntil = before.unresponsiveUntil
+			updated.noPollUntil = before.noPollUntil
 		}
 		r.peers[member.NodeId] = updated
 		r.others = append(r.others, updated)
--- a/internal/node/registry/options.go
+++ b/internal/node/registry/options.go
@@ -66,12 +66,15 @@
 
 	// pollInterval is the time between two comparisons of digests.
 	pollInterval = time.Second
+	// pollAnswerLimit is when another node is asked in place of one that does not answer.
+	pollAnswerLimit = 250 * time.Millisecond
 	// firstPollRetry and firstPollPeers: how a node without entries asks for them.
 	firstPollRetry = 100 * time.Millisecond
 	firstPollPeers = 2
 	firstPollTries = 20
-	// sameZoneShare is how many of the comparisons stay in the zone.
-	sameZoneShare = 0.75
+	// sameZoneShare is how many of the comparisons stay in the zone, as bytes between zones are priced; the others leave it,
+	// so that no zone as a whole falls behind.
+	sameZoneShare = 0.5
 	// instancesPerMessage bounds the size of one message.
 	instancesPerMessage = 256
 	// coldTolerance is by how much the end of a cold start may move before the table is told.
--- a/internal/node/registry/record.go
+++ b/internal/node/registry/record.go
@@ -32,7 +32,7 @@
 	silentFrom core.Time // last heartbeat before the silence
 	coldUntil  core.Time
 
-	// confirmed: its being draining or gone is held by another node besides this one, and the broker has been answered.
+	// confirmed: all nodes in touch hold that it is draining or gone.
 	confirmed bool
 
 	sum     uint64    // contribution to the digest of its topic; 0 where gone
--- a/internal/node/registry/registry.go
+++ b/internal/node/registry/registry.go
@@ -40,6 +40,7 @@
 	synced           bool // another node's entries have come, or none has any
 	firstPolls       int  // polls before that
 	pollCursor       int
+	polled           *peer // owes the answer to the last poll
 
 	clock   core.Time // of the newest input
 	outputs []core.Output
--- a/internal/node/registry/spread.go
+++ b/internal/node/registry/spread.go
@@ -131,7 +131,7 @@
 		return
 	}
 	pending.answered = true
-	r.answerAskers(now, pending, held)
+	r.answerAskers(now, pending, held, !awaited)
 	for _, mark := range pending.marks {
 		mark.Everywhere = !awaited
 		r.output(mark)
@@ -144,13 +144,15 @@
 	return known != nil && known.responsive(now)
 }
 
-func (r *Registry) answerAskers(now core.Time, pending *spread, held bool) {
+// answerAskers answers the calls of a broker that leaves. Where not all nodes in touch have confirmed, its next call is told
+// to the nodes again.
+func (r *Registry) answerAskers(now core.Time, pending *spread, held, everywhere bool) {
 	for _, id := range pending.ids {
 		rec := r.records[id]
 		if rec == nil || !pending.tells(rec) {
 			continue
 		}
-		rec.confirmed = rec.confirmed || held
+		rec.confirmed = rec.confirmed || held && everywhere
 		for _, waiting := range pending.askers {
 			r.answer(now, waiting, rec.told, held)
 		}
--- a/internal/node/registry/sync.go
+++ b/internal/node/registry/sync.go
@@ -21,8 +21,20 @@
 		r.pollFirst(now)
 		return
 	}
-	r.nextPoll = now + pollInterval
-	r.sendPoll(r.comparisonPeer().address, []*nodepb.TopicDigest{r.wholeDigest()})
+	if r.polled != nil {
+		r.polled.noPollUntil = now + unresponsiveFor
+	}
+	r.polled = r.comparisonPeer(now)
+	r.nextPoll = now + pollAnswerLimit
+	r.sendPoll(r.polled.address, []*nodepb.TopicDigest{r.wholeDigest()})
+}
+
+// pollAnswered ends the wait for the answer of the node polled last.
+func (r *Registry) pollAnswered(now core.Time, from core.Peer) {
+	if r.polled != nil && r.polled.id == from.NodeID {
+		r.polled = nil
+		r.nextPoll = now + pollInterval
+	}
 }
 
 // pollFirst asks two nodes at a time for everything until one has answered.
@@ -46,16 +58,18 @@
 	return r.others[r.pollCursor%len(r.others)]
 }
 
-// comparisonPeer picks a node at random, most often in the own zone, as bytes between zones are priced.
-func (r *Registry) comparisonPeer() *peer {
-	picked := r.others[r.random.IntN(len(r.others))]
-	if r.random.Float64() >= sameZoneShare {
-		return picked
-	}
+// comparisonPeer picks a node at random, of the own zone or of another one.
+func (r *Registry) comparisonPeer(now core.Time) *peer {
+	sameZone := r.random.Float64() < sameZoneShare
 	start := r.random.IntN(len(r.others))
+	picked := r.others[start]
 	for offset := range r.others {
 		candidate := r.others[(start+offset)%len(r.others)]
-		if candidate.zone == r.self.zone && !candidate.suspect {
+		if !candidate.responsive(now) || candidate.noPollUntil > now {
+			continue
+		}
+		picked = candidate
+		if (candidate.zone == r.self.zone) == sameZone {
 			return candidate
 		}
 	}
@@ -155,6 +169,7 @@
 // receiveSnapshot merges brokers, or asks for those of the topics that differ.
 func (r *Registry) receiveSnapshot(now core.Time, from core.Peer, snapshot *nodepb.RegistrySnapshot) {
 	r.noteFirstAnswer(now, snapshot)
+	r.pollAnswered(now, from)
 	for _, instance := range snapshot.Instances {
 		r.learnSnapshot(now, from, instance)
 	}
--- a/internal/node/registry/world_test.go
+++ b/internal/node/registry/world_test.go
@@ -25,11 +25,15 @@
 
 type worldNode struct {
 	*coretest.Node
+	world    *world
 	registry *Registry
 	member   *nodepb.Member
 	answers  map[uint64]answered
 	marks    []core.LoadingConfirmed
 	tables   int // how often the table changed
+
+	lastTrouble time.Duration
+	leaving     map[uint64]string // calls of brokers that leave, by request
 }
 
 type answered struct {
@@ -62,7 +66,9 @@
 		SelfID: member.NodeId, SelfAddress: member.Address, ControlAddress: member.ControlAddress, Zone: zone,
 		Heartbeat: testHeartbeat,
 	}, rand.New(rand.NewPCG(w.network.Random.Uint64(), 0)))
-	node := &worldNode{registry: registry, member: member, answers: map[uint64]answered{}}
+	node := &worldNode{registry: registry, member: member, answers: map[uint64]answered{}, leaving: map[uint64]string{}}
+	node.world = w
+	node.lastTrouble = -time.Hour
 	node.Node = w.network.Add(member.NodeId, member.Address, registry, node.output)
 	w.nodes = append(w.nodes, node)
 	return node
@@ -72,6 +78,9 @@
 	switch output := output.(type) {
 	case core.RegistryAnswer:
 		n.answers[output.Request] = answered{output, now}
+		if id, leaving := n.leaving[output.Request]; leaving && output.Taken && n.world.inTouch(n) {
+			n.world.checkDrains(id)
+		}
 	case core.LoadingConfirmed:
 		n.marks = append(n.marks, output)
 	case core.TableChanged:
@@ -132,6 +141,9 @@
 	if !node.Running() {
 		return request
 	}
+	if b.instance.State != nodepb.InstanceState_READY {
+		node.leaving[request] = b.instance.Id
+	}
 	node.Do(func(now core.Time) []core.Output { return node.registry.Heartbeat(now, request, heartbeat) })
 	return request
 }
@@ -171,6 +183,7 @@
 func (b *broker) deregister(node *worldNode) uint64 {
 	b.world.request++
 	request := b.world.request
+	node.leaving[request] = b.instance.Id
 	node.Do(func(now core.Time) []core.Output { return node.registry.Deregister(now, request, b.instance.Id) })
 	return request
 }
