--- a/internal/node/routing/budget.go
+++ b/internal/node/routing/budget.go
@@ -12,6 +12,8 @@
 	budgetBuckets = 20
 	copyReserve   = 0.5 // share of the budget that copies may use up; the rest is for what failed
 	peersMemory   = 60 * time.Second
+	// peersLeast are assumed at least: who starts while it is cut off knows few others.
+	peersLeast = 4
 )
 
 // peers is how many proxies share the budget of a service: the most that were known within the last minute, so that a
@@ -73,7 +75,7 @@
 	span := milliseconds(r.options.BudgetWindow)
 	allowed := r.options.RetryBudgetRatio * b.requests.Inside(milliseconds(now), span)
 	if count := r.peers.most(now); count > 0 && now >= r.slackFrom {
-		allowed += r.options.RetryBudgetSlack / float64(count)
+		allowed += r.options.RetryBudgetSlack / float64(max(count, peersLeast))
 	}
 	return budgetMargin * allowed
 }
--- a/internal/node/routing/budget_test.go
+++ b/internal/node/routing/budget_test.go
@@ -30,6 +30,9 @@
 	r.SetPeers(0, 6)
 	assert.Equal(t, allowance(9*time.Second), 0.0, "nor in the first window after the start")
 	assert.Equal(t, allowance(15*time.Second), budgetMargin*10)
+	alone := New(0, Options{RetryBudgetRatio: 0.2, RetryBudgetSlack: 60, BudgetWindow: 10 * time.Second})
+	alone.SetPeers(0, 1)
+	assert.Equal(t, alone.allowance(15*time.Second, &b), budgetMargin*60/peersLeast)
 	for range 100 {
 		b.requests.Add(20000, 1)
 	}
--- a/internal/node/routing/copies.go
+++ b/internal/node/routing/copies.go
@@ -45,7 +45,8 @@
 	p.refresh(now)
 	r.teachOverdue(now, p, waiting)
 	// Where slowness is everywhere, a copy takes from another request what it gives to its own.
-	if p.crowded() && !r.hangs(now, p, waiting.broker) {
+	inTrouble := waiting.broker.health.aside() || r.hangs(now, p, waiting.broker)
+	if p.crowded() && !inTrouble {
 		return Decision{}
 	}
 	f := r.gather(now, req)
@@ -56,7 +57,11 @@
 	if chosen.slow || chosen.trial {
 		return Decision{}
 	}
-	if !r.affords(now, &p.budget, copyReserve) {
+	share := copyReserve
+	if inTrouble {
+		share = retryShare(req.Urgency)
+	}
+	if !r.affords(now, &p.budget, share) {
 		return Decision{}
 	}
 	req.copied = true
--- a/internal/node/routing/fetch.go
+++ b/internal/node/routing/fetch.go
@@ -15,6 +15,10 @@
 	fetchLeastTokens = 256 // fewer are read sooner than moved
 	storeConfirmed   = 2500 * time.Millisecond
 	savedMost        = 4096 // keys of parts that are remembered as saved
+	saveIndexed      = 3 * time.Second
+	saveBlind        = time.Minute
+	savers           = 3
+	sharedSlack      = 64 // tokens: brokers keep parts by blocks
 	youngFor         = 20 * time.Second
 	moveSpan         = 5000. // ms
 	moveFew          = 3.0   // slow moves before a share of them counts
@@ -143,28 +147,47 @@
 // saveTarget is the store that the chosen broker should send the prompt's parts to, or empty.
 //
 // With an index, parts go there that the store isn't known to keep. Without one, each proxy has a set of shared parts sent
-// once, and of all proxies about one does it at a time, as each takes its chance.
+// once, and few of all proxies do so, as each takes its chance.
 func (r *Router) saveTarget(now core.Time, req *request, salt string) string {
 	store := r.store()
 	shared := sharedTokens(req.Parts)
 	switch {
 	case store == nil, shared < fetchLeastTokens, !r.storeTakes(store.KVStoreAddr):
 		return ""
-	case req.store.Store && req.store.Tokens >= shared:
+	case r.storeKeeps(req, shared):
 		return ""
 	}
 	part, _ := stickyPart(req.Parts)
 	key := mix(part.ID ^ SaltID(salt))
-	if r.saved[key] || r.options.Random.IntN(max(r.peers.most(now), 1)) != 0 {
+	if at, ok := r.saved[key]; ok && now-at < r.saveAgain() || r.options.Index == nil && !r.savesByChance(now) {
 		return ""
 	}
 	if len(r.saved) >= savedMost {
 		clear(r.saved)
 	}
-	r.saved[key] = true
+	r.saved[key] = now
 	return store.KVStoreAddr
 }
 
+// storeKeeps reports whether the index knows that the store has the shared parts.
+func (r *Router) storeKeeps(req *request, shared int) bool {
+	return req.store.Store && req.store.Tokens >= shared-sharedSlack
+}
+
+// saveAgain is when parts that were saved may have to be saved again, as the store drops what wasn't used for longest.
+func (r *Router) saveAgain() time.Duration {
+	if r.options.Index != nil {
+		return saveIndexed
+	}
+	return saveBlind
+}
+
+// savesByChance picks, without an exchange, about savers of all proxies.
+func (r *Router) savesByChance(now core.Time) bool {
+	count := r.peers.most(now)
+	return count <= savers || r.options.Random.IntN(count) < savers
+}
+
 func sharedTokens(parts []PromptPart) int {
 	tokens := 0
 	for _, part := range sharedParts(parts) {
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -26,7 +26,7 @@
 	requests map[RequestID]*request
 	lastID   RequestID
 	stores   map[string]storeState // by address
-	saved    map[uint64]bool       // parts, with their salt, that a broker was told to save
+	saved    map[uint64]core.Time  // when a broker was last told to save parts, by them and their salt
 
 	// awakeAt is when this process last came back from standing still.
 	awakeAt core.Time
@@ -50,7 +50,7 @@
 		classes:   make(map[string]*class),
 		requests:  make(map[RequestID]*request),
 		stores:    make(map[string]storeState),
-		saved:     make(map[uint64]bool),
+		saved:     make(map[uint64]core.Time),
 		counters:  Counters{Refusals: make(map[RefusalReason]uint64)},
 	}
 }
--- a/internal/node/routing/simulated_test.go
+++ b/internal/node/routing/simulated_test.go
@@ -42,6 +42,30 @@
 	}
 }
 
+// Proxies that are killed and come back forget what they spent: the windows hold all the same, also where they then know few
+// others.
+func TestBudgetHoldsAcrossRestarts(t *testing.T) {
+	const proxies = 20
+	s := newSimulation(t, proxies, 8)
+	for _, b := range s.brokers {
+		b.condition = stuffed
+	}
+	s.traffic(300, 60*time.Second, s.mixed)
+	for at := 14 * time.Second; at < 60*time.Second; at += 9 * time.Second {
+		s.run(at)
+		for p := range s.proxies {
+			if p%2 == 0 {
+				s.restart(p, proxies)
+			} else {
+				s.proxies[p].SetPeers(s.now, 6)
+			}
+		}
+	}
+	s.run(70 * time.Second)
+	s.checkBudget()
+	assert.Assert(t, len(s.furtherTimes) > 300, "only %d further arrivals", len(s.furtherTimes))
+}
+
 // One broker of eight in trouble: nearly all is served, and the one gets few arrivals.
 func TestOneBrokerInTrouble(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/node/routing/simulation_test.go
+++ b/internal/node/routing/simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,13 +51,15 @@
 }
 
 type simClient struct {
-	proxy   int
-	id      RequestID
-	request Request
-	calls   []*simCall
-	ran     int
-	done    bool
-	settled bool // something may have run, so no further send may follow on unsafe routes
+	proxy    int
+	id       RequestID
+	request  Request
+	calls    []*simCall
+	ran      int
+	done     bool
+	again    bool // its client was refused before
+	answered bool
+	settled  bool // something may have run, so no further send may follow on unsafe routes
 }
 
 type event struct {
@@ -91,6 +94,7 @@
 	table   *registry.Table
 	options Options
 
+	clients                           []*simClient
 	requests, served, refused, failed int
 	requestTimes, furtherTimes        []core.Time
 	latencies                         []core.Time
@@ -125,6 +129,18 @@
 	return r
 }
 
+// restart loses all that a proxy knew and held; its clients get no answer.
+func (s *simulation) restart(p, proxies int) {
+	for _, c := range s.clients {
+		if c.proxy == p && !c.done {
+			c.done = true
+			s.failed++
+		}
+	}
+	s.clients = slices.DeleteFunc(s.clients, func(c *simClient) bool { return c.done })
+	s.proxies[p] = s.newProxy(p, proxies)
+}
+
 func (s *simulation) at(when core.Time, do func()) {
 	s.numbers++
 	heap.Push(&s.queue, event{when, s.numbers, do})
@@ -156,6 +172,7 @@
 	q.Received = s.now
 	q.Deadline = s.now + fromMilliseconds(q.Route.TimeoutMs)
 	c := &simClient{proxy: s.chance.IntN(len(s.proxies)), request: q}
+	s.clients = append(s.clients, c)
 	s.requests++
 	s.requestTimes = append(s.requestTimes, s.now)
 	var d Decision
@@ -432,7 +449,7 @@
 	}
 }
 
-// share is the part of arrivals that a broker got.
+// arrivals counts what each broker got since the last call.
 func (s *simulation) arrivals() map[string]int {
 	counts := map[string]int{}
 	for id, b := range s.brokers {
