--- a/internal/node/rollout/brokers_test.go
+++ b/internal/node/rollout/brokers_test.go
@@ -48,8 +48,10 @@
 	w.judge(b, arrival{at: w.now, holder: body.Holder, fence: body.Fence})
 	switch {
 	case b.version == body.Version && !b.busy:
+		w.wasted++
 		return 200
 	case b.busy:
+		w.wasted++
 		return 409
 	}
 	b.sequence++
--- a/internal/node/rollout/rollout_test.go
+++ b/internal/node/rollout/rollout_test.go
@@ -37,7 +37,7 @@
 	if testing.Short() {
 		seeds = 40
 	}
-	orders := 0
+	orders, wasted := 0, 0
 	for seed := range seeds {
 		w := newWorld(t, seed, 3, 9)
 		w.orderLoss, w.answerLoss = 0.05, 0.1
@@ -52,7 +52,10 @@
 		for _, b := range w.brokers {
 			orders += len(b.orders)
 		}
+		wasted += w.wasted
 	}
+	t.Logf("%d of %d orders were wasted", wasted, orders)
+	assert.Assert(t, wasted*50 <= orders)
 	assert.Assert(t, orders > int(seeds)*9, "only %d orders", orders)
 }
 
@@ -120,6 +123,9 @@
 		id: fmt.Sprintf("i-%03d", len(w.brokers)), zone: former.zone, version: former.version, told: former.version,
 		runs: former.runs, loads: map[uint64]int{}, old: []Report{{}},
 	})
+	for _, n := range w.nodes {
+		n.hear(w.delay(), n.step)
+	}
 }
 
 func TestAHeadThatTakesOverWaitsForTheFormerOnesOrders(t *testing.T) {
--- a/internal/node/rollout/world_test.go
+++ b/internal/node/rollout/world_test.go
@@ -39,6 +39,8 @@
 	history []grantChange
 	atOnce  int // brokers that load at full speed
 
+	wasted int // orders that found nothing to do, or another under way
+
 	orderLoss, answerLoss float64
 }
 
