--- a/internal/node/config/schema/schema.cue
+++ b/internal/node/config/schema/schema.cue
@@ -1,6 +1,6 @@
 // The form of the items of a configuration. Source: PROTOCOL.md, "The operator's API" and "Requests". Every struct
 // is open: fields that are not named here are kept and returned as they came. Members that are null were left out
-// before the check.
+// before the check. No constraint refers to another member of its item.
 
 #Name: string & !=""
 
--- a/internal/node/config/schema/schema.go
+++ b/internal/node/config/schema/schema.go
@@ -1,37 +1,59 @@
 // Package schema checks the items of a configuration against a CUE schema. Nodes that never check a configuration do not
 // pay for CUE: the schema is compiled at the first check.
+//
+// An item is checked member by member, each against the constraint that its definition has for it, and values that were
+// found proper are remembered: most routes of a configuration agree in all but name, host and prefix. This asks of the
+// schema that no constraint refers to another member of the item.
 package schema
 
 import (
 	_ "embed"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
 
 	"cuelang.org/go/cue"
-	"cuelang.org/go/cue/ast"
 	"cuelang.org/go/cue/cuecontext"
 	"cuelang.org/go/cue/errors"
-	"cuelang.org/go/cue/token"
-	"github.com/joomcode/errorx"
 
 	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/config/rawjson"
 )
 
 //go:embed schema.cue
 var source string
 
-// definitions names the definition of each kind of item in schema.cue.
-var definitions = map[config.ItemKind]string{
+// definitionNames names the definition of each kind of item in schema.cue.
+var definitionNames = map[config.ItemKind]string{
 	config.RouteItem:   "#Route",
 	config.ServiceItem: "#Service",
 	config.TenantItem:  "#Tenant",
 	config.LimitsItem:  "#Limits",
 }
 
+// Bounds of what is remembered as proper.
+const (
+	maxProper       = 4096
+	maxProperLength = 160 // of a value, in bytes
+)
+
 // Checker implements config.Checker. It belongs to one goroutine.
 type Checker struct {
-	context *cue.Context // nil before the first check
-	schema  cue.Value
+	context     *cue.Context // nil before the first check
+	definitions map[config.ItemKind]*definition
 }
 
+// definition is what the schema says of one kind of item.
+type definition struct {
+	constraints map[string]cue.Value
+	required    []string
+	proper      map[properMember]struct{}
+}
+
+// properMember is a member that keeps its constraint.
+type properMember struct{ name, value string }
+
 // NewChecker is a checker that has compiled nothing yet.
 func NewChecker() *Checker { return &Checker{} }
 
@@ -54,32 +76,105 @@
 	}
 	context := cuecontext.New()
 	schema := context.CompileString(source, cue.Filename("schema.cue"))
-	if err := schema.Validate(); err != nil {
-		return errorx.AssertionFailed.Wrap(err, "schema.cue")
+	definitions := make(map[config.ItemKind]*definition, len(definitionNames))
+	for kind, name := range definitionNames {
+		definition, err := newDefinition(schema.LookupPath(cue.ParsePath(name)))
+		if err != nil {
+			return config.ErrInvalid.Wrap(err, "schema.cue")
+		}
+		definitions[kind] = definition
 	}
-	c.context, c.schema = context, schema
+	c.context, c.definitions = context, definitions
 	return nil
 }
 
-// checkItem evaluates the item together with its definition, as `#Route & {...}`.
+func newDefinition(value cue.Value) (*definition, error) {
+	fields, err := value.Fields(cue.Optional(true))
+	if err != nil {
+		return nil, err
+	}
+	definition := &definition{constraints: map[string]cue.Value{}, proper: map[properMember]struct{}{}}
+	for fields.Next() {
+		name := fields.Selector().Unquoted()
+		definition.constraints[name] = fields.Value()
+		if !fields.IsOptional() {
+			definition.required = append(definition.required, name)
+		}
+	}
+	return definition, nil
+}
+
 func (c *Checker) checkItem(item config.SchemaItem) error {
-	expression := &ast.BinaryExpr{
-		X:  ast.NewIdent(definitions[item.Kind]),
-		Op: token.AND,
-		Y:  expressionOf(item.JSON),
+	definition := c.definitions[item.Kind]
+	if rawjson.IsNull(item.JSON) {
+		return nil
+	}
+	if !rawjson.IsObject(item.JSON) {
+		return config.ErrInvalid.New("%v: must be an object", item.Path)
 	}
-	value := c.context.BuildExpr(expression, cue.Scope(c.schema))
-	if err := value.Validate(cue.Concrete(true)); err != nil {
-		return config.ErrInvalid.New("%v: %s", item.Path, firstMessage(err))
+	for _, name := range definition.required {
+		if value := rawjson.Member(item.JSON, name); value == nil || rawjson.IsNull(value) {
+			return config.ErrInvalid.New("%v.%s: is missing", item.Path, name)
+		}
 	}
+	return rawjson.EachMember(item.JSON, func(name, value []byte) error {
+		if rawjson.IsNull(value) {
+			return nil
+		}
+		if err := c.checkMember(definition, name, value); err != nil {
+			return config.ErrInvalid.New("%v.%s", item.Path, describe(string(name), err))
+		}
+		return nil
+	})
+}
+
+// checkMember evaluates the value of a member together with its constraint.
+func (c *Checker) checkMember(definition *definition, name, value []byte) error {
+	constraint, constrained := definition.constraints[string(name)]
+	if !constrained {
+		return nil
+	}
+	if _, known := definition.proper[properMember{string(name), string(value)}]; known {
+		return nil
+	}
+	evaluated := constraint.Unify(c.context.BuildExpr(expressionOf(value)))
+	if err := evaluated.Validate(cue.Concrete(true)); err != nil {
+		return err
+	}
+	definition.remember(name, value)
 	return nil
 }
 
-// firstMessage is the first of the errors that CUE found, with the path within the item.
-func firstMessage(err error) string {
+func (d *definition) remember(name, value []byte) {
+	if len(value) > maxProperLength {
+		return
+	}
+	if len(d.proper) >= maxProper {
+		clear(d.proper)
+	}
+	d.proper[properMember{string(name), string(value)}] = struct{}{}
+}
+
+// describe gives the first of the errors that CUE found in a member, with its path within the item.
+func describe(member string, err error) string {
 	all := errors.Errors(err)
 	if len(all) == 0 {
-		return err.Error()
+		return member + ": " + err.Error()
+	}
+	format, arguments := all[0].Msg()
+	return member + pathBelow(member, all[0].Path()) + ": " + fmt.Sprintf(format, arguments...)
+}
+
+// pathBelow is what follows the member in a path of CUE, as "[1].weight".
+func pathBelow(member string, path []string) string {
+	start := slices.Index(path, member) + 1
+	var below strings.Builder
+	for _, step := range path[start:] {
+		if _, err := strconv.Atoi(step); err == nil {
+			below.WriteString("[" + step + "]")
+		} else {
+			below.WriteString("." + step)
+		}
 	}
-	return all[0].Error()
+	return below.String()
 }
