--- a/internal/node/rollout/campaign.go
+++ b/internal/node/rollout/campaign.go
@@ -14,7 +14,20 @@
 	need   need
 }
 
-// pending lists the brokers that lack a version and at which nothing is under way.
+// compareUrgency puts brokers that are silent last, as their loss is likelier than their need, and before that the earliest
+// bound first.
+func (c candidate) compareUrgency(other candidate) int {
+	silent, otherSilent := c.broker.instance.SilentMs > 0, other.broker.instance.SilentMs > 0
+	if silent != otherSilent {
+		if silent {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(c.need.known, other.need.known)
+}
+
+// pending lists the brokers that lack a version and at which nothing is under way, the most urgent first.
 func (r *Rollout) pending() []candidate {
 	var list []candidate
 	for _, b := range r.brokers {
@@ -26,7 +39,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.need.known, b.need.known), compareHash(a.broker, b.broker))
+		return cmp.Or(a.compareUrgency(b), compareHash(a.broker, b.broker))
 	})
 	return list
 }
@@ -72,6 +85,7 @@
 			count = &serviceCount{known: c.need.known, zones: map[string]int{}}
 			services[c.broker.instance.Service] = count
 		}
+		count.known = min(count.known, c.need.known)
 		count.left++
 	}
 	for _, b := range r.brokers {
@@ -88,8 +102,8 @@
 	return services
 }
 
-// choose is the place among the pending of the broker to start next, -1 where none may be. The zone with the fewest brokers
-// out of service comes first, then the order of the list.
+// choose is the place among the pending of the broker to start next, -1 where none may be. Among equally urgent ones the zone
+// with the fewest brokers out of service comes first, then the order of the list.
 func (r *Rollout) choose(now core.Time, services map[string]*serviceCount, pending []candidate) int {
 	best, bestBusy := -1, 0
 	for i, c := range pending {
@@ -101,7 +115,7 @@
 		if count.busy >= limit {
 			continue
 		}
-		if best >= 0 && c.need.known > pending[best].need.known {
+		if best >= 0 && c.compareUrgency(pending[best]) > 0 {
 			break
 		}
 		if busy := count.zones[c.broker.instance.Zone]; best < 0 || busy < bestBusy {
