--- a/internal/node/routing/admission.go
+++ b/internal/node/routing/admission.go
@@ -15,6 +15,7 @@
 	leastTime       = 15 * time.Millisecond // less than this till its deadline, a request can't be answered
 	adviceShare     = 3                     // clients follow advice of up to a third of the time they have left
 	adviceMost      = 1200 * time.Millisecond
+	adviceLeast     = 20 * time.Millisecond
 	adviceShort     = 120 * time.Millisecond // where another proxy may do better at once
 	hopelessShare   = 0.25                   // quantile of latencies which exceeds the time left: no chance
 	priorityPerRank = 3
@@ -79,9 +80,9 @@
 		most = min(most, adviceShort)
 	}
 	chance := r.options.Random.Float64()
-	least := core.Time(0)
+	least := min(adviceLeast, most)
 	if earliest != core.Never && earliest > now {
-		least = min(earliest-now, most/2)
+		least = max(least, min(earliest-now, most/2))
 	}
 	return least + core.Time(chance*float64(most-least))
 }
--- a/internal/node/routing/affinity.go
+++ b/internal/node/routing/affinity.go
@@ -110,7 +110,7 @@
 
 func (r *Router) noteHolder(req *request, found []candidate, version uint64, holder Holder) {
 	if holder.Store {
-		if version == r.versions.newest(req.model) {
+		if version == r.versions.newest(req.model) && holder.Tokens > req.store.Tokens {
 			req.store = holder
 		}
 		return
--- a/internal/node/routing/fetch.go
+++ b/internal/node/routing/fetch.go
@@ -83,14 +83,25 @@
 	if holder := r.bestHolder(now, req, chosen); holder != nil {
 		return holder.instance.Address
 	}
-	store := r.store()
-	if store == nil || !r.storeAlive(now, store.KVStoreAddr) {
+	address := r.storeSource(req, chosen)
+	if address == "" || !r.storeAlive(now, address) {
 		return ""
 	}
-	if r.options.Index != nil && (!req.store.Store || req.store.Tokens <= chosen.kept) {
+	return address
+}
+
+// storeSource is the store that keeps more of the prompt than the chosen broker: by the index, else any may.
+func (r *Router) storeSource(req *request, chosen *candidate) string {
+	if r.options.Index == nil {
+		if store := r.store(); store != nil {
+			return store.KVStoreAddr
+		}
 		return ""
 	}
-	return store.KVStoreAddr
+	if req.store.Tokens <= chosen.kept {
+		return ""
+	}
+	return req.store.Instance
 }
 
 // bestHolder is the broker that keeps more of the prompt than the chosen one: by the index, else the first in the order of
--- a/internal/node/routing/outcomes.go
+++ b/internal/node/routing/outcomes.go
@@ -49,6 +49,9 @@
 	}
 	b.learnLatency(now, a)
 	p.latencies.Add(milliseconds(now), a.latency)
+	if target := req.Route.TargetLatencyMs; target > 0 {
+		p.overload.ratios.Add(milliseconds(now), milliseconds(now-req.Received)/target)
+	}
 	req.class.latencies.Add(milliseconds(now), a.latency*a.scale/req.work)
 	if observer, ok := r.options.Index.(Observer); ok && a.salt != "" {
 		observer.Observed(b.instance.ID, SaltID(a.salt), req.Parts)
--- /dev/null
+++ b/internal/node/routing/overload_test.go
@@ -0,0 +1,76 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/core"
+)
+
+// answerLate has requests answered, twenty at a time, at so many times their target by brokers that tell of this load.
+func (w *world) answerLate(rounds int, times float64, load Load) {
+	for range rounds {
+		var sent []*Attempt
+		for i := range 20 {
+			q := w.request(safeRoute)
+			q.Urgency = i % 3
+			if _, d := w.Begin(w.now, q); d.Attempt != nil {
+				sent = append(sent, d.Attempt)
+			}
+		}
+		w.now += fromMilliseconds(times * safeRoute.TargetLatencyMs)
+		for _, a := range sent {
+			w.Started(w.now, a.Request, a.Number, &load)
+			w.answer(a)
+		}
+	}
+}
+
+// Requests are refused only where most answers are late and the brokers' places are taken (RULES.md, "Prices").
+func TestOverload(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		times float64
+		load  Load
+		shed  bool
+	}{
+		{"in time", 0.5, Load{Running: 64, Waiting: 9, Slots: 64}, false},
+		{"late, though places are free", 2, Load{Running: 5, Waiting: 0, Slots: 64}, false},
+		{"late, requests wait", 2, Load{Running: 20, Waiting: 3, Slots: 64}, true},
+		{"late, half of the places taken", 2, Load{Running: 32, Waiting: 0, Slots: 64}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, instances(3))
+			w.answerLate(20, c.times, c.load)
+			o := &w.pools[service].overload
+			assert.Equal(t, o.shed > 0, c.shed)
+			assert.Equal(t, len(w.Counters().Refusals) > 0, c.shed)
+			if !c.shed {
+				return
+			}
+			assert.Assert(t, o.chance(0) <= o.chance(1) && o.chance(1) <= o.chance(2))
+			assert.Assert(t, o.chance(0) < o.chance(2), "the most urgent are refused last")
+			w.now += 3 * time.Second
+			for range 100 {
+				o.refresh(w.now, w.pools[service])
+				w.now += core.Time(overloadEvery)
+			}
+			assert.Equal(t, o.shed, 0.0)
+		})
+	}
+}
+
+// Far beyond what the brokers can do, more is earned than by letting all wait for each other.
+func TestOverloadedEngines(t *testing.T) {
+	s := newEngineSim(t, 10, 18, true)
+	s.run(12 * time.Second)
+	s.generate(125*3, 32*time.Second, s.prompts())
+	s.run(47 * time.Second)
+	t.Log(s.summary())
+	verdicts, letters := s.kinds["verdict"], s.kinds["letter"]
+	assert.Assert(t, verdicts.value() > 0.45)
+	assert.Assert(t, letters.value() > 0.5)
+	assert.Assert(t, letters.served() > verdicts.served(), "the more urgent are served more often")
+}
--- a/internal/node/routing/pool.go
+++ b/internal/node/routing/pool.go
@@ -15,9 +15,10 @@
 
 // pool is one service's brokers and what is usual among them.
 type pool struct {
-	service string
-	brokers []*broker // in the order of the registry's table
-	budget  budget
+	service  string
+	brokers  []*broker // in the order of the registry's table
+	budget   budget
+	overload overload
 
 	weights   predict.Weights
 	submits   predict.Submits
@@ -35,6 +36,7 @@
 	return &pool{
 		service:   service,
 		budget:    budget,
+		overload:  newOverload(),
 		weights:   predict.Start,
 		submits:   predict.NewSubmits(),
 		latencies: newLatencies(),
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -161,6 +161,10 @@
 		return req.id, r.withoutSound(now, req, f)
 	}
 	chosen, byPrediction := r.pick(now, req, f)
+	req.pool.overload.refresh(now, req.pool)
+	if chance := req.pool.overload.chance(req.Urgency); chance > 0 && r.options.Random.Float64() < chance {
+		return req.id, r.refuse(now, req, RefusedFull, core.Never)
+	}
 	if r.hopeless(now, req, chosen) {
 		return req.id, r.refuse(now, req, RefusedDeadline, core.Never)
 	}
@@ -185,6 +189,7 @@
 	req.class.came(req.TokensIn)
 	req.work = req.class.work(req.TokensIn)
 	req.pool.budget.requests.Add(milliseconds(now), 1)
+	req.pool.overload.came(now, req.Urgency)
 	r.requests[req.id] = req
 	return req
 }
--- a/internal/node/routing/versions.go
+++ b/internal/node/routing/versions.go
@@ -49,7 +49,7 @@
 	grace := v.grace
 	if !v.started {
 		grace /= startGraceShare
-		v.started = true
+		v.started = compiled.Version > 0
 	}
 	for model, version := range compiled.ModelVersions {
 		if version <= v.newest(model) {
