--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -192,6 +192,8 @@
 		}
 	}
 	if at, ok := a.distribution.ConfirmedAt(); ok {
-		a.confirmed.Store(int64(max(at, 1)))
+		if a.confirmed.Swap(int64(max(at, 1))) == 0 {
+			a.log.Info("control state confirmed", "index", a.state.Index(), "version", a.state.Version(), "after", now)
+		}
 	}
 }
