--- a/internal/node/registry/options.go
+++ b/internal/node/registry/options.go
@@ -72,9 +72,6 @@
 	firstPollRetry = 100 * time.Millisecond
 	firstPollPeers = 2
 	firstPollTries = 20
-	// sameZoneShare is how many of the comparisons stay in the zone, as bytes between zones are priced; the others leave it,
-	// so that no zone as a whole falls behind.
-	sameZoneShare = 0.5
 	// instancesPerMessage bounds the size of one message.
 	instancesPerMessage = 256
 	// coldTolerance is by how much the end of a cold start may move before the table is told.
--- a/internal/node/registry/picture.go
+++ b/internal/node/registry/picture.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"slices"
 
 	"kestrelspread/internal/node/core"
@@ -9,28 +10,36 @@
 
 // Table returns the newest picture of all brokers known. It is never changed; a change makes another.
 func (r *Registry) Table() *Table {
-	if r.dirty {
-		r.dirty = false
+	if len(r.repaint) > 0 {
 		r.table = r.buildTable()
+		clear(r.repaint)
 	}
 	return r.table
 }
 
-func (r *Registry) tableChanged() {
-	r.dirty = true
+// tableChanged notes that a service's list in the table is to be made anew.
+func (r *Registry) tableChanged(service string) {
+	r.repaint[service] = true
 	r.announce = true
 }
 
 // refreshPicture makes the broker's entry in the table anew.
 func (r *Registry) refreshPicture(now core.Time, rec *record) {
-	if rec.gone() && rec.picture == nil {
+	r.erase(rec)
+	if rec.gone() {
 		return
 	}
-	rec.picture = nil
-	if !rec.gone() {
-		rec.picture = rec.paint(now)
+	rec.picture = rec.paint(now)
+	r.tableChanged(rec.picture.Service)
+}
+
+// erase takes the broker out of the table.
+func (r *Registry) erase(rec *record) {
+	if rec.picture == nil {
+		return
 	}
-	r.tableChanged()
+	r.tableChanged(rec.picture.Service)
+	rec.picture = nil
 }
 
 func (r *record) paint(now core.Time) *Instance {
@@ -45,26 +54,52 @@
 	}
 }
 
+// buildTable makes the lists of the changed services anew and takes over those of the others.
 func (r *Registry) buildTable() *Table {
 	table := &Table{
 		Revision:  r.table.Revision + 1,
-		ByService: map[string][]*Instance{},
-		ByID:      make(map[string]*Instance, len(r.records)),
+		ByService: maps.Clone(r.table.ByService),
+		ByID:      maps.Clone(r.table.ByID),
 	}
-	for id, rec := range r.records {
-		if rec.picture == nil {
-			continue
+	for service := range r.repaint {
+		for _, before := range table.ByService[service] {
+			delete(table.ByID, before.ID)
 		}
-		table.ByID[id] = rec.picture
-		service := rec.picture.Service
-		table.ByService[service] = append(table.ByService[service], rec.picture)
+		delete(table.ByService, service)
 	}
-	for _, list := range table.ByService {
-		slices.SortFunc(list, func(a, b *Instance) int { return compareText(a.ID, b.ID) })
+	for service := range r.repaint {
+		list := r.listService(service)
+		if len(list) == 0 {
+			continue
+		}
+		table.ByService[service] = list
+		for _, picture := range list {
+			table.ByID[picture.ID] = picture
+		}
 	}
 	return table
 }
 
+func (r *Registry) listService(service string) []*Instance {
+	var list []*Instance
+	for key, t := range r.topics {
+		if key.service == service {
+			list = t.appendPictures(list)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Instance) int { return compareText(a.ID, b.ID) })
+	return list
+}
+
+func (t *topic) appendPictures(list []*Instance) []*Instance {
+	for _, rec := range t.records {
+		if rec.picture != nil {
+			list = append(list, rec.picture)
+		}
+	}
+	return list
+}
+
 func sortByID(list []*nodepb.Instance) {
 	slices.SortFunc(list, func(a, b *nodepb.Instance) int { return compareText(a.Id, b.Id) })
 }
--- a/internal/node/registry/registry.go
+++ b/internal/node/registry/registry.go
@@ -25,8 +25,8 @@
 	gone      int // records that have gone
 
 	table    *Table
-	dirty    bool // the table is to be made anew
-	announce bool // TableChanged is to be put out
+	repaint  map[string]bool // services whose lists in the table are to be made anew
+	announce bool            // TableChanged is to be put out
 
 	nonce    uint64
 	spreads  []*spread
@@ -60,6 +60,7 @@
 		records:          map[string]*record{},
 		topics:           map[topicKey]*topic{},
 		table:            &Table{ByService: map[string][]*Instance{}, ByID: map[string]*Instance{}},
+		repaint:          map[string]bool{},
 		nonce:            random.Uint64(),
 		batchAt:          core.Never,
 		nextSilenceCheck: core.Never,
--- a/internal/node/registry/sync.go
+++ b/internal/node/registry/sync.go
@@ -58,22 +58,16 @@
 	return r.others[r.pollCursor%len(r.others)]
 }
 
-// comparisonPeer picks a node at random, of the own zone or of another one.
+// comparisonPeer picks a node at random, of whatever zone, so that no zone as a whole falls behind.
 func (r *Registry) comparisonPeer(now core.Time) *peer {
-	sameZone := r.random.Float64() < sameZoneShare
 	start := r.random.IntN(len(r.others))
-	picked := r.others[start]
 	for offset := range r.others {
 		candidate := r.others[(start+offset)%len(r.others)]
-		if !candidate.responsive(now) || candidate.noPollUntil > now {
-			continue
-		}
-		picked = candidate
-		if (candidate.zone == r.self.zone) == sameZone {
+		if candidate.responsive(now) && candidate.noPollUntil <= now {
 			return candidate
 		}
 	}
-	return picked
+	return r.others[start]
 }
 
 // wholeDigest covers all topics; it goes under no service and no zone.
--- a/internal/node/registry/sync_test.go
+++ b/internal/node/registry/sync_test.go
@@ -14,7 +14,8 @@
 func (w *world) sameTables() bool {
 	want := w.nodes[0].registry
 	return w.all(func(node *worldNode) bool {
-		return node.registry.sum == want.sum && node.registry.liveCount == want.liveCount
+		listed := uint32(len(node.registry.Table().ByID))
+		return node.registry.sum == want.sum && node.registry.liveCount == want.liveCount && listed == want.liveCount
 	})
 }
 
--- a/internal/node/registry/topic.go
+++ b/internal/node/registry/topic.go
@@ -88,9 +88,7 @@
 	if len(holder.records) == 0 {
 		delete(r.topics, key)
 	}
-	if rec.picture != nil {
-		r.tableChanged()
-	}
+	r.erase(rec)
 }
 
 func (r *Registry) count(t *topic, rec *record) {
