--- a/internal/node/config/change.go
+++ b/internal/node/config/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"kestrelspread/internal/node/config/rawjson"
 	"kestrelspread/internal/node/nodepb"
@@ -113,8 +114,15 @@
 	return s.accepted(s.index, s.document.version)
 }
 
+// maxReasonLength bounds the text of an answer, in bytes: it may hold names that the operator chose.
+const maxReasonLength = 1024
+
 func (s *State) invalidResult(err error) *nodepb.CommandResult {
-	return s.refusal(nodepb.ResultCode_INVALID, reasonOf(err))
+	reason := reasonOf(err)
+	if len(reason) > maxReasonLength {
+		reason = strings.ToValidUTF8(reason[:maxReasonLength], "") + " ..."
+	}
+	return s.refusal(nodepb.ResultCode_INVALID, reason)
 }
 
 func (s *State) conflict(change *nodepb.ConfigChange) *nodepb.CommandResult {
--- a/internal/node/config/compile.go
+++ b/internal/node/config/compile.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strings"
 )
 
 // Compile is the state as the data plane reads it. What did not change since the last call is shared with its result.
@@ -64,10 +63,10 @@
 	}
 	changed := map[string][]*Route{}
 	for _, item := range slices.Concat(gone, added) {
-		changed[strings.ToLower(item.value.Host)] = nil
+		changed[lowerHost(item.value.Host)] = nil
 	}
 	for _, item := range after.list() {
-		host := strings.ToLower(item.value.Host)
+		host := lowerHost(item.value.Host)
 		if routes, ok := changed[host]; ok {
 			changed[host] = append(routes, item.value)
 		}
--- a/internal/node/config/conformance_test.go
+++ b/internal/node/config/conformance_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/config"
 )
 
 // route is a route with the given fields besides its name.
@@ -107,6 +110,7 @@
 		"cut short":               {whole[:len(whole)/2], "body"},
 		"without its last byte":   {whole[:len(whole)-1], "body"},
 		"more than one value":     {whole + "{}", "body"},
+		"too deep":                {`{"version":9,"x":` + strings.Repeat("[", 500) + strings.Repeat("]", 500) + `}`, "body"},
 		"no JSON":                 {"version: 9", "body"},
 		"no UTF-8":                {strings.Replace(whole, "r-1", "r-\xff", 1), "body"},
 		"list":                    {"[" + whole + "]", "body"},
@@ -159,6 +163,25 @@
 	}
 }
 
+// An answer stays short and valid text, whatever names the operator chose.
+func TestAnswersAreBounded(t *testing.T) {
+	r := configured(t)
+	text := `{"version":9,"upsert":{"routes":[` + route("r", place+","+timeout+`,"service":"`+strings.Repeat("ü", 100000)+`"`) + `]}}`
+	result, _ := r.Check(updateCommand(firstNumber, text))
+	assert.Equal(t, result.GetCode(), invalid)
+	assert.Assert(t, len(result.GetText()) < 2000)
+	assert.Assert(t, utf8.ValidString(result.GetText()))
+}
+
+func TestBodyThatIsTooLong(t *testing.T) {
+	r := configured(t)
+	long := `{"version":9,"note":"` + strings.Repeat("x", config.MaxBodyBytes) + `"}`
+	refused(t, r, true, long, "body: longer than")
+	half := `{"version":9,"note-1":"` + strings.Repeat("x", config.MaxBodyBytes/2+10) + `"}`
+	r.mustTake(updateCommand(firstNumber, half))
+	refused(t, r, false, strings.NewReplacer("note-1", "note-2", ":9,", ":10,").Replace(half), "body: the whole configuration")
+}
+
 // proper are bodies on top of the first configuration that nothing in the pages forbids.
 var proper = map[string]string{
 	"unknown fields": `{"version":9,"owner":{"team":"x","x":[1,2,null]},"routes":[{"name":"r","host":"a.example","pathPrefix":"/a/",` +
--- a/internal/node/config/document.go
+++ b/internal/node/config/document.go
@@ -96,14 +96,17 @@
 
 // parseWhole reads a section of a whole configuration; previous itself is returned where nothing changed.
 func parseWhole[T any](form *form[T], array []byte, previous *section[T], changes *changes) (*section[T], error) {
-	items, err := form.parse(form.key, array, previous, changes)
-	if err != nil || rawjson.IsNull(array) {
+	if rawjson.IsNull(array) {
+		return nil, nil
+	}
+	read, err := form.parse(form.key, array, previous, changes)
+	if err != nil {
 		return nil, err
 	}
-	if previous != nil && slices.Equal(items, previous.items) {
+	if previous != nil && slices.Equal(read.items, previous.items) {
 		return previous, nil
 	}
-	return newSection(items), nil
+	return read, nil
 }
 
 // setOther takes a member that is not a list of known items, in the place of the one with its name.
--- a/internal/node/config/model.go
+++ b/internal/node/config/model.go
@@ -1,16 +1,7 @@
 package config
 
-// The configuration as operators send it. Source: PROTOCOL.md, "The operator's API". Unknown fields are kept in the
-// stored body and ignored here.
-
-// Document is a whole configuration.
-type Document struct {
-	Version  uint64    `json:"version"`
-	Routes   []Route   `json:"routes"`
-	Services []Service `json:"services"`
-	Limits   Limits    `json:"limits"`
-	Tenants  []Tenant  `json:"tenants"`
-}
+// The items of a configuration as operators send them. Source: PROTOCOL.md, "The operator's API". Fields that are not
+// named here are kept with the item and ignored.
 
 // RouteKind says what may be repeated on a route.
 type RouteKind string
--- a/internal/node/config/rawjson/rawjson.go
+++ b/internal/node/config/rawjson/rawjson.go
@@ -15,11 +15,18 @@
 // ErrMalformed is the type of errors about text that is not one JSON value in UTF-8.
 var ErrMalformed = errorx.NewNamespace("rawjson").NewType("malformed").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
-// Compact checks that text is one whole JSON value in UTF-8 and returns a copy of it without white space.
+// MaxDepth bounds how deep lists and objects may lie in one another: what reads them recurses.
+const MaxDepth = 200
+
+// Compact checks that text is one whole JSON value in UTF-8, no deeper than MaxDepth, and returns a copy of it without
+// white space.
 func Compact(text []byte) ([]byte, error) {
 	if !utf8.Valid(text) {
 		return nil, ErrMalformed.New("not UTF-8")
 	}
+	if depthOf(text) > MaxDepth {
+		return nil, ErrMalformed.New("deeper than %d lists and objects", MaxDepth)
+	}
 	var compacted bytes.Buffer
 	compacted.Grow(len(text))
 	if err := json.Compact(&compacted, text); err != nil {
@@ -156,6 +163,23 @@
 	return len(text)
 }
 
+// depthOf counts the lists and objects around the innermost value of text, which need not be JSON.
+func depthOf(text []byte) int {
+	depth, deepest := 0, 0
+	for i := 0; i < len(text); i++ {
+		switch text[i] {
+		case '"':
+			i += stringEnd(text[i:]) - 1
+		case '{', '[':
+			depth++
+			deepest = max(deepest, depth)
+		case '}', ']':
+			depth--
+		}
+	}
+	return deepest
+}
+
 func scalarEnd(text []byte) int {
 	for i, c := range text {
 		if c == ',' || c == '}' || c == ']' {
--- a/internal/node/config/rawjson/rawjson_test.go
+++ b/internal/node/config/rawjson/rawjson_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/joomcode/errorx"
@@ -18,6 +19,16 @@
 	}
 }
 
+func TestCompactBoundsTheDepth(t *testing.T) {
+	nested := func(depth int) []byte {
+		return []byte(strings.Repeat("[", depth) + `"]]"` + strings.Repeat("]", depth))
+	}
+	_, err := rawjson.Compact(nested(rawjson.MaxDepth))
+	assert.NilError(t, err)
+	_, err = rawjson.Compact(nested(rawjson.MaxDepth + 1))
+	assert.Assert(t, errorx.IsOfType(err, rawjson.ErrMalformed))
+}
+
 func TestCompactKeepsTheCaller(t *testing.T) {
 	text := []byte(" { \"a\" : [ 1 , 2 ] } ")
 	compacted, err := rawjson.Compact(text)
--- a/internal/node/config/routes.go
+++ b/internal/node/config/routes.go
@@ -57,6 +57,16 @@
 	return buffer
 }
 
+// lowerHost is a host as the tables are keyed by it.
+func lowerHost(host string) string {
+	for i := range len(host) {
+		if 'A' <= host[i] && host[i] <= 'Z' {
+			return string(appendLower(nil, host))
+		}
+	}
+	return host
+}
+
 // withoutPort is the host without ":port"; an IPv6 address keeps its brackets.
 func withoutPort(host string) string {
 	colon := strings.LastIndexByte(host, ':')
--- a/internal/node/config/rules.go
+++ b/internal/node/config/rules.go
@@ -92,7 +92,7 @@
 	type place struct{ host, prefix string }
 	taken := make(map[place]*item[Route], len(routes.list()))
 	for _, item := range routes.list() {
-		at := place{host: strings.ToLower(item.value.Host), prefix: item.value.PathPrefix}
+		at := place{host: lowerHost(item.value.Host), prefix: item.value.PathPrefix}
 		if first, duplicate := taken[at]; duplicate {
 			return invalid(routePath(item, prefixStep), "has host and prefix of %s", routePath(first))
 		}
--- a/internal/node/config/section.go
+++ b/internal/node/config/section.go
@@ -60,29 +60,28 @@
 
 // parse reads a list of items. Those that stand in previous as they are, are taken from there; the others are noted
 // in changes.
-func (f *form[T]) parse(path string, array []byte, previous *section[T], changes *changes) ([]*item[T], error) {
-	if rawjson.IsNull(array) {
-		return nil, nil
-	}
+func (f *form[T]) parse(path string, array []byte, previous *section[T], changes *changes) (*section[T], error) {
 	if !rawjson.IsArray(array) {
 		return nil, invalid(path, "must be a list")
 	}
-	var items []*item[T]
-	seen := map[string]int{}
+	read := &section[T]{positions: make(map[string]int)}
 	err := rawjson.EachElement(array, func(index int, object []byte) error {
 		at := ItemPath{List: path, Index: index}
 		parsed, err := f.parseItem(at, object, previous, changes)
 		if err != nil {
 			return err
 		}
-		if first, duplicate := seen[parsed.name]; duplicate {
+		if first, duplicate := read.positions[parsed.name]; duplicate {
 			return invalid(fieldPath(at, nameStep), "%q is also the name of %v", parsed.name, ItemPath{path, first})
 		}
-		seen[parsed.name] = index
-		items = append(items, parsed)
+		read.positions[parsed.name] = index
+		read.items = append(read.items, parsed)
 		return nil
 	})
-	return items, err
+	if err != nil {
+		return nil, err
+	}
+	return read, nil
 }
 
 func (f *form[T]) parseItem(path ItemPath, object []byte, previous *section[T], changes *changes) (*item[T], error) {
--- a/internal/node/config/update.go
+++ b/internal/node/config/update.go
@@ -97,11 +97,11 @@
 	if list == nil {
 		return current.updated(nil, names), nil
 	}
-	items, err := form.parse(upsertMember+"."+form.key, list, current, changes)
+	upserted, err := form.parse(upsertMember+"."+form.key, list, current, changes)
 	if err != nil {
 		return nil, err
 	}
-	return current.updated(items, names), nil
+	return current.updated(upserted.items, names), nil
 }
 
 // namesIn reads a list of names.
@@ -180,11 +180,7 @@
 	if !d.hasList(form.key) {
 		return nil, nil
 	}
-	items, err := form.parse(form.key, d.other(form.key), nil, new(changes))
-	if err != nil {
-		return nil, err
-	}
-	return newSection(items), nil
+	return form.parse(form.key, d.other(form.key), nil, new(changes))
 }
 
 func renderList[T any](section *section[T]) []byte {
