--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -63,6 +63,7 @@
 	registry     *registry.Registry
 	rollout      *rollout.Rollout
 	orders       *orders.Sender
+	prompts      promptIndex
 	router       *routing.Guarded
 	proxy        *forward.Proxy
 
@@ -172,5 +173,6 @@
 		SelfID: a.self.NodeId, SelfAddress: a.self.Address, Zone: a.self.Zone, Heartbeat: a.settings.Heartbeat(),
 	}, a.random)
 	a.buildDuty()
+	a.buildIndex()
 	a.buildDataPlane(now)
 }
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -21,7 +21,8 @@
 		RetryBudgetRatio: bounds.RetryBudgetRatio,
 		BudgetWindow:     bounds.BudgetWindow(),
 		RetryBudgetSlack: bounds.RetryBudgetSlack,
-		VersionGrace:     versionGrace(bounds.Version()),
+		VersionGrace:     bounds.Version(),
+		Index:            a.prompts.index,
 		Random:           newRandom(),
 	}))
 	a.proxy = forward.New(forward.Options{
@@ -33,13 +34,6 @@
 	})
 }
 
-// versionReserve is kept between the last start on older weights and the bound: what acknowledged the version may have
-// done so before this node learnt of it, and a request takes its time to begin.
-const versionReserve = 2500 * time.Millisecond
-
-// versionGrace is how long requests may still start on older weights. Source: RULES.md, "Model brokers", VERSION.
-func versionGrace(bound time.Duration) time.Duration { return max(bound-versionReserve, bound/2) }
-
 // mayServe reports whether a request may be sent on now. Source: RULES.md, "API keys".
 func (a *Agent) mayServe(now core.Time, public bool) bool {
 	compiled := a.compiled.Load()
@@ -65,6 +59,7 @@
 func (a *Agent) stateChanged(now core.Time) {
 	compiled := a.state.Compile()
 	a.compiled.Store(compiled)
+	a.prompts.stale = true
 	a.router.SetConfig(now, compiled)
 	a.noteTargets(now, compiled)
 }
@@ -72,6 +67,7 @@
 // publishTable hands the brokers known to the data plane.
 func (a *Agent) publishTable(now core.Time) {
 	a.router.SetTable(now, a.registry.Table())
+	a.prompts.stale = true
 }
 
 // fetchSnapshot gives the newest configuration of a state that was read through the chain.
--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -50,7 +50,7 @@
 }
 
 func (a *Agent) machines() []machine {
-	list := []machine{a.membership, a.distribution, a.registry, a.submit}
+	list := []machine{a.membership, a.distribution, a.registry, a.submit, a.prompts.home}
 	if a.store != nil {
 		list = append(list, a.store)
 	}
@@ -90,8 +90,10 @@
 		return a.registry.Receive(now, from, message)
 	case *nodepb.Envelope_SubmitReply:
 		return a.submit.Receive(now, from, message)
-	case *nodepb.Envelope_IndexUpdate, *nodepb.Envelope_IndexPoll:
-		return nil
+	case *nodepb.Envelope_IndexUpdate:
+		return a.prompts.subscriber.HandleUpdate(now, from, message.GetIndexUpdate())
+	case *nodepb.Envelope_IndexPoll:
+		return a.prompts.home.HandlePoll(now, from, message.GetIndexPoll())
 	default:
 		if a.store == nil {
 			return nil
@@ -132,7 +134,9 @@
 	case core.Log:
 		a.log.Info(output.Message, output.Fields...)
 	default:
-		a.carryOutDuty(now, output)
+		if !a.carryOutIndex(now, output) {
+			a.carryOutDuty(now, output)
+		}
 	}
 }
 
@@ -144,10 +148,13 @@
 	}
 	a.exchangeView(now)
 	a.exchangeConfirmation(now)
+	a.refreshIndex(now)
+	a.doubtStores(now)
 }
 
 func (a *Agent) membersChanged(now core.Time) {
 	members := a.membership.Members()
+	a.prompts.stale = true
 	a.carryOut(now, a.registry.SetMembers(now, members))
 	a.carryOut(now, a.distribution.SetMembers(now, members))
 	var counting []*nodepb.Member
