--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -71,9 +71,10 @@
 	confirmed atomic.Int64 // core.Time of the confirmation of the published state; 0: never
 	stopping  atomic.Bool
 
-	seen       seenRevisions
-	targets    map[string]rollout.Target
-	compaction uint64 // token of the checkpoint that is being written; 0: none
+	seen        seenRevisions
+	targets     map[string]rollout.Target
+	brokersCopy savedBrokers
+	compaction  uint64 // token of the checkpoint that is being written; 0: none
 }
 
 // seenRevisions is what the loop has passed on between the planes.
@@ -173,6 +174,7 @@
 		SelfID: a.self.NodeId, SelfAddress: a.self.Address, Zone: a.self.Zone, Heartbeat: a.settings.Heartbeat(),
 	}, a.random)
 	a.buildDuty()
+	a.openSavedBrokers()
 	a.buildIndex()
 	a.buildDataPlane(now)
 }
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -66,7 +66,9 @@
 
 // publishTable hands the brokers known to the data plane.
 func (a *Agent) publishTable(now core.Time) {
-	a.router.SetTable(now, a.registry.Table())
+	table := a.registry.Table()
+	a.router.SetTable(now, table)
+	a.brokersChanged(now, table)
 	a.prompts.stale = true
 }
 
--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -58,7 +58,7 @@
 }
 
 func (a *Agent) deadline() core.Time {
-	next := a.rolloutDeadline()
+	next := min(a.rolloutDeadline(), a.brokersCopy.due)
 	for _, m := range a.machines() {
 		next = min(next, m.Deadline())
 	}
@@ -150,6 +150,7 @@
 	a.exchangeConfirmation(now)
 	a.refreshIndex(now)
 	a.doubtStores(now)
+	a.saveBrokers(now)
 }
 
 func (a *Agent) membersChanged(now core.Time) {
