--- a/internal/node/forward/arrival.go
+++ b/internal/node/forward/arrival.go
@@ -96,7 +96,8 @@
 	}
 	outcome := f.outcome(upstream.VerdictOf(err))
 	outcome.ConnectFailed = errorx.IsOfType(err, upstream.ConnectFailed) || errorx.IsOfType(err, upstream.Unsent)
-	outcome.NotExecuted = errorx.IsOfType(err, upstream.Exhausted)
+	// Both mean that the broker takes no more connections, as it takes no more requests when it is full.
+	outcome.NotExecuted = errorx.IsOfType(err, upstream.Exhausted) || errorx.IsOfType(err, upstream.Rejected)
 	outcome.TimedOut = errorx.IsOfType(err, upstream.TimedOut)
 	outcome.Canceled = f.wasCanceled()
 	return &arrival{flight: f, outcome: outcome, err: err}
--- a/internal/node/forward/attempts.go
+++ b/internal/node/forward/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/routing"
@@ -61,9 +62,23 @@
 		return routing.Decision{}
 	}
 	result.concluded = true
+	c.logFailure(result)
 	return c.proxy.options.Port.Finished(c.now(), c.id, result.flight.attempt.Number, result.outcome, resumes)
 }
 
+// logFailure notes an attempt that failed, for whoever looks into one request.
+func (c *call) logFailure(result *arrival) {
+	log, ctx := c.proxy.options.Log, c.request.Context()
+	if result.err == nil || !log.Enabled(ctx, slog.LevelDebug) {
+		return
+	}
+	log.LogAttrs(ctx, slog.LevelDebug, "attempt failed",
+		slog.String("request", c.intake.id),
+		slog.String("instance", result.flight.attempt.Instance.ID),
+		slog.String("verdict", result.outcome.Verdict.String()),
+		slog.Any("error", result.err))
+}
+
 // concludeAnswered tells the router that an answer was whole and goes to the client.
 func (c *call) concludeAnswered(result *arrival) {
 	result.outcome.Answered = true
--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -92,7 +92,7 @@
 
 // denyIfCurrent denies a request, unless this proxy can't tell whether its configuration is the one in force.
 func (c *call) denyIfCurrent(why *denial) bool {
-	if (why == deniedRoute || why == deniedKey) && !c.proxy.mayServe(c.now(), true) {
+	if (why == deniedRoute || why == deniedKey) && !c.proxy.mayServe(c.now(), why != deniedKey) {
 		c.refuse(c.proxy.bounds.UnreadyRetryAfter)
 		return false
 	}
--- a/internal/node/forward/flight.go
+++ b/internal/node/forward/flight.go
@@ -60,7 +60,10 @@
 			conn.Close()
 			return f.withheld()
 		}
-		err = f.write(conn)
+		err = f.settle(conn)
+		if err == nil {
+			err = f.write(conn)
+		}
 		if err == nil {
 			return nil
 		}
@@ -77,7 +80,15 @@
 }
 
 // errWithheld says that the request must not be sent any more.
-var errWithheld = errorx.NewNamespace("forward").NewType("withheld")
+var errWithheld = errorx.NewNamespace("forward").ApplyModifiers(errorx.TypeModifierOmitStackTrace).NewType("withheld")
+
+// settle makes sure of a new connection where a reset would cost the request.
+func (f *flight) settle(conn *upstream.Conn) error {
+	if f.call.intake.route.Idempotent() {
+		return nil
+	}
+	return conn.Settle(f.call.holdUntil())
+}
 
 func (f *flight) write(conn *upstream.Conn) error {
 	c := f.call
--- a/internal/node/forward/race_test.go
+++ b/internal/node/forward/race_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/routing"
 	"kestrelspread/internal/node/verdict"
 )
@@ -70,6 +72,30 @@
 	}
 }
 
+// TestHeadAloneIsNoStart of a stream: its first event is, so that a copy may still go out.
+func TestHeadAloneIsNoStart(t *testing.T) {
+	closed := make(chan struct{})
+	late := newBroker(t, "i-1", func(e *exchange) {
+		e.streamHead()
+		e.awaitClose()
+		e.close()
+		close(closed)
+	})
+	quick := newBroker(t, "i-2", streamOf(1, 3))
+	port := copying(late, quick)
+	port.attempt = func(attempt *routing.Attempt) {
+		if attempt.Number == 0 {
+			attempt.CopyAt = time.Hour // the clock below stands: this is some moments ahead of it
+		}
+	}
+	w := newWorld(t, port, func(_ *world, options *Options) {
+		options.Clock = func() core.Time { return time.Hour - 20*time.Millisecond }
+	})
+	got := w.do(post("/resumable/a", "r1", "prompt"))
+	assert.Equal(t, got.body, events(1, 3))
+	<-closed
+}
+
 // TestFirstAttemptWins although a copy is out.
 func TestFirstAttemptWins(t *testing.T) {
 	copied := make(chan struct{})
--- a/internal/node/forward/receive.go
+++ b/internal/node/forward/receive.go
@@ -35,7 +35,6 @@
 	if f.events != nil {
 		return f.receiveFirstEvent(until, limit)
 	}
-	f.started()
 	return f.receiveBody(), false
 }
 
@@ -85,7 +84,8 @@
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
-// started tells the router that an answer has begun.
+// started tells the router that there is an answer for the client. Of an answer that is read whole it is told only then: until
+// its end has come, another attempt can take its place.
 func (f *flight) started() {
 	c := f.call
 	c.proxy.options.Port.Started(c.now(), c.id, f.attempt.Number, serverLoad(f.answer.Header))
@@ -96,16 +96,19 @@
 	result := &arrival{flight: f, answer: f.answer, outcome: f.outcome(verdict.Ran)}
 	most := int64(f.call.proxy.bounds.MaxWholeAnswerBytes)
 	if f.answer.Length > most {
+		f.started()
 		return result
 	}
 	body := takeBuffer()
 	err := body.readAll(f.answer, f.answer.Length, most)
 	switch {
 	case err == nil:
+		f.started()
 		result.body = body
 		f.giveBack()
 		return result
 	case err == errTooLarge:
+		f.started()
 		result.prefix = body
 		return result
 	default:
--- a/internal/node/forward/upstream/conn.go
+++ b/internal/node/forward/upstream/conn.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 // readBufferBytes is the size of a connection's read buffer.
@@ -29,6 +31,7 @@
 	source limitedSource
 
 	reused       bool // carried a request before this one
+	connectTime  time.Duration
 	answers      int  // answers read from it
 	doubtful     bool // not to be kept: bytes came that belong to no request
 	keepAlive    time.Duration
@@ -77,6 +80,30 @@
 	return err == nil && errors.Is(failure, syscall.EAGAIN)
 }
 
+// Settle waits, on a new connection, for as long as a broker that has too many of them takes to reset it: one round trip, which
+// is what connecting took. What is sent before that reset comes may have run, for all that anybody knows; after Rejected
+// nothing was sent. It is meant for requests that must not be repeated.
+func (c *Conn) Settle(until time.Time) error {
+	if c.reused {
+		return nil
+	}
+	wait := min(c.connectTime, maxRoundTrip) + c.pool.options.SettleTime
+	if limit := time.Now().Add(wait); limit.Before(until) {
+		until = limit
+	}
+	err := c.Await(until)
+	if errorx.IsOfType(err, TimedOut) {
+		return nil
+	}
+	if err == nil {
+		return Rejected.New("bytes came before a request was sent")
+	}
+	return Rejected.Wrap(err, "new connection")
+}
+
+// maxRoundTrip bounds what Settle takes for a round trip: connecting may also take long because a packet was lost.
+const maxRoundTrip = 10 * time.Millisecond
+
 // Send writes a request once. The time bounds the writing. Where the connection took no byte, the error is Unsent.
 func (c *Conn) Send(head, body []byte, until time.Time) error {
 	c.SetDeadline(until)
--- a/internal/node/forward/upstream/errors.go
+++ b/internal/node/forward/upstream/errors.go
@@ -18,6 +18,8 @@
 	ConnectFailed = namespace.NewType("connect_failed", notRun)
 	// Exhausted: this proxy already holds as many connections to the broker as it may.
 	Exhausted = namespace.NewType("exhausted", notRun)
+	// Rejected: the broker closed a new connection before anything was sent on it, as it does beyond maxConnections.
+	Rejected = namespace.NewType("rejected", notRun)
 	// Unsent: the connection took no byte of the request.
 	Unsent = namespace.NewType("unsent", notRun)
 	// SentInPart: the connection broke after it took some bytes of the request.
--- a/internal/node/forward/upstream/pool.go
+++ b/internal/node/forward/upstream/pool.go
@@ -23,6 +23,8 @@
 	KeepAliveMargin time.Duration
 	// ConnectTimeout bounds the time in which a connection must come up.
 	ConnectTimeout time.Duration
+	// SettleTime is how long Conn.Settle waits for a reset, beside a round trip.
+	SettleTime time.Duration
 	// SendTimeout is TCP_USER_TIMEOUT: how long sent bytes may stay without acknowledgement.
 	SendTimeout time.Duration
 	// MaxHeadBytes bounds the head of an answer.
@@ -36,6 +38,7 @@
 	DefaultUnstatedIdleTime = 4 * time.Second
 	DefaultKeepAliveMargin  = 300 * time.Millisecond
 	DefaultConnectTimeout   = time.Second
+	DefaultSettleTime       = time.Millisecond
 	DefaultSendTimeout      = 3 * time.Second
 	DefaultMaxHeadBytes     = 64 << 10
 )
@@ -59,6 +62,7 @@
 	setDefault(&o.UnstatedIdleTime, DefaultUnstatedIdleTime)
 	setDefault(&o.KeepAliveMargin, DefaultKeepAliveMargin)
 	setDefault(&o.ConnectTimeout, DefaultConnectTimeout)
+	setDefault(&o.SettleTime, DefaultSettleTime)
 	setDefault(&o.SendTimeout, DefaultSendTimeout)
 	setDefault(&o.MaxHeadBytes, DefaultMaxHeadBytes)
 	return o
@@ -207,6 +211,7 @@
 		var conn *Conn
 		if conn, err = newConn(p, h, connection); err == nil {
 			p.Counters.Opened.Add(1)
+			conn.connectTime = time.Since(now)
 			return conn, nil
 		}
 		connection.Close()
--- a/internal/node/forward/upstream/pool_test.go
+++ b/internal/node/forward/upstream/pool_test.go
@@ -349,6 +349,37 @@
 	assert.Equal(t, pool.Counters.Failed.Load(), uint64(1))
 }
 
+// TestSettle: a new connection that is reset, or that speaks first, is told from one that stays.
+func TestSettle(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{})
+	good, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	assert.NilError(t, good.Settle(soon()))
+	finish(t, good)
+	again, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	assert.NilError(t, again.Settle(soon()), "a kept connection needs no wait")
+	again.Close()
+	<-p.sockets
+
+	pool = newPool(t, Options{SettleTime: patience})
+
+	for _, end := range []func(*net.TCPConn){
+		func(socket *net.TCPConn) { socket.SetLinger(0); socket.Close() },
+		func(socket *net.TCPConn) { socket.Close() },
+		func(socket *net.TCPConn) { io.WriteString(socket, "HTTP/1.1 200 OK\r\n") },
+	} {
+		conn, err := pool.Get(t.Context(), p.target("i-2"), soon())
+		assert.NilError(t, err)
+		end(<-p.sockets)
+		err = conn.Settle(soon())
+		assert.Assert(t, errorx.IsOfType(err, Rejected), "%v", err)
+		assert.Equal(t, VerdictOf(err), verdict.NotRun)
+		conn.Close()
+	}
+}
+
 // TestUnsent: a connection that took no byte leaves the request not run.
 func TestUnsent(t *testing.T) {
 	p := newPeer(t, ok(""))
--- a/internal/node/forward/verdict_test.go
+++ b/internal/node/forward/verdict_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -237,6 +238,37 @@
 	assert.Assert(t, outcome.ConnectFailed)
 }
 
+// TestConnectionResetAtOnce: a broker with too many connections resets a new one. A request that must not be repeated has not
+// been sent by then.
+func TestConnectionResetAtOnce(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			socket.(*net.TCPConn).SetLinger(0)
+			socket.Close()
+		}
+	}()
+	crowded := &registry.Instance{ID: "i-crowded", Service: "service", Address: listener.Addr().String()}
+	second := newBroker(t, "i-2", func(e *exchange) { e.answer(200, "second") })
+	w := newWorld(t, newPort(crowded, second.instance), func(_ *world, options *Options) {
+		options.Upstream.SettleTime = 100 * time.Millisecond
+	})
+	got := w.do(post("/unsafe/a", "r1", "body"))
+	assert.Equal(t, got.body, "second")
+	w.port.awaitEnds(t, 1)
+	outcome := w.port.outcome(t, 0)
+	assert.Equal(t, outcome.Verdict, verdict.NotRun)
+	// The reset may also come while the connection is being set up.
+	assert.Assert(t, outcome.NotExecuted || outcome.ConnectFailed)
+	assert.Equal(t, outcome.Status, 0)
+}
+
 // TestRefusalOfTheRouter: nothing was sent, so the client is told when to come again.
 func TestRefusalOfTheRouter(t *testing.T) {
 	w := newWorld(t, newPort())
