--- a/internal/node/forward/arrival.go
+++ b/internal/node/forward/arrival.go
@@ -94,13 +94,29 @@
 	if errorx.IsOfType(err, upstream.Garbled) {
 		f.call.proxy.counters.garbled.Add(1)
 	}
+	return &arrival{flight: f, outcome: f.failedOutcome(err), err: err}
+}
+
+func (f *flight) failedOutcome(err error) routing.Outcome {
 	outcome := f.outcome(upstream.VerdictOf(err))
+	outcome.TimedOut = errorx.IsOfType(err, upstream.TimedOut)
+	if f.calledOff(err) {
+		outcome.Canceled = true
+		return outcome
+	}
 	outcome.ConnectFailed = errorx.IsOfType(err, upstream.ConnectFailed) || errorx.IsOfType(err, upstream.Unsent)
 	// Both mean that the broker takes no more connections, as it takes no more requests when it is full.
 	outcome.NotExecuted = errorx.IsOfType(err, upstream.Exhausted) || errorx.IsOfType(err, upstream.Rejected)
-	outcome.TimedOut = errorx.IsOfType(err, upstream.TimedOut)
-	outcome.Canceled = f.wasCanceled()
-	return &arrival{flight: f, outcome: outcome, err: err}
+	return outcome
+}
+
+// calledOff reports whether an attempt failed because the client left, another attempt won, or the time for connecting was cut
+// short by the request's deadline. None of them says anything of the broker.
+func (f *flight) calledOff(err error) bool {
+	if f.wasCanceled() || f.context.Err() != nil {
+		return true
+	}
+	return errorx.IsOfType(err, upstream.ConnectFailed) && f.call.now() >= f.call.intake.deadline
 }
 
 // cutOutcome describes an attempt whose stream ended midway.
--- a/internal/node/forward/attempts.go
+++ b/internal/node/forward/attempts.go
@@ -45,6 +45,18 @@
 	return !c.clientHasLeft() && c.now() < c.intake.deadline
 }
 
+// keepOrDrop keeps a failure that a broker answered, if it is here in full.
+func (c *call) keepOrDrop(result *arrival) {
+	switch {
+	case result.answer == nil:
+	case result.whole():
+		c.keepFallback(result)
+	default:
+		result.flight.drop()
+		result.release()
+	}
+}
+
 func (c *call) keepFallback(result *arrival) {
 	if c.fallback != nil {
 		c.fallback.release()
@@ -133,9 +145,7 @@
 			return result
 		}
 		decision := c.conclude(result, false)
-		if result.answer != nil && result.whole() {
-			c.keepFallback(result)
-		}
+		c.keepOrDrop(result)
 		if decision.Attempt != nil && c.racing < maxRacing && c.mayTryAgain() {
 			c.proxy.counters.retries.Add(1)
 			c.raceCopy(decision.Attempt)
--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -44,25 +44,20 @@
 	left    bool // the client has left
 }
 
-// take checks the request and reads its body. It answers those that it does not take.
+// take checks the request and reads its body. It answers those that it does not take. The body comes first: what is decided
+// is then decided by the configuration in force when the whole request was here.
 func (c *call) take() bool {
 	if why := c.intake.checkRequest(c.request, c.framing()); why != nil {
-		c.deny(why)
-		return false
+		return c.deny(why)
 	}
 	compiled := c.proxy.configuration()
 	if compiled == nil {
-		c.refuse(c.proxy.bounds.UnreadyRetryAfter)
-		return false
-	}
-	if !c.admit(compiled) || !c.readBody(compiled.Limits.MaxBodyBytes) {
-		return false
+		return c.refuse(c.proxy.bounds.UnreadyRetryAfter)
 	}
-	// The configuration may have changed while the body came.
-	if newer := c.proxy.configuration(); newer != nil && newer != compiled {
-		return c.admit(newer)
+	if why := checkLimits(c.request, c.framing(), &compiled.Limits); why != nil {
+		return c.deny(why)
 	}
-	return true
+	return c.readBody(compiled.Limits.MaxBodyBytes) && c.admit(c.proxy.configuration())
 }
 
 // framing gives what is known of how the request was framed.
@@ -75,31 +70,19 @@
 
 // admit checks the request under a configuration.
 func (c *call) admit(compiled *config.Compiled) bool {
-	why := checkLimits(c.request, c.framing(), &compiled.Limits)
-	if why == nil {
-		why = c.intake.resolve(c.request, compiled, c.proxy.match, c.proxy.options.Seed)
+	why := c.intake.resolve(c.request, compiled, c.proxy.match, c.proxy.options.Seed)
+	// While this proxy can't tell whether its configuration is the one in force, it denies nothing.
+	needsKey := why == deniedKey || why == nil && !c.intake.route.Public
+	if !c.proxy.mayServe(c.now(), !needsKey) {
+		return c.refuse(c.proxy.bounds.UnreadyRetryAfter)
 	}
 	if why != nil {
-		return c.denyIfCurrent(why)
-	}
-	if !c.proxy.mayServe(c.now(), c.intake.route.Public) {
-		c.refuse(c.proxy.bounds.UnreadyRetryAfter)
-		return false
+		return c.deny(why)
 	}
 	c.intake.setDeadline(c.request.Header)
 	return true
 }
 
-// denyIfCurrent denies a request, unless this proxy can't tell whether its configuration is the one in force.
-func (c *call) denyIfCurrent(why *denial) bool {
-	if (why == deniedRoute || why == deniedKey) && !c.proxy.mayServe(c.now(), why != deniedKey) {
-		c.refuse(c.proxy.bounds.UnreadyRetryAfter)
-		return false
-	}
-	c.deny(why)
-	return false
-}
-
 // readBody reads the whole body: nothing is sent on before it is here.
 func (c *call) readBody(most int64) bool {
 	if c.request.ContentLength == 0 {
@@ -109,8 +92,7 @@
 		most = c.proxy.bounds.MaxBufferedBytes
 	}
 	if !c.holdBytes(max(c.request.ContentLength, 0)) {
-		c.refuse(c.proxy.bounds.UnreadyRetryAfter)
-		return false
+		return c.refuse(c.proxy.bounds.UnreadyRetryAfter)
 	}
 	c.limitBody()
 	c.body = takeBuffer()
@@ -120,13 +102,12 @@
 	case err == nil:
 		return c.holdChunkedBody()
 	case errors.Is(err, errTooLarge):
-		c.deny(deniedBodySize)
+		return c.deny(deniedBodySize)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.deny(deniedSlowBody)
+		return c.deny(deniedSlowBody)
 	default:
-		c.deny(deniedBody)
+		return c.deny(deniedBody)
 	}
-	return false
 }
 
 // holdBytes counts bytes of a body, unless too many are held already.
@@ -143,15 +124,19 @@
 	if c.request.ContentLength >= 0 || c.holdBytes(int64(len(c.body.bytes))) {
 		return true
 	}
-	c.refuse(c.proxy.bounds.UnreadyRetryAfter)
-	return false
+	return c.refuse(c.proxy.bounds.UnreadyRetryAfter)
 }
 
-// limitBody bounds the time that a body may take by the request's deadline. A body that came with its head needs no limit.
+// limitBody bounds the time that a body may take by what its client will wait. A body that came with its head needs no limit.
 func (c *call) limitBody() {
-	if c.client != nil && !c.client.received {
-		c.client.SetReadDeadline(c.wall(c.intake.deadline))
+	if c.client == nil || c.client.received {
+		return
+	}
+	allowed := c.proxy.bounds.BodyTimeout
+	if wait, ok := clientWait(c.request.Header); ok {
+		allowed = min(allowed, wait)
 	}
+	c.client.SetReadDeadline(c.wall(c.intake.received + allowed))
 }
 
 func (c *call) unlimitBody() {
--- a/internal/node/forward/lifecycle_test.go
+++ b/internal/node/forward/lifecycle_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/registry"
 	"kestrelspread/internal/node/routing"
 	"kestrelspread/internal/node/verdict"
 )
@@ -105,6 +109,95 @@
 	assert.Equal(t, port.outcome(t, 0).Verdict, verdict.NotRun)
 }
 
+// hungAddress is an address that takes no connection and refuses none: the queue of its listener is full.
+func hungAddress(t *testing.T) string {
+	t.Helper()
+	descriptor, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { syscall.Close(descriptor) })
+	assert.NilError(t, syscall.Bind(descriptor, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	assert.NilError(t, syscall.Listen(descriptor, 0))
+	name, err := syscall.Getsockname(descriptor)
+	assert.NilError(t, err)
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	filler, err := net.Dial("tcp4", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { filler.Close() })
+	return address
+}
+
+// TestClientLeavesWhileConnecting: nothing is sent, and the broker isn't blamed.
+func TestClientLeavesWhileConnecting(t *testing.T) {
+	hung := &registry.Instance{ID: "i-hung", Service: "service", Address: hungAddress(t)}
+	second := newBroker(t, "i-2", func(e *exchange) { e.answer(200, "ok") })
+	w := newWorld(t, newPort(hung, second.instance), func(_ *world, options *Options) {
+		options.Upstream.ConnectTimeout = time.Hour
+	})
+	c := w.client()
+	c.send(post("/unsafe/a", "r1", "body"))
+	<-w.contexts
+	c.socket.Close()
+	w.port.awaitEnds(t, 1)
+	outcome := w.port.outcome(t, 0)
+	assert.Equal(t, outcome.Verdict, verdict.NotRun)
+	assert.Assert(t, outcome.Canceled)
+	assert.Assert(t, !outcome.ConnectFailed)
+	assert.Equal(t, second.arrived(), 0)
+}
+
+// TestDeadlineWhileConnecting: the request has not run, and the broker isn't blamed.
+func TestDeadlineWhileConnecting(t *testing.T) {
+	hung := &registry.Instance{ID: "i-hung", Service: "service", Address: hungAddress(t)}
+	w := newWorld(t, newPort(hung), func(_ *world, options *Options) {
+		options.Upstream.ConnectTimeout = time.Hour
+	})
+	got := w.do(post("/unsafe/a", "r1", "body", "X-Kestrelspread-Deadline-Ms: 30"))
+	assert.Equal(t, got.StatusCode, 503)
+	w.port.awaitEnds(t, 1)
+	outcome := w.port.outcome(t, 0)
+	assert.Equal(t, outcome.Verdict, verdict.NotRun)
+	assert.Assert(t, outcome.Canceled)
+	assert.Assert(t, !outcome.ConnectFailed)
+}
+
+// TestConnectionThatDoesNotComeUp: another broker gets the request.
+func TestConnectionThatDoesNotComeUp(t *testing.T) {
+	hung := &registry.Instance{ID: "i-hung", Service: "service", Address: hungAddress(t)}
+	second := newBroker(t, "i-2", func(e *exchange) { e.answer(200, "second") })
+	w := newWorld(t, newPort(hung, second.instance), func(_ *world, options *Options) {
+		options.Upstream.ConnectTimeout = 20 * time.Millisecond
+	})
+	assert.Equal(t, w.do(post("/unsafe/a", "r1", "body")).body, "second")
+	w.port.awaitEnds(t, 1)
+	assert.Assert(t, w.port.outcome(t, 0).ConnectFailed)
+}
+
+// TestBodyThatDoesNotCome: nobody waits for it, and nothing is sent on.
+func TestBodyThatDoesNotCome(t *testing.T) {
+	unready := func(_ *world, options *Options) { options.Config = func() *config.Compiled { return nil } }
+	for _, test := range []struct {
+		name, length, header string
+		setups               []setup
+		status               int
+	}{
+		{"in the client's time", "100", "X-Kestrelspread-Deadline-Ms: 20", nil, 408},
+		{"too large", "100000000", "X-A: b", nil, 413},
+		{"no configuration", "100", "X-A: b", []setup{unready}, 503},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			only := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
+			w := newWorld(t, newPort(only.instance), test.setups...)
+			c := w.client()
+			c.send("POST /unsafe/a HTTP/1.1\r\nHost: host.example\r\n" + headerRequestID + ": r1\r\n" + test.header +
+				"\r\nContent-Length: " + test.length + "\r\n\r\nstart")
+			got := c.read("POST")
+			assert.Equal(t, got.StatusCode, test.status)
+			assert.Assert(t, got.Close)
+			assert.Equal(t, only.arrived(), 0)
+		})
+	}
+}
+
 // TestNoFurtherAttemptForAClientThatHasLeft.
 func TestNoFurtherAttemptForAClientThatHasLeft(t *testing.T) {
 	first := newBroker(t, "i-1", func(e *exchange) { e.reject(503) })
--- a/internal/node/forward/options.go
+++ b/internal/node/forward/options.go
@@ -45,6 +45,8 @@
 	// IdleTimeout and HeaderTimeout are used for clients' connections until a configuration gives others.
 	IdleTimeout   time.Duration
 	HeaderTimeout time.Duration
+	// BodyTimeout bounds the time that a body may take, beside the client's deadline.
+	BodyTimeout time.Duration
 	// UnreadyRetryAfter is told to clients while MayServe forbids to serve.
 	UnreadyRetryAfter time.Duration
 	// SpreadConnections: a proxy may hold this many times its even share of the connections that a broker accepts, since
@@ -60,6 +62,7 @@
 	DefaultFinishAfterLeave    = 2 * time.Second
 	DefaultIdleTimeout         = 60 * time.Second
 	DefaultHeaderTimeout       = 10 * time.Second
+	DefaultBodyTimeout         = 30 * time.Second
 	DefaultUnreadyRetryAfter   = 200 * time.Millisecond
 	DefaultSpreadConnections   = 3
 )
@@ -71,6 +74,7 @@
 	setDefault(&b.FinishAfterLeave, DefaultFinishAfterLeave)
 	setDefault(&b.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&b.HeaderTimeout, DefaultHeaderTimeout)
+	setDefault(&b.BodyTimeout, DefaultBodyTimeout)
 	setDefault(&b.UnreadyRetryAfter, DefaultUnreadyRetryAfter)
 	setDefault(&b.SpreadConnections, DefaultSpreadConnections)
 	return b
--- a/internal/node/forward/race_test.go
+++ b/internal/node/forward/race_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -125,6 +126,7 @@
 		{"reset", func(e *exchange) { e.reset() }},
 		{"turned away", func(e *exchange) { e.reject(503) }},
 		{"failure of its own", func(e *exchange) { e.answer(500, "broken") }},
+		{"large failure of its own", func(e *exchange) { e.answer(500, strings.Repeat("broken", 100000)) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			proceed := make(chan struct{})
--- a/internal/node/forward/reply.go
+++ b/internal/node/forward/reply.go
@@ -46,8 +46,8 @@
 	return header
 }
 
-// deny answers a request that is not taken.
-func (c *call) deny(why *denial) {
+// deny answers a request that is not taken. It returns false, for the caller to pass on.
+func (c *call) deny(why *denial) bool {
 	c.proxy.counters.denied.Add(1)
 	if why == deniedFraming {
 		c.proxy.counters.badFraming.Add(1)
@@ -57,14 +57,16 @@
 		header["Connection"] = []string{"close"}
 	}
 	c.answerOurselves(header, why.status)
+	return false
 }
 
-// refuse answers that the request has not run and never will, and when to come again.
-func (c *call) refuse(retryAfter time.Duration) {
+// refuse answers that the request has not run and never will, and when to come again. It returns false.
+func (c *call) refuse(retryAfter time.Duration) bool {
 	c.proxy.counters.refused.Add(1)
 	header := c.newHeader()
 	header[headerRetryAfter] = []string{formatSeconds(retryAfter)}
 	c.answerOurselves(header, http.StatusServiceUnavailable)
+	return false
 }
 
 // fail answers without a promise: the request may have run.
@@ -81,10 +83,19 @@
 		header[headerRequestID] = []string{c.intake.id}
 	}
 	header["Content-Length"] = []string{"0"}
+	if c.bodyOutstanding() {
+		// Else net/http would wait for the rest of the body before it answers.
+		header["Connection"] = []string{"close"}
+	}
 	c.limitWrites(time.Now().Add(ownAnswerTime))
 	c.writer.WriteHeader(status)
 }
 
+// bodyOutstanding reports whether the body has not come, and was not read.
+func (c *call) bodyOutstanding() bool {
+	return c.body == nil && c.client != nil && !c.client.received
+}
+
 // abort breaks the client's connection off, so that an answer that has begun never looks complete.
 func (c *call) abort() {
 	c.proxy.counters.aborted.Add(1)
