--- /dev/null
+++ b/internal/standin/llmbroker/broker_test.go
@@ -0,0 +1,311 @@
+package llmbroker
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// patience bounds every wait of the tests; a passing test never waits it out.
+const patience = 20 * time.Second
+
+const model = "m1"
+
+func start(t *testing.T, options Options) *Broker {
+	t.Helper()
+	options.Listen = "127.0.0.1:0"
+	options.Service = "service"
+	options.Zone = "zone-a"
+	b, err := Start(options)
+	assert.NilError(t, err)
+	t.Cleanup(b.Crash)
+	return b
+}
+
+func startModel(t *testing.T, change func(*Engine)) *Broker {
+	engine := &Engine{Weights: NewWeights(), Model: model}
+	if change != nil {
+		change(engine)
+	}
+	return start(t, Options{Slots: 2, Queue: 1, TellsLoad: true, Engine: engine})
+}
+
+// do sends a request with headers given as "Name: value".
+func do(t *testing.T, b *Broker, method, path, body string, headers ...string) *http.Response {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+b.Address()+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	for _, header := range headers {
+		name, value, _ := strings.Cut(header, ": ")
+		request.Header.Set(name, value)
+	}
+	answer, err := http.DefaultTransport.RoundTrip(request)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = answer.Body.Close() })
+	return answer
+}
+
+func read(t *testing.T, answer *http.Response) string {
+	t.Helper()
+	text, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	return string(text)
+}
+
+const withID = HeaderRequestID + ": r1"
+
+// Source: PROTOCOL.md, "Brokers": what tells that a request was not run.
+func TestWhatIsTurnedAway(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		headers []string
+		status  int
+	}{
+		{"no id", nil, 400},
+		{"another instance", []string{withID, HeaderExpectInstance + ": i-other"}, 421},
+		{"another version", []string{withID, HeaderExpectVersion + ": 2"}, 421},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := startModel(t, nil)
+			answer := do(t, b, "POST", "/a/", "", test.headers...)
+			assert.Equal(t, answer.StatusCode, test.status)
+			assert.Assert(t, answer.Header.Get(HeaderNotExecuted) != "")
+			arrivals := b.options.Ledger.Arrivals()
+			assert.Equal(t, len(arrivals), 1)
+			assert.Assert(t, !arrivals[0].Ran())
+		})
+	}
+}
+
+func TestAPlainAnswerIsSealed(t *testing.T) {
+	b := start(t, Options{Slots: 1, TellsLoad: true})
+	answer := do(t, b, "POST", "/a/b?c", "body", withID, HeaderExpectInstance+": "+b.ID())
+	body := read(t, answer)
+	assert.Equal(t, answer.StatusCode, 200)
+	assert.Equal(t, answer.Header.Get(HeaderSeal), Seal(b.ID(), 1, Hash([]byte(body))))
+	assert.Equal(t, answer.Header.Get(HeaderRequestID), "r1")
+	assert.Equal(t, answer.Header.Get(HeaderServerLoad), "1,0,1")
+	arrival := b.options.Ledger.Of("r1")[0]
+	assert.Assert(t, arrival.Ran())
+	assert.Equal(t, arrival.URI, "/a/b?c")
+}
+
+func TestAFullBrokerTurnsAway(t *testing.T) {
+	b := start(t, Options{Slots: 1, Queue: 0, Work: patience})
+	begun := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() {
+		request, _ := http.NewRequestWithContext(ctx, "POST", "http://"+b.Address()+"/a/", nil)
+		request.Header.Set(HeaderRequestID, "held")
+		_, _ = http.DefaultTransport.RoundTrip(request)
+	})
+	go func() {
+		awaitRun(b.options.Ledger, "held")
+		close(begun)
+	}()
+	<-begun
+	answer := do(t, b, "POST", "/a/", "", withID)
+	assert.Equal(t, answer.StatusCode, 503)
+	assert.Assert(t, answer.Header.Get(HeaderNotExecuted) != "")
+	cancel()
+	group.Wait()
+}
+
+// awaitRun waits until a request has begun.
+func awaitRun(ledger *Ledger, request string) {
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for range ticker.C {
+		if arrivals := ledger.Of(request); len(arrivals) > 0 && arrivals[0].Ran() {
+			return
+		}
+	}
+}
+
+// Source: PROTOCOL.md, "Requests": a stream may be taken up at another broker with Last-Event-Id.
+func TestAStreamIsTakenUpElsewhere(t *testing.T) {
+	first, second := startModel(t, nil), startModel(t, nil)
+	whole := eventsOf(read(t, do(t, first, "POST", "/a/", "q", withID, HeaderTokenCount+": 10,5")))
+	rest := eventsOf(read(t, do(t, second, "POST", "/a/", "q", withID, HeaderTokenCount+": 10,5", HeaderLastEventID+": 3")))
+	assert.Equal(t, len(whole), 5)
+	assert.Equal(t, len(rest), 2)
+	for i, event := range whole {
+		assert.Equal(t, event, fmt.Sprintf("id: %d\ndata: %s %s.1", i+1, Piece("/a/", []byte("q"), i+1), first.ID()))
+	}
+	assert.Assert(t, strings.HasPrefix(rest[0], "id: 4\ndata: "+Piece("/a/", []byte("q"), 4)))
+}
+
+func eventsOf(body string) []string { return strings.Split(strings.TrimSuffix(body, "\n\n"), "\n\n") }
+
+func orderText(version, fence uint64, mode string) string {
+	return fmt.Sprintf(`{"op":"version","model":"m1","version":%d,"mode":%q,"holder":"h","fence":%d}`, version, mode, fence)
+}
+
+// Source: PROTOCOL.md, "Requests": the answers to orders.
+func TestOrders(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		body   string
+		status int
+	}{
+		{"taken", orderText(2, 5, "wait"), 202},
+		{"already holds", orderText(1, 5, "wait"), 200},
+		{"not named", orderText(3, 5, "wait"), 400},
+		{"fence too low", orderText(2, 3, "wait"), 412},
+		{"no fence", `{"op":"version","model":"m1","version":2,"mode":"wait","holder":"h"}`, 400},
+		{"no holder", `{"op":"version","model":"m1","version":2,"mode":"wait","fence":5}`, 400},
+		{"no such order", `{"op":"dance","model":"m1","version":2,"mode":"wait","holder":"h","fence":5}`, 400},
+		{"another sequence", `{"op":"version","model":"m1","version":2,"mode":"wait","holder":"h","fence":5,"ifRevision":7}`, 409},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := startModel(t, func(e *Engine) { e.Fencing = true })
+			b.options.Engine.Weights.Name(model, 2)
+			b.engine.fence = 4
+			assert.Equal(t, do(t, b, "POST", pathOrder, test.body).StatusCode, test.status)
+		})
+	}
+}
+
+func TestNewWeightsComeOnceNothingRuns(t *testing.T) {
+	b := startModel(t, func(e *Engine) { e.EventPause = 5 * time.Millisecond })
+	b.options.Engine.Weights.Name(model, 2)
+	answer := do(t, b, "POST", "/a/", "q", withID, HeaderTokenCount+": 10,8", HeaderSalt+": s")
+	reader := bufio.NewReader(answer.Body)
+	_, err := reader.ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, do(t, b, "POST", pathOrder, orderText(2, 1, "wait")).StatusCode, 202)
+	assert.Equal(t, do(t, b, "POST", pathOrder, orderText(2, 1, "wait")).StatusCode, 409)
+	turnedAway := do(t, b, "POST", "/a/", "q", HeaderRequestID+": r2")
+	assert.Equal(t, turnedAway.StatusCode, 503)
+	assert.Assert(t, turnedAway.Header.Get(HeaderNotExecuted) != "")
+	_, err = io.ReadAll(reader) // the run ends on the weights it began on
+	assert.NilError(t, err)
+	awaitReport(t, b, func(r reportBody) bool { return !r.Busy && r.Models[0].Version == 2 })
+	assert.Equal(t, b.options.Ledger.Of("r1")[0].Version, uint64(1))
+}
+
+// awaitReport asks for reports until one is as expected.
+func awaitReport(t *testing.T, b *Broker, expected func(reportBody) bool) {
+	t.Helper()
+	timeout := time.After(patience)
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		var report reportBody
+		assert.NilError(t, json.Unmarshal([]byte(read(t, do(t, b, "GET", pathReport, ""))), &report))
+		if expected(report) {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-timeout:
+			t.Fatalf("last report: %+v", report)
+		}
+	}
+}
+
+// Source: PROTOCOL.md, "KV cache".
+func TestEventsTellOfKeptParts(t *testing.T) {
+	store, err := StartStore("127.0.0.1:0", 1000, 4)
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	b := startModel(t, nil)
+	read(t, do(t, b, "POST", "/a/", "q", withID, HeaderSalt+": s1", HeaderPromptPrefix+": ab:80,cd:20",
+		HeaderTokenCount+": 110,1", HeaderSave+": "+store.Address()))
+	for _, address := range []string{b.Address(), store.Address()} {
+		request, err := http.NewRequest("GET", "http://"+address+pathEvents+"?since=0", nil)
+		assert.NilError(t, err)
+		request.Header.Set(headerWait, "1000")
+		answer, err := http.DefaultTransport.RoundTrip(request)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = answer.Body.Close() })
+		var body eventsBody
+		assert.NilError(t, json.Unmarshal([]byte(read(t, answer)), &body))
+		assert.Equal(t, len(body.Events), 2)
+		assert.Equal(t, fmt.Sprint(body.Events[1]), "[2 + s1 cd 20 m1]")
+		assert.Equal(t, body.Next, uint64(2))
+		assert.Assert(t, !body.Lost)
+	}
+}
+
+func TestThePartsUnusedLongestGiveWay(t *testing.T) {
+	parts := newPartStore(100)
+	assert.Equal(t, parts.keep("s", model, []Part{{"a", 60}, {"b", 30}}), 0)
+	assert.Equal(t, parts.keep("s", model, []Part{{"a", 60}}), 60)
+	assert.Equal(t, parts.keep("s", model, []Part{{"a", 60}, {"c", 40}}), 60)
+	assert.Equal(t, parts.keep("s", model, []Part{{"a", 60}, {"b", 30}}), 60) // b gave way to c
+	assert.Equal(t, parts.keep("other", model, []Part{{"a", 60}}), 0)
+}
+
+// controlNode takes heartbeats as a node does.
+type controlNode struct {
+	server *httptest.Server
+	beats  chan heartbeatBody
+	ended  chan struct{}
+	refuse bool
+}
+
+func newControlNode(t *testing.T, refuse bool, answer string) *controlNode {
+	node := &controlNode{beats: make(chan heartbeatBody, 100), ended: make(chan struct{}, 1), refuse: refuse}
+	node.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if node.refuse {
+			w.WriteHeader(503)
+			return
+		}
+		if strings.HasSuffix(r.URL.Path, "/deregister") {
+			node.ended <- struct{}{}
+			return
+		}
+		var body heartbeatBody
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		node.beats <- body
+		_, _ = io.WriteString(w, answer)
+	}))
+	t.Cleanup(node.server.Close)
+	return node
+}
+
+func (n *controlNode) address() string { return strings.TrimPrefix(n.server.URL, "http://") }
+
+// Source: PROTOCOL.md, "Service discovery".
+func TestHeartbeatsDrainingAndTheEnd(t *testing.T) {
+	refusing := newControlNode(t, true, "")
+	home := newControlNode(t, false, "{}")
+	taking := newControlNode(t, false, fmt.Sprintf(`{"heartbeatUrl":%q}`, home.address()))
+	b := start(t, Options{
+		Slots: 3, Heartbeat: time.Millisecond, Drain: time.Millisecond,
+		Control: func() []string { return []string{refusing.address(), taking.address()} },
+	})
+	<-b.Announced()
+	first := <-taking.beats
+	assert.Equal(t, first.State, "ready")
+	assert.Equal(t, first.Address, b.Address())
+	assert.Equal(t, first.Slots, 3)
+	second := <-home.beats
+	assert.Assert(t, second.Sequence > first.Sequence)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	at, err := b.Drain(ctx)
+	assert.NilError(t, err)
+	assert.Assert(t, !at.IsZero())
+	for beat := range home.beats {
+		if beat.State == "draining" {
+			break
+		}
+	}
+	assert.NilError(t, b.Leave(ctx))
+	<-home.ended
+}
--- /dev/null
+++ b/internal/standin/llmbroker/heartbeat.go
@@ -0,0 +1,192 @@
+package llmbroker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	stage = "both" // a broker reads prompts and generates
+	// ackTimeout is how long an acknowledgement may take.
+	ackTimeout = time.Second
+	// maxAckBytes is how large an acknowledgement may be.
+	maxAckBytes = 4 << 10
+	// retryPause follows a round of calls of which none was acknowledged.
+	retryPause = 100 * time.Millisecond
+	software   = "standin-1"
+)
+
+// heartbeatBody is what a broker tells of itself. Source: PROTOCOL.md, "Service discovery".
+type heartbeatBody struct {
+	Service         string      `json:"service"`
+	Address         string      `json:"address"`
+	Zone            string      `json:"zone"`
+	Version         string      `json:"version"`
+	Slots           int         `json:"slots"`
+	State           string      `json:"state"`
+	ColdRemainingMs int         `json:"coldRemainingMs"`
+	Stage           string      `json:"stage,omitempty"`
+	Models          []modelBody `json:"models,omitempty"`
+	Sequence        uint64      `json:"sequence"`
+}
+
+// announcer sends a broker's heartbeats.
+type announcer struct {
+	broker    *Broker
+	client    *http.Client
+	announced chan struct{}
+
+	mutex    sync.Mutex // held during a call: calls of one broker come one after the other
+	sequence uint64
+	home     string // address named by the last acknowledgement; empty: none
+	once     sync.Once
+}
+
+func newAnnouncer(broker *Broker) *announcer {
+	return &announcer{
+		broker: broker, announced: make(chan struct{}),
+		client: &http.Client{Timeout: ackTimeout, Transport: &http.Transport{IdleConnTimeout: 10 * time.Second}},
+	}
+}
+
+// run sends heartbeats until the broker ends.
+func (a *announcer) run(ctx context.Context) {
+	defer a.client.CloseIdleConnections()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		next := a.broker.options.Heartbeat
+		if _, err := a.announce(ctx); err != nil {
+			next = min(next, retryPause)
+		}
+		timer.Reset(next)
+	}
+}
+
+// announce sends one heartbeat, to one node after the other until one acknowledges it; it gives the time of that.
+func (a *announcer) announce(ctx context.Context) (time.Time, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.sequence++
+	body, err := json.Marshal(a.body())
+	if err != nil {
+		return time.Time{}, err
+	}
+	answer, err := a.callAny(ctx, "heartbeat", body)
+	if err != nil {
+		return time.Time{}, err
+	}
+	at := time.Now()
+	var said struct {
+		HeartbeatURL string `json:"heartbeatUrl"`
+	}
+	if json.Unmarshal(answer, &said) == nil && said.HeartbeatURL != "" {
+		a.home = said.HeartbeatURL
+	}
+	a.once.Do(func() { close(a.announced) })
+	return at, nil
+}
+
+func (a *announcer) body() heartbeatBody {
+	b := a.broker
+	body := heartbeatBody{
+		Service: b.options.Service, Address: b.address, Zone: b.options.Zone, Version: software,
+		Slots: b.options.Slots, State: "ready", Sequence: a.sequence, Models: b.models(),
+	}
+	if body.Models != nil {
+		body.Stage = stage
+	}
+	if b.leaving.Load() {
+		body.State = "draining"
+	}
+	return body
+}
+
+// callAny makes a call to the home, or where that fails to the nodes in a random order.
+func (a *announcer) callAny(ctx context.Context, verb string, body []byte) ([]byte, error) {
+	addresses := a.broker.options.Control()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	if a.home != "" {
+		addresses = append([]string{a.home}, addresses...)
+	}
+	failures := []error{errors.New("no node acknowledged")}
+	for _, address := range addresses {
+		answer, err := a.call(ctx, address, verb, body)
+		if err == nil {
+			return answer, nil
+		}
+		if address == a.home {
+			a.home = ""
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		failures = append(failures, err)
+	}
+	return nil, errors.Join(failures...)
+}
+
+func (a *announcer) call(ctx context.Context, address, verb string, body []byte) ([]byte, error) {
+	url := fmt.Sprintf("http://%s/kestrelspread/instances/%s/%s", address, a.broker.id, verb)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := a.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxAckBytes+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case answer.StatusCode/100 != 2:
+		return nil, fmt.Errorf("%s: status %d", address, answer.StatusCode)
+	case len(text) > maxAckBytes:
+		return nil, fmt.Errorf("%s: an acknowledgement of over %d bytes", address, maxAckBytes)
+	}
+	return text, nil
+}
+
+// drain announces the draining until it is acknowledged.
+func (a *announcer) drain(ctx context.Context) (time.Time, error) {
+	for {
+		at, err := a.announce(ctx)
+		if err == nil {
+			return at, nil
+		}
+		if !pause(ctx, retryPause) {
+			return time.Time{}, errors.Join(err, ctx.Err())
+		}
+	}
+}
+
+// deregister says that the broker ends, until that is acknowledged.
+func (a *announcer) deregister(ctx context.Context) error {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for {
+		_, err := a.callAny(ctx, "deregister", []byte("{}"))
+		if err == nil {
+			return nil
+		}
+		if !pause(ctx, retryPause) {
+			return errors.Join(err, ctx.Err())
+		}
+	}
+}
