--- a/internal/node/forward/headers.go
+++ b/internal/node/forward/headers.go
@@ -6,11 +6,13 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"kestrelspread/internal/node/forward/upstream"
 )
 
 // Names of headers, in the form in which net/http keeps them. Source: PROTOCOL.md.
 const (
-	headerRequestID      = "X-Kestrelspread-Request-Id"
+	headerRequestID      = upstream.HeaderRequestID
 	headerDeadline       = "X-Kestrelspread-Deadline-Ms"
 	headerExpectInstance = "X-Kestrelspread-Expect-Instance"
 	headerTenant         = "X-Kestrelspread-Tenant-Id"
@@ -18,7 +20,7 @@
 	headerTokenCount     = "X-Kestrelspread-Token-Count"
 	headerPromptPrefix   = "X-Kestrelspread-Prompt-Prefix"
 	headerSeal           = "X-Kestrelspread-Response-Seal"
-	headerNotExecuted    = "X-Kestrelspread-Not-Executed"
+	headerNotExecuted    = upstream.HeaderNotExecuted
 	headerServerLoad     = "X-Kestrelspread-Server-Load"
 	headerInstanceID     = "X-Kestrelspread-Instance-Id"
 	headerExpectVersion  = "Expect-Version"
--- a/internal/node/forward/options.go
+++ b/internal/node/forward/options.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"log/slog"
 	"time"
 
@@ -68,20 +69,14 @@
 )
 
 func (b Bounds) withDefaults() Bounds {
-	setDefault(&b.MaxBufferedBytes, DefaultMaxBufferedBytes)
-	setDefault(&b.MaxWholeAnswerBytes, DefaultMaxWholeAnswerBytes)
-	setDefault(&b.AnswerGrace, DefaultAnswerGrace)
-	setDefault(&b.FinishAfterLeave, DefaultFinishAfterLeave)
-	setDefault(&b.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&b.HeaderTimeout, DefaultHeaderTimeout)
-	setDefault(&b.BodyTimeout, DefaultBodyTimeout)
-	setDefault(&b.UnreadyRetryAfter, DefaultUnreadyRetryAfter)
-	setDefault(&b.SpreadConnections, DefaultSpreadConnections)
+	b.MaxBufferedBytes = cmp.Or(b.MaxBufferedBytes, DefaultMaxBufferedBytes)
+	b.MaxWholeAnswerBytes = cmp.Or(b.MaxWholeAnswerBytes, DefaultMaxWholeAnswerBytes)
+	b.AnswerGrace = cmp.Or(b.AnswerGrace, DefaultAnswerGrace)
+	b.FinishAfterLeave = cmp.Or(b.FinishAfterLeave, DefaultFinishAfterLeave)
+	b.IdleTimeout = cmp.Or(b.IdleTimeout, DefaultIdleTimeout)
+	b.HeaderTimeout = cmp.Or(b.HeaderTimeout, DefaultHeaderTimeout)
+	b.BodyTimeout = cmp.Or(b.BodyTimeout, DefaultBodyTimeout)
+	b.UnreadyRetryAfter = cmp.Or(b.UnreadyRetryAfter, DefaultUnreadyRetryAfter)
+	b.SpreadConnections = cmp.Or(b.SpreadConnections, DefaultSpreadConnections)
 	return b
 }
-
-func setDefault[T int | int64 | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
--- a/internal/node/forward/upstream/answer.go
+++ b/internal/node/forward/upstream/answer.go
@@ -13,8 +13,8 @@
 
 // Names of headers that brokers set. Source: PROTOCOL.md, "Brokers".
 const (
-	headerRequestID   = "X-Kestrelspread-Request-Id"
-	headerNotExecuted = "X-Kestrelspread-Not-Executed"
+	HeaderRequestID   = "X-Kestrelspread-Request-Id"
+	HeaderNotExecuted = "X-Kestrelspread-Not-Executed"
 )
 
 // maxSkippedAnswers bounds the answers that may stand before the one that is due: interim ones and surplus ones.
@@ -76,7 +76,7 @@
 // belongs reports whether the answer is to the request with the id. A broker that turns a request away may leave the id out;
 // that is believed only where no earlier request of ours could be meant.
 func (c *Conn) belongs(answer *Answer, id string) bool {
-	ids := answer.Header[headerRequestID]
+	ids := answer.Header[HeaderRequestID]
 	if len(ids) == 1 {
 		return ids[0] == id
 	}
@@ -87,7 +87,7 @@
 func (c *Conn) skip(answer *Answer) error {
 	c.pool.Counters.Surplus.Add(1)
 	c.doubtful = true
-	if len(answer.Header[headerRequestID]) != 1 {
+	if len(answer.Header[HeaderRequestID]) != 1 {
 		return Garbled.New("answer without the id of a request")
 	}
 	count, err := io.CopyN(io.Discard, answer, maxSkippedBytes)
@@ -118,7 +118,7 @@
 		body:     response.Body,
 		mustHang: response.Close || response.ProtoMajor != 1 || response.ProtoMinor != 1,
 	}
-	answer.NotExecuted = answer.Status == http.StatusMisdirectedRequest || len(answer.Header[headerNotExecuted]) > 0
+	answer.NotExecuted = answer.Status == http.StatusMisdirectedRequest || len(answer.Header[HeaderNotExecuted]) > 0
 	if response.Body == http.NoBody {
 		answer.whole, answer.Length = true, 0
 	}
--- a/internal/node/forward/upstream/pool.go
+++ b/internal/node/forward/upstream/pool.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -57,23 +58,17 @@
 const sweepInterval = 2 * time.Second
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxIdle, DefaultMaxIdle)
-	setDefault(&o.IdleTime, DefaultIdleTime)
-	setDefault(&o.UnstatedIdleTime, DefaultUnstatedIdleTime)
-	setDefault(&o.KeepAliveMargin, DefaultKeepAliveMargin)
-	setDefault(&o.ConnectTimeout, DefaultConnectTimeout)
-	setDefault(&o.SettleTime, DefaultSettleTime)
-	setDefault(&o.SendTimeout, DefaultSendTimeout)
-	setDefault(&o.MaxHeadBytes, DefaultMaxHeadBytes)
+	o.MaxIdle = cmp.Or(o.MaxIdle, DefaultMaxIdle)
+	o.IdleTime = cmp.Or(o.IdleTime, DefaultIdleTime)
+	o.UnstatedIdleTime = cmp.Or(o.UnstatedIdleTime, DefaultUnstatedIdleTime)
+	o.KeepAliveMargin = cmp.Or(o.KeepAliveMargin, DefaultKeepAliveMargin)
+	o.ConnectTimeout = cmp.Or(o.ConnectTimeout, DefaultConnectTimeout)
+	o.SettleTime = cmp.Or(o.SettleTime, DefaultSettleTime)
+	o.SendTimeout = cmp.Or(o.SendTimeout, DefaultSendTimeout)
+	o.MaxHeadBytes = cmp.Or(o.MaxHeadBytes, DefaultMaxHeadBytes)
 	return o
 }
 
-func setDefault[T int | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
-
 // Target is a broker in one of its lives. An address may be given to another broker later, so connections belong to the
 // instance and not to the address.
 type Target struct {
--- a/internal/node/forward/upstream/pool_test.go
+++ b/internal/node/forward/upstream/pool_test.go
@@ -75,7 +75,7 @@
 func ok(headers string) func(*net.TCPConn, *http.Request) {
 	return func(socket *net.TCPConn, request *http.Request) {
 		fmt.Fprintf(socket, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: 2\r\n\r\nok",
-			headerRequestID, request.Header.Get(headerRequestID), headers)
+			HeaderRequestID, request.Header.Get(HeaderRequestID), headers)
 	}
 }
 
@@ -106,7 +106,7 @@
 }
 
 func request(id string) []byte {
-	return []byte("GET / HTTP/1.1\r\nHost: h\r\n" + headerRequestID + ": " + id + "\r\n\r\n")
+	return []byte("GET / HTTP/1.1\r\nHost: h\r\n" + HeaderRequestID + ": " + id + "\r\n\r\n")
 }
 
 // TestTransportRepeats pins why http.Transport isn't used: it sends a GET a second time by itself.
@@ -439,7 +439,7 @@
 func TestLimitWait(t *testing.T) {
 	received := make(chan struct{}, 1)
 	p := newPeer(t, func(socket *net.TCPConn, request *http.Request) {
-		if request.Header.Get(headerRequestID) == "silent" {
+		if request.Header.Get(HeaderRequestID) == "silent" {
 			received <- struct{}{}
 			return
 		}
