--- /dev/null
+++ b/internal/standin/fleetoperator/operator_test.go
@@ -0,0 +1,170 @@
+package fleetoperator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/standin/llmbroker"
+)
+
+const patience = 20 * time.Second
+
+// node answers calls as its script says, one entry a call; the last one holds for all that follow.
+type node struct {
+	mutex  sync.Mutex
+	script []func(http.ResponseWriter, *http.Request)
+	calls  []string
+}
+
+func (n *node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	n.mutex.Lock()
+	n.calls = append(n.calls, fmt.Sprintf("%s %s %s %s", r.Method, r.URL.Path, r.Header.Get(headerBaseVersion), body))
+	act := n.script[0]
+	if len(n.script) > 1 {
+		n.script = n.script[1:]
+	}
+	n.mutex.Unlock()
+	act(w, r)
+}
+
+func status(code int) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+}
+
+// cut takes the call and loses the answer.
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func operatorOf(t *testing.T, script ...func(http.ResponseWriter, *http.Request)) (*Operator, *node) {
+	t.Helper()
+	n := &node{script: script}
+	server := httptest.NewServer(n)
+	t.Cleanup(server.Close)
+	o := New(func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} }, nil)
+	t.Cleanup(o.Close)
+	return o, n
+}
+
+func within(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+var first = Configuration{
+	Version:  3,
+	Routes:   []config.Route{{Name: "r", Host: "h.example", PathPrefix: "/a/", Kind: config.KindSafe, TimeoutMs: 1000, Service: "s"}},
+	Services: []config.Service{{Name: "s"}},
+}
+
+// Source: PROTOCOL.md, "The operator's API": what ends a call, and what is sent again.
+func TestWhatEndsACall(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		script []func(http.ResponseWriter, *http.Request)
+		kind   *errorx.Type // nil: acknowledged
+		calls  int
+	}{
+		{"taken", []func(http.ResponseWriter, *http.Request){status(200)}, nil, 1},
+		{"503 first", []func(http.ResponseWriter, *http.Request){status(503), status(200)}, nil, 2},
+		{"408 and 429 first", []func(http.ResponseWriter, *http.Request){status(408), status(429), status(408), status(200)}, nil, 4},
+		{"answer lost", []func(http.ResponseWriter, *http.Request){cut, status(200)}, nil, 2},
+		{"412", []func(http.ResponseWriter, *http.Request){status(412)}, Conflict, 1},
+		{"400", []func(http.ResponseWriter, *http.Request){status(400)}, Refused, 1},
+		{"409", []func(http.ResponseWriter, *http.Request){status(409)}, Refused, 1},
+		{"404 twice", []func(http.ResponseWriter, *http.Request){status(404), status(404), status(200)}, nil, 3},
+		{"404 three times", []func(http.ResponseWriter, *http.Request){status(404)}, Refused, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			o, n := operatorOf(t, test.script...)
+			_, err := o.Replace(within(t), 0, first)
+			if test.kind == nil {
+				assert.NilError(t, err)
+				assert.Equal(t, o.Current().Version, uint64(3))
+			} else {
+				assert.Assert(t, errorx.IsOfType(err, test.kind), "%v", err)
+				assert.Equal(t, len(o.Acknowledged()), 0)
+			}
+			assert.Equal(t, len(n.calls), test.calls)
+			for _, call := range n.calls {
+				assert.Equal(t, call, n.calls[0], "the same call is sent again")
+			}
+		})
+	}
+}
+
+func TestRedirectsAreFollowed(t *testing.T) {
+	o, n := operatorOf(t, status(200))
+	redirecting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, "http://"+o.sender.control()[0]+r.URL.Path, http.StatusTemporaryRedirect)
+	}))
+	t.Cleanup(redirecting.Close)
+	through := New(func() []string { return []string{strings.TrimPrefix(redirecting.URL, "http://")} }, nil)
+	t.Cleanup(through.Close)
+	_, err := through.Replace(within(t), 7, first)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(n.calls[0], "POST /kestrelspread/config/replace 7 {"), n.calls[0])
+}
+
+func TestAChangeWithoutAnswerIsUnclear(t *testing.T) {
+	o, _ := operatorOf(t, status(503))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := o.Replace(ctx, 0, first)
+	assert.Assert(t, errorx.IsOfType(err, Unclear), "%v", err)
+}
+
+func TestVersionsAreNamedToBrokersFirst(t *testing.T) {
+	o, n := operatorOf(t, status(503), status(200))
+	o.weights = llmbroker.NewWeights()
+	_, err := o.PutVersion(within(t), "m", 2)
+	assert.NilError(t, err)
+	assert.Equal(t, o.weights.Newest("m"), uint64(2))
+	assert.Equal(t, n.calls[1], `POST /kestrelspread/version-put  {"model":"m","version":2}`)
+}
+
+// Source: RULES.md, CONFIG: what is read back.
+func TestReadBack(t *testing.T) {
+	second := first.apply(Update{
+		Version: 5,
+		Upsert:  Items{Routes: []config.Route{{Name: "r", Host: "h.example", PathPrefix: "/b/", TimeoutMs: 1, Service: "s"}, {Name: "new"}}},
+		Remove:  Names{Services: []string{"gone"}},
+	})
+	assert.Equal(t, len(second.Routes), 2)
+	assert.Equal(t, second.Routes[0].PathPrefix, "/b/")
+	assert.Equal(t, first.Routes[0].PathPrefix, "/a/")
+	changed := second
+	changed.Services = nil
+	for _, test := range []struct {
+		name string
+		read Configuration
+		lost bool
+	}{
+		{"as acknowledged", second, false},
+		{"an older one", first, true},
+		{"another under the same number", changed, true},
+		{"one never sent", Configuration{Version: 9}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			text, err := json.Marshal(test.read)
+			assert.NilError(t, err)
+			o, _ := operatorOf(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(text) })
+			o.note(Acknowledgement{Configuration: first})
+			o.note(Acknowledgement{Configuration: second})
+			err = o.CheckReadBack(within(t))
+			assert.Equal(t, errorx.IsOfType(err, Lost), test.lost, "%v", err)
+		})
+	}
+}
