--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -70,6 +70,7 @@
 	compiled  atomic.Pointer[config.Compiled]
 	confirmed atomic.Int64 // core.Time of the confirmation of the published state; 0: never
 	stopping  atomic.Bool
+	proxies   atomic.Int64 // nodes that serve clients, this one included
 
 	seen        seenRevisions
 	targets     map[string]rollout.Target
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -30,10 +30,18 @@
 		Clock:    a.now,
 		Config:   a.compiled.Load,
 		MayServe: a.mayServe,
+		Proxies:  func() int { return int(a.proxies.Load()) },
+		Bounds:   forward.Bounds{MaxBufferedBytes: a.bufferedBytes()},
 		Log:      a.log,
 	})
 }
 
+// bufferShare of the memory limit may be taken by bodies and answers that are held: one in bufferShare.
+const bufferShare = 4
+
+// bufferedBytes bounds what the proxy holds; 0 leaves it to the proxy where no limit is known.
+func (a *Agent) bufferedBytes() int64 { return int64(a.settings.Limits.MemoryMB) << 20 / bufferShare }
+
 // mayServe reports whether a request may be sent on now. Source: RULES.md, "API keys".
 func (a *Agent) mayServe(now core.Time, public bool) bool {
 	compiled := a.compiled.Load()
--- a/internal/node/agent/lifecycle.go
+++ b/internal/node/agent/lifecycle.go
@@ -109,7 +109,7 @@
 		go func() { _ = started.readiness.Serve(listener) }()
 	}
 	if listen.Front != "" {
-		listener, err := net.Listen("tcp", listen.Front)
+		listener, err := listenPlain(listen.Front)
 		if err != nil {
 			return nil, err
 		}
@@ -119,6 +119,12 @@
 	return started, nil
 }
 
+// listenPlain listens without the keep-alive settings that net.Listen makes on each connection: the proxy has its own.
+func listenPlain(address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: -1}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 // settingsChanged takes over what may change while the node runs: the seeds.
 func (a *Agent) settingsChanged(changed *settings.Settings) {
 	a.post(func(now core.Time) {
--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -172,6 +172,7 @@
 	if a.store != nil {
 		a.carryOut(now, a.store.SetPeers(now, counting))
 	}
+	a.proxies.Store(int64(max(proxies, 1)))
 	a.router.SetPeers(now, max(proxies, 1))
 }
 
--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -5,58 +5,16 @@
 	"time"
 
 	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/forward"
+	"kestrelspread/internal/node/nodepb"
+	"kestrelspread/internal/node/nodestatus"
 )
 
-// Status is what operators read of a node; kestrelctl prints it.
-type Status struct {
-	Node          string            `json:"node"`
-	ID            string            `json:"id"`
-	Zone          string            `json:"zone"`
-	Ready         bool              `json:"ready"`
-	ConfigVersion uint64            `json:"configVersion"`
-	StateIndex    uint64            `json:"stateIndex"`
-	ConfirmedAgo  string            `json:"confirmedAgo"`
-	ModelVersions map[string]uint64 `json:"modelVersions"`
-	Members       []MemberStatus    `json:"members"`
-	Chain         *ChainStatus      `json:"chain,omitempty"`
-	Instances     []InstanceStatus  `json:"instances"`
-	Requests      any               `json:"requests"`
-}
-
-// MemberStatus is one node as this one sees it.
-type MemberStatus struct {
-	Name    string `json:"name"`
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	Counts  bool   `json:"counts"`
-}
-
-// ChainStatus is the view of the control chain.
-type ChainStatus struct {
-	Epoch     uint64   `json:"epoch"`
-	Role      string   `json:"role,omitempty"`
-	Chain     []string `json:"chain"`
-	Voters    []string `json:"voters"`
-	Committed uint64   `json:"committed"`
-	Pending   bool     `json:"pending"`
-	DiskFine  bool     `json:"diskFine"`
-}
-
-// InstanceStatus is one broker.
-type InstanceStatus struct {
-	ID      string            `json:"id"`
-	Service string            `json:"service"`
-	Address string            `json:"address"`
-	Zone    string            `json:"zone"`
-	State   string            `json:"state"`
-	Models  map[string]uint64 `json:"models"`
-}
-
 const statusTimeout = time.Second
 
-// Status serves GET /kestrelspread/status.
+// Status serves GET /kestrelspread/status; kestrelctl prints it.
 func (b backend) Status() any {
-	answer := make(chan *Status, 1)
+	answer := make(chan *nodestatus.Status, 1)
 	b.agent.post(func(now core.Time) { answer <- b.agent.status(now) })
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
@@ -64,14 +22,14 @@
 	case status := <-answer:
 		return status
 	case <-ctx.Done():
-		return &Status{Node: b.agent.settings.NodeName}
+		return &nodestatus.Status{Node: b.agent.settings.NodeName}
 	}
 }
 
-func (a *Agent) status(now core.Time) *Status {
-	status := &Status{
+func (a *Agent) status(now core.Time) *nodestatus.Status {
+	status := &nodestatus.Status{
 		Node: a.settings.NodeName, ID: a.self.NodeId, Zone: a.self.Zone,
-		Ready: a.ready(), StateIndex: a.state.Index(), Requests: a.proxy.Metrics(),
+		Ready: a.ready(), StateIndex: a.state.Index(), Requests: requestStatus(a.proxy.Metrics()),
 	}
 	if compiled := a.compiled.Load(); compiled != nil {
 		status.ConfigVersion, status.ModelVersions = compiled.Version, compiled.ModelVersions
@@ -80,26 +38,34 @@
 		status.ConfirmedAgo = (now - at).Round(time.Millisecond).String()
 	}
 	for _, member := range a.membership.Members() {
-		status.Members = append(status.Members, MemberStatus{member.Name, member.Address, member.Zone, member.CountsForQuorum})
+		status.Members = append(status.Members, nodestatus.Member{
+			Name: member.Name, Address: member.Address, Zone: member.Zone, Counts: member.CountsForQuorum,
+		})
 	}
 	status.Chain = a.chainStatus()
 	for _, instance := range a.registry.Instances() {
-		models := map[string]uint64{}
-		for _, model := range instance.Models {
-			models[model.Name] = model.Version
-		}
-		status.Instances = append(status.Instances, InstanceStatus{instance.Id, instance.Service, instance.Address,
-			instance.Zone, instance.State.String(), models})
+		status.Instances = append(status.Instances, instanceStatus(instance))
 	}
 	return status
 }
 
-func (a *Agent) chainStatus() *ChainStatus {
+func instanceStatus(instance *nodepb.Instance) nodestatus.Instance {
+	models := map[string]uint64{}
+	for _, model := range instance.Models {
+		models[model.Name] = model.Version
+	}
+	return nodestatus.Instance{
+		ID: instance.Id, Service: instance.Service, Address: instance.Address,
+		Zone: instance.Zone, State: instance.State.String(), Models: models,
+	}
+}
+
+func (a *Agent) chainStatus() *nodestatus.Chain {
 	view := a.distribution.View()
 	if view == nil {
 		return nil
 	}
-	status := &ChainStatus{Epoch: view.Epoch, Chain: view.Chain}
+	status := &nodestatus.Chain{Epoch: view.Epoch, Chain: view.Chain}
 	for _, voter := range view.Voters {
 		status.Voters = append(status.Voters, voter.DiskId+"@"+voter.Address)
 	}
@@ -109,3 +75,11 @@
 	}
 	return status
 }
+
+func requestStatus(metrics forward.Metrics) nodestatus.Requests {
+	return nodestatus.Requests{
+		Taken: metrics.Requests, Answered: metrics.Answered, Refused: metrics.Refused, Failed: metrics.Failed,
+		Denied: metrics.Denied, Aborted: metrics.Aborted, ClientLeft: metrics.ClientLeft,
+		Attempts: metrics.Attempts, Retries: metrics.Retries, Copies: metrics.Copies, Resumed: metrics.Resumed,
+	}
+}
