--- /dev/null
+++ b/internal/node/nodestatus/status.go
@@ -0,0 +1,62 @@
+// Package nodestatus is what a node tells operators of itself, at GET /kestrelspread/status of its control address.
+package nodestatus
+
+// Status is one node's picture of itself and of the fleet.
+type Status struct {
+	Node          string            `json:"node"`
+	ID            string            `json:"id"` // of this life of the node; empty: the node did not answer its own status call in time
+	Zone          string            `json:"zone"`
+	Ready         bool              `json:"ready"`         // for clients
+	ConfigVersion uint64            `json:"configVersion"` // in force here; 0: none
+	StateIndex    uint64            `json:"stateIndex"`    // of the control state that is in force here
+	ConfirmedAgo  string            `json:"confirmedAgo"`  // age of that state's confirmation; empty: never confirmed
+	ModelVersions map[string]uint64 `json:"modelVersions"` // named weights by model
+	Members       []Member          `json:"members"`
+	Chain         *Chain            `json:"chain,omitempty"` // nil: no view is known
+	Instances     []Instance        `json:"instances"`
+	Requests      Requests          `json:"requests"`
+}
+
+// Member is a node as another one sees it.
+type Member struct {
+	Name    string `json:"name"`
+	Address string `json:"address"` // internal
+	Zone    string `json:"zone"`
+	Counts  bool   `json:"counts"` // for the quorum
+}
+
+// Chain is the view of the control chain, and the node's part in it.
+type Chain struct {
+	Epoch     uint64   `json:"epoch"`
+	Role      string   `json:"role,omitempty"` // empty: the node keeps no control state
+	Chain     []string `json:"chain"`          // disk ids, the head first
+	Voters    []string `json:"voters"`         // DISK@ADDRESS
+	Committed uint64   `json:"committed"`      // index; only where Role is set
+	Pending   bool     `json:"pending"`        // an entry is not committed yet
+	DiskFine  bool     `json:"diskFine"`
+}
+
+// Instance is one broker.
+type Instance struct {
+	ID      string            `json:"id"`
+	Service string            `json:"service"`
+	Address string            `json:"address"`
+	Zone    string            `json:"zone"`
+	State   string            `json:"state"`
+	Models  map[string]uint64 `json:"models"` // versions of weights
+}
+
+// Requests counts what became of clients' requests since the node started.
+type Requests struct {
+	Taken      uint64 `json:"taken"`
+	Answered   uint64 `json:"answered"` // with a broker's answer
+	Refused    uint64 `json:"refused"`  // not run, to be sent again
+	Failed     uint64 `json:"failed"`   // 502 or 504
+	Denied     uint64 `json:"denied"`   // 4xx of the node's own
+	Aborted    uint64 `json:"aborted"`  // broken off midway
+	ClientLeft uint64 `json:"clientLeft"`
+	Attempts   uint64 `json:"attempts"`
+	Retries    uint64 `json:"retries"`
+	Copies     uint64 `json:"copies"`
+	Resumed    uint64 `json:"resumed"`
+}
