--- a/internal/node/distribution/distribution.go
+++ b/internal/node/distribution/distribution.go
@@ -22,6 +22,7 @@
 
 	confirmedAt   core.Time
 	confirmedOnce bool
+	attachedUntil core.Time // by the last answer of an upstream that was in touch with the core
 
 	round    round // the poll under way
 	nextPoll core.Time
--- a/internal/node/distribution/options.go
+++ b/internal/node/distribution/options.go
@@ -51,6 +51,12 @@
 	// have lost touch with the core, and staleFor is how long others go first then.
 	staleSlack = 2200 * time.Millisecond
 	staleFor   = time.Second
+	// tailSlack is by how much the age of the tail's own confirmation may exceed ConfirmationAge before it is taken to have
+	// lost touch with the chain.
+	tailSlack = time.Second
+	// attachedFor is how long after the last answer of an upstream a node takes itself to be in touch with the core; it is
+	// more than the time between two polls.
+	attachedFor = 800 * time.Millisecond
 	// subscribedFor is how long after a poll changes are pushed to who polled.
 	subscribedFor          = 2 * time.Second
 	defaultConfirmationAge = 300 * time.Millisecond
--- a/internal/node/distribution/poll.go
+++ b/internal/node/distribution/poll.go
@@ -28,12 +28,14 @@
 // sentPollsKept bounds the polls whose answers still count.
 const sentPollsKept = 16
 
-// startRound polls the best upstream.
+// startRound polls the best upstream. The tail needs none, as long as it is one: it asks for confirmations.
 func (d *Distribution) startRound(now core.Time) {
-	d.nextPoll = now + d.interval()
+	d.nextPoll = now + d.interval(now)
 	d.round.hedgeAt = core.Never
 	if d.Tail() {
 		d.wantConfirmation(now)
+	}
+	if d.confirmedTail(now) {
 		return
 	}
 	d.passOverSilent(now)
@@ -45,9 +47,19 @@
 	d.askNext(now)
 }
 
-// interval is the time to the next poll, spread a little so that the nodes of a zone do not poll at the same moment.
-func (d *Distribution) interval() time.Duration {
+// confirmedTail reports whether this node is the tail, and the chain has confirmed that lately. A node that was the
+// tail may not know that others have agreed on a chain without it.
+func (d *Distribution) confirmedTail(now core.Time) bool {
+	return d.Tail() && d.confirmedOnce && now-d.confirmedAt <= d.options.confirmationAge()+tailSlack
+}
+
+// interval is the time to the next poll, spread a little so that the nodes of a zone do not poll at the same moment. It is
+// shorter while the best upstream is passed over, as trouble seldom comes alone.
+func (d *Distribution) interval(now core.Time) time.Duration {
 	interval := d.options.pollInterval()
+	if len(d.candidates) > 0 && d.candidates[0].passedOver(now) {
+		interval /= 2
+	}
 	if !d.confirmedOnce && d.polls < startPolls {
 		interval = min(interval, startInterval)
 	}
@@ -169,9 +181,11 @@
 
 // judge ends the round, unless the upstream has lost touch with the core and there are others that may not have.
 func (d *Distribution) judge(now core.Time, asked *upstream, reply *nodepb.StatePollReply) {
-	asked.staleUntil = 0
 	if !reply.Confirmed || time.Duration(reply.AgeMs)*time.Millisecond > d.staleAge() {
 		asked.staleUntil = now + staleFor
+	} else {
+		asked.staleUntil = 0
+		d.attachedUntil = now + attachedFor
 	}
 	if asked.staleUntil == 0 || d.allPassedOver(now) {
 		d.round.answered = true
--- a/internal/node/distribution/serve.go
+++ b/internal/node/distribution/serve.go
@@ -31,7 +31,7 @@
 // receivePoll answers with what the asking node lacks, and with the age of this node's confirmation.
 func (d *Distribution) receivePoll(now core.Time, from core.Peer, poll *nodepb.StatePoll) {
 	reply := &nodepb.StatePollReply{Nonce: poll.Nonce, Index: d.state.Index()}
-	if d.confirmedOnce {
+	if d.attached(now) {
 		reply.Confirmed = true
 		reply.AgeMs = milliseconds(now - d.confirmedAt)
 	}
@@ -48,6 +48,12 @@
 	}
 }
 
+// attached reports whether this node is in touch with the core, through its upstreams or as the tail. One that is not says so,
+// so that who polls it turns to others before ages tell.
+func (d *Distribution) attached(now core.Time) bool {
+	return d.confirmedOnce && (d.confirmedTail(now) || now < d.attachedUntil)
+}
+
 func (d *Distribution) subscribe(now core.Time, from core.Peer, poll *nodepb.StatePoll) {
 	d.subscribers[from.NodeID] = &subscriber{
 		address: from.Address,
--- a/internal/node/distribution/spread_test.go
+++ b/internal/node/distribution/spread_test.go
@@ -140,6 +140,22 @@
 	}
 }
 
+// A tail that is cut off from the chain, but not from the proxies, holds up none of them for long.
+func TestTailCutOffFromTheChainIsPassedOver(t *testing.T) {
+	w := newWorld(t, 10, 40, 4, zones...)
+	w.network.Run(3 * time.Second)
+	former := w.tail()
+	for _, node := range w.chain[:3] {
+		w.network.Cut(former.Address, node.Address)
+	}
+	w.network.Run(1500 * time.Millisecond)
+	w.chain = w.chain[:3]
+	w.agree()
+	w.network.Run(500 * time.Millisecond)
+	index := w.commit()
+	w.within(900*time.Millisecond, "the others hold the change", w.reached(index, former))
+}
+
 func TestFreshNodeIsBroughtUp(t *testing.T) {
 	for _, changes := range []int{0, 1, 300} {
 		t.Run(fmt.Sprint(changes), func(t *testing.T) {
--- a/internal/node/distribution/upstream.go
+++ b/internal/node/distribution/upstream.go
@@ -54,16 +54,12 @@
 
 // rankUpstreams lists anew whom to poll, best first, by the members and the view known.
 func (d *Distribution) rankUpstreams() {
-	var addresses []string
-	switch {
-	case d.Tail():
-	case d.options.Counts:
-		addresses = d.coreAddresses()
-	default:
-		addresses = append(d.zoneAddresses(), d.coreAddresses()...)
-	}
-	if len(addresses) == 0 && !d.Tail() {
-		addresses = slices.Clone(d.options.Seeds)
+	addresses := d.coreAddresses()
+	if !d.options.Counts {
+		addresses = append(d.zoneAddresses(), addresses...)
+	}
+	if len(addresses) == 0 {
+		addresses = d.options.Seeds
 	}
 	d.candidates = nil // the polls under way keep the former list
 	for _, address := range addresses {
--- a/internal/node/distribution/world_test.go
+++ b/internal/node/distribution/world_test.go
@@ -23,6 +23,8 @@
 	nodes   []*worldNode
 	chain   []*worldNode // head first
 	epoch   uint64
+	// counting is the number of machines of the core, the first nodes.
+	counting int
 	// committedAt is the true time at which the tail committed each entry; the first has index 1.
 	committedAt []time.Duration
 	coreDown    bool
@@ -35,6 +37,7 @@
 	state        *testState
 	member       *nodepb.Member
 	changes      int
+	lastTrouble  time.Duration
 }
 
 const barrierDelay = 5 * time.Millisecond
@@ -42,7 +45,7 @@
 // newWorld starts nodes in zones, the first `counting` of which are the core and its chain.
 func newWorld(t *testing.T, seed uint64, nodes, counting int, zones ...string) *world {
 	t.Helper()
-	w := &world{t: t, network: coretest.NewNetwork(seed)}
+	w := &world{t: t, network: coretest.NewNetwork(seed), counting: counting}
 	for number := range nodes {
 		w.add(number, zones[number%len(zones)], number < counting)
 	}
@@ -60,7 +63,7 @@
 	if counts {
 		member.DiskId = fmt.Sprintf("disk-%d", number)
 	}
-	node := &worldNode{world: w, state: &testState{}, member: member}
+	node := &worldNode{world: w, state: &testState{}, member: member, lastTrouble: -time.Hour}
 	node.distribution = New(0, Options{
 		SelfID: member.NodeId, SelfAddress: member.Address, SelfDiskID: member.DiskId, Zone: zone, Counts: counts,
 		State: node.state, Seeds: []string{"10.0.0.0:7000", "10.0.0.1:7000", "10.0.0.2:7000"},
@@ -168,11 +171,19 @@
 	}
 }
 
-// announce tells all running nodes the nodes that are not killed.
-func (w *world) announce() {
+// install brings a machine's own store to an index.
+func (n *worldNode) install(index uint64) {
+	snapshot := &nodepb.StateSnapshot{Index: index, State: (&testState{index: index}).Snapshot()}
+	n.Do(func(now core.Time) []core.Output { return n.distribution.Installed(now, snapshot) })
+}
+
+// announce tells all running nodes the running nodes.
+func (w *world) announce() { w.announceWithout(nil) }
+
+func (w *world) announceWithout(out *worldNode) {
 	var members []*nodepb.Member
 	for _, node := range w.nodes {
-		if node.Running() {
+		if node.Running() && node != out {
 			members = append(members, node.member)
 		}
 	}
