--- a/internal/node/registry/loading.go
+++ b/internal/node/registry/loading.go
@@ -13,12 +13,10 @@
 		r.output(core.LoadingConfirmed{InstanceID: id, Fence: fence})
 		return r.takeOutputs()
 	}
-	if rec.loadingFence != fence {
-		rec.revision++
-		rec.setFence(now, fence)
-		r.place(now, rec, r.topics[keyOf(rec.told)])
-		r.watchExpiry(rec)
-	}
+	rec.revision++ // also where nothing changes here: others may hold another mark under the same revision
+	rec.setFence(now, fence)
+	r.place(now, rec, r.topics[keyOf(rec.told)])
+	r.watchExpiry(rec)
 	pending := r.startSpread(now, []string{id}, now+confirmLimit)
 	pending.marks = append(pending.marks, core.LoadingConfirmed{InstanceID: id, Fence: fence})
 	r.settle(now, pending)
--- a/internal/node/registry/merge_test.go
+++ b/internal/node/registry/merge_test.go
@@ -189,6 +189,23 @@
 	w.within(2*time.Second, "known everywhere", func() bool { return w.everyoneHas("1", loading) })
 }
 
+// A holder that does not know of a mark, as it has just started, takes it away all the same.
+func TestMarkIsTakenAwayByWhoDoesNotKnowIt(t *testing.T) {
+	w := newWorld(t, 5, 4, "a")
+	marked := at(1, isReady, func(i *nodepb.Instance) { i.Revision, i.LoadingFence = 3, 41 })
+	for _, node := range w.nodes[1:] {
+		node.registry.Receive(node.Now(), peerIn("x"), update(marked))
+	}
+	holder := w.nodes[0]
+	holder.Do(func(now core.Time) []core.Output {
+		holder.registry.Restore(now, []*nodepb.Instance{marked})
+		return holder.registry.SetLoading(now, "i", 0)
+	})
+	w.within(100*time.Millisecond, "taken away", func() bool {
+		return w.everyoneHas("i", func(i *Instance) bool { return !i.Loading })
+	})
+}
+
 func TestLoadingMarkOfAnUnknownBroker(t *testing.T) {
 	outputs := single().SetLoading(0, "unknown", 41)
 	assert.DeepEqual(t, outputs, []core.Output{core.LoadingConfirmed{InstanceID: "unknown", Fence: 41}})
