--- a/internal/node/routing/affinity.go
+++ b/internal/node/routing/affinity.go
@@ -88,9 +88,9 @@
 	return a.rank > b.rank
 }
 
-// rankHolders notes how many tokens of the prompt each candidate keeps, as far as the index knows.
+// rankHolders notes how many tokens of the prompt each candidate keeps, and the store under its version, as far as the index
+// knows.
 func (r *Router) rankHolders(req *request, found []candidate) {
-	req.store = Holder{}
 	if r.options.Index == nil || req.model == "" {
 		return
 	}
@@ -103,21 +103,20 @@
 		r.asked = append(r.asked, version)
 		salt := SaltID(cacheSalt(req.model, version, req.wall))
 		for _, holder := range r.options.Index.Holders(salt, req.Parts) {
-			r.noteHolder(req, found, version, holder)
+			noteHolder(found, version, holder)
 		}
 	}
 }
 
-func (r *Router) noteHolder(req *request, found []candidate, version uint64, holder Holder) {
-	if holder.Store {
-		if version == r.versions.newest(req.model) && holder.Tokens > req.store.Tokens {
-			req.store = holder
-		}
-		return
-	}
+func noteHolder(found []candidate, version uint64, holder Holder) {
 	for i := range found {
-		if found[i].version == version && found[i].broker.instance.ID == holder.Instance {
-			found[i].kept = holder.Tokens
+		c := &found[i]
+		switch {
+		case c.version != version:
+		case holder.Store:
+			c.stored = max(c.stored, holder.Tokens)
+		case c.broker.instance.ID == holder.Instance:
+			c.kept = holder.Tokens
 		}
 	}
 }
--- a/internal/node/routing/candidates.go
+++ b/internal/node/routing/candidates.go
@@ -29,6 +29,7 @@
 	trial    bool
 	rank     uint64
 	kept     int // tokens of the prompt, by the index
+	stored   int // tokens of the prompt that the store keeps, by the index
 }
 
 // field is what is found for one request: brokers that are sound, and those in doubt.
--- a/internal/node/routing/fetch.go
+++ b/internal/node/routing/fetch.go
@@ -3,22 +3,16 @@
 import (
 	"time"
 
-	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/window"
 )
 
 // Moves of kept prompts between brokers and the store (PROTOCOL.md, "KV cache"). A fetch is far cheaper than reading the
-// parts again, a miss costs a millisecond, and a source that is dead some hundred: so only sources known to be well are
-// named.
+// parts again, a miss costs a millisecond, and a source that is dead some hundred: so only sources that are believed to be
+// well are named.
 const (
 	fetchLeastTokens = 256 // fewer are read sooner than moved
-	storeConfirmed   = 2500 * time.Millisecond
-	savedMost        = 4096 // keys of parts that are remembered as saved
-	saveIndexed      = 3 * time.Second
-	saveBlind        = time.Minute
-	savers           = 3
-	sharedSlack      = 64 // tokens: brokers keep parts by blocks
+	sharedSlack      = 64  // tokens: brokers keep parts by blocks
 	youngFor         = 20 * time.Second
 	moveSpan         = 5000. // ms
 	moveFew          = 3.0   // slow moves before a share of them counts
@@ -47,90 +41,64 @@
 	return late >= moveFew && late > moveShare*m.all.Sum(milliseconds(now), moveSpan)
 }
 
-// storeState is what is known of a store of kept prompts by its own signs of life.
-type storeState struct {
-	aliveAt core.Time
-	dead    bool // it was asked and gave none
-}
-
-// store is the store that brokers of this zone use, nil where the configuration has none.
-func (r *Router) store() *config.Service {
-	if r.compiled == nil || len(r.compiled.Stores) == 0 {
-		return nil
-	}
-	for _, store := range r.compiled.Stores {
-		if store.Zone == r.options.Zone {
-			return store
-		}
-	}
-	return r.compiled.Stores[0]
-}
-
-// storeAlive reports whether a store gave a sign of life lately: only then it is fetched from.
-func (r *Router) storeAlive(now core.Time, address string) bool {
-	state, ok := r.stores[address]
-	return ok && !state.dead && now-state.aliveAt <= storeConfirmed
-}
-
-// storeTakes reports whether parts may be sent to a store: it isn't known to be down. No request waits for that.
-func (r *Router) storeTakes(address string) bool { return !r.stores[address].dead }
-
 // fetchSource is the address that the chosen broker should fetch the prompt's shared parts from, or empty.
+//
+// A broker that by the index has as much as the store goes first, as its link is quicker and not everybody's. Else it is the
+// store, also where the index has the parts at the chosen broker itself: brokers drop them within seconds and tell of it late.
+// Where the store is down, it is the broker that should have them by its place in their order.
 func (r *Router) fetchSource(now core.Time, req *request, chosen *candidate) string {
 	if sharedTokens(req.Parts) < fetchLeastTokens || chosen.broker.moves.slow(now) {
 		return ""
 	}
-	if holder := r.bestHolder(now, req, chosen); holder != nil {
-		return holder.instance.Address
+	holder := r.bestHolder(now, req, chosen)
+	store := r.store()
+	storeWell := store != nil && r.storeWell(now, store.KVStoreAddr)
+	switch {
+	case storeWell && (holder == nil || chosen.stored > holder.kept):
+		return store.KVStoreAddr
+	case holder != nil:
+		return holder.broker.instance.Address
 	}
-	address := r.storeSource(req, chosen)
-	if address == "" || !r.storeAlive(now, address) {
-		return ""
+	if keeper := r.keeper(now, req, chosen); keeper != nil {
+		return keeper.instance.Address
 	}
-	return address
+	return ""
 }
 
-// storeSource is the store that keeps more of the prompt than the chosen broker: by the index, else any may.
-func (r *Router) storeSource(req *request, chosen *candidate) string {
-	if r.options.Index == nil {
-		if store := r.store(); store != nil {
-			return store.KVStoreAddr
+// bestHolder is the candidate that by the index keeps clearly more of the prompt than the chosen one, one of the same zone
+// first; nil where none does.
+func (r *Router) bestHolder(now core.Time, req *request, chosen *candidate) *candidate {
+	var best *candidate
+	for i := range r.field.sound {
+		c := &r.field.sound[i]
+		if c.kept < chosen.kept+fetchLeastTokens || best != nil && !movesSooner(c, best, chosen) {
+			continue
+		}
+		if r.mayFetchFrom(now, req, chosen, c.broker) {
+			best = c
 		}
-		return ""
 	}
-	if req.store.Tokens <= chosen.kept {
-		return ""
+	return best
+}
+
+// movesSooner reports whether a source is better than another: it has more, or as much in the zone of the broker that fetches,
+// as moves between zones take twice as long.
+func movesSooner(c, than, chosen *candidate) bool {
+	if c.kept != than.kept {
+		return c.kept > than.kept
 	}
-	return req.store.Instance
+	zone := chosen.broker.instance.Zone
+	return c.broker.instance.Zone == zone && than.broker.instance.Zone != zone
 }
 
-// bestHolder is the broker that keeps more of the prompt than the chosen one: by the index, else the first in the order of
-// its parts.
-func (r *Router) bestHolder(now core.Time, req *request, chosen *candidate) *broker {
+// keeper is the owner of the parts by the rendezvous order, among all brokers that can be fetched from; nil if that is the
+// chosen one, or the index has them there. Where the chosen one has come lately, it is who owned them before.
+func (r *Router) keeper(now core.Time, req *request, chosen *candidate) *broker {
 	part, ok := stickyPart(req.Parts)
-	if !ok || len(req.Parts) < 2 {
+	if !ok || chosen.kept >= sharedTokens(req.Parts)-sharedSlack {
 		return nil
 	}
 	key := affinityKey(part, req.model, req.wall)
-	kept := 0
-	var best *broker
-	for i := range r.field.sound {
-		if c := &r.field.sound[i]; c.kept > kept && r.mayFetchFrom(now, req, chosen, c.broker) {
-			best, kept = c.broker, c.kept
-		}
-	}
-	if best != nil {
-		if chosen.kept >= kept {
-			return nil
-		}
-		return best
-	}
-	return r.keeper(now, req, chosen, key)
-}
-
-// keeper is the owner of the parts by the rendezvous order, among all brokers that can be fetched from; nil if that is the
-// chosen one. Where the chosen one has come lately, it is who owned them before.
-func (r *Router) keeper(now core.Time, req *request, chosen *candidate, key uint64) *broker {
 	var best *broker
 	bestWeight := uint64(0)
 	if now >= chosen.broker.youngUntil {
@@ -155,50 +123,6 @@
 	return r.versions.believed(b.instance, req.model) == chosen.version
 }
 
-// saveTarget is the store that the chosen broker should send the prompt's parts to, or empty.
-//
-// With an index, parts go there that the store isn't known to keep. Without one, each proxy has a set of shared parts sent
-// once, and few of all proxies do so, as each takes its chance.
-func (r *Router) saveTarget(now core.Time, req *request, salt string) string {
-	store := r.store()
-	shared := sharedTokens(req.Parts)
-	switch {
-	case store == nil, shared < fetchLeastTokens, !r.storeTakes(store.KVStoreAddr):
-		return ""
-	case r.storeKeeps(req, shared):
-		return ""
-	}
-	part, _ := stickyPart(req.Parts)
-	key := mix(part.ID ^ SaltID(salt))
-	if at, ok := r.saved[key]; ok && now-at < r.saveAgain() || r.options.Index == nil && !r.savesByChance(now) {
-		return ""
-	}
-	if len(r.saved) >= savedMost {
-		clear(r.saved)
-	}
-	r.saved[key] = now
-	return store.KVStoreAddr
-}
-
-// storeKeeps reports whether the index knows that the store has the shared parts.
-func (r *Router) storeKeeps(req *request, shared int) bool {
-	return req.store.Store && req.store.Tokens >= shared-sharedSlack
-}
-
-// saveAgain is when parts that were saved may have to be saved again, as the store drops what wasn't used for longest.
-func (r *Router) saveAgain() time.Duration {
-	if r.options.Index != nil {
-		return saveIndexed
-	}
-	return saveBlind
-}
-
-// savesByChance picks, without an exchange, about savers of all proxies.
-func (r *Router) savesByChance(now core.Time) bool {
-	count := r.peers.most(now)
-	return count <= savers || r.options.Random.IntN(count) < savers
-}
-
 func sharedTokens(parts []PromptPart) int {
 	tokens := 0
 	for _, part := range sharedParts(parts) {
@@ -206,16 +130,3 @@
 	}
 	return tokens
 }
-
-// StoreSeen tells of a sign of life of a store, or that it was asked and gave none. lost: what it kept is gone.
-func (r *Router) StoreSeen(now core.Time, address string, alive, lost bool) {
-	if lost {
-		clear(r.saved)
-	}
-	state := r.stores[address]
-	state.dead = !alive
-	if alive {
-		state.aliveAt = now
-	}
-	r.stores[address] = state
-}
--- a/internal/node/routing/outcomes.go
+++ b/internal/node/routing/outcomes.go
@@ -4,6 +4,7 @@
 	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/verdict"
+	"kestrelspread/internal/predict"
 )
 
 // latencyLeast keeps latencies above 0, which stands for none; ms.
@@ -44,9 +45,12 @@
 	p.refresh(now)
 	slow := a.latency > p.lineOf(now, b)
 	p.teach(now, a, slow)
-	if a.fetches {
+	if a.fetchFrom != "" {
 		b.moves.done(now, slow)
 	}
+	if a.salt != "" && p.seen >= predict.Few {
+		r.noteStore(now, a, p.median)
+	}
 	b.learnLatency(now, a)
 	p.latencies.Add(milliseconds(now), a.latency)
 	if target := req.Route.TargetLatencyMs; target > 0 {
--- a/internal/node/routing/request.go
+++ b/internal/node/routing/request.go
@@ -18,8 +18,7 @@
 	idempotent bool
 	oversized  bool // no broker's memory holds it
 	copied     bool
-	answering  bool   // an answer has begun
-	store      Holder // what the store keeps of the prompt, by the index
+	answering  bool // an answer has begun
 	attempts   []*attempt
 
 	turnedAway  int // attempts that brokers had no room for
@@ -30,7 +29,7 @@
 type attempt struct {
 	number        int
 	salt          string
-	fetches       bool // parts are fetched for it
+	fetchFrom     string // where parts are fetched from for it; empty: none are
 	broker        *broker
 	sentAt        core.Time
 	load          float64 // there, when it was sent
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -25,8 +25,7 @@
 	classes  map[string]*class  // by route
 	requests map[RequestID]*request
 	lastID   RequestID
-	stores   map[string]storeState // by address
-	saved    map[uint64]core.Time  // when a broker was last told to save parts, by them and their salt
+	stores   map[string]*storeState // by address
 
 	// awakeAt is when this process last came back from standing still.
 	awakeAt core.Time
@@ -49,8 +48,7 @@
 		pools:     make(map[string]*pool),
 		classes:   make(map[string]*class),
 		requests:  make(map[RequestID]*request),
-		stores:    make(map[string]storeState),
-		saved:     make(map[uint64]core.Time),
+		stores:    make(map[string]*storeState),
 		counters:  Counters{Refusals: make(map[RefusalReason]uint64)},
 	}
 }
@@ -254,7 +252,7 @@
 	}
 	if req.model != "" {
 		r.describeModel(now, req, chosen, out)
-		a.salt, a.fetches = out.Salt, out.FetchFrom != ""
+		a.salt, a.fetchFrom = out.Salt, out.FetchFrom
 	}
 	req.attempts = append(req.attempts, a)
 	b.sent(a)
@@ -269,7 +267,7 @@
 	if out.FetchFrom = r.fetchSource(now, req, chosen); out.FetchFrom != "" {
 		r.counters.Fetches++
 	}
-	if out.SaveTo = r.saveTarget(now, req, out.Salt); out.SaveTo != "" {
+	if out.SaveTo = r.saveTarget(req, chosen); out.SaveTo != "" {
 		r.counters.Saves++
 	}
 }
--- /dev/null
+++ b/internal/node/routing/store_test.go
@@ -0,0 +1,143 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Where parts are fetched from and sent to, by what the index knows of the prompt's 1,300 shared tokens.
+func TestFetchAndSaveByTheIndex(t *testing.T) {
+	const none, owner, peer = "", "owner", "peer"
+	for _, c := range []struct {
+		name                string
+		storeDown           bool
+		stored, kept, peers int // tokens at the store, at the broker that gets the request, at another
+		from                string
+		saved               bool
+	}{
+		{"nothing is known", false, 0, 0, 0, storeAddress, true},
+		{"at the store", false, 1300, 0, 0, storeAddress, false},
+		{"at the store and at another broker", false, 1300, 0, 1300, peer, false},
+		{"more at the store than at another broker", false, 1300, 0, 500, storeAddress, false},
+		{"at the broker itself, which may have dropped it", false, 1300, 1300, 0, storeAddress, false},
+		{"the first part at the store", false, 500, 0, 0, storeAddress, true},
+		{"at another broker alone", false, 0, 0, 1300, peer, true},
+		{"the store is down", true, 1300, 0, 0, owner, false},
+		{"the store is down, another broker has the parts", true, 1300, 0, 1300, peer, false},
+		{"the store is down, the broker has the parts", true, 0, 1300, 1300, none, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			index := &fixedIndex{}
+			w := newWorldWith(t, instances(5), index)
+			w.StoreSeen(w.now, storeAddress, !c.storeDown, false)
+			first := w.begin(w.prompt(flowRoute, 77))
+			w.serve(first, ms)
+			other, source := "i00", "i01"
+			if first.Instance.ID == other {
+				other = "i02"
+			}
+			if first.Instance.ID == source {
+				source = "i02"
+			}
+			busy := Load{Running: 50, Slots: 64}
+			w.ObserveLoad(w.now, first.Instance.ID, busy)
+			w.ObserveLoad(w.now, source, busy)
+			for _, b := range w.Router.brokers {
+				if b.instance.ID != first.Instance.ID && b.instance.ID != source {
+					w.ObserveLoad(w.now, b.instance.ID, Load{Running: 1, Slots: 64})
+				}
+			}
+			index.holders = []Holder{{Instance: storeAddress, Store: true, Tokens: c.stored}, {Instance: source, Tokens: c.peers}}
+			if c.kept > 0 {
+				index.holders = append(index.holders, Holder{Instance: other, Tokens: c.kept})
+			}
+			a := w.begin(w.prompt(flowRoute, 77))
+			assert.Assert(t, a.Instance.ID != first.Instance.ID && a.Instance.ID != source)
+			if c.kept > 0 {
+				assert.Equal(t, a.Instance.ID, other)
+			}
+			want := map[string]string{none: "", owner: first.Instance.Address, peer: w.Router.brokers[source].instance.Address,
+				storeAddress: storeAddress}[c.from]
+			assert.Equal(t, a.FetchFrom, want)
+			assert.Equal(t, a.SaveTo != "", c.saved)
+		})
+	}
+}
+
+// What a store keeps of a prompt under one version of the weights says nothing of another.
+func TestSavedUnderEachVersion(t *testing.T) {
+	index := &versionedIndex{kept: SaltID(cacheSalt(model, 1, ""))}
+	list := instances(6)
+	for i, instance := range list {
+		withVersion(instance, uint64(1+i%2))
+	}
+	w := newWorldWith(t, list, index)
+	w.SetConfig(w.now, configOf(map[string]uint64{model: 2}))
+	for part := range uint64(30) {
+		a := w.begin(w.prompt(flowRoute, part+10))
+		assert.Equal(t, a.SaveTo != "", a.ExpectVersion == 2)
+		w.serve(a, ms)
+	}
+}
+
+// versionedIndex has all parts at the store under one salt.
+type versionedIndex struct{ kept uint64 }
+
+func (x *versionedIndex) Holders(salt uint64, parts []PromptPart) []Holder {
+	if salt != x.kept {
+		return nil
+	}
+	return []Holder{{Instance: storeAddress, Store: true, Tokens: sumTokens(parts)}}
+}
+
+// A store that was not asked yet is believed to be well; one that is down gets nothing, until it is back.
+func TestStoreThatIsDown(t *testing.T) {
+	w := newWorld(t, instances(5))
+	check := func(from, to string) {
+		t.Helper()
+		a := w.begin(w.prompt(flowRoute, 5))
+		assert.Equal(t, a.FetchFrom, from)
+		assert.Equal(t, a.SaveTo, to)
+		w.serve(a, ms)
+	}
+	check(storeAddress, storeAddress)
+	w.StoreSeen(w.now, storeAddress, false, false)
+	check("", "")
+	w.StoreSeen(w.now, storeAddress, true, true)
+	check(storeAddress, storeAddress)
+}
+
+// Answers that come late one after the other, wherever parts were to be fetched from the store, while others come in time,
+// show that the store went down; being late like all others does not.
+func TestStoreThatDelaysAnswers(t *testing.T) {
+	for _, othersLate := range []bool{false, true} {
+		t.Run(fmt.Sprint("others late: ", othersLate), func(t *testing.T) {
+			w := newWorld(t, instances(12))
+			short := func() Request {
+				q := w.prompt(flowRoute, 9)
+				q.Parts = []PromptPart{{ID: 1, Tokens: 100}, {ID: 9, Tokens: 900}}
+				return q
+			}
+			for part := range uint64(40) {
+				w.serve(w.begin(w.prompt(flowRoute, part)), 30*ms)
+			}
+			others := 30 * ms
+			if othersLate {
+				others = 400 * ms
+			}
+			for part := range uint64(storeLateFew) {
+				a := w.begin(w.prompt(flowRoute, part*1000))
+				assert.Equal(t, a.FetchFrom, storeAddress)
+				w.serve(a, 400*ms)
+				w.serve(w.begin(short()), others)
+			}
+			a := w.begin(w.prompt(flowRoute, 7))
+			assert.Equal(t, a.FetchFrom == storeAddress, othersLate)
+			w.serve(a, 30*ms)
+			w.now += storeRest
+			assert.Equal(t, w.begin(w.prompt(flowRoute, 7)).FetchFrom, storeAddress, "it is tried again")
+		})
+	}
+}
