--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -160,6 +160,20 @@
 // now is the steady time since the process started.
 func (a *Agent) now() core.Time { return time.Since(a.started) }
 
+// Ages of the confirmation of the control state at which the tail asks for another.
+const (
+	confirmationForRevocation = 300 * time.Millisecond
+	confirmationForReadiness  = 2 * time.Second
+)
+
+// confirmationAge: only where revoked keys must be refused everywhere in time does service hang on fresh confirmations.
+func confirmationAge(bounds settings.Bounds) time.Duration {
+	if bounds.GlobalRevocation {
+		return confirmationForRevocation
+	}
+	return confirmationForReadiness
+}
+
 // buildPlanes makes the state machines that every node has.
 func (a *Agent) buildPlanes() {
 	now := a.now()
@@ -170,9 +184,11 @@
 	a.distribution = distribution.New(now, distribution.Options{
 		SelfID: a.self.NodeId, SelfAddress: a.self.Address, Zone: a.self.Zone,
 		SelfDiskID: a.self.DiskId, Counts: a.self.CountsForQuorum, State: a.state, Seeds: seeds,
+		ConfirmationAge: confirmationAge(a.settings.Bounds),
 	}, a.random)
 	a.registry = registry.New(now, registry.Options{
-		SelfID: a.self.NodeId, SelfAddress: a.self.Address, Zone: a.self.Zone, Heartbeat: a.settings.Heartbeat(),
+		SelfID: a.self.NodeId, SelfAddress: a.self.Address, ControlAddress: a.self.ControlAddress, Zone: a.self.Zone,
+		Heartbeat: a.settings.Heartbeat(),
 	}, a.random)
 	a.buildDuty()
 	a.openSavedBrokers()
--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -195,7 +195,7 @@
 
 // exchangeConfirmation publishes how fresh the state is.
 func (a *Agent) exchangeConfirmation(now core.Time) {
-	if a.store != nil {
+	if a.store != nil && a.distribution.Tail() {
 		if status := a.store.Status(); status.ConfirmedOnce {
 			a.distribution.LocalConfirmed(now, status.ConfirmedAt)
 		}
