--- a/internal/node/journal/doc.go
+++ b/internal/node/journal/doc.go
@@ -13,10 +13,14 @@
 //
 // # What lasts
 //
-// Append and Checkpoint return nil only once a sync has covered their records, and, for a new file, a sync of the folder
-// its name. After a failed write nothing is known of its bytes: they are written again from the last position that is
-// known to be durable, as a second sync of the same bytes would prove nothing. So is the last batch that Open recovers: a
-// process that was killed may have left it in the system's memory only.
+// Append and Checkpoint return nil only once a sync has covered their records and, for a new file, a sync of the folder
+// has covered its name. After a failed write nothing is known of its bytes: they are written again from the last position
+// that is known to be durable, as a second sync of the same bytes would prove nothing.
+//
+// A process that is killed leaves in the system's memory what may differ from the disk, most of all after a failed sync.
+// So before Open returns, the disk is made to hold what was read: the last batch is written again (what stands before it
+// had been durable when it was written), the place of the next frame is cleared, and the other segments are voided. Where
+// the disk refuses this, Healthy is false until a write has made up for it.
 //
 // Source: DEPLOY.md, "Disk" and "Settings of a process".
 //
--- a/internal/node/journal/journal.go
+++ b/internal/node/journal/journal.go
@@ -57,8 +57,6 @@
 	end        position // behind the last record in current that is known to be durable
 	// checkpointEnd is the offset behind the checkpoint in current.
 	checkpointEnd int64
-	// doubtful holds a checkpoint that failed and may yet be on the disk, whole; nil: none does.
-	doubtful *segment
 	// unproved: what was recovered from current, from the offset unprovedFrom on, is not known to be durable.
 	unproved     bool
 	unprovedFrom int64
@@ -158,22 +156,25 @@
 	if j.inMemory() {
 		return nil
 	}
-	target := j.segments[j.next]
-	if bytes := headerBytes + startPayloadBytes + framesBytes(records); bytes > target.limit {
-		return TooLarge.New("checkpoint: %d bytes, and a segment has %d", bytes, target.limit)
+	limit := j.segments[j.next].limit
+	if bytes := headerBytes + startPayloadBytes + framesBytes(records); bytes > limit {
+		return TooLarge.New("checkpoint: %d bytes, and a segment has %d", bytes, limit)
 	}
-	if err := j.checkpoint(target, records); err != nil {
-		j.healthy.Store(false)
+	err := j.prepare()
+	if err == nil {
+		err = j.checkpoint(j.segments[j.next], records)
+	}
+	j.healthy.Store(err == nil)
+	if err != nil {
 		return Unwritten.Wrap(err, "checkpoint")
 	}
-	j.healthy.Store(true)
 	j.setNeedsCheckpoint()
 	return nil
 }
 
 // checkpoint writes a generation of its own into the target, which then becomes the current segment.
 func (j *Journal) checkpoint(target *segment, records []core.Record) error {
-	j.doubtful = target
+	target.doubtful = true
 	j.generation++
 	j.attempt = randomNumber()
 	if err := target.create(); err != nil {
@@ -195,21 +196,16 @@
 	}
 	j.current, j.end, j.checkpointEnd = target, written.end, written.end.offset
 	j.next = (j.next + 1) % ringSegments
-	j.doubtful, j.unproved = nil, false
+	target.doubtful = false
 	return nil
 }
 
-// prepare brings the journal into a state in which records can be appended.
+// prepare makes sure that the disk holds one generation, the current one, and all of what is known of it.
 func (j *Journal) prepare() error {
 	if j.current == nil {
-		return j.checkpoint(j.segments[j.next], nil)
-	}
-	if j.doubtful != nil {
-		// Were it found whole at the next start, it would hide what is appended here from now on.
-		if err := j.doubtful.void(); err != nil {
+		if err := j.checkpoint(j.segments[j.next], nil); err != nil {
 			return err
 		}
-		j.doubtful = nil
 	}
 	if j.unproved {
 		if err := j.current.rewrite(j.unprovedFrom, j.end.offset); err != nil {
@@ -217,6 +213,14 @@
 		}
 		j.unproved = false
 	}
+	for _, segment := range j.segments {
+		if segment == j.current || !segment.doubtful {
+			continue
+		}
+		if err := segment.void(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/node/journal/recover.go
+++ b/internal/node/journal/recover.go
@@ -61,6 +61,7 @@
 	// After a kill its last batch may stand in the system's memory only; if its sync had failed, a sync of the same bytes
 	// would prove nothing.
 	j.unproved, j.unprovedFrom = true, found.lastBatch
+	j.current.doubtful = false
 	j.setNeedsCheckpoint()
 }
 
--- a/internal/node/journal/recover_test.go
+++ b/internal/node/journal/recover_test.go
@@ -210,6 +210,52 @@
 	assertRecords(t, records, "a", "b")
 }
 
+// TestAFailedCheckpointDoesNotComeBackAfterAKill: it was overwritten in the system's memory, but not on the disk; the
+// next process sees the former only, and a loss of power brings the latter back.
+func TestAFailedCheckpointDoesNotComeBackAfterAKill(t *testing.T) {
+	for seed := range uint64(100) {
+		disk := diskfault.New(rand.New(rand.NewPCG(seed, 4)))
+		opened, _ := open(t, disk)
+		assert.NilError(t, opened.Append(list("a")))
+		disk.SetSyncsFailing(true)
+		assert.Assert(t, opened.Checkpoint(list("s")) != nil)
+		assert.Assert(t, opened.Append(list("b")) != nil)
+		disk.Restart()
+
+		opened, records := open(t, disk)
+		assertRecords(t, records, "a")
+		assert.NilError(t, opened.Append(list("c")))
+		disk.LosePower(diskfault.SomeLost)
+		_, records = open(t, disk)
+		assertRecords(t, records, "a", "c")
+	}
+}
+
+// TestARecordThatWasNotFoundDoesNotComeBack: behind the last sound record stands one in the system's memory that another
+// failed write overlaps, and that is whole on the disk.
+func TestARecordThatWasNotFoundDoesNotComeBack(t *testing.T) {
+	frame := int64(headerBytes + 8)
+	for seed := range uint64(100) {
+		disk := diskfault.New(rand.New(rand.NewPCG(seed, 5)))
+		opened, _ := open(t, disk)
+		assert.NilError(t, opened.Append(list("a")))
+		disk.SetSyncsFailing(true)
+		assert.Assert(t, opened.Append(list("b", "c")) != nil)
+		file, err := disk.Open(segmentPath("0"))
+		assert.NilError(t, err)
+		_, err = file.WriteAt(make([]byte, 8), startBytes+3*frame-8)
+		assert.NilError(t, err)
+		assert.Assert(t, file.Sync() != nil)
+		disk.Restart()
+
+		_, records := open(t, disk)
+		assertRecords(t, records, "a", "b")
+		disk.LosePower(diskfault.AllLost)
+		_, records = open(t, disk)
+		assertRecords(t, records, "a", "b")
+	}
+}
+
 func TestDamageBeforeDurableRecords(t *testing.T) {
 	frame := int64(headerBytes + 8)
 	cases := []struct {
--- a/internal/node/journal/segment.go
+++ b/internal/node/journal/segment.go
@@ -26,6 +26,10 @@
 	file       File  // nil: not there yet
 	size       int64 // how much was preallocated
 	nameSynced bool  // the folder was synced after the file was made
+	// doubtful: the disk may hold a generation here that must not be found: a checkpoint that failed may stand there
+	// whole all the same. At a start this goes for every segment but the current one, whatever was read from it: after
+	// a failed sync the system's memory and the disk differ, and a kill of the process leaves it at that.
+	doubtful bool
 }
 
 func newSegment(fileSystem FileSystem, folder string, number int, limit int64) *segment {
@@ -46,7 +50,7 @@
 	if err != nil {
 		return errors.Join(err, file.Close())
 	}
-	s.file, s.size = file, size
+	s.file, s.size, s.doubtful = file, size, true
 	return nil
 }
 
@@ -105,16 +109,20 @@
 
 // void overwrites the start frame, so that the segment holds no generation.
 func (s *segment) void() error {
-	if s.file == nil {
-		return nil
-	}
-	if err := s.write(zeros[:headerBytes], 0); err != nil {
-		return err
+	if s.file != nil {
+		if err := s.write(zeros[:headerBytes], 0); err != nil {
+			return err
+		}
+		if err := s.sync(); err != nil {
+			return err
+		}
 	}
-	return s.sync()
+	s.doubtful = false
+	return nil
 }
 
-// rewrite writes what the file is said to hold, from an offset to another, once more and syncs it.
+// rewrite writes what the file is said to hold, from an offset to its end, once more, and nothing that could be read as
+// a frame behind it; then it syncs the file. The disk is thus known to hold what was read.
 func (s *segment) rewrite(from, end int64) error {
 	chunk := make([]byte, min(writeBufferBytes, end-from))
 	for at := from; at < end; {
@@ -127,6 +135,11 @@
 		}
 		at += int64(len(part))
 	}
+	if end+headerBytes <= s.limit {
+		if err := s.write(zeros[:headerBytes], end); err != nil {
+			return err
+		}
+	}
 	return s.sync()
 }
 
