--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -52,11 +52,12 @@
 	inbox    chan func(now core.Time)
 	requests *pendingRequests
 
-	network      *link.Network
-	membership   *membership.Membership
+	network    *link.Network
+	membership *membership.Membership
+	// journal, writer and store are there on machines that count for the quorum, once their disk takes writes.
 	journal      *journal.Journal
 	writer       *journal.Writer
-	store        *chain.Store // nil on machines that do not count for the quorum
+	store        *chain.Store
 	submit       *submit.Client
 	state        *config.State // what distribution has published
 	distribution *distribution.Distribution
@@ -93,11 +94,7 @@
 	}
 	log := slog.New(slog.NewTextHandler(logTo, &slog.HandlerOptions{Level: slog.LevelInfo}))
 	limitRuntime(loaded)
-	node, err := New(loaded, log)
-	if err != nil {
-		return err
-	}
-	return node.serve(ctx, path)
+	return New(loaded, log).serve(ctx, path)
 }
 
 // limitRuntime fits the runtime to the machine that the settings describe.
@@ -128,7 +125,7 @@
 }
 
 // New builds a node; nothing is served yet.
-func New(loaded *settings.Settings, log *slog.Logger) (*Agent, error) {
+func New(loaded *settings.Settings, log *slog.Logger) *Agent {
 	life := hex.EncodeToString(randomBytes(6))
 	a := &Agent{
 		log:      log.With("node", loaded.NodeName),
@@ -150,11 +147,9 @@
 		ServesFront:     loaded.Listen.Front != "",
 		Incarnation:     1,
 	}
-	if err := a.openStore(); err != nil {
-		return nil, err
-	}
 	a.buildPlanes()
-	return a, nil
+	a.openStore()
+	return a
 }
 
 // now is the steady time since the process started.
@@ -183,7 +178,7 @@
 	a.state = config.NewState(schema.NewChecker())
 	a.distribution = distribution.New(now, distribution.Options{
 		SelfID: a.self.NodeId, SelfAddress: a.self.Address, Zone: a.self.Zone,
-		SelfDiskID: a.self.DiskId, Counts: a.self.CountsForQuorum, State: a.state, Seeds: seeds,
+		Counts: a.self.CountsForQuorum, State: a.state, Seeds: seeds,
 		ConfirmationAge: confirmationAge(a.settings.Bounds),
 	}, a.random)
 	a.registry = registry.New(now, registry.Options{
--- a/internal/node/agent/savedbrokers.go
+++ b/internal/node/agent/savedbrokers.go
@@ -30,14 +30,15 @@
 	}
 	a.brokersCopy.file = saved.Open(a.settings.DataDir)
 	a.brokersCopy.copy = make(chan []*nodepb.Instance, 1)
-	instances, err := a.brokersCopy.file.Load(time.Now())
-	if err == nil {
-		a.post(func(now core.Time) { a.carryOut(now, a.registry.Restore(now, instances)) })
-	}
 	go a.writeBrokers()
 }
 
+// writeBrokers has the disk read first, then written to, apart from the control loop: it may hang.
 func (a *Agent) writeBrokers() {
+	instances, err := a.brokersCopy.file.Load(time.Now())
+	if err == nil {
+		a.post(func(now core.Time) { a.carryOut(now, a.registry.Restore(now, instances)) })
+	}
 	for instances := range a.brokersCopy.copy {
 		if err := a.brokersCopy.file.Save(instances, time.Now()); err != nil {
 			a.log.Warn("copy of the brokers known", "error", err)
--- a/internal/node/agent/store.go
+++ b/internal/node/agent/store.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"kestrelspread/internal/node/chain"
 	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/node/config/schema"
@@ -9,34 +11,62 @@
 	"kestrelspread/internal/node/nodepb"
 )
 
-// openStore opens the disk of a machine that counts for the quorum, and the store on it.
-func (a *Agent) openStore() error {
+// diskRetry passes between two tries to open a disk, or to write to one, at the start.
+const diskRetry = 500 * time.Millisecond
+
+// openStore opens the disk of a machine that counts for the quorum in the background: a disk that hangs or refuses must
+// not keep the node from serving as a proxy. The store is attached once the disk has proved that it takes writes.
+func (a *Agent) openStore() {
 	if !a.settings.CountsForQuorum {
-		return nil
+		return
 	}
-	opened, recovered, err := journal.Open(journal.Options{
-		Dir: a.settings.DataDir, MaxBytes: int64(a.settings.Limits.DiskMB) << 20,
-	})
-	if err != nil {
-		return err
+	go func() {
+		opened, recovered := a.openJournal()
+		for !opened.Healthy() {
+			if err := opened.Append(nil); err != nil {
+				time.Sleep(diskRetry)
+			}
+		}
+		a.post(func(now core.Time) { a.attachStore(now, opened, recovered) })
+	}()
+}
+
+// openJournal opens the journal, again and again while the disk can't be read.
+func (a *Agent) openJournal() (*journal.Journal, []core.Record) {
+	for {
+		opened, recovered, err := journal.Open(journal.Options{
+			Dir: a.settings.DataDir, MaxBytes: int64(a.settings.Limits.DiskMB) << 20,
+		})
+		if err == nil {
+			return opened, recovered
+		}
+		a.log.Error("journal", "error", err)
+		time.Sleep(diskRetry)
 	}
-	a.journal = opened
-	a.self.DiskId = opened.Identity()
-	a.writer = journal.NewWriter(opened, a.written)
-	voter := &nodepb.Voter{DiskId: a.self.DiskId, Address: a.self.Address, NodeId: a.self.NodeId}
-	store, outputs, err := chain.New(a.now(), chain.Options{
+}
+
+// attachStore makes this node a member of the core.
+func (a *Agent) attachStore(now core.Time, opened *journal.Journal, recovered []core.Record) {
+	voter := &nodepb.Voter{DiskId: opened.Identity(), Address: a.self.Address, NodeId: a.self.NodeId}
+	store, outputs, err := chain.New(now, chain.Options{
 		Self:      voter,
 		Founders:  a.settings.SeedInternalAddresses(),
 		Founding:  a.settings.Bootstrap && len(recovered) == 0,
 		Tolerance: a.settings.FaultTolerance.Machines,
 		Machine:   config.NewState(schema.NewChecker()),
-	}, recovered, a.random)
+	}, recovered, newRandom())
 	if err != nil {
-		return err
+		a.log.Error("control state", "error", err)
+		return
 	}
+	a.journal = opened
+	a.writer = journal.NewWriter(opened, a.written)
 	a.store = store
-	a.post(func(now core.Time) { a.carryOut(now, outputs) })
-	return nil
+	a.self.DiskId = voter.DiskId
+	a.distribution.SetDiskID(voter.DiskId)
+	a.carryOut(now, a.membership.UpdateSelf(now, func(self *nodepb.Member) { self.DiskId = voter.DiskId }))
+	a.carryOut(now, outputs)
+	a.membersChanged(now)
 }
 
 // written reports the end of a write to the store.
--- a/internal/node/distribution/upstream.go
+++ b/internal/node/distribution/upstream.go
@@ -23,6 +23,9 @@
 // passedOver reports whether others go first.
 func (u *upstream) passedOver(now core.Time) bool { return u.failures > 0 || u.staleUntil > now }
 
+// SetDiskID names this node in the chain, once its disk has been opened.
+func (d *Distribution) SetDiskID(diskID string) { d.options.SelfDiskID = diskID }
+
 // Tail reports whether this node is the tail of the chain by the newest view known.
 func (d *Distribution) Tail() bool {
 	tail := d.tailVoter()
