--- a/internal/node/routing/candidates.go
+++ b/internal/node/routing/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/predict"
@@ -15,6 +16,13 @@
 	tookTie        = 0.5  // what a broker's latency counts, in medians
 	chanceTie      = 0.1
 	coldFactor     = 2.0 // what each request counts at a broker that is slow from its start
+
+	newestFirstSpan  = 3 * time.Second // before older weights are over
+	newestFirstShare = 2.0 / 3         // of the brokers
+	startLeadShare   = 0.9             // quantile of latencies
+	startLeadFactor  = 1.5
+	startLeadLeast   = 800 * time.Millisecond
+	startLeadMost    = 3 * time.Second
 )
 
 // candidate is a broker that a request may go to.
@@ -48,8 +56,9 @@
 	f := &r.field
 	f.sound, f.silent, f.doubtful = f.sound[:0], f.silent[:0], f.doubtful[:0]
 	f.full, f.declined, f.earliest = 0, 0, core.Never
+	startsAt := r.startsAt(now, req)
 	for _, b := range req.pool.brokers {
-		c, ok := r.permitted(now, req, b)
+		c, ok := r.permitted(now, startsAt, req, b)
 		if !ok {
 			f.declined++
 			continue
@@ -68,14 +77,14 @@
 }
 
 // permitted reports whether the rules let the request go to the broker at all.
-func (r *Router) permitted(now core.Time, req *request, b *broker) (candidate, bool) {
+func (r *Router) permitted(now, startsAt core.Time, req *request, b *broker) (candidate, bool) {
 	c := candidate{broker: b}
 	if !b.instance.Usable() || now < b.health.misdirectedUntil {
 		return c, false
 	}
 	if req.model != "" {
 		c.version = r.versions.believed(b.instance, req.model)
-		return c, r.versions.allowed(now, req.model, c.version)
+		return c, r.versions.allowed(startsAt, req.model, c.version)
 	}
 	return c, true
 }
@@ -114,22 +123,37 @@
 	return req.idempotent || h.ailment == unreachable || now >= h.trialAt+h.backoff
 }
 
-// newestFirst leaves only brokers with the newest weights when the time for older ones is nearly over.
+// newestFirst leaves only brokers with the newest weights shortly before the time of older ones is over, if they are enough
+// for all requests. Where they are few, the older ones are used to the last, as all would wait at the few.
 func (r *Router) newestFirst(now core.Time, req *request, sound []candidate) []candidate {
-	if req.model == "" || !r.versions.onlyNewest(now, req.model) {
+	if req.model == "" || !r.versions.anyEndsWithin(now, req.model, newestFirstSpan) {
 		return sound
 	}
 	newest := r.versions.newest(req.model)
-	if !slices.ContainsFunc(sound, func(c candidate) bool { return c.version >= newest }) {
-		return sound
-	}
-	kept := sound[:0]
+	count := 0
 	for i := range sound {
 		if sound[i].version >= newest {
-			kept = append(kept, sound[i])
+			count++
 		}
 	}
-	return kept
+	if float64(count) < newestFirstShare*float64(len(sound)) {
+		return sound
+	}
+	return slices.DeleteFunc(sound, func(c candidate) bool { return c.version < newest })
+}
+
+// startsAt is when a request that is sent now has its first token, by what answers lately took: what goes to a broker with older
+// weights must start before their time is over. It is estimated only where that matters.
+func (r *Router) startsAt(now core.Time, req *request) core.Time {
+	if req.model == "" || !r.versions.anyEndsWithin(now, req.model, startLeadMost) {
+		return now
+	}
+	usual, n := req.class.latencies.Quantile(milliseconds(now), startLeadShare)
+	if n < predict.Few {
+		usual = req.Route.TargetLatencyMs
+	}
+	lead := fromMilliseconds(startLeadFactor * usual * req.work)
+	return now + min(max(lead, startLeadLeast), startLeadMost)
 }
 
 // weighLoads fills in the candidates' loads: the last report corrected by own sends, faded to the average as it ages; own
--- a/internal/node/routing/guarded.go
+++ b/internal/node/routing/guarded.go
@@ -75,6 +75,13 @@
 	g.router.SetPeers(now, proxies)
 }
 
+// CoreDisturbed is Router.CoreDisturbed.
+func (g *Guarded) CoreDisturbed(now, at core.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.CoreDisturbed(now, at)
+}
+
 // StoreSeen is Router.StoreSeen.
 func (g *Guarded) StoreSeen(now core.Time, address string, alive, lost bool) {
 	g.mutex.Lock()
--- a/internal/node/routing/options.go
+++ b/internal/node/routing/options.go
@@ -18,9 +18,12 @@
 	RetryBudgetSlack float64
 	BudgetWindow     time.Duration
 	// VersionGrace is the deployment's versionMs: no request may start on older weights later than that after a newer version
-	// of them was acknowledged (RULES.md, VERSION). The router keeps a margin of its own.
+	// of them was acknowledged, counted within a single stretch during which the core was stable (RULES.md, VERSION). The
+	// router keeps a margin of its own.
 	VersionGrace time.Duration
-	Random       *rand.Rand
+	// VersionAll is versionAllMs, the same over all such stretches; 0: as VersionGrace.
+	VersionAll time.Duration
+	Random     *rand.Rand
 	// Index may be nil; then brokers are found by the hash of a prompt's parts alone. One that is an Observer too is told of
 	// the prompts that brokers have begun to answer.
 	Index Index
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -42,7 +42,7 @@
 	options.withDefaults()
 	return &Router{
 		options:   options,
-		versions:  newVersions(options.VersionGrace),
+		versions:  newVersions(now, versionBounds{single: options.VersionGrace, all: options.VersionAll}),
 		slackFrom: now + options.BudgetWindow,
 		brokers:   make(map[string]*broker),
 		pools:     make(map[string]*pool),
@@ -73,6 +73,11 @@
 	r.walls.note(compiled)
 }
 
+// CoreDisturbed tells that the core was not stable at a time: a machine of it was lost, and the agreed view dropped it. The time
+// for older weights is counted anew from there. at must not be later than the trouble may have been, which lasts for
+// contactMs (RULES.md, "Stable"); trouble with disks alone is none.
+func (r *Router) CoreDisturbed(now, at core.Time) { r.versions.disturbed(now, at) }
+
 // SetTable takes a newer picture of the brokers.
 func (r *Router) SetTable(now core.Time, table *registry.Table) {
 	first := len(r.brokers) == 0
--- a/internal/node/routing/versions.go
+++ b/internal/node/routing/versions.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"kestrelspread/internal/node/config"
@@ -11,23 +12,30 @@
 const (
 	// firstVersion is what a model without a named version is at (PROTOCOL.md, "The operator's API").
 	firstVersion = 1
-	// versionMargin is kept for what lies between an acknowledgement and this node's learning of it, and between sending a
-	// request and its start.
-	versionMargin = 1500 * time.Millisecond
-	// startGraceShare is the part of the grace given to what was named before this node started, as it can't know when.
-	startGraceShare = 4
-	// preferNewestShare: in the last of so many parts of the grace, only the newest version is used where a broker has it.
-	preferNewestShare = 3
+	// learnMargin is kept for what lies between an acknowledgement and this node's learning of the version.
+	learnMargin = 700 * time.Millisecond
+	// stretchesMargin is kept of the bound of all calm stretches together, as it is counted without their pauses.
+	stretchesMargin = 2 * time.Second
+	// startGrace is given, from the start of this node, to what was named before it, as it can't know when. A node isn't in
+	// touch before it has run for contactMs (RULES.md, "In touch"), which is longer.
+	startGrace = 2500 * time.Millisecond
 	// namedMost bounds how many versions of a model are remembered.
 	namedMost = 16
 )
 
+// versionBounds are a deployment's versionMs and versionAllMs (RULES.md, VERSION).
+type versionBounds struct {
+	single time.Duration // since the acknowledgement, within one stretch during which the core was stable
+	all    time.Duration // over all such stretches; 0: as single
+}
+
 // versions knows which versions of a model's weights requests may start on (RULES.md, VERSION): the newest, and an older one
-// until the grace since the one after it was learnt of is over.
+// until the time since the one after it was learnt of is over.
 type versions struct {
-	grace   time.Duration
-	started bool
-	models  map[string]*modelVersions
+	bounds    versionBounds
+	startedAt core.Time
+	started   bool
+	models    map[string]*modelVersions
 }
 
 type modelVersions struct {
@@ -35,20 +43,23 @@
 	named []namedVersion // rising
 }
 
-// namedVersion is a version, and until when those before it may be used.
+// namedVersion is a version, and until when requests may start on those before it.
 type namedVersion struct {
 	version uint64
 	until   core.Time
+	// limit is what no disturbance of the core puts until beyond.
+	limit core.Time
 }
 
-func newVersions(bound time.Duration) versions {
-	return versions{grace: max(bound-versionMargin, 0), models: make(map[string]*modelVersions)}
+func newVersions(now core.Time, bounds versionBounds) versions {
+	return versions{bounds: bounds, startedAt: now, models: make(map[string]*modelVersions)}
 }
 
 func (v *versions) learn(now core.Time, compiled *config.Compiled) {
-	grace := v.grace
+	until, limit := v.singleStretch(now), now+v.bounds.all-stretchesMargin
 	if !v.started {
-		grace /= startGraceShare
+		until = min(until, v.startedAt+startGrace)
+		limit = until
 		v.started = compiled.Version > 0
 	}
 	for model, version := range compiled.ModelVersions {
@@ -60,11 +71,27 @@
 			m = &modelVersions{}
 			v.models[model] = m
 		}
-		m.named = append(m.named, namedVersion{version: version, until: now + grace})
+		m.named = append(m.named, namedVersion{version: version, until: until, limit: max(until, limit)})
 		m.expire()
 	}
 }
 
+// singleStretch is when a stretch that began at a time is over.
+func (v *versions) singleStretch(from core.Time) core.Time {
+	return from + max(v.bounds.single-learnMargin, 0)
+}
+
+// disturbed counts the single stretch anew for what isn't over yet, from a time at which the core wasn't stable.
+func (v *versions) disturbed(now, at core.Time) {
+	for _, m := range v.models {
+		for i := range m.named {
+			if named := &m.named[i]; now < named.until {
+				named.until = max(named.until, min(v.singleStretch(at), named.limit))
+			}
+		}
+	}
+}
+
 func (m *modelVersions) expire() {
 	if len(m.named) > namedMost {
 		m.floor = m.named[0].version
@@ -88,8 +115,8 @@
 	return firstVersion
 }
 
-// allowed reports whether a request may still start on the version.
-func (v *versions) allowed(now core.Time, model string, version uint64) bool {
+// allowed reports whether a request may start on the version at a time.
+func (v *versions) allowed(startsAt core.Time, model string, version uint64) bool {
 	m := v.models[model]
 	if m == nil {
 		return true
@@ -99,17 +126,16 @@
 	}
 	for _, named := range m.named {
 		if named.version > version {
-			return now < named.until
+			return startsAt < named.until
 		}
 	}
 	return true
 }
 
-// onlyNewest reports whether brokers with the newest version are to be preferred, as the grace of the one before is nearly
-// over.
-func (v *versions) onlyNewest(now core.Time, model string) bool {
-	last, ok := v.last(model)
-	return ok && now >= last.until-v.grace/preferNewestShare
+// anyEndsWithin reports whether the time of some older version will be over within a span.
+func (v *versions) anyEndsWithin(now core.Time, model string, span time.Duration) bool {
+	m := v.models[model]
+	return m != nil && slices.ContainsFunc(m.named, func(n namedVersion) bool { return now < n.until && n.until <= now+span })
 }
 
 // believed is the version that an instance has of a model: what it told, else the newest, which a new one has.
--- a/internal/node/routing/versions_test.go
+++ b/internal/node/routing/versions_test.go
@@ -6,13 +6,16 @@
 
 	"gotest.tools/v3/assert"
 
+	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/registry"
 )
 
-// RULES.md VERSION: until when a request may be sent to a broker with older weights.
+var testBounds = versionBounds{single: 10 * time.Second, all: 14 * time.Second}
+
+// RULES.md VERSION: until when a request may start on older weights.
 func TestVersionsAllowed(t *testing.T) {
-	v := newVersions(10 * time.Second)
-	grace := 10*time.Second - versionMargin
+	v := newVersions(0, testBounds)
+	grace := testBounds.single - learnMargin
 	v.learn(0, configOf(nil))
 	assert.Equal(t, v.newest(model), uint64(1))
 	v.learn(20*time.Second, configOf(map[string]uint64{model: 2}))
@@ -34,20 +37,68 @@
 	} {
 		assert.Equal(t, v.allowed(c.at, model, c.version), c.want, "version %d at %v", c.version, c.at)
 	}
-	assert.Assert(t, !v.onlyNewest(25*time.Second, model))
-	assert.Assert(t, v.onlyNewest(24*time.Second+grace-time.Second, model))
+	assert.Assert(t, !v.anyEndsWithin(25*time.Second, model, time.Second))
+	assert.Assert(t, v.anyEndsWithin(20*time.Second+grace-time.Second, model, time.Second))
+	assert.Assert(t, v.anyEndsWithin(24*time.Second+grace-time.Second, model, time.Second))
+	assert.Assert(t, !v.anyEndsWithin(24*time.Second+grace, model, time.Second))
 }
 
-// A node that starts can't know when a version was named: it gives the one before only a short time.
+// The time is counted within a single stretch during which the core was stable, and over all of them up to another bound: a
+// disturbance begins it anew, but never once it was over, nor beyond the bound of all.
+func TestVersionsWhileTheCoreIsDisturbed(t *testing.T) {
+	const named = 20 * time.Second
+	for _, c := range []struct {
+		name        string
+		all         time.Duration
+		disturbedAt []time.Duration // since the naming
+		want        time.Duration   // since the naming
+	}{
+		{"never", 14 * time.Second, nil, 9300 * ms},
+		{"once", 14 * time.Second, []time.Duration{time.Second}, 10300 * ms},
+		{"twice", 14 * time.Second, []time.Duration{time.Second, 2 * time.Second}, 11300 * ms},
+		{"again and again", 14 * time.Second, []time.Duration{time.Second, 5 * time.Second, 9 * time.Second}, 12 * time.Second},
+		{"too late", 14 * time.Second, []time.Duration{9400 * ms}, 9300 * ms},
+		{"all stretches are bounded as one", 10 * time.Second, []time.Duration{2 * time.Second}, 9300 * ms},
+		{"no bound of all is known", 0, []time.Duration{2 * time.Second}, 9300 * ms},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := newVersions(0, versionBounds{single: 10 * time.Second, all: c.all})
+			v.learn(time.Second, configOf(nil))
+			v.learn(named, configOf(map[string]uint64{model: 2}))
+			for _, at := range c.disturbedAt {
+				v.disturbed(named+at, named+at)
+			}
+			assert.Assert(t, v.allowed(named+c.want-ms, model, 1))
+			assert.Assert(t, !v.allowed(named+c.want, model, 1))
+			assert.Assert(t, v.allowed(named+time.Hour, model, 2))
+		})
+	}
+}
+
+// A disturbance that is learnt of late counts from when it may have been.
+func TestDisturbanceInThePast(t *testing.T) {
+	v := newVersions(0, testBounds)
+	v.learn(time.Second, configOf(nil))
+	v.learn(20*time.Second, configOf(map[string]uint64{model: 2}))
+	v.disturbed(25*time.Second, 21*time.Second)
+	assert.Assert(t, !v.allowed(30300*ms, model, 1))
+	v.disturbed(26*time.Second, 15*time.Second)
+	assert.Assert(t, v.allowed(30200*ms, model, 1), "an earlier one shortens nothing")
+}
+
+// A node that starts can't know when a version was named: the one before has its time only until the node is in touch, and no
+// disturbance makes that longer.
 func TestVersionsAtTheStart(t *testing.T) {
-	v := newVersions(10 * time.Second)
-	v.learn(time.Second, configOf(map[string]uint64{model: 5}))
-	assert.Assert(t, v.allowed(2*time.Second, model, 4))
-	assert.Assert(t, !v.allowed(4*time.Second, model, 4))
+	v := newVersions(time.Second, testBounds)
+	v.learn(2*time.Second, configOf(map[string]uint64{model: 5}))
+	assert.Assert(t, v.allowed(3400*ms, model, 4))
+	assert.Assert(t, !v.allowed(3500*ms, model, 4))
+	v.disturbed(3*time.Second, 3*time.Second)
+	assert.Assert(t, !v.allowed(3500*ms, model, 4))
 }
 
 func TestVersionOnceOverStaysOver(t *testing.T) {
-	v := newVersions(10 * time.Second)
+	v := newVersions(0, testBounds)
 	for i := range uint64(3 * namedMost) {
 		v.learn(time.Duration(i)*time.Minute, configOf(map[string]uint64{model: i + 2}))
 	}
@@ -88,6 +139,61 @@
 	}
 }
 
+// Brokers with older weights are used to the last while those with new ones are few; where these are enough for all, they get
+// what would be sent shortly before.
+func TestOlderWeightsAreUsedToTheLast(t *testing.T) {
+	for _, c := range []struct {
+		renewed int // of nine brokers
+		older   bool
+	}{{0, true}, {3, true}, {5, true}, {6, false}, {8, false}} {
+		list := instances(9)
+		for i := range c.renewed {
+			withVersion(list[i], 2)
+		}
+		w := newWorld(t, list)
+		w.SetConfig(w.now, configOf(map[string]uint64{model: 2}))
+		until := w.now + 8*time.Second - learnMargin
+		older := func() int {
+			n := 0
+			for part := range uint64(60) {
+				a := w.begin(w.prompt(flowRoute, part*7))
+				if a.ExpectVersion < 2 {
+					n++
+				}
+				w.answer(a)
+			}
+			return n
+		}
+		w.now = until - newestFirstSpan - ms
+		assert.Assert(t, older() > 0, "%d renewed", c.renewed)
+		w.now = until - time.Second
+		assert.Equal(t, older() > 0, c.older, "%d renewed", c.renewed)
+	}
+}
+
+// What is sent to a broker with older weights must have its first token before their time is over.
+func TestStartsBeforeTheVersionsEnd(t *testing.T) {
+	for _, latency := range []core.Time{10 * ms, 900 * ms, 5 * time.Second} {
+		w := newWorld(t, instances(4))
+		var sent []*Attempt
+		for range 40 {
+			sent = append(sent, w.begin(w.prompt(flowRoute, 7)))
+		}
+		w.now += latency
+		for _, a := range sent {
+			w.answer(a)
+		}
+		w.SetConfig(w.now, configOf(map[string]uint64{model: 2}))
+		until := w.now + 8*time.Second - learnMargin
+		lead := min(max(core.Time(startLeadFactor*float64(latency)), startLeadLeast), startLeadMost)
+		w.now = until - lead*12/10 - 100*ms
+		assert.Equal(t, w.begin(w.prompt(flowRoute, 8)).ExpectVersion, uint64(1))
+		w.now = until - lead*8/10
+		_, d := w.Begin(w.now, w.prompt(flowRoute, 8))
+		assert.Assert(t, d.Refusal != nil, "latency %v", latency)
+	}
+}
+
 // Nobody is left for older weights: no attempt, rather than a broken rule.
 func TestNoBrokerWithAllowedWeights(t *testing.T) {
 	w := newWorld(t, instances(3))
