--- a/internal/node/view/next.go
+++ b/internal/node/view/next.go
@@ -101,12 +101,26 @@
 		Chain:   chain,
 		Removed: s.nextRemoved(voters),
 	}
-	if !Valid(next) || !s.reachesMajority(voters) {
+	if !Valid(next) || !s.reachesMajority(voters) || s.tooShort(next) {
 		return nil
 	}
 	return next
 }
 
+// tooShort reports whether the chain would be too short to acknowledge, and whom it leaves out may be back soon: a short chain
+// gains nothing then, and the loss of its disks would be the loss of the state.
+func (s *Situation) tooShort(next *nodepb.View) bool {
+	if Acknowledges(next, s.Tolerance) {
+		return false
+	}
+	for _, diskID := range s.View.GetChain() {
+		if !slices.Contains(next.GetChain(), diskID) && !s.lost(diskID) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Situation) condition(diskID string) Condition {
 	if diskID == s.Self {
 		return Reachable
