--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -84,6 +84,8 @@
 	members uint64
 	view    uint64 // epoch
 	holder  bool   // of the duty to bring new weights
+	// leaseLost: the configuration was confirmed too long ago for keys to be trusted (globalRevocation).
+	leaseLost bool
 }
 
 // Run runs a node with the settings file at path until SIGTERM, SIGINT or the end of ctx.
--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -200,9 +200,21 @@
 			a.distribution.LocalConfirmed(now, status.ConfirmedAt)
 		}
 	}
-	if at, ok := a.distribution.ConfirmedAt(); ok {
-		if a.confirmed.Swap(int64(max(at, 1))) == 0 {
-			a.log.Info("control state confirmed", "index", a.state.Index(), "version", a.state.Version(), "after", now)
-		}
+	at, ok := a.distribution.ConfirmedAt()
+	if !ok {
+		return
+	}
+	if a.confirmed.Swap(int64(max(at, 1))) == 0 {
+		a.log.Info("control state confirmed", "index", a.state.Index(), "version", a.state.Version(), "after", now)
+	}
+	a.noteLease(now)
+}
+
+// noteLease logs when keys can't be trusted any more, and when they can again.
+func (a *Agent) noteLease(now core.Time) {
+	holds := !a.settings.Bounds.GlobalRevocation || a.leaseHolds(now)
+	if holds == a.seen.leaseLost {
+		a.seen.leaseLost = !holds
+		a.log.Info("lease of the configuration", "holds", holds, "confirmed", now-core.Time(a.confirmed.Load()))
 	}
 }
