--- /dev/null
+++ b/internal/rig/fleet/fleet_test.go
@@ -0,0 +1,118 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// binary is kestrelnode, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(withBinary(m.Run))
+}
+
+func withBinary(run func() int) int {
+	dir, err := os.MkdirTemp("", "kestrelnode")
+	if err != nil {
+		fmt.Println(err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "kestrelnode")
+	build := exec.Command("go", "build", "-o", binary, "kestrelspread/cmd/kestrelnode")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Printf("go build: %v\n%s", err, output)
+		return 1
+	}
+	return run()
+}
+
+// patience bounds every wait of the tests; a passing test never waits it out.
+const patience = 40 * time.Second
+
+// atOnce bounds how many fleets run at the same time: each has five processes.
+var atOnce = make(chan struct{}, 2)
+
+// testBounds keep the waits that the rules ask for short.
+func testBounds() Bounds {
+	bounds := DefaultBounds()
+	bounds.Heartbeat = 500 * time.Millisecond
+	bounds.Grace = 5 * time.Second
+	bounds.Drain = 1500 * time.Millisecond
+	return bounds
+}
+
+// scenario is a fleet under load.
+type scenario struct {
+	*Fleet
+	t    *testing.T
+	ctx  context.Context
+	load *Load
+}
+
+// newScenario starts a fleet, has it serve the first configuration, and loads it.
+func newScenario(t *testing.T) *scenario {
+	t.Helper()
+	t.Parallel()
+	atOnce <- struct{}{}
+	t.Cleanup(func() { <-atOnce })
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	started, err := Start(Options{Binary: binary, Dir: t.TempDir(), Bounds: testBounds()})
+	assert.NilError(t, err)
+	s := &scenario{Fleet: started, t: t, ctx: ctx}
+	t.Cleanup(s.end)
+	s.must(s.FirstSteps(ctx))
+	s.load = s.StartLoad(200 * time.Millisecond)
+	return s
+}
+
+// must ends the test where something did not come to pass.
+func (s *scenario) must(err error) {
+	s.t.Helper()
+	assert.NilError(s.t, err)
+}
+
+// end closes the fleet, and shows what the nodes wrote where the test failed.
+func (s *scenario) end() {
+	if s.load != nil {
+		s.load.Stop()
+	}
+	s.Close()
+	if !s.t.Failed() {
+		return
+	}
+	for _, node := range s.Nodes {
+		s.t.Logf("--- %s (%s, disk %v) ---\n%s", node.Name, node.Zone, node.HasDisk, lastLines(node.Log(), 60))
+	}
+}
+
+// settle stops the load, checks the rules and the configuration, and returns the counts.
+func (s *scenario) settle() Tally {
+	s.t.Helper()
+	s.load.Stop()
+	s.must(s.Operator.CheckReadBack(s.ctx))
+	for _, breach := range s.Check(s.load) {
+		s.t.Error(breach)
+	}
+	counts := s.Count(s.load, 1)
+	total := counts.Total()
+	s.t.Logf("%+v", total)
+	return total
+}
+
+func TestFirstConfigurationAndRequests(t *testing.T) {
+	s := newScenario(t)
+	s.must(s.load.AwaitAnswers(s.ctx, 20))
+	total := s.settle()
+	assert.Equal(t, total.Failed, 0)
+	assert.Equal(t, total.Cut, 0)
+}
--- /dev/null
+++ b/internal/rig/fleet/process.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"runtime"
+	"syscall"
+)
+
+// spawner starts processes that end when this one does. The kernel ties that to the thread that started them, so all are
+// started on one thread that lives as long as the spawner.
+type spawner struct {
+	jobs chan func()
+	done chan struct{}
+}
+
+func newSpawner() *spawner {
+	s := &spawner{jobs: make(chan func()), done: make(chan struct{})}
+	go func() {
+		runtime.LockOSThread() // never unlocked: the thread ends with the goroutine
+		defer close(s.done)
+		for job := range s.jobs {
+			job()
+		}
+	}()
+	return s
+}
+
+// close ends the thread, and with it whatever it started that still runs.
+func (s *spawner) close() {
+	close(s.jobs)
+	<-s.done
+}
+
+// process is one life of a node process.
+type process struct {
+	command *exec.Cmd
+	ended   chan struct{} // closed once the process is gone
+	err     error         // how it ended; to be read after ended
+}
+
+// start runs a program whose log is added to a file.
+func (s *spawner) start(program string, arguments, environment []string, logPath string) (*process, error) {
+	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = log.Close() }()
+	command := exec.Command(program, arguments...)
+	command.Env = environment
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	s.jobs <- func() { started <- command.Start() }
+	if err := <-started; err != nil {
+		return nil, err
+	}
+	p := &process{command: command, ended: make(chan struct{})}
+	go func() {
+		p.err = command.Wait()
+		close(p.ended)
+	}()
+	return p, nil
+}
+
+// signal sends a signal to the process; one that is gone takes none.
+func (p *process) signal(signal syscall.Signal) error {
+	err := p.command.Process.Signal(signal)
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
+// kill ends the process at once, also where it is stopped, and waits for its end.
+func (p *process) kill() {
+	_ = p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+func (p *process) running() bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/rig/fleet/services.go
@@ -0,0 +1,254 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/standin/fleetoperator"
+	"kestrelspread/internal/standin/llmbroker"
+)
+
+// The services of the fleet.
+const (
+	serviceModel = "assistant" // model brokers
+	servicePlain = "printer"   // plain brokers
+	serviceStore = "prompts"   // the store of kept parts
+	modelName    = "assistant-8b"
+)
+
+// host is the host of all routes.
+const host = "demo.example"
+
+// The sizes of the services.
+const (
+	modelBrokers  = 4
+	plainBrokers  = 3
+	modelSlots    = 16
+	plainSlots    = 6
+	queueLength   = 8
+	connections   = 200
+	storeTokens   = 200_000
+	brokerTokens  = 100_000
+	eventCallers  = 12
+	kvTokenBytes  = 18_432
+	brokerLink    = 550_000 // Mbit/s
+	plainWork     = 25 * time.Millisecond
+	firstEvent    = 40 * time.Millisecond
+	eventPause    = 20 * time.Millisecond
+	loadOfWeights = 300 * time.Millisecond
+)
+
+// The prefixes of the routes.
+const (
+	prefixLookup  = "/lookup/"  // safe
+	prefixPrint   = "/print/"   // unsafe
+	prefixDraft   = "/draft/"   // a stream that may be resumed
+	prefixVerdict = "/verdict/" // a stream that may not
+	prefixOld     = "/old/"     // safe; a later configuration removes it
+	prefixNew     = "/new/"     // safe; a later configuration adds it
+)
+
+// FirstVersion is the version of the first configuration.
+const FirstVersion = 5
+
+// route gives a route of the fleet by its prefix.
+func route(prefix string) config.Route {
+	r := config.Route{
+		Name: "r" + prefix[:len(prefix)-1], Host: host, PathPrefix: prefix, Kind: config.KindSafe, TimeoutMs: 2000,
+		TargetLatencyMs: 300, Priority: 1, Service: servicePlain, MaxAttempts: 3,
+	}
+	switch prefix {
+	case prefixPrint:
+		r.Kind, r.MaxAttempts, r.Priority = config.KindUnsafe, 2, 0
+	case prefixDraft, prefixVerdict:
+		r.Kind, r.Service, r.Sticky = config.KindStreaming, serviceModel, true
+		r.TimeoutMs, r.TargetLatencyMs, r.GapAimMs = 8000, 500, 300
+		r.Resumable = prefix == prefixDraft
+	}
+	return r
+}
+
+// Tenants and their keys.
+const (
+	tenantShared   = "north"
+	tenantIsolated = "south"
+	keyShared      = "key-north-1"
+	keyRevoked     = "key-north-2" // a later configuration takes it away
+	keyIsolated    = "key-south-1"
+)
+
+// tenantOf names the tenant of a key.
+var tenantOf = map[string]string{keyShared: tenantShared, keyRevoked: tenantShared, keyIsolated: tenantIsolated}
+
+// FirstConfiguration is what the operator sends first.
+func (f *Fleet) FirstConfiguration() fleetoperator.Configuration {
+	c := fleetoperator.Configuration{
+		Version: FirstVersion,
+		Limits:  config.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+		Tenants: []config.Tenant{
+			{Name: tenantShared, APIKeys: []string{keyShared, keyRevoked}},
+			{Name: tenantIsolated, APIKeys: []string{keyIsolated}, Isolated: true},
+		},
+	}
+	for _, prefix := range []string{prefixLookup, prefixPrint, prefixDraft, prefixVerdict, prefixOld} {
+		c.Routes = append(c.Routes, route(prefix))
+	}
+	c.Services = []config.Service{
+		{Name: servicePlain, HealthCheck: "/healthz", MaxConnections: connections, Protocol: "h1"},
+		{Name: serviceModel, HealthCheck: "/healthz", MaxConnections: connections, Protocol: "h1", Engine: &config.Engine{
+			Slots: modelSlots, KVCapacityTokens: brokerTokens, KVTokenBytes: kvTokenBytes, LinkMbps: brokerLink, Stride: 1,
+			MaxConcurrency: eventCallers, Models: []config.EngineModel{{Name: modelName}},
+		}},
+		{Name: serviceStore, KVStoreAddr: f.Store.Address(), Zone: Zones[0], KVCapacityTokens: storeTokens,
+			LinkMbps: brokerLink, MaxConcurrency: eventCallers},
+	}
+	return c
+}
+
+// nextVersion is a number above that of a configuration; versions climb in uneven steps.
+func nextVersion(c fleetoperator.Configuration) uint64 { return c.Version + 2 + c.Version%3 }
+
+// RoutesChange removes the old route, adds the new one and takes a key away.
+func RoutesChange(before fleetoperator.Configuration) fleetoperator.Update {
+	return fleetoperator.Update{
+		Version: nextVersion(before),
+		Upsert: fleetoperator.Items{
+			Routes:  []config.Route{route(prefixNew)},
+			Tenants: []config.Tenant{{Name: tenantShared, APIKeys: []string{keyShared}}},
+		},
+		Remove: fleetoperator.Names{Routes: []string{route(prefixOld).Name}},
+	}
+}
+
+// startServices starts the store and the brokers.
+func (f *Fleet) startServices() error {
+	var err error
+	if f.Store, err = llmbroker.StartStore(f.layout.broker(lastHost-firstBrokerHost-1)+":0", storeTokens, eventCallers); err != nil {
+		return NotStarted.Wrap(err, "store")
+	}
+	for i := range modelBrokers {
+		if _, err := f.StartBroker(serviceModel, Zones[i%len(Zones)]); err != nil {
+			return err
+		}
+	}
+	for i := range plainBrokers {
+		if _, err := f.StartBroker(servicePlain, Zones[i%len(Zones)]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartBroker starts one more broker of a service.
+func (f *Fleet) StartBroker(service, zone string) (*llmbroker.Broker, error) {
+	options := llmbroker.Options{
+		Service: service, Zone: zone, Listen: f.layout.broker(f.started) + ":0", Slots: plainSlots, Queue: queueLength,
+		MaxConnections: connections, TellsLoad: true, Work: plainWork, Heartbeat: f.options.Bounds.Heartbeat,
+		Control: f.controlAddresses, Drain: f.options.Bounds.Drain, Ledger: f.Ledger,
+	}
+	if service == serviceModel {
+		options.Slots = modelSlots
+		options.Engine = &llmbroker.Engine{
+			Weights: f.Weights, Model: modelName, FirstEvent: firstEvent, EventPause: eventPause, Load: loadOfWeights,
+			Fencing: true, KVCapacityTokens: brokerTokens, MaxConcurrency: eventCallers,
+		}
+	}
+	broker, err := llmbroker.Start(options)
+	if err != nil {
+		return nil, NotStarted.Wrap(err, "broker of %s", service)
+	}
+	f.started++
+	f.Brokers = append(f.Brokers, broker)
+	return broker, nil
+}
+
+// drained is a broker whose draining was acknowledged.
+type drained struct {
+	instance string
+	at       time.Time
+}
+
+// Drain has a broker say that it leaves, and gives the time of the acknowledgement. It still runs; see llmbroker.Leave.
+func (f *Fleet) Drain(ctx context.Context, broker *llmbroker.Broker) (time.Time, error) {
+	at, err := broker.Drain(ctx)
+	if err == nil {
+		f.drains = append(f.drains, drained{instance: broker.ID(), at: at})
+	}
+	return at, err
+}
+
+// Crash ends a broker without a word.
+func (f *Fleet) Crash(broker *llmbroker.Broker) {
+	f.crashed = append(f.crashed, broker.ID())
+	broker.Crash()
+}
+
+func (f *Fleet) hasCrashed(instance string) bool { return slices.Contains(f.crashed, instance) }
+
+// BrokerOf gives the first broker of a service.
+func (f *Fleet) BrokerOf(service string) *llmbroker.Broker {
+	for _, broker := range f.Brokers {
+		if broker.Service() == service {
+			return broker
+		}
+	}
+	return nil
+}
+
+// AwaitBrokers waits until all nodes know so many brokers that are ready.
+func (f *Fleet) AwaitBrokers(ctx context.Context, count int) error {
+	return f.Await(ctx, "all nodes knowing all brokers", func(ctx context.Context) error {
+		statuses, err := f.Statuses(ctx)
+		if err != nil {
+			return err
+		}
+		for _, status := range statuses {
+			ready := 0
+			for _, instance := range status.Instances {
+				if instance.State == "READY" {
+					ready++
+				}
+			}
+			if ready != count {
+				return fmt.Errorf("%s knows %d ready brokers of %d", status.Node, ready, count)
+			}
+		}
+		return nil
+	})
+}
+
+// AwaitWeights waits until all model brokers have a version.
+func (f *Fleet) AwaitWeights(ctx context.Context, version uint64) error {
+	return f.Await(ctx, "all brokers having the weights", func(context.Context) error {
+		for _, broker := range f.Brokers {
+			if broker.Service() == serviceModel && broker.Version() != version {
+				return fmt.Errorf("%s has version %d", broker.ID(), broker.Version())
+			}
+		}
+		return nil
+	})
+}
+
+// FirstSteps sends the first configuration, and waits until all nodes serve it and know all brokers.
+func (f *Fleet) FirstSteps(ctx context.Context) error {
+	if _, err := f.Operator.Replace(ctx, 0, f.FirstConfiguration()); err != nil {
+		return err
+	}
+	if err := f.AwaitAgreement(ctx, diskCount, nodeCount); err != nil {
+		return err
+	}
+	if err := f.AwaitBrokers(ctx, modelBrokers+plainBrokers); err != nil {
+		return err
+	}
+	return f.Await(ctx, "the platform sending clients to all nodes", func(context.Context) error {
+		for _, node := range f.Nodes {
+			if !f.platform.isIn(node) {
+				return fmt.Errorf("%s is out", node.Name)
+			}
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/rig/fleet/settings.go
@@ -0,0 +1,143 @@
+package fleet
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Bounds are the figures of the rules that the fleet is run with. Source: DEPLOY.md and RULES.md.
+type Bounds struct {
+	Heartbeat        time.Duration
+	Contact          time.Duration
+	Ack              time.Duration
+	Drain            time.Duration
+	Grace            time.Duration
+	LossSlack        time.Duration
+	ConfigApply      time.Duration
+	DowngradeSlack   time.Duration
+	Revoke           time.Duration
+	GlobalRevocation bool
+	Lease            time.Duration
+	Version          time.Duration
+	RetryBudgetRatio float64
+	RetryBudgetSlack float64
+	BudgetWindow     time.Duration
+}
+
+// DefaultBounds are like those of the sites, with a shorter grace.
+func DefaultBounds() Bounds {
+	return Bounds{
+		Heartbeat: 1200 * time.Millisecond, Contact: 3 * time.Second, Ack: 4 * time.Second, Drain: 2 * time.Second,
+		Grace: 6 * time.Second, LossSlack: 200 * time.Millisecond, ConfigApply: 2 * time.Second,
+		DowngradeSlack: 250 * time.Millisecond, Revoke: 5 * time.Second, GlobalRevocation: true,
+		Lease: 3 * time.Second, Version: 8 * time.Second,
+		RetryBudgetRatio: 0.2, RetryBudgetSlack: 60, BudgetWindow: 10 * time.Second,
+	}
+}
+
+// settingsFile is a node's settings as DEPLOY.md, "Settings of a process", words them.
+type settingsFile struct {
+	NodeName        string            `json:"nodeName"`
+	Role            string            `json:"role"`
+	MachineClass    string            `json:"machineClass"`
+	Serves          []string          `json:"serves"`
+	IP              string            `json:"ip"`
+	Zone            string            `json:"zone"`
+	Region          string            `json:"region"`
+	Zones           map[string]string `json:"zones"`
+	Listen          listenFile        `json:"listen"`
+	PortRange       [2]int            `json:"portRange"`
+	Seeds           []string          `json:"seeds"`
+	Bootstrap       bool              `json:"bootstrap"`
+	CountsForQuorum bool              `json:"countsForQuorum"`
+	Limits          limitsFile        `json:"limits"`
+	DataDir         string            `json:"dataDir,omitempty"`
+	HeartbeatMs     float64           `json:"heartbeatMs"`
+	Contracts       []string          `json:"contracts"`
+	FaultTolerance  toleranceFile     `json:"faultTolerance"`
+	Bounds          map[string]any    `json:"bounds"`
+}
+
+type listenFile struct {
+	Front     string `json:"front"`
+	Readiness string `json:"readiness"`
+	Control   string `json:"control"`
+}
+
+type limitsFile struct {
+	CPUShare float64 `json:"cpuShare"`
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memoryMb"`
+	MaxFDs   int     `json:"maxFds"`
+	LinkMbps float64 `json:"linkMbps"`
+	DiskMB   int     `json:"diskMb,omitempty"`
+}
+
+type toleranceFile struct {
+	Machines int `json:"machines"`
+	Zones    int `json:"zones"`
+	Regions  int `json:"regions"`
+}
+
+func (b Bounds) file() map[string]any {
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	return map[string]any{
+		"seedLagS": 3, "reuseAfterS": 2, "contactMs": ms(b.Contact), "ackMs": ms(b.Ack), "catchUpS": 4,
+		"drainMs": ms(b.Drain), "graceS": b.Grace.Seconds(), "lossSlackMs": ms(b.LossSlack),
+		"configApplyMs": ms(b.ConfigApply), "downgradeSlackMs": ms(b.DowngradeSlack), "skewMaxMs": 5000,
+		"globalRevocation": b.GlobalRevocation, "revokeMs": ms(b.Revoke),
+		"retryBudgetRatio": b.RetryBudgetRatio, "budgetWindowS": b.BudgetWindow.Seconds(),
+		"retryBudgetSlack": b.RetryBudgetSlack, "recoveryS": 12, "transitMs": 120, "again_s": 10,
+		"fencing": true, "leaseMs": ms(b.Lease), "thawMs": 300, "versionMs": ms(b.Version), "versionAllMs": ms(b.Version) + 3000,
+	}
+}
+
+// The limits that nodes are told of; nobody enforces them here.
+const (
+	cpuShare    = 1
+	memoryMB    = 284
+	diskMB      = 16
+	descriptors = 4100
+	linkMbps    = 1000
+)
+
+const region = "loopback"
+
+// settings gives a node's settings file.
+func (f *Fleet) settings(n *Node) settingsFile {
+	p := f.layout.ports
+	file := settingsFile{
+		NodeName: n.Name, Role: "node", MachineClass: "front", Serves: []string{"front", "control"},
+		IP: n.ip, Zone: n.Zone, Region: region, Zones: map[string]string{},
+		Listen:    listenFile{Front: at(n.ip, p.front), Readiness: at(n.ip, p.readiness), Control: at(n.ip, p.control)},
+		PortRange: [2]int{p.internal, p.internal}, Seeds: f.seeds(), Bootstrap: n.lives == 0,
+		CountsForQuorum: n.HasDisk,
+		Limits:          limitsFile{CPUShare: cpuShare, Cores: 1, MemoryMB: memoryMB, MaxFDs: descriptors, LinkMbps: linkMbps},
+		HeartbeatMs:     float64(f.options.Bounds.Heartbeat.Milliseconds()),
+		Contracts:       []string{"base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants"},
+		FaultTolerance:  toleranceFile{Machines: 1}, Bounds: f.options.Bounds.file(),
+	}
+	for _, zone := range Zones {
+		file.Zones[zone] = region
+	}
+	if n.HasDisk {
+		file.DataDir, file.Limits.DiskMB = filepath.Join(f.dir, n.Name, "data"), diskMB
+	}
+	return file
+}
+
+// writeSettings writes a node's settings file anew and gives its path.
+func (f *Fleet) writeSettings(n *Node) (string, error) {
+	text, err := json.MarshalIndent(f.settings(n), "", "  ")
+	if err != nil {
+		return "", err
+	}
+	folder := filepath.Join(f.dir, n.Name)
+	if err := os.MkdirAll(filepath.Join(folder, "data"), 0o700); err != nil {
+		return "", err
+	}
+	path := filepath.Join(folder, "settings.json")
+	return path, os.WriteFile(path, text, 0o600)
+}
--- a/internal/standin/llmbroker/broker.go
+++ b/internal/standin/llmbroker/broker.go
@@ -96,17 +96,20 @@
 	return b.beats.drain(ctx)
 }
 
-// Leave serves on for the time of the drain, deregisters and ends. It is called after Drain.
+// afterDrain is how much longer than the time of the drain a broker serves on.
+const afterDrain = 500 * time.Millisecond
+
+// Leave serves on for the time of the drain and a little longer, deregisters, finishes what it has begun and ends. It is
+// called after Drain.
 func (b *Broker) Leave(ctx context.Context) error {
 	defer b.Crash()
-	timer := time.NewTimer(b.options.Drain)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if !pause(ctx, b.options.Drain+afterDrain) {
 		return ctx.Err()
 	}
-	return b.beats.deregister(ctx)
+	if err := b.beats.deregister(ctx); err != nil {
+		return err
+	}
+	return b.server.Shutdown(ctx)
 }
 
 // connectionChanged resets connections beyond the bound.
