--- a/internal/node/wireproto/link/accept.go
+++ b/internal/node/wireproto/link/accept.go
@@ -61,8 +61,9 @@
 		n.options.Log.Debug("socket option not set", "error", err)
 	}
 	reader := wireproto.NewReader(&idleReader{connection: connection, limit: n.options.AcceptedIdle})
+	var sender core.Peer // of the last message
 	for {
-		err := n.receive(reader)
+		err := n.receive(reader, &sender)
 		if err == nil {
 			continue
 		}
@@ -71,13 +72,19 @@
 	}
 }
 
-// receive passes on the next message. It returns an error where the stream is of no more use.
-func (n *Network) receive(reader *wireproto.Reader) error {
+// receive passes on the next message, and notes its sender where it is another than the last one. It returns an error
+// where the stream is of no more use.
+func (n *Network) receive(reader *wireproto.Reader, last *core.Peer) error {
 	envelope, err := reader.Next()
 	switch {
 	case err == nil:
 		n.counters.received(wireproto.KindOf(envelope), reader.Size())
-		n.options.Receive(core.Peer{NodeID: envelope.SenderId, Address: envelope.SenderAddress}, envelope)
+		from := core.Peer{NodeID: envelope.SenderId, Address: envelope.SenderAddress}
+		if from != *last {
+			*last = from
+			n.heard(from)
+		}
+		n.options.Receive(from, envelope)
 		return nil
 	case wireproto.IsOtherProtocol(err):
 		n.counters.otherProtocol.Add(1)
@@ -90,6 +97,15 @@
 	}
 }
 
+// heard notes that a node has opened a connection and spoken.
+func (n *Network) heard(from core.Peer) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if p := n.peers[from.Address]; p != nil {
+		p.heard(from.NodeID)
+	}
+}
+
 // streamEnded counts and logs the end of a stream, unless its sender closed it properly or it was idle.
 func (n *Network) streamEnded(connection net.Conn, err error) {
 	if !wireproto.Broken(err) {
--- a/internal/node/wireproto/link/loopback.go
+++ b/internal/node/wireproto/link/loopback.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 
+	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/nodepb"
 	"kestrelspread/internal/node/wireproto"
 )
@@ -53,8 +54,9 @@
 func (l *loopback) pass(frames []byte) {
 	l.source.Reset(frames)
 	l.reader.Reset(&l.source)
+	self := core.Peer{NodeID: l.network.options.SelfID, Address: l.network.options.SelfAddress}
 	for l.source.Len()+l.reader.Buffered() > 0 {
-		if err := l.network.receive(l.reader); err != nil {
+		if err := l.network.receive(l.reader, &self); err != nil {
 			return
 		}
 	}
--- a/internal/node/wireproto/link/network_test.go
+++ b/internal/node/wireproto/link/network_test.go
@@ -271,6 +271,58 @@
 	assert.Equal(t, stats.DroppedBackoff, uint64(1))
 }
 
+func TestAPeerThatSpeaksIsReachedWithoutWaiting(t *testing.T) {
+	listener := silentListener(t)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	a := start(t, "a/1", link.Options{FirstBackoff: time.Hour, MaxBackoff: time.Hour})
+	a.Send(address, probe(1))
+	a.flush(t)
+
+	b := start(t, "b/1", link.Options{ListenAddress: address})
+	b.Send(a.Address(), probe(2))
+	a.next(t)
+	a.Send(address, probe(3))
+	assert.Equal(t, b.next(t).envelope.GetProbe().Sequence, uint64(3))
+}
+
+func TestADialThatHangsIsBegunAnewWhenThePeerSpeaks(t *testing.T) {
+	address := hangingAddress(t)
+	a := start(t, "a/1", link.Options{DialTimeout: time.Hour})
+	a.Send(address, probe(1))
+	waitForDials(t, a, 1)
+	b := start(t, "b/1", link.Options{SelfAddress: address})
+	b.Send(a.Address(), probe(2))
+	a.next(t)
+	waitForDials(t, a, 2)
+	b.Send(a.Address(), probe(3))
+	a.next(t)
+	assert.Equal(t, a.Stats().Dials, uint64(2))
+}
+
+func TestTheFirstDialEndsLongBeforeTheLimit(t *testing.T) {
+	address := hangingAddress(t)
+	a := start(t, "a/1", link.Options{DialTimeout: time.Hour, FirstBackoff: time.Hour, MaxBackoff: time.Hour})
+	a.Send(address, probe(1))
+	a.flush(t)
+	assert.Equal(t, a.Stats().DialFailures, uint64(1))
+}
+
+// waitForDials waits until so many dials have begun.
+func waitForDials(t *testing.T, n *node, dials uint64) {
+	t.Helper()
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	deadline := time.After(patience)
+	for n.Stats().Dials < dials {
+		select {
+		case <-ticker.C:
+		case <-deadline:
+			t.Fatalf("%d dials of %d", n.Stats().Dials, dials)
+		}
+	}
+}
+
 // hangingAddress returns an address where connections neither come up nor fail: a listener whose queue is full.
 func hangingAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/node/wireproto/link/peer.go
+++ b/internal/node/wireproto/link/peer.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -22,8 +23,13 @@
 	usedAt     time.Time
 	idleTimer  *time.Timer
 
-	backoff time.Duration // of the last failure; 0 after a success
-	retryAt time.Time     // messages are dropped until then
+	backoff      time.Duration // of the last failure; 0 after a success
+	dialFailures int           // in a row
+	retryAt      time.Time     // messages are dropped until then
+
+	stopDial context.CancelFunc // ends the dial under way; nil where none is
+	redial   bool               // the dial under way was ended as the peer has spoken: another follows at once
+	life     string             // node id of the newest life that spoke from the address; empty: none has
 }
 
 // peer returns the sending side towards the address, and makes it where there is none. The mutex is held.
@@ -96,16 +102,38 @@
 	return connection, nil
 }
 
+// dial opens a connection. One that hangs as the peer was down when it began is begun anew once the peer speaks.
 func (p *peer) dial() (net.Conn, error) {
 	n := p.network
+	for {
+		connection, err := p.dialOnce()
+		n.mutex.Lock()
+		again := err != nil && p.redial && !n.closed
+		p.redial, p.stopDial = false, nil
+		n.mutex.Unlock()
+		if !again {
+			return connection, err
+		}
+	}
+}
+
+func (p *peer) dialOnce() (net.Conn, error) {
+	n := p.network
+	n.mutex.Lock()
+	ctx, cancel := context.WithTimeout(n.closing, p.dialTimeout())
+	p.stopDial = cancel
+	n.mutex.Unlock()
+	defer cancel()
 	n.counters.dials.Add(1)
-	connection, err := n.dialer.DialContext(n.closing, "tcp4", p.address)
+	connection, err := n.dialer.DialContext(ctx, "tcp4", p.address)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	if err != nil {
 		n.counters.dialFailures.Add(1)
+		p.dialFailures++
 		return nil, err
 	}
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
+	p.dialFailures = 0
 	if n.closed {
 		_ = connection.Close()
 		return nil, net.ErrClosed
@@ -115,6 +143,36 @@
 	return connection, nil
 }
 
+// firstDialTimeout bounds the first dial after a success: where the peer was just starting, its opening packet was lost, and the
+// kernel would repeat it only after a second. Each failure doubles it.
+const firstDialTimeout = 200 * time.Millisecond
+
+func (p *peer) dialTimeout() time.Duration {
+	limit := p.network.options.DialTimeout
+	if p.dialFailures > 10 {
+		return limit
+	}
+	return min(limit, firstDialTimeout<<p.dialFailures)
+}
+
+// heard notes that a life of the peer has just spoken: it can be reached, and a connection to a former life leads nowhere.
+// The mutex is held.
+func (p *peer) heard(life string) {
+	if p.life == life {
+		return
+	}
+	former := p.life
+	p.life = life
+	p.backoff, p.retryAt, p.dialFailures = 0, time.Time{}, 0
+	if p.stopDial != nil {
+		p.redial = true
+		p.stopDial()
+	}
+	if former != "" {
+		p.disconnect(p.connection)
+	}
+}
+
 // watch waits for the end of a dialed connection, on which nothing is to arrive: so a peer that ended or became
 // unreachable is known before something is written to a connection that no longer leads anywhere.
 func (p *peer) watch(connection net.Conn) {
