--- /dev/null
+++ b/internal/rig/fleet/faults_test.go
@@ -0,0 +1,227 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/standin/fleetoperator"
+)
+
+// rounds is how often a trouble comes in a test.
+func rounds() int {
+	if testing.Short() {
+		return 1
+	}
+	return 3
+}
+
+// change has the operator change the configuration.
+func (s *scenario) change() fleetoperator.Acknowledgement {
+	s.t.Helper()
+	before := s.Operator.Current()
+	acknowledged, err := s.Operator.Update(s.ctx, before, fleetoperator.Update{Version: nextVersion(before)})
+	s.must(err)
+	return acknowledged
+}
+
+// TestTheHeadIsKilled: the chain goes on without its head, nothing that was acknowledged is lost, and the machine joins
+// again.
+func TestTheHeadIsKilled(t *testing.T) {
+	s := newScenario(t)
+	for range rounds() {
+		s.change()
+		head, err := s.Head(s.ctx)
+		s.must(err)
+		head.Kill()
+		killed := time.Now()
+		s.change()
+		t.Logf("a change is acknowledged %v after the kill of the head", time.Since(killed).Round(time.Millisecond))
+		s.must(s.load.AwaitAnswers(s.ctx, 10))
+		s.must(head.Start())
+		s.must(s.AwaitAgreement(s.ctx, diskCount, nodeCount))
+		s.change()
+	}
+	s.settle()
+}
+
+// TestACoreNodeIsFrozen for four seconds: changes and requests go on, and it comes back with the newest state.
+func TestACoreNodeIsFrozen(t *testing.T) {
+	const span = 4 * time.Second
+	s := newScenario(t)
+	for range rounds() {
+		tail, err := s.Tail(s.ctx)
+		s.must(err)
+		s.must(tail.Freeze())
+		frozen := time.NewTimer(span)
+		s.change()
+		s.must(s.load.AwaitAnswers(s.ctx, 10))
+		select {
+		case <-frozen.C:
+		case <-s.ctx.Done():
+			t.Fatal(s.ctx.Err())
+		}
+		s.must(tail.Thaw())
+		s.change()
+		s.must(s.AwaitAgreement(s.ctx, diskCount, nodeCount))
+	}
+	s.settle()
+}
+
+// TestABrokerDrains: after the bound no request reaches it (checked by settle), and none is lost meanwhile.
+func TestABrokerDrains(t *testing.T) {
+	s := newScenario(t)
+	for _, service := range []string{serviceModel, servicePlain} {
+		broker := s.BrokerOf(service)
+		s.must(s.load.AwaitAnswers(s.ctx, 5))
+		at, err := s.Drain(s.ctx, broker)
+		s.must(err)
+		assert.Assert(t, len(s.arrivalsAt(broker.ID())) > 0, "the broker had requests before")
+		s.must(broker.Leave(s.ctx))
+		s.must(s.load.AwaitAnswers(s.ctx, 5))
+		t.Logf("%s: the last request came %v after the acknowledgement", service, s.lastArrival(broker.ID()).Sub(at).Round(time.Millisecond))
+		s.must(s.AwaitBrokers(s.ctx, s.running()))
+	}
+	s.settle()
+}
+
+// arrivalsAt gives when requests reached a broker.
+func (s *scenario) arrivalsAt(instance string) []time.Time {
+	var times []time.Time
+	for _, arrival := range s.Ledger.Arrivals() {
+		if arrival.Instance == instance {
+			times = append(times, arrival.At)
+		}
+	}
+	return times
+}
+
+func (s *scenario) lastArrival(instance string) time.Time {
+	times := s.arrivalsAt(instance)
+	return times[len(times)-1]
+}
+
+// running is how many brokers have not been drained.
+func (s *scenario) running() int { return modelBrokers + plainBrokers - len(s.drains) }
+
+// TestNodesAreStoppedInTurn: SIGTERM loses nothing, wherever it comes, and each process ends within its grace.
+func TestNodesAreStoppedInTurn(t *testing.T) {
+	s := newScenario(t)
+	head, err := s.Head(s.ctx)
+	s.must(err)
+	spare := s.Nodes[nodeCount-1]
+	stopped := []*Node{head, spare}
+	if !testing.Short() {
+		stopped = s.Nodes
+	}
+	for _, node := range stopped {
+		s.must(s.load.AwaitAnswers(s.ctx, 5))
+		assert.Assert(t, !node.Terminate(), "%s needed SIGKILL", node.Name)
+		s.change()
+		s.must(node.Start())
+		s.must(s.AwaitAgreement(s.ctx, diskCount, nodeCount))
+	}
+	total := s.settle()
+	assert.Equal(t, total.Lost, 0)
+}
+
+// TestTheCoreIsKilledAtOnce: all processes of the core end at the same moment and start again with their disks.
+func TestTheCoreIsKilledAtOnce(t *testing.T) {
+	s := newScenario(t)
+	for range rounds() {
+		s.change()
+		for _, node := range s.Core() {
+			node.Kill()
+		}
+		for _, node := range s.Core() {
+			s.must(node.Start())
+		}
+		back := time.Now()
+		s.must(s.Operator.CheckReadBack(s.ctx))
+		t.Logf("the configuration is read back %v after the start", time.Since(back).Round(time.Millisecond))
+		s.must(s.load.AwaitAnswers(s.ctx, 5))
+		s.must(s.AwaitAgreement(s.ctx, diskCount, nodeCount))
+		s.change()
+	}
+	s.settle()
+}
+
+// TestAChangeIsInForceEverywhere within the bound: routes come and go, and a key is taken away.
+func TestAChangeIsInForceEverywhere(t *testing.T) {
+	s := newScenario(t)
+	acknowledged, err := s.Operator.Update(s.ctx, s.Operator.Current(), RoutesChange(s.Operator.Current()))
+	s.must(err)
+	s.must(s.Await(s.ctx, "the change in force", func(context.Context) error { return s.inForce() }))
+	took := time.Since(acknowledged.At)
+	t.Logf("in force everywhere %v after the acknowledgement", took.Round(time.Millisecond))
+	assert.Assert(t, took < s.options.Bounds.ConfigApply)
+	s.must(s.load.AwaitAnswers(s.ctx, 5))
+	s.must(s.inForce())
+	s.settle()
+}
+
+// inForce probes each node for the routes and keys of RoutesChange.
+func (s *scenario) inForce() error {
+	for _, node := range s.Nodes {
+		for _, expected := range []struct {
+			prefix, key string
+			status      int
+		}{{prefixNew, keyShared, 200}, {prefixOld, keyShared, 404}, {prefixLookup, keyRevoked, 401}} {
+			if status := s.load.Probe(node, expected.prefix, expected.key); status != expected.status {
+				return fmt.Errorf("%s answers %d on %s with %s", node.Name, status, expected.prefix, expected.key)
+			}
+		}
+	}
+	return nil
+}
+
+// TestNewWeightsReachAllBrokers within the bound; no request starts on older ones after it (checked by settle).
+func TestNewWeightsReachAllBrokers(t *testing.T) {
+	s := newScenario(t)
+	for version := range uint64(rounds()) {
+		acknowledged, err := s.Operator.PutVersion(s.ctx, modelName, version+2)
+		s.must(err)
+		s.must(s.AwaitWeights(s.ctx, version+2))
+		t.Logf("all brokers have version %d %v after its acknowledgement", version+2, time.Since(acknowledged.At).Round(time.Millisecond))
+		s.must(s.load.AwaitAnswers(s.ctx, 5))
+	}
+	s.settle()
+}
+
+// TestOneOfTwoOperatorsWins: two changes that build on the same version are not both acknowledged.
+func TestOneOfTwoOperatorsWins(t *testing.T) {
+	s := newScenario(t)
+	other := fleetoperator.New(s.controlAddresses, nil)
+	t.Cleanup(other.Close)
+	for range 3 * rounds() {
+		before := s.Operator.Current()
+		rival := make(chan attempt, 1)
+		go func() { rival <- s.attempt(other, before, RoutesChange(before)) }()
+		own := s.attempt(s.Operator, before, fleetoperator.Update{Version: nextVersion(before)})
+		theirs := <-rival
+		assert.Assert(t, (own.err == nil) != (theirs.err == nil), "%v; %v", own.err, theirs.err)
+		loser := own.err
+		if theirs.err == nil {
+			s.Operator.Learn(theirs.acknowledgement)
+		} else {
+			loser = theirs.err
+		}
+		assert.Assert(t, errorx.IsOfType(loser, fleetoperator.Conflict), "%v", loser)
+	}
+	s.settle()
+}
+
+// attempt is a change that may lose.
+type attempt struct {
+	acknowledgement fleetoperator.Acknowledgement
+	err             error
+}
+
+func (s *scenario) attempt(operator *fleetoperator.Operator, before fleetoperator.Configuration, update fleetoperator.Update) attempt {
+	acknowledgement, err := operator.Update(s.ctx, before, update)
+	return attempt{acknowledgement, err}
+}
--- a/internal/standin/fleetoperator/operator.go
+++ b/internal/standin/fleetoperator/operator.go
@@ -84,6 +84,9 @@
 	return a
 }
 
+// Learn takes over what another operator got acknowledged, so that later changes build on it.
+func (o *Operator) Learn(other Acknowledgement) { o.note(other) }
+
 // refusal words an answer that turns a change down.
 func refusal(given answer) error {
 	switch {
