--- /dev/null
+++ b/internal/node/membership/cost_test.go
@@ -0,0 +1,98 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/nodepb"
+)
+
+// rates are what a node did a second, on the mean.
+type rates struct {
+	messages float64
+	bytes    float64
+	wakeUps  float64
+}
+
+func (w *world) measure(span time.Duration) rates {
+	for _, node := range w.alive() {
+		node.messages, node.bytes, node.wakeUps = 0, 0, 0
+	}
+	w.run(span)
+	var sum rates
+	for _, node := range w.alive() {
+		sum.messages += float64(node.messages)
+		sum.bytes += float64(node.bytes)
+		sum.wakeUps += float64(node.wakeUps)
+	}
+	scale := float64(len(w.alive())) * span.Seconds()
+	return rates{messages: sum.messages / scale, bytes: sum.bytes / scale, wakeUps: sum.wakeUps / scale}
+}
+
+// What a node sends and how often it wakes up does not depend on the number of nodes.
+func TestWhatANodeSendsIsConstant(t *testing.T) {
+	for _, n := range []int{10, 100, 400} {
+		t.Run(fmt.Sprintf("%d nodes", n), func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.startAll(n)
+			w.expect(3*time.Second, "start", w.converged())
+			w.run(30 * time.Second)
+			calm := w.measure(time.Minute)
+			t.Logf("calm: %+v", calm)
+			assert.Assert(t, calm.messages > 1.9 && calm.messages < 2.3, "%+v", calm)
+			assert.Assert(t, calm.bytes < 1500, "%+v", calm)
+			assert.Assert(t, calm.wakeUps < 1.3, "%+v", calm)
+
+			w.loss = 0.05
+			lossy := w.measure(30 * time.Second)
+			t.Logf("5%% lost: %+v", lossy)
+			assert.Assert(t, lossy.messages < 4.5, "%+v", lossy)
+			assert.Assert(t, agree(w.alive()))
+		})
+	}
+}
+
+func TestTheCostOfAChange(t *testing.T) {
+	w := newWorld(t, 1)
+	w.settled(90)
+	w.run(time.Minute)
+	w.start(90)
+	joined := w.measure(30 * time.Second)
+	t.Logf("a join: %+v", joined)
+	assert.Assert(t, joined.messages < 2.6, "%+v", joined)
+}
+
+// Nodes that are gone are forgotten: what a node keeps does not grow with the lives that there were.
+func TestWhatANodeKeepsIsBounded(t *testing.T) {
+	w := newWorld(t, 1)
+	w.settled(10)
+	for range 100 {
+		w.node(9).kill()
+		w.start(9)
+		w.run(2 * time.Second)
+	}
+	w.run(2 * time.Minute)
+	assert.Assert(t, agree(w.alive()))
+	for _, node := range w.alive() {
+		assert.Equal(t, node.list.Remembered(), 9)
+	}
+}
+
+// Messages share members with the list: neither sender nor receiver may alter them.
+func TestMessagesAreNotAltered(t *testing.T) {
+	w := newWorld(t, 1)
+	w.copies = map[*nodepb.Envelope]*nodepb.Envelope{}
+	w.settled(10)
+	w.loss = 0.2
+	w.run(30 * time.Second)
+	w.node(3).kill()
+	w.run(10 * time.Second)
+	w.start(3)
+	w.run(10 * time.Second)
+	for message, sent := range w.copies {
+		assert.Assert(t, sameText(message, sent))
+	}
+}
--- a/internal/node/membership/gossip.go
+++ b/internal/node/membership/gossip.go
@@ -18,12 +18,9 @@
 	row []update
 }
 
-// minTransmissions is how often an update is sent at least that is pushed besides.
-const minTransmissions = 2
-
-// transmissions returns how often an update is sent by each of so many nodes. By then the chance that a node was told
-// by nobody is about e to the power of minus that number.
-func transmissions(nodes int) int { return 3 + bits.Len(uint(nodes)) }
+// transmissions returns how often an update is sent by each of so many nodes. As many go to each node on the mean, so
+// that all hear of it even where most messages are lost.
+func transmissions(nodes int) int { return 3 + 3*bits.Len(uint(nodes)) }
 
 // add puts an update ahead of all others.
 func (g *gossip) add(nodeID string, times int) {
@@ -33,6 +30,14 @@
 	}
 }
 
+// forgetDeaths takes the members that are held dead out of the row.
+func (g *gossip) forgetDeaths(members *table) {
+	g.row = slices.DeleteFunc(g.row, func(item update) bool {
+		member := members.get(item.nodeID)
+		return member != nil && member.State == nodepb.MemberState_DEAD
+	})
+}
+
 // take appends up to count updates to list, and moves those sent to the end of the row.
 func (g *gossip) take(list []*nodepb.Member, count int, members *table) []*nodepb.Member {
 	count = min(count, len(g.row))
--- a/internal/node/membership/health.go
+++ b/internal/node/membership/health.go
@@ -34,13 +34,15 @@
 }
 
 // suspected takes note that others suspect this node.
-func (h *health) suspected() { h.awareness = min(h.awareness+1, maxAwareness) }
+func (h *health) suspected() { h.doubt() }
+
+func (h *health) doubt() { h.awareness = min(h.awareness+1, maxAwareness) }
 
 // stalled takes note that this node was stopped.
 func (h *health) stalled() {
 	h.misses = 0
 	h.lastMissed = ""
-	h.awareness = min(h.awareness+1, maxAwareness)
+	h.doubt()
 }
 
 // missed takes note of a probe that was not answered, and reports whether this node is to blame itself alone: several
@@ -54,12 +56,13 @@
 	}
 	h.misses++
 	h.lastMissed = target
-	if h.misses < 2 {
+	silent := h.heardAt < h.missingFor
+	if !silent || h.misses < 2 {
 		return false
 	}
 	doubted := h.awareness == maxAwareness
-	h.awareness = min(h.awareness+1, maxAwareness)
-	return h.misses >= silentMisses && h.heardAt < h.missingFor && !doubted
+	h.doubt()
+	return h.misses >= silentMisses && !doubted
 }
 
 // recoverFromStall takes note that this node was stopped for so long. What it waited for meanwhile tells nothing of
@@ -72,7 +75,7 @@
 		m.probes.next = m.now + m.randomSpan(m.options.Period)
 	}
 	for _, suspect := range m.table.suspects {
-		suspect.expiresAt = m.now + m.suspicionTime()
+		m.beginSuspicion(suspect)
 	}
 	m.log("node was stopped", "late", late)
 	if m.sync.mayAsk(m.now) {
--- a/internal/node/membership/join.go
+++ b/internal/node/membership/join.go
@@ -12,7 +12,6 @@
 	started core.Time
 	next    core.Time // of the next calls; Never once the node has joined
 	seeds   []seed
-	settle  []core.Time // when the list is asked for again
 }
 
 type seed struct {
@@ -65,17 +64,8 @@
 	m.due = m.nextDue()
 }
 
-func (m *Membership) joinDeadline() core.Time {
-	next := m.join.next
-	for _, at := range m.join.settle {
-		next = min(next, at)
-	}
-	return next
-}
-
-// stepJoin calls the seeds that have not answered, and later asks for the list once more.
+// stepJoin calls the seeds that have not answered.
 func (m *Membership) stepJoin() {
-	m.stepSettle()
 	j := &m.join
 	if m.now < j.next {
 		return
@@ -100,39 +90,11 @@
 func (m *Membership) seedAnswered(address string) {
 	j := &m.join
 	for i := range j.seeds {
-		if j.seeds[i].address != address || j.seeds[i].answered {
-			continue
-		}
-		if j.answers() == 0 {
-			j.settle = []core.Time{m.now + firstSettle, m.now + secondSettle}
+		if j.seeds[i].address == address {
+			j.seeds[i].answered = true
 		}
-		j.seeds[i].answered = true
 	}
 	if j.answers() == len(j.seeds) {
 		j.next = core.Never
 	}
 }
-
-// stepSettle asks a seed for its list again, as others may have joined at the same moment as this node.
-func (m *Membership) stepSettle() {
-	due := 0
-	m.join.settle = slices.DeleteFunc(m.join.settle, func(at core.Time) bool {
-		if m.now < at {
-			return false
-		}
-		due++
-		return true
-	})
-	if due == 0 {
-		return
-	}
-	var known []string
-	for _, seed := range m.join.seeds {
-		if seed.answered {
-			known = append(known, seed.address)
-		}
-	}
-	if len(known) > 0 {
-		m.ask(known[m.random.IntN(len(known))])
-	}
-}
--- a/internal/node/membership/membership.go
+++ b/internal/node/membership/membership.go
@@ -41,7 +41,7 @@
 	m.probes = newProbes(random)
 	m.rejoin = rejoin{deadAt: now, seedAt: now}
 	m.join = newJoin(now, otherAddresses(options.Seeds, self.Address))
-	m.sync.next = now + m.syncInterval()
+	m.sync = syncs{next: now + m.syncInterval(), settleAt: core.Never}
 	m.due = m.nextDue()
 	return m
 }
@@ -53,9 +53,9 @@
 	if m.left {
 		return core.Never
 	}
-	next := min(m.probes.deadline(), m.pushes.deadline(), m.joinDeadline(), m.rejoinDeadline(), m.syncDeadline())
+	next := min(m.probes.deadline(), m.pushes.deadline(), m.join.next, m.rejoinDeadline(), m.syncDeadline(), m.sync.settleAt)
 	for _, suspect := range m.table.suspects {
-		next = min(next, suspect.expiresAt)
+		next = min(next, suspect.expiresAt, suspect.lastCallAt)
 	}
 	return max(next, m.now)
 }
@@ -66,7 +66,7 @@
 	if m.left {
 		return m.finish()
 	}
-	m.endSuspicions()
+	m.stepSuspicions()
 	m.forgetDown()
 	m.stepJoin()
 	m.stepProbes()
--- a/internal/node/membership/merge.go
+++ b/internal/node/membership/merge.go
@@ -8,7 +8,7 @@
 )
 
 // merge takes what another node says of a node. Of two claims the one with the higher incarnation holds; with equal
-// ones it is the graver one. Who left does not come back.
+// ones a suspicion does. Who left does not come back.
 func (m *Membership) merge(from core.Peer, claim *nodepb.Member, passOn bool) {
 	if claim.GetNodeId() == "" || claim.Address == "" {
 		return
@@ -82,22 +82,29 @@
 // mergeKnown takes a claim whose incarnation is not below the known one.
 func (m *Membership) mergeKnown(from core.Peer, known *entry, claim *nodepb.Member, passOn bool) {
 	newer := claim.Incarnation > known.member.Incarnation
-	state := known.member.State
-	switch claim.State {
-	case nodepb.MemberState_ALIVE:
+	down := !isLive(known.member.State)
+	switch {
+	case claim.State == nodepb.MemberState_ALIVE && newer:
+		m.mergeNewer(from, known, claim, passOn)
+	case claim.State == nodepb.MemberState_SUSPECT && newer && down:
+		m.mergeNewer(from, known, claim, passOn)
+	case claim.State == nodepb.MemberState_SUSPECT, claim.State == nodepb.MemberState_DEAD:
+		m.mergeSuspicion(known, claim)
+	}
+}
+
+// mergeSuspicion takes a claim that a node is suspected or dead. A node is never held dead for what others say: each
+// gives it the time to refute, as the claim may come from the other side of a cut that has healed, or from a node that
+// was stopped.
+func (m *Membership) mergeSuspicion(known *entry, claim *nodepb.Member) {
+	newer := claim.Incarnation > known.member.Incarnation
+	switch {
+	case !isLive(known.member.State):
 		if newer {
-			m.mergeNewer(from, known, claim, passOn)
+			m.takeDown(claim)
 		}
-	case nodepb.MemberState_SUSPECT:
-		switch {
-		case newer && state == nodepb.MemberState_DEAD:
-			m.mergeNewer(from, known, claim, passOn)
-		case newer || state == nodepb.MemberState_ALIVE:
-			m.takeLive(claim)
-			m.mention(claim.NodeId)
-		}
-	case nodepb.MemberState_DEAD:
-		m.mergeDead(known, claim)
+	case newer || known.member.State == nodepb.MemberState_ALIVE:
+		m.suspect(claim)
 	}
 }
 
@@ -120,23 +127,6 @@
 	}
 }
 
-// mergeDead takes a claim that a node is dead. One that seemed well so far is given the time to refute it: the claim
-// may come from the other side of a cut that has healed, or from a node that was stopped.
-func (m *Membership) mergeDead(known *entry, claim *nodepb.Member) {
-	switch known.member.State {
-	case nodepb.MemberState_ALIVE:
-		m.takeLive(withState(claim, nodepb.MemberState_SUSPECT))
-		m.mention(claim.NodeId)
-	case nodepb.MemberState_SUSPECT:
-		m.takeDown(claim)
-		m.mention(claim.NodeId)
-	case nodepb.MemberState_DEAD:
-		if claim.Incarnation > known.member.Incarnation {
-			known.member = claim
-		}
-	}
-}
-
 // takeAddress reports whether the node of the claim may be a member at its address. Of two lives at one address the
 // one with the higher incarnation holds; a later life that is not aware of a former one is told of it, and raises its
 // incarnation.
@@ -158,11 +148,13 @@
 
 // takeLive takes over a member that is alive or suspected.
 func (m *Membership) takeLive(member *nodepb.Member) {
-	expiresAt := core.Never
+	if former := m.table.get(member.NodeId); former == nil || !isLive(former.State) {
+		m.hasCome()
+	}
+	known := m.table.set(member, core.Never, m.random)
 	if member.State == nodepb.MemberState_SUSPECT {
-		expiresAt = m.now + m.suspicionTime()
+		m.beginSuspicion(known)
 	}
-	m.table.set(member, expiresAt, m.random)
 	m.wakeProbes()
 }
 
--- a/internal/node/membership/options.go
+++ b/internal/node/membership/options.go
@@ -44,7 +44,7 @@
 	MinSuspicion time.Duration
 	// DeadRetention is how long a dead node is remembered, and tried now and then.
 	DeadRetention time.Duration
-	// UpdatesPerMessage bounds the news that a probe or its answer carries.
+	// UpdatesPerMessage bounds the news that a probe or its answer usually carries.
 	UpdatesPerMessage int
 	// SyncInterval is the mean time between two exchanges of the whole list with a random member, as long as there
 	// are no more than syncMembers members; with more it grows with them.
@@ -59,27 +59,41 @@
 	joinRetryLate = time.Second
 	joinSpan      = 3 * time.Second
 
-	// A node that joined asks for the list again after these times: others may have joined at the same moment.
-	firstSettle  = time.Second
-	secondSettle = 3 * time.Second
+	// A node whose list has grown by growthShare hundredths, and growthLeast members at least, asks others for their
+	// lists, settleRounds times, the first time after settleDelay and up to settleJitter more: many came at the same
+	// moment, at the start or as a cut healed, so that one may have been missed.
+	growthShare  = 15
+	growthLeast  = 4
+	settleRounds = 2
+	settleDelay  = 600 * time.Millisecond
+	settleJitter = 400 * time.Millisecond
+	settlePause  = 2 * time.Second
 	// settleSpan after its start, a node takes answers to its own questions without passing them on.
 	settleSpan = 5 * time.Second
 
 	// deadRetry is the time between two probes of members that are held dead.
 	deadRetry = 2 * time.Second
-	// returnRetry bounds that time where another dead member has just come back, as a cut may have healed.
+	// returnRetry is that time for quickSpan after a dead member has come back, as a cut may have healed.
 	returnRetry = 200 * time.Millisecond
+	quickSpan   = 2 * time.Second
 	// seedRetry is the time between two calls to seeds that aren't members.
 	seedRetry = 3 * time.Second
 
-	// News is pushed in rounds, pushPause apart: each item in pushRounds of them, to pushFanout members a round.
+	// News is pushed in rounds, pushPause apart: each item in pushRounds of them, to pushFanout members a round, one of
+	// which is the successor by node id. So it reaches all, even those whom chance would leave out.
 	pushPause   = 100 * time.Millisecond
 	pushRounds  = 2
 	pushFanout  = 3
 	pushMembers = 32
+	// pushAllowance and pushRefill bound the rounds of suspicions and refutations alone.
+	pushAllowance = 10
+	pushRefill    = 2 * time.Second
 	// leaveFanout is the number of members that a leaving node tells.
 	leaveFanout = 8
 
+	// updatesBurst is how many times UpdatesPerMessage a message may hold while many updates wait.
+	updatesBurst = 4
+
 	// stallAfter is how late an input may be until the node takes itself to have been stopped.
 	stallAfter = 500 * time.Millisecond
 	// stallSyncs is the number of members that a node asks for the list after it was stopped.
@@ -87,6 +101,10 @@
 	// syncPause is the least time between two questions for the list out of such an occasion.
 	syncPause = time.Second
 
+	// lastCallShare is the share of the time of a suspicion, in hundredths, that is left when the suspect is probed once
+	// more by each node that holds it suspected.
+	lastCallShare = 40
+
 	// syncMembers is the number of members up to which SyncInterval is not stretched.
 	syncMembers = 100
 	// maxEntries bounds the nodes that are remembered, dead ones too.
--- a/internal/node/membership/probe.go
+++ b/internal/node/membership/probe.go
@@ -78,7 +78,7 @@
 
 func (m *Membership) sendProbe() {
 	p := &m.probes
-	target := m.table.nextInRing(m.random)
+	target := m.table.nextToProbe(m.random)
 	if target == nil {
 		p.next = core.Never
 		return
@@ -91,13 +91,14 @@
 	m.send(target.member.Address, m.probeFor(target.member, p.awaited))
 }
 
-// probeFor returns a probe of the member. One that is suspected or dead is told so, which lets it refute that.
+// probeFor returns a probe of the member. One that is suspected is told so, which lets it refute that; news is for
+// those who are likely to get it.
 func (m *Membership) probeFor(member *nodepb.Member, sequence uint64) *nodepb.Envelope {
-	var first []*nodepb.Member
-	if member.State != nodepb.MemberState_ALIVE {
-		first = append(first, member)
+	updates := []*nodepb.Member{member}
+	if member.State == nodepb.MemberState_ALIVE {
+		updates = m.updatesFor(nil)
 	}
-	return probeMessage(&nodepb.Probe{Sequence: sequence, TargetId: member.NodeId, Updates: m.updatesFor(first)})
+	return probeMessage(&nodepb.Probe{Sequence: sequence, TargetId: member.NodeId, Updates: updates})
 }
 
 // askOthers has the target probed by other members, and once more by this node: the first message may have been lost
@@ -108,7 +109,7 @@
 	if target == nil || !isLive(target.member.State) {
 		return
 	}
-	m.send(target.member.Address, m.probeFor(target.member, p.awaited))
+	m.send(target.member.Address, probeMessage(&nodepb.Probe{Sequence: p.awaited, TargetId: p.target}))
 	for _, helper := range m.table.pick(m.options.IndirectProbes, p.target, m.random) {
 		m.send(helper.Address, probeRequest(&nodepb.ProbeRequest{
 			Sequence:      p.awaited,
@@ -130,10 +131,8 @@
 		return
 	}
 	if target.member.State == nodepb.MemberState_ALIVE {
-		suspect := withState(target.member, nodepb.MemberState_SUSPECT)
-		m.takeLive(suspect)
-		m.mention(suspect.NodeId)
-		m.send(suspect.Address, memberSync(false, []*nodepb.Member{suspect}))
+		m.suspect(target.member)
+		m.callOnce(target.member)
 	}
 }
 
--- a/internal/node/membership/receive.go
+++ b/internal/node/membership/receive.go
@@ -39,9 +39,12 @@
 	}
 }
 
-// updatesFor returns what the receiver of a message is to hear first, and updates by gossip up to the bound.
+// updatesFor returns what the receiver of a message is to hear first, and updates by gossip. There may be up to
+// updatesBurst times as many as usual while many wait, as after the loss of many nodes.
 func (m *Membership) updatesFor(first []*nodepb.Member) []*nodepb.Member {
-	return m.gossip.take(first, m.options.UpdatesPerMessage-len(first), m.table)
+	usual := m.options.UpdatesPerMessage
+	count := max(usual, min(len(m.gossip.row)/2, updatesBurst*usual))
+	return m.gossip.take(first, count-len(first), m.table)
 }
 
 // learn merges the claims of a message. passOn is false where others know of them anyway.
--- a/internal/node/membership/rejoin.go
+++ b/internal/node/membership/rejoin.go
@@ -12,10 +12,15 @@
 type rejoin struct {
 	deadAt core.Time // when a dead member may be tried
 	seedAt core.Time // when a seed may be called
+	// quickUntil: a dead member has come back lately, so that others are tried every returnRetry.
+	quickUntil core.Time
 }
 
-// hasReturned takes note that a dead member is back: others may be too, as after a cut.
+// hasReturned takes note that a dead member is back: others may be too, as after a cut. What one side of a cut held
+// of the other is no news any more.
 func (m *Membership) hasReturned() {
+	m.gossip.forgetDeaths(m.table)
+	m.rejoin.quickUntil = m.now + quickSpan
 	m.rejoin.deadAt = min(m.rejoin.deadAt, m.now+m.randomSpan(returnRetry))
 }
 
@@ -48,6 +53,17 @@
 	return missing
 }
 
+// presentSeeds returns the addresses of seeds that are members.
+func (m *Membership) presentSeeds() []string {
+	var present []string
+	for _, seed := range m.join.seeds {
+		if !m.isMissing(seed) {
+			present = append(present, seed.address)
+		}
+	}
+	return present
+}
+
 // isMissing reports whether no member is known at the seed's address.
 func (m *Membership) isMissing(s seed) bool {
 	_, held := m.table.atAddress[s.address]
@@ -74,16 +90,13 @@
 		return
 	}
 	m.rejoin.deadAt = m.now + deadRetry
-	member := candidates[m.random.IntN(len(candidates))].member
-	updates := []*nodepb.Member{member, m.table.self}
-	m.send(member.Address, probeMessage(&nodepb.Probe{
-		Sequence: m.probes.nextSequence(),
-		TargetId: member.NodeId,
-		Updates:  updates,
-	}))
+	if m.now < m.rejoin.quickUntil {
+		m.rejoin.deadAt = m.now + returnRetry
+	}
+	m.callOnce(candidates[m.random.IntN(len(candidates))].member)
 }
 
-// callSeed calls a seed that is no member.
+// callSeed exchanges lists with a seed that is no member: a whole part of the fleet may have been cut off from it.
 func (m *Membership) callSeed() {
 	if m.now < m.rejoin.seedAt {
 		return
@@ -96,5 +109,5 @@
 	if len(m.table.ring) == 0 {
 		m.rejoin.seedAt = m.now + joinRetryLate
 	}
-	m.ask(missing[m.random.IntN(len(missing))])
+	m.exchange(missing[m.random.IntN(len(missing))])
 }
--- a/internal/node/membership/suspicion.go
+++ b/internal/node/membership/suspicion.go
@@ -15,22 +15,50 @@
 	return max(m.options.MinSuspicion, core.Time(periods*float64(m.options.Period)))
 }
 
-// endSuspicions holds those dead who have not refuted in time.
-func (m *Membership) endSuspicions() {
+// suspect takes a member as a suspect, and passes that on.
+func (m *Membership) suspect(member *nodepb.Member) {
+	m.takeLive(withState(member, nodepb.MemberState_SUSPECT))
+	m.mention(member.NodeId)
+}
+
+// beginSuspicion gives a suspect its time.
+func (m *Membership) beginSuspicion(suspect *entry) {
+	span := m.suspicionTime()
+	suspect.expiresAt = m.now + span
+	suspect.lastCallAt = suspect.expiresAt - span*lastCallShare/100
+}
+
+// stepSuspicions probes suspects once more before their time is over, and holds those dead who have not refuted.
+func (m *Membership) stepSuspicions() {
 	if len(m.table.suspects) == 0 {
 		return
 	}
 	for _, suspect := range slices.Clone(m.table.suspects) {
-		if m.now < suspect.expiresAt {
-			continue
+		switch {
+		case m.now >= suspect.expiresAt:
+			m.endSuspicion(suspect)
+		case m.now >= suspect.lastCallAt:
+			suspect.lastCallAt = core.Never
+			m.callOnce(suspect.member)
 		}
-		dead := withState(suspect.member, nodepb.MemberState_DEAD)
-		m.takeDown(dead)
-		m.mention(dead.NodeId)
-		m.log("member held dead", "member", dead.NodeId, "address", dead.Address)
 	}
 }
 
+// endSuspicion holds a suspect dead. The others come to the same by their own time.
+func (m *Membership) endSuspicion(suspect *entry) {
+	m.takeDown(withState(suspect.member, nodepb.MemberState_DEAD))
+	m.log("member held dead", "member", suspect.member.NodeId, "address", suspect.member.Address)
+}
+
+// callOnce probes a member that is suspected or dead without waiting for an answer: one that lives refutes.
+func (m *Membership) callOnce(member *nodepb.Member) {
+	m.send(member.Address, probeMessage(&nodepb.Probe{
+		Sequence: m.probes.nextSequence(),
+		TargetId: member.NodeId,
+		Updates:  []*nodepb.Member{member, m.table.self},
+	}))
+}
+
 // forgetDown forgets those who were dead or gone for long.
 func (m *Membership) forgetDown() {
 	if len(m.table.down) == 0 {
--- a/internal/node/membership/sync.go
+++ b/internal/node/membership/sync.go
@@ -12,6 +12,10 @@
 	next    core.Time // of the exchange with a random member
 	askedAt core.Time // of the last question out of an occasion; 0: none
 	awaited []awaitedList
+
+	came       int       // members that came or came back since the last settling
+	settleAt   core.Time // when the list is asked for as many came; Never where that isn't so
+	settleLeft int       // how often
 }
 
 // awaitedList is an answer that is to come.
@@ -79,18 +83,55 @@
 	return m.sync.next
 }
 
+// hasCome takes note of a member that came or came back.
+func (m *Membership) hasCome() {
+	s := &m.sync
+	s.came++
+	if s.came >= max(growthLeast, m.table.size()*growthShare/100) && s.settleAt == core.Never {
+		s.settleAt = m.now + settleDelay + m.randomSpan(settleJitter)
+		s.settleLeft = settleRounds
+	}
+}
+
+// stepSettle asks a seed for its list after many came, or a random member where no seed is one.
+func (m *Membership) stepSettle() {
+	s := &m.sync
+	if m.now < s.settleAt {
+		return
+	}
+	s.came = 0
+	s.settleLeft--
+	s.settleAt = core.Never
+	if s.settleLeft > 0 {
+		s.settleAt = m.now + settlePause
+	}
+	if present := m.presentSeeds(); len(present) > 0 {
+		m.ask(present[m.random.IntN(len(present))])
+		return
+	}
+	for _, member := range m.table.pick(1, "", m.random) {
+		m.ask(member.Address)
+	}
+}
+
 // stepSync exchanges the list with a random member from time to time, which repairs what got lost.
 func (m *Membership) stepSync() {
+	m.stepSettle()
 	if m.now < m.syncDeadline() {
 		return
 	}
 	m.sync.next = m.now + m.syncInterval()
 	for _, member := range m.table.pick(1, "", m.random) {
-		m.sync.await(member.Address, m.now)
-		m.send(member.Address, memberSync(true, m.table.members()))
+		m.exchange(member.Address)
 	}
 }
 
+// exchange sends the whole list to the node at the address, and asks for its own.
+func (m *Membership) exchange(address string) {
+	m.sync.await(address, m.now)
+	m.send(address, memberSync(true, m.table.members()))
+}
+
 // receiveSync takes a list or news, and answers with the own list where that is wanted.
 func (m *Membership) receiveSync(from core.Peer, sync *nodepb.MemberSync) {
 	if sync.ReplyWanted {
--- a/internal/node/membership/table.go
+++ b/internal/node/membership/table.go
@@ -17,6 +17,8 @@
 	member *nodepb.Member
 	// expiresAt is when a suspect is held dead, and when one that is dead or has left is forgotten.
 	expiresAt core.Time
+	// lastCallAt is when a suspect is probed once more; Never once it was.
+	lastCallAt core.Time
 	// replaced: a later life has taken the address.
 	replaced bool
 }
@@ -133,12 +135,20 @@
 	}
 }
 
-// nextInRing returns the live member to probe next, nil where there is none. Every member comes once in a pass, each
-// pass in an order of its own.
-func (t *table) nextInRing(random *rand.Rand) *entry {
-	if len(t.ring) == 0 {
-		return nil
+// nextToProbe returns the live member to probe next, nil where there is none. Every member comes once in a pass, each
+// pass in an order of its own. Suspects are left out where there are others: they are called in another way.
+func (t *table) nextToProbe(random *rand.Rand) *entry {
+	var known *entry
+	for range t.ring {
+		known = t.nextInRing(random)
+		if known.member.State == nodepb.MemberState_ALIVE {
+			break
+		}
 	}
+	return known
+}
+
+func (t *table) nextInRing(random *rand.Rand) *entry {
 	if t.next >= len(t.ring) {
 		t.next = 0
 		random.Shuffle(len(t.ring), func(i, j int) { t.ring[i], t.ring[j] = t.ring[j], t.ring[i] })
@@ -148,8 +158,8 @@
 	return t.entries[id]
 }
 
-// pick returns up to count different live members, without the one whose node id is except: a random stretch of the
-// ring, which is itself in random order.
+// pick returns up to count different members that are alive and not suspected, without the one whose node id is
+// except: a random stretch of the ring, which is itself in random order.
 func (t *table) pick(count int, except string, random *rand.Rand) []*nodepb.Member {
 	if len(t.ring) == 0 {
 		return nil
@@ -160,14 +170,30 @@
 		if len(picked) == count {
 			break
 		}
-		id := t.ring[(first+i)%len(t.ring)]
-		if id != except {
-			picked = append(picked, t.entries[id].member)
+		member := t.entries[t.ring[(first+i)%len(t.ring)]].member
+		if member.NodeId != except && member.State == nodepb.MemberState_ALIVE {
+			picked = append(picked, member)
 		}
 	}
 	return picked
 }
 
+// successor returns the member that follows this node by node id, in a circle, among those that are alive and not
+// suspected; nil where there is none.
+func (t *table) successor() *nodepb.Member {
+	members := t.members()
+	own, _ := slices.BinarySearchFunc(members, t.self.NodeId, func(member *nodepb.Member, id string) int {
+		return cmp.Compare(member.NodeId, id)
+	})
+	for i := 1; i < len(members); i++ {
+		member := members[(own+i)%len(members)]
+		if member.State == nodepb.MemberState_ALIVE {
+			return member
+		}
+	}
+	return nil
+}
+
 // get returns what is known of the node, this one included; nil where nothing is.
 func (t *table) get(id string) *nodepb.Member {
 	if id == t.self.NodeId {
