--- a/internal/channels/channels_test.go
+++ b/internal/channels/channels_test.go
@@ -19,7 +19,6 @@
 	draining map[int]bool
 	refused  int
 	sockets  int
-	lastFail map[int]float64
 	opens    map[int][]float64
 	seen     map[Token]int
 	most     map[int]int
@@ -128,7 +127,6 @@
 						n.sockets++
 						n.p.Lost(n.now, ch)
 					} else {
-						n.up[ch] = n.up[ch]
 						n.p.Leaving(n.now, ch)
 					}
 				}
--- a/internal/decide/world_test.go
+++ b/internal/decide/world_test.go
@@ -25,7 +25,7 @@
 
 type searchOut struct {
 	kind, want, step   int
-	until, got         float64
+	until              float64
 	parts              []int
 	finals             int
 	firstWhole, client bool // client: it has left
--- a/internal/fleet/bear/bear_test.go
+++ b/internal/fleet/bear/bear_test.go
@@ -15,7 +15,6 @@
 	rng     *rand.Rand
 	now     float64
 	bears   float64
-	seen    float64 // harm is told with noise: of so many sub-requests in a step
 	rates   []float64
 	worths  []float64
 	taken   []float64 // of each, in the last stretch
--- a/internal/fleet/owner/plant_answertime.go
+++ b/internal/fleet/owner/plant_answertime.go
@@ -12,5 +12,3 @@
 	plantLongHold    = false
 	plantAnswerTime  = true
 )
-
-const plantAny = true
--- a/internal/fleet/owner/plant_longhold.go
+++ b/internal/fleet/owner/plant_longhold.go
@@ -12,5 +12,3 @@
 	plantLongHold    = true
 	plantAnswerTime  = false
 )
-
-const plantAny = true
--- a/internal/fleet/owner/plant_none.go
+++ b/internal/fleet/owner/plant_none.go
@@ -13,5 +13,3 @@
 	plantLongHold    = false
 	plantAnswerTime  = false
 )
-
-const plantAny = false
--- a/internal/fleet/owner/plant_reuse.go
+++ b/internal/fleet/owner/plant_reuse.go
@@ -12,5 +12,3 @@
 	plantLongHold    = false
 	plantAnswerTime  = false
 )
-
-const plantAny = true
--- a/internal/h2/h2.go
+++ b/internal/h2/h2.go
@@ -86,20 +86,19 @@
 
 // Stream is one request and its response.
 type Stream struct {
-	ID      uint32
-	Of      any // the caller's
-	c       *Conn
-	source  Source
-	window  int64 // what may still be sent
-	left    int64 // what may still be received
-	owed    int64 // credited, not yet told
-	heads   int   // header blocks that came
-	began   bool  // this side's header block is out
-	endIn   bool
-	endOut  bool
-	queued  bool
-	gone    bool
-	refused bool
+	ID     uint32
+	Of     any // the caller's
+	c      *Conn
+	source Source
+	window int64 // what may still be sent
+	left   int64 // what may still be received
+	owed   int64 // credited, not yet told
+	heads  int   // header blocks that came
+	began  bool  // this side's header block is out
+	endIn  bool
+	endOut bool
+	queued bool
+	gone   bool
 }
 
 // Heads tells how many header blocks have come.
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -45,8 +45,6 @@
 	servers map[[6]byte]int
 	names   [][6]byte
 	listed  []bool
-	kinds   int
-	tenants int
 	report  []float64
 	inRound bool
 }
--- a/internal/standin/grpcpeer/grpcpeer.go
+++ b/internal/standin/grpcpeer/grpcpeer.go
@@ -37,7 +37,6 @@
 	out     [][]byte
 	end     bool
 	trail   []h2.Field
-	taken   int
 	waits   []func()
 }
 
