--- a/internal/node/routing/admission.go
+++ b/internal/node/routing/admission.go
@@ -12,12 +12,16 @@
 	urgentPause     = 0.5                    // of that by the most urgent requests, which try sooner
 	fullPauseMost   = time.Second            // and, as refusals follow one another, twice as long each time, up to so long
 	fullDoublings   = 2
+	orderPause      = time.Second           // a broker that loads new weights is left alone so long
 	leastTime       = 15 * time.Millisecond // less than this till its deadline, a request can't be answered
 	adviceShare     = 3                     // clients follow advice of up to a third of the time they have left
 	adviceMost      = 1200 * time.Millisecond
 	adviceLeast     = 20 * time.Millisecond
 	adviceShort     = 120 * time.Millisecond // where another proxy may do better at once
-	hopelessShare   = 0.25                   // quantile of latencies which exceeds the time left: no chance
+	adviceStarting  = 600 * time.Millisecond // at least, while this node may still have to hear of the brokers
+	adviceStarted   = time.Second            // at most then
+	startingSpan    = 3 * time.Second
+	hopelessShare   = 0.25 // quantile of latencies which exceeds the time left: no chance
 	priorityPerRank = 3
 	priorityLast    = 9
 )
@@ -47,8 +51,24 @@
 	b.fullAt, b.fullUntil = now, now+pause
 }
 
+// ordered notes that a broker turned a request away as new weights are being brought to it.
+func (b *broker) ordered(now core.Time) { b.orderedUntil = now + orderPause }
+
+// byOrder reports whether a broker turned a request away for new weights rather than for want of room: it lacks a version that
+// was named, and has places.
+func (r *Router) byOrder(req *request, b *broker, outcome *Outcome) bool {
+	if req.model == "" || r.versions.believed(b.instance, req.model) >= r.versions.newest(req.model) {
+		return false
+	}
+	load := outcome.Load
+	return load == nil || load.Waiting < load.Slots
+}
+
 // believedFull reports whether a request should leave the broker alone as it had no room lately.
 func (b *broker) believedFull(now core.Time, urgency int) bool {
+	if now < b.orderedUntil {
+		return true
+	}
 	if now >= b.fullUntil {
 		return false
 	}
@@ -79,8 +99,12 @@
 	if reason == RefusedUnhealthy || reason == RefusedAttempts || reason == RefusedNoBroker {
 		most = min(most, adviceShort)
 	}
-	chance := r.options.Random.Float64()
 	least := min(adviceLeast, most)
+	if reason == RefusedNoBroker && now < r.startedAt+startingSpan {
+		most = min(max(req.Deadline-now, 0)/adviceShare, adviceStarted)
+		least = min(adviceStarting, most)
+	}
+	chance := r.options.Random.Float64()
 	if earliest != core.Never && earliest > now {
 		least = max(least, min(earliest-now, most/2))
 	}
--- a/internal/node/routing/broker.go
+++ b/internal/node/routing/broker.go
@@ -44,6 +44,10 @@
 	fullAt    core.Time
 	fullUntil core.Time
 	refusals  int // for want of room, since it last took a request
+	// orderedUntil: it turned a request away because new weights are being brought to it.
+	orderedUntil core.Time
+	// markedAt is when the mark that it loads new weights was first seen.
+	markedAt core.Time
 	// youngUntil: it has come lately, and another broker may still keep the parts of its prompts.
 	youngUntil core.Time
 }
@@ -65,8 +69,22 @@
 	out   int
 }
 
-func newBroker(instance *registry.Instance) *broker {
-	return &broker{instance: instance, hash: hashText(instance.ID), lineAt: -lineKept}
+func newBroker(now core.Time, instance *registry.Instance) *broker {
+	return &broker{instance: instance, hash: hashText(instance.ID), lineAt: -lineKept, markedAt: now}
+}
+
+// replaced takes a newer entry of the instance: other weights end the doubt that a 421 or a rejection left.
+func (b *broker) replaced(now core.Time, instance *registry.Instance) {
+	for model, version := range instance.Versions {
+		if b.instance.Versions[model] != version {
+			b.health.misdirectedUntil = 0
+			b.orderedUntil = 0
+		}
+	}
+	if instance.Loading && !b.instance.Loading {
+		b.markedAt = now
+	}
+	b.instance = instance
 }
 
 // told takes a report in.
--- a/internal/node/routing/candidates.go
+++ b/internal/node/routing/candidates.go
@@ -79,7 +79,7 @@
 // permitted reports whether the rules let the request go to the broker at all.
 func (r *Router) permitted(now, startsAt core.Time, req *request, b *broker) (candidate, bool) {
 	c := candidate{broker: b}
-	if !b.instance.Usable() || now < b.health.misdirectedUntil {
+	if !req.pool.usable(now, b) || now < b.health.misdirectedUntil {
 		return c, false
 	}
 	if req.model != "" {
@@ -99,7 +99,7 @@
 	switch {
 	case b.believedFull(now, req.Urgency):
 		f.full++
-		f.earliest = min(f.earliest, b.fullUntil)
+		f.earliest = min(f.earliest, max(b.fullUntil, b.orderedUntil))
 	case h.aside() && r.mayTry(now, req, b):
 		c.trial = true
 		f.sound = append(f.sound, c)
--- a/internal/node/routing/outcomes.go
+++ b/internal/node/routing/outcomes.go
@@ -29,6 +29,9 @@
 	if a.sentAt > b.fullAt {
 		b.fullUntil, b.refusals = 0, 0 // it took a request after it had turned one away
 	}
+	if a.sentAt > b.orderedUntil-orderPause {
+		b.orderedUntil = 0
+	}
 	p.answeredAt = now
 	if req.Route.Kind == config.KindStreaming {
 		r.learn(now, req, a) // an event is no quick error
@@ -121,7 +124,10 @@
 		req.unreachable++
 	case outcome.NotExecuted && !outcome.Misdirected:
 		req.turnedAway++
-		if !req.oversized {
+		switch {
+		case r.byOrder(req, b, outcome):
+			b.ordered(now)
+		case !req.oversized:
 			b.turnedAway(now, outcome)
 		}
 		if outcome.Status != 0 {
--- a/internal/node/routing/pool.go
+++ b/internal/node/routing/pool.go
@@ -4,12 +4,15 @@
 	"time"
 
 	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/registry"
 	"kestrelspread/internal/predict"
 	"kestrelspread/internal/window"
 )
 
 const (
 	reportFade  = 3000.0 // ms over which an expired report fades to the average
+	markTrusted = 2 * time.Second
+	scarceShare = 0.6 // of the brokers that don't leave
 	refreshKept = 250 * time.Millisecond
 )
 
@@ -27,6 +30,7 @@
 	top       float64      // the fleet's line, ms
 	seen      int
 	calm      float64 // lowest median seen
+	scarce    bool    // too few brokers bear no mark of loading
 	updatedAt core.Time
 	// answeredAt is when any broker last answered.
 	answeredAt core.Time
@@ -52,12 +56,38 @@
 	p.updatedAt = now
 	at := milliseconds(now)
 	p.median, p.seen = p.latencies.Quantile(at, 0.5)
+	p.scarce = p.marksAreMany()
 	p.top, _ = p.latencies.Quantile(at, predict.LineShare)
 	if p.seen >= predict.Few && (p.calm == 0 || p.median < p.calm) {
 		p.calm = p.median
 	}
 }
 
+// marksAreMany reports whether fewer brokers than the rest can do without are free of the mark that they load new weights.
+func (p *pool) marksAreMany() bool {
+	ready, free := 0, 0
+	for _, b := range p.brokers {
+		if b.instance.State != registry.Ready {
+			continue
+		}
+		ready++
+		if !b.instance.Loading {
+			free++
+		}
+	}
+	return float64(free) < scarceShare*float64(ready)
+}
+
+// usable reports whether new requests may be sent to a broker. A mark that it loads new weights may be left of a holder of that
+// duty that was lost: where brokers are scarce it is believed for a while only, as a broker that does load turns requests away
+// by itself.
+func (p *pool) usable(now core.Time, b *broker) bool {
+	if b.instance.State != registry.Ready {
+		return false
+	}
+	return !b.instance.Loading || p.scarce && now >= b.markedAt+markTrusted
+}
+
 func (p *pool) crowded() bool { return predict.Crowded(p.median, p.calm) }
 
 // lineOf is the latency from which an answer of the broker counts as slow, ms.
--- /dev/null
+++ b/internal/node/routing/rollout_test.go
@@ -0,0 +1,134 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/registry"
+)
+
+// marked is a table of ten brokers of which the first n bear the mark that they load new weights.
+func marked(n int) *registry.Table {
+	list := instances(10)
+	for i := range n {
+		list[i].Loading = true
+	}
+	return tableOf(list...)
+}
+
+// A mark that a lost holder of the duty left behind is believed for a while only, and only where it matters.
+func TestMarksThatAreLeft(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		marked int
+		after  core.Time // since the marks were seen
+		used   bool      // are the marked brokers used
+	}{
+		{"few", 4, time.Minute, false},
+		{"many, lately", 5, markTrusted - ms, false},
+		{"many, for long", 5, markTrusted, true},
+		{"all, for long", 10, markTrusted, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, instances(10))
+			w.SetTable(w.now, marked(c.marked))
+			w.now += c.after / 2
+			w.SetTable(w.now, marked(c.marked))
+			w.now += c.after - c.after/2
+			used := 0
+			for range 40 {
+				_, d := w.Begin(w.now, w.request(safeRoute))
+				if d.Attempt == nil {
+					continue
+				}
+				if d.Attempt.Instance.Loading {
+					used++
+				}
+				w.answer(d.Attempt)
+			}
+			assert.Equal(t, used > 0, c.used)
+		})
+	}
+}
+
+// A draining broker stays unused however scarce brokers are (RULES.md, DRAIN).
+func TestScarceBrokersThatDrain(t *testing.T) {
+	w := newWorld(t, instances(10))
+	table := marked(8)
+	for _, instance := range table.ByService[service][2:4] {
+		instance.State = registry.Draining
+	}
+	w.SetTable(w.now, table)
+	w.now += time.Minute
+	for range 60 {
+		a := w.begin(w.request(safeRoute))
+		assert.Equal(t, a.Instance.State, registry.Ready)
+		w.answer(a)
+	}
+}
+
+// A broker that turns requests away while it lacks a named version is left alone for longer than a full one, by the most urgent
+// too, until its new version is known or it takes a request.
+func TestRejectionsForNewWeights(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		version uint64 // named
+		load    *Load
+		ordered bool
+	}{
+		{"no newer version", 1, nil, false},
+		{"a newer version", 2, nil, true},
+		{"a newer version, places free", 2, &Load{Running: 9, Waiting: 3, Slots: 64}, true},
+		{"a newer version, the queue is long", 2, &Load{Running: 64, Waiting: 190, Slots: 64}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, instances(1))
+			w.SetConfig(w.now, configOf(map[string]uint64{model: c.version}))
+			a := w.begin(w.prompt(flowRoute, 3))
+			outcome := outcomeFull
+			outcome.Load = c.load
+			w.Finished(w.now, a.Request, a.Number, outcome, false)
+			w.End(w.now, a.Request)
+			w.now += orderPause - ms
+			_, d := w.Begin(w.now, w.prompt(flowRoute, 3))
+			assert.Equal(t, d.Attempt == nil, c.ordered)
+			if c.ordered {
+				assert.Equal(t, d.Refusal.Reason, RefusedFull)
+				w.now += ms
+				assert.Assert(t, w.begin(w.prompt(flowRoute, 3)) != nil)
+			}
+		})
+	}
+}
+
+func TestNewWeightsEndThePause(t *testing.T) {
+	w := newWorld(t, instances(1))
+	w.SetConfig(w.now, configOf(map[string]uint64{model: 2}))
+	a := w.begin(w.prompt(flowRoute, 3))
+	w.Finished(w.now, a.Request, a.Number, outcomeFull, false)
+	w.End(w.now, a.Request)
+	w.SetTable(w.now, tableOf(withVersion(instances(1)[0], 2)))
+	assert.Equal(t, w.begin(w.prompt(flowRoute, 3)).ExpectVersion, uint64(2))
+}
+
+// A node that has just started tells clients to come back when it knows the brokers; later another node may do better at once.
+func TestAdviceWithoutBrokers(t *testing.T) {
+	for _, c := range []struct {
+		since, least, most core.Time
+	}{{time.Second, adviceStarting, adviceStarted}, {startingSpan, adviceLeast, adviceShort}} {
+		w := newWorld(t, nil)
+		w.startedAt = w.now - c.since
+		for range 30 {
+			_, d := w.Begin(w.now, w.request(safeRoute))
+			assert.Equal(t, d.Refusal.Reason, RefusedNoBroker)
+			assert.Assert(t, d.Refusal.RetryAfter >= c.least && d.Refusal.RetryAfter <= c.most, "%v", d.Refusal.RetryAfter)
+		}
+		short := w.request(safeRoute)
+		short.Deadline = w.now + 900*ms
+		_, d := w.Begin(w.now, short)
+		assert.Assert(t, d.Refusal.RetryAfter <= 300*ms)
+	}
+}
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -25,7 +25,9 @@
 	classes  map[string]*class  // by route
 	requests map[RequestID]*request
 	lastID   RequestID
-	stores   map[string]*storeState // by address
+	// startedAt is when this router began to learn.
+	startedAt core.Time
+	stores    map[string]*storeState // by address
 
 	// awakeAt is when this process last came back from standing still.
 	awakeAt core.Time
@@ -44,6 +46,7 @@
 		options:   options,
 		versions:  newVersions(now, versionBounds{single: options.VersionGrace, all: options.VersionAll}),
 		slackFrom: now + options.BudgetWindow,
+		startedAt: now,
 		brokers:   make(map[string]*broker),
 		pools:     make(map[string]*pool),
 		classes:   make(map[string]*class),
@@ -103,26 +106,16 @@
 func (r *Router) broker(now core.Time, instance *registry.Instance, first bool) *broker {
 	b := r.brokers[instance.ID]
 	if b == nil {
-		b = newBroker(instance)
+		b = newBroker(now, instance)
 		if !first {
 			b.youngUntil = now + youngFor
 		}
 		r.brokers[instance.ID] = b
 	}
-	b.replaced(instance)
+	b.replaced(now, instance)
 	return b
 }
 
-// replaced takes a newer entry of the instance: other weights end the doubt that a 421 left.
-func (b *broker) replaced(instance *registry.Instance) {
-	for model, version := range instance.Versions {
-		if b.instance.Versions[model] != version {
-			b.health.misdirectedUntil = 0
-		}
-	}
-	b.instance = instance
-}
-
 func (r *Router) pool(service string) *pool {
 	p := r.pools[service]
 	if p == nil {
