--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -67,6 +67,7 @@
 	prompts      promptIndex
 	router       *routing.Guarded
 	proxy        *forward.Proxy
+	startup      *forward.Startup
 
 	compiled  atomic.Pointer[config.Compiled]
 	confirmed atomic.Int64 // core.Time of the confirmation of the published state; 0: never
@@ -84,6 +85,8 @@
 	members uint64
 	view    uint64 // epoch
 	holder  bool   // of the duty to bring new weights
+	// startupOver: this node has learnt what it lacked when it started, or no longer waits for it.
+	startupOver bool
 	// leaseLost: the configuration was confirmed too long ago for keys to be trusted (globalRevocation).
 	leaseLost bool
 }
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -25,11 +25,13 @@
 		Index:            a.prompts.index,
 		Random:           newRandom(),
 	}))
+	a.startup = forward.NewStartup()
 	a.proxy = forward.New(forward.Options{
 		Port:     a.router,
 		Clock:    a.now,
 		Config:   a.compiled.Load,
 		MayServe: a.mayServe,
+		Startup:  a.startup,
 		Proxies:  func() int { return int(a.proxies.Load()) },
 		Bounds:   forward.Bounds{MaxBufferedBytes: a.bufferedBytes()},
 		Log:      a.log,
@@ -63,6 +65,27 @@
 	return !a.stopping.Load() && a.confirmed.Load() != 0 && a.mayServe(now, false)
 }
 
+// startupLimit ends the start of a process that does not learn all that it lacks.
+const startupLimit = 4 * time.Second
+
+// noteStartup tells the proxy what this node knows by now, for the requests that wait for it.
+func (a *Agent) noteStartup(now core.Time) {
+	if a.seen.startupOver {
+		return
+	}
+	compiled := a.compiled.Load()
+	known := forward.Knowledge{
+		Configuration: compiled != nil && compiled.Version != 0,
+		Confirmed:     a.confirmed.Load() != 0,
+		Brokers:       a.registry.Synced() || a.brokersCopy.restored,
+	}
+	a.startup.Note(known)
+	a.seen.startupOver = now >= startupLimit || known.Complete()
+	if now >= startupLimit {
+		a.startup.End()
+	}
+}
+
 // stateChanged publishes a new control state to the data plane.
 func (a *Agent) stateChanged(now core.Time) {
 	compiled := a.state.Compile()
--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -151,6 +151,7 @@
 	a.refreshIndex(now)
 	a.doubtStores(now)
 	a.saveBrokers(now)
+	a.noteStartup(now)
 }
 
 func (a *Agent) membersChanged(now core.Time) {
--- a/internal/node/agent/savedbrokers.go
+++ b/internal/node/agent/savedbrokers.go
@@ -20,6 +20,8 @@
 	copy  chan []*nodepb.Instance // what is to be written next
 	due   core.Time               // core.Never: nothing has changed
 	saved uint64                  // sum over what was written last
+	// restored: there was a copy of former times, from which the brokers are known.
+	restored bool
 }
 
 // openSavedBrokers takes up the brokers that were known before this process started.
@@ -37,7 +39,10 @@
 func (a *Agent) writeBrokers() {
 	instances, err := a.brokersCopy.file.Load(time.Now())
 	if err == nil {
-		a.post(func(now core.Time) { a.carryOut(now, a.registry.Restore(now, instances)) })
+		a.post(func(now core.Time) {
+			a.carryOut(now, a.registry.Restore(now, instances))
+			a.brokersCopy.restored = len(instances) > 0
+		})
 	}
 	for instances := range a.brokersCopy.copy {
 		if err := a.brokersCopy.file.Save(instances, time.Now()); err != nil {
--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/routing"
 	"kestrelspread/internal/node/verdict"
@@ -50,14 +49,15 @@
 	if why := c.intake.checkRequest(c.request, c.framing()); why != nil {
 		return c.deny(why)
 	}
+	c.awaitStartup(knowsConfiguration)
 	compiled := c.proxy.configuration()
 	if compiled == nil {
-		return c.refuse(c.proxy.bounds.UnreadyRetryAfter)
+		return c.refuse(c.proxy.comeAgain())
 	}
 	if why := checkLimits(c.request, c.framing(), &compiled.Limits); why != nil {
 		return c.deny(why)
 	}
-	return c.readBody(compiled.Limits.MaxBodyBytes) && c.admit(c.proxy.configuration())
+	return c.readBody(compiled.Limits.MaxBodyBytes) && c.admit()
 }
 
 // framing gives what is known of how the request was framed.
@@ -68,13 +68,17 @@
 	return c.client.request
 }
 
-// admit checks the request under a configuration.
-func (c *call) admit(compiled *config.Compiled) bool {
-	why := c.intake.resolve(c.request, compiled, c.proxy.match, c.proxy.options.Seed)
+// admit checks the request under the configuration in force.
+func (c *call) admit() bool {
+	c.awaitStartup(knowsBrokers)
+	why := c.resolve()
+	if (why != nil || !c.mayServe(why)) && c.awaitStartup(knowsConfirmed) {
+		why = c.resolve()
+	}
 	// While this proxy can't tell whether its configuration is the one in force, it denies nothing.
-	needsKey := why == deniedKey || why == nil && !c.intake.route.Public
-	if !c.proxy.mayServe(c.now(), !needsKey) {
-		return c.refuse(c.proxy.bounds.UnreadyRetryAfter)
+	unconfirmed, _ := c.proxy.options.Startup.lacks(knowsConfirmed)
+	if !c.mayServe(why) || why != nil && unconfirmed {
+		return c.refuse(c.proxy.comeAgain())
 	}
 	if why != nil {
 		return c.deny(why)
@@ -83,6 +87,17 @@
 	return true
 }
 
+// resolve finds the request's route and tenant, or why there is none.
+func (c *call) resolve() *denial {
+	return c.intake.resolve(c.request, c.proxy.configuration(), c.proxy.match, c.proxy.options.Seed)
+}
+
+// mayServe asks whether a request with such a finding may be taken.
+func (c *call) mayServe(why *denial) bool {
+	needsKey := why == deniedKey || why == nil && !c.intake.route.Public
+	return c.proxy.mayServe(c.now(), !needsKey)
+}
+
 // readBody reads the whole body: nothing is sent on before it is here.
 func (c *call) readBody(most int64) bool {
 	if c.request.ContentLength == 0 {
--- a/internal/node/forward/fixture_test.go
+++ b/internal/node/forward/fixture_test.go
@@ -283,6 +283,8 @@
 type testConfig struct {
 	compiled *config.Compiled
 	routes   []*config.Route
+	// without says whether the routes are left out just now; nil: never.
+	without func() bool
 }
 
 func route(name, prefix string, kind config.RouteKind) *config.Route {
@@ -310,6 +312,9 @@
 }
 
 func (c *testConfig) match(_ *config.Compiled, host, path string) *config.Route {
+	if c.without != nil && c.without() {
+		return nil
+	}
 	var best *config.Route
 	for _, r := range c.routes {
 		if r.Host == host && strings.HasPrefix(path, r.PathPrefix) && (best == nil || len(best.PathPrefix) < len(r.PathPrefix)) {
--- a/internal/node/forward/options.go
+++ b/internal/node/forward/options.go
@@ -22,6 +22,8 @@
 	// MayServe says whether a request may be taken, and, asked again right before it is sent on, whether it still may:
 	// not without a confirmed configuration, nor where keys can be revoked everywhere and the last confirmation is too old.
 	MayServe func(now core.Time, public bool) bool
+	// Startup tells what the process still lacks after its start; nil: nothing.
+	Startup *Startup
 	// Proxies tells how many proxies share the connections that a broker accepts; nil: this one alone.
 	Proxies func() int
 	Log     *slog.Logger
@@ -50,6 +52,10 @@
 	BodyTimeout time.Duration
 	// UnreadyRetryAfter is told to clients while MayServe forbids to serve.
 	UnreadyRetryAfter time.Duration
+	// StartupWait bounds how long a request waits for what the process lacks after its start.
+	StartupWait time.Duration
+	// StartupRetryAfter is told to clients whose requests waited for that in vain.
+	StartupRetryAfter time.Duration
 	// SpreadConnections: a proxy may hold this many times its even share of the connections that a broker accepts, since
 	// clients are not spread evenly over the proxies.
 	SpreadConnections int
@@ -65,6 +71,8 @@
 	DefaultHeaderTimeout       = 10 * time.Second
 	DefaultBodyTimeout         = 30 * time.Second
 	DefaultUnreadyRetryAfter   = 200 * time.Millisecond
+	DefaultStartupWait         = time.Second
+	DefaultStartupRetryAfter   = 600 * time.Millisecond
 	DefaultSpreadConnections   = 3
 )
 
@@ -77,6 +85,8 @@
 	b.HeaderTimeout = cmp.Or(b.HeaderTimeout, DefaultHeaderTimeout)
 	b.BodyTimeout = cmp.Or(b.BodyTimeout, DefaultBodyTimeout)
 	b.UnreadyRetryAfter = cmp.Or(b.UnreadyRetryAfter, DefaultUnreadyRetryAfter)
+	b.StartupWait = cmp.Or(b.StartupWait, DefaultStartupWait)
+	b.StartupRetryAfter = cmp.Or(b.StartupRetryAfter, DefaultStartupRetryAfter)
 	b.SpreadConnections = cmp.Or(b.SpreadConnections, DefaultSpreadConnections)
 	return b
 }
--- a/internal/node/forward/server.go
+++ b/internal/node/forward/server.go
@@ -78,7 +78,10 @@
 
 // Drain tells every client with its next answer to close the connection. Connections at rest stay open for their clients
 // until Shutdown, so that no request is lost that is on its way.
-func (p *Proxy) Drain() { p.draining.Store(true) }
+func (p *Proxy) Drain() {
+	p.draining.Store(true)
+	p.options.Startup.End()
+}
 
 // Shutdown stops taking connections, closes those at rest and waits for the requests under way, while the context lasts.
 // Then it closes all.
--- /dev/null
+++ b/internal/node/forward/startup.go
@@ -0,0 +1,121 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"kestrelspread/internal/node/core"
+)
+
+// Knowledge is what a process must know before it can serve every request.
+type Knowledge struct {
+	Configuration bool // some configuration is held
+	Confirmed     bool // it was found to be the one in force
+	Brokers       bool // the brokers of all services are known
+}
+
+// Complete reports whether nothing is lacking.
+func (k Knowledge) Complete() bool { return k.Configuration && k.Confirmed && k.Brokers }
+
+// Startup lets requests that come to a process that has just begun wait for what it still lacks: mostly that comes sooner than
+// a client that was refused. nil stands for a start that is over.
+type Startup struct {
+	mu      sync.Mutex
+	known   Knowledge
+	over    bool
+	changed chan struct{} // closed at the next change
+}
+
+// NewStartup returns the start of a process that knows nothing yet.
+func NewStartup() *Startup { return &Startup{changed: make(chan struct{})} }
+
+// Note takes what is known by now. The start is over once that is all.
+func (s *Startup) Note(known Knowledge) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over || known == s.known {
+		return
+	}
+	s.known = known
+	s.over = known.Complete()
+	s.announce()
+}
+
+// End ends the start whatever is still lacking: requests wait no longer.
+func (s *Startup) End() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.over {
+		s.over = true
+		s.announce()
+	}
+}
+
+// announce wakes those who wait. The mutex is held.
+func (s *Startup) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// lacks reports whether the process has just begun and does not know enough. changed is closed when that may be otherwise.
+func (s *Startup) lacks(enough func(Knowledge) bool) (lacking bool, changed <-chan struct{}) {
+	if s == nil {
+		return false, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.over && !enough(s.known), s.changed
+}
+
+// What requests wait for.
+func knowsConfiguration(known Knowledge) bool { return known.Configuration }
+func knowsConfirmed(known Knowledge) bool     { return known.Configuration && known.Confirmed }
+func knowsBrokers(known Knowledge) bool       { return known.Configuration && known.Brokers }
+func knowsAll(Knowledge) bool                 { return false } // then the start is over
+
+// awaitStartup waits, for a bounded time, while the process has just begun and does not know enough. It reports whether it
+// waited.
+func (c *call) awaitStartup(enough func(Knowledge) bool) (waited bool) {
+	startup := c.proxy.options.Startup
+	lacking, changed := startup.lacks(enough)
+	if !lacking {
+		return false
+	}
+	timer := time.NewTimer(c.startupEnd() - c.now())
+	defer timer.Stop()
+	for lacking {
+		select {
+		case <-changed:
+		case <-timer.C:
+			return true
+		case <-c.request.Context().Done():
+			return true
+		}
+		lacking, changed = startup.lacks(enough)
+	}
+	return true
+}
+
+// startupShare: a request waits for the start to end for at most one in startupShare of the time that its client will wait, so that
+// time is left to serve it, or for its client to come again.
+const startupShare = 3
+
+// startupEnd is until when the request may wait for the start to end.
+func (c *call) startupEnd() core.Time {
+	wait := c.proxy.bounds.StartupWait
+	if allowed, ok := clientWait(c.request.Header); ok {
+		wait = min(wait, allowed/startupShare)
+	}
+	return c.intake.received + wait
+}
+
+// comeAgain is when a client whose request could not be taken should come again.
+func (p *Proxy) comeAgain() time.Duration {
+	if lacking, _ := p.options.Startup.lacks(knowsAll); lacking {
+		return p.bounds.StartupRetryAfter
+	}
+	return p.bounds.UnreadyRetryAfter
+}
