--- a/internal/channels/channels_test.go
+++ b/internal/channels/channels_test.go
@@ -127,6 +127,7 @@
 						n.sockets++
 						n.p.Lost(n.now, ch)
 					} else {
+						n.up[ch] = 0 // it still counts as open
 						n.p.Leaving(n.now, ch)
 					}
 				}
