--- /dev/null
+++ b/cmd/kestrelctl/fleetstatus.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"kestrelspread/internal/node/nodestatus"
+)
+
+// statusPause lies between two looks at nodes that do not agree yet.
+const statusPause = 100 * time.Millisecond
+
+func fleetStatus() *cobra.Command {
+	var asJSON bool
+	var within time.Duration
+	c := &cobra.Command{
+		Use: "status ADDRESS...", Args: cobra.MinimumNArgs(1),
+		Short: "What nodes say at their control addresses; exit 1 where they disagree on the view or one can't be reached",
+		RunE: func(cmd *cobra.Command, addresses []string) error {
+			picture := lookWithin(cmd.Context(), addresses, within)
+			if err := picture.print(cmd.OutOrStdout(), asJSON); err != nil {
+				return err
+			}
+			return picture.failure()
+		},
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
+	c.Flags().DurationVar(&within, "within", 2*time.Second, "for how long nodes may disagree, as a change takes a moment to reach them all")
+	return c
+}
+
+// fleetPicture is what nodes said at one look.
+type fleetPicture struct {
+	Nodes       []*nodestatus.Status `json:"nodes"`
+	Unreachable []string             `json:"unreachable"`
+	Differences []fleetDifference    `json:"differences"`
+}
+
+// fleetDifference is something that nodes see differently.
+type fleetDifference struct {
+	Subject nodestatus.Subject `json:"subject"`
+	Text    string             `json:"text"`
+}
+
+// lookWithin looks at nodes until all answer and agree on the view, or the time is over.
+func lookWithin(ctx context.Context, addresses []string, within time.Duration) *fleetPicture {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	ticker := time.NewTicker(statusPause)
+	defer ticker.Stop()
+	for {
+		picture := look(addresses)
+		if picture.failure() == nil {
+			return picture
+		}
+		select {
+		case <-ctx.Done():
+			return picture
+		case <-ticker.C:
+		}
+	}
+}
+
+// statusTimeout is how long a node may take to answer.
+const statusTimeout = 2 * time.Second
+
+// look asks all nodes at the same time.
+func look(addresses []string) *fleetPicture {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	statuses := make([]*nodestatus.Status, len(addresses))
+	failures := make([]error, len(addresses))
+	done := make(chan struct{}, len(addresses))
+	for i, address := range addresses {
+		go func() {
+			statuses[i], failures[i] = nodestatus.Read(ctx, address)
+			done <- struct{}{}
+		}()
+	}
+	for range addresses {
+		<-done
+	}
+	picture := &fleetPicture{Nodes: []*nodestatus.Status{}, Unreachable: []string{}, Differences: []fleetDifference{}}
+	for i := range addresses {
+		if failures[i] != nil {
+			picture.Unreachable = append(picture.Unreachable, failures[i].Error())
+			continue
+		}
+		picture.Nodes = append(picture.Nodes, statuses[i])
+	}
+	for _, d := range nodestatus.Disagreements(picture.Nodes) {
+		picture.Differences = append(picture.Differences, fleetDifference(d))
+	}
+	return picture
+}
+
+// failure says why the exit code is not 0.
+func (p *fleetPicture) failure() error {
+	if len(p.Unreachable) > 0 {
+		return fmt.Errorf("%d nodes can't be reached", len(p.Unreachable))
+	}
+	if slices.ContainsFunc(p.Differences, func(d fleetDifference) bool { return d.Subject == nodestatus.TheView }) {
+		return errors.New("nodes disagree on the view")
+	}
+	return nil
+}
+
+func (p *fleetPicture) print(out io.Writer, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(out).Encode(p)
+	}
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "node\tzone\tready\tconfig\tweights\tchain\tepoch\tcommitted\tconfirmed\tmembers\tbrokers\ttaken\tanswered\trefused\tfailed")
+	for _, node := range p.Nodes {
+		fmt.Fprintln(table, strings.Join(statusRow(node), "\t"))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, text := range p.Unreachable {
+		fmt.Fprintln(out, "unreachable:", text)
+	}
+	for _, d := range p.Differences {
+		fmt.Fprintf(out, "nodes see %s differently: %s\n", d.Subject, d.Text)
+	}
+	return nil
+}
+
+// statusRow is a node's line of the table.
+func statusRow(node *nodestatus.Status) []string {
+	role, epoch, committed := "-", "-", "-"
+	if node.Chain != nil {
+		epoch = fmt.Sprint(node.Chain.Epoch)
+		if node.Chain.Role != "" {
+			role, committed = node.Chain.Role, fmt.Sprint(node.Chain.Committed)
+		}
+		if node.Chain.Role != "" && !node.Chain.DiskFine {
+			role += " (disk)"
+		}
+	}
+	requests := node.Requests
+	return []string{
+		node.Node, node.Zone, yesOrNo(node.Ready), fmt.Sprint(node.ConfigVersion), countedVersions(node.ModelVersions), role, epoch,
+		committed, orDash(node.ConfirmedAgo), fmt.Sprint(len(node.Members)), brokersByState(node.Instances), fmt.Sprint(requests.Taken),
+		fmt.Sprint(requests.Answered), fmt.Sprint(requests.Refused), fmt.Sprint(requests.Failed + requests.Aborted),
+	}
+}
+
+func yesOrNo(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "no"
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// countedVersions lists the newest named weights by model.
+func countedVersions(versions map[string]uint64) string {
+	var list []string
+	for model, version := range versions {
+		list = append(list, fmt.Sprintf("%s=%d", model, version))
+	}
+	slices.Sort(list)
+	return orDash(strings.Join(list, " "))
+}
+
+// brokersByState counts brokers, as "7 ready 1 draining".
+func brokersByState(instances []nodestatus.Instance) string {
+	counts := map[string]int{}
+	for _, instance := range instances {
+		counts[strings.ToLower(instance.State)]++
+	}
+	var list []string
+	for state, count := range counts {
+		list = append(list, fmt.Sprintf("%d %s", count, state))
+	}
+	slices.SortFunc(list, func(a, b string) int { return -strings.Compare(a[strings.Index(a, " "):], b[strings.Index(b, " "):]) })
+	return orDash(strings.Join(list, " "))
+}
--- a/cmd/kestrelctl/main.go
+++ b/cmd/kestrelctl/main.go
@@ -24,7 +24,7 @@
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "kestrelctl", Short: "Try brokers out and measure them", SilenceErrors: true, SilenceUsage: true}
-	root.AddCommand(demo(), measure(), useLedger(), scenarios(), site(), ownerCommand(), plain(), flood())
+	root.AddCommand(demo(), measure(), useLedger(), scenarios(), site(), ownerCommand(), fleetCommand(), plain(), flood())
 	return root
 }
 
--- /dev/null
+++ b/internal/rig/fleet/demosteps.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"kestrelspread/internal/standin/fleetoperator"
+)
+
+// The steps of a demonstration, one to a phase.
+
+func (d *demo) changeConfiguration(ctx context.Context) (string, error) {
+	sent := time.Now()
+	acknowledged, err := d.Operator.Update(ctx, d.Operator.Current(), RoutesChange(d.Operator.Current()))
+	if err != nil {
+		return "", err
+	}
+	err = d.Await(ctx, "the change in force", func(context.Context) error { return d.load.CheckRoutesChange() })
+	return fmt.Sprintf("a route added, one removed, a key taken away: acknowledged after %v, in force at all nodes %v later",
+		acknowledged.At.Sub(sent).Round(time.Millisecond), since(acknowledged.At)), err
+}
+
+// CheckRoutesChange probes each node for what RoutesChange brings, and says what is not as it should be.
+func (l *Load) CheckRoutesChange() error {
+	for _, node := range l.fleet.Nodes {
+		for _, expected := range []struct {
+			prefix, key string
+			status      int
+		}{
+			{prefixNew, keyShared, http.StatusOK},
+			{prefixOld, keyShared, http.StatusNotFound},
+			{prefixLookup, keyRevoked, http.StatusUnauthorized},
+		} {
+			if status := l.Probe(node, expected.prefix, expected.key); status != expected.status {
+				return fmt.Errorf("%s answers %d on %s with %s", node.Name, status, expected.prefix, expected.key)
+			}
+		}
+	}
+	return nil
+}
+
+func (d *demo) nameWeights(ctx context.Context) (string, error) {
+	const version = 2
+	acknowledged, err := d.Operator.PutVersion(ctx, modelName, version)
+	if err != nil {
+		return "", err
+	}
+	err = d.AwaitWeights(ctx, version)
+	return fmt.Sprintf("all %d model brokers have version %d %v after its acknowledgement", modelBrokers, version, since(acknowledged.At)), err
+}
+
+func (d *demo) killHead(ctx context.Context) (string, error) {
+	head, err := d.Head(ctx)
+	if err != nil {
+		return "", err
+	}
+	head.Kill()
+	killed := time.Now()
+	before := d.Operator.Current()
+	acknowledged, err := d.Operator.Update(ctx, before, fleetoperator.Update{Version: nextVersion(before)})
+	if err != nil {
+		return "", err
+	}
+	if err := head.Start(); err != nil {
+		return "", err
+	}
+	started := time.Now()
+	err = d.AwaitAgreement(ctx, diskCount, nodeCount)
+	return fmt.Sprintf("%s killed: a change acknowledged %v after; it is in the chain again %v after its start",
+		head.Name, acknowledged.At.Sub(killed).Round(time.Millisecond), since(started)), err
+}
+
+func (d *demo) drainBroker(ctx context.Context) (string, error) {
+	broker := d.Serving(serviceModel)[0]
+	at, err := d.Drain(ctx, broker)
+	if err != nil {
+		return "", err
+	}
+	if err := broker.Leave(ctx); err != nil {
+		return "", err
+	}
+	var last time.Time
+	for _, arrival := range d.Ledger.Arrivals() {
+		if arrival.Instance == broker.ID() {
+			last = arrival.At
+		}
+	}
+	return fmt.Sprintf("%s says that it leaves: the last request reached it %v after the acknowledgement, %v are allowed",
+		broker.ID(), last.Sub(at).Round(time.Millisecond), d.options.Bounds.Drain), nil
+}
+
+func (d *demo) stopNode(ctx context.Context) (string, error) {
+	node := d.Nodes[nodeCount-1]
+	sent := time.Now()
+	if node.Terminate() {
+		return "", fmt.Errorf("%s was not gone after the grace of %v", node.Name, d.options.Bounds.Grace)
+	}
+	took := since(sent)
+	if err := node.Start(); err != nil {
+		return "", err
+	}
+	started := time.Now()
+	err := d.AwaitAgreement(ctx, diskCount, nodeCount)
+	return fmt.Sprintf("%s was gone %v after SIGTERM; it serves again %v after its start", node.Name, took, since(started)), err
+}
