--- a/internal/node/membership/gossip.go
+++ b/internal/node/membership/gossip.go
@@ -18,6 +18,9 @@
 	row []update
 }
 
+// newsTransmissions is how often news is sent that is pushed besides.
+const newsTransmissions = 4
+
 // transmissions returns how often an update is sent by each of so many nodes. As many go to each node on the mean, so
 // that all hear of it even where most messages are lost.
 func transmissions(nodes int) int { return 3 + 3*bits.Len(uint(nodes)) }
--- /dev/null
+++ b/internal/node/membership/merge_test.go
@@ -0,0 +1,195 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+const (
+	alive   = nodepb.MemberState_ALIVE
+	suspect = nodepb.MemberState_SUSPECT
+	dead    = nodepb.MemberState_DEAD
+	left    = nodepb.MemberState_LEFT
+	unknown = nodepb.MemberState(-1)
+)
+
+var stranger = core.Peer{NodeID: "c/1", Address: "10.0.0.3:7560"}
+
+func member(id, address string, state nodepb.MemberState, incarnation uint64) *nodepb.Member {
+	return &nodepb.Member{NodeId: id, Name: id[:1], Address: address, State: state, Incarnation: incarnation}
+}
+
+func claimOf(state nodepb.MemberState, incarnation uint64) *nodepb.Member {
+	return member("b/1", "10.0.0.2:7560", state, incarnation)
+}
+
+// newNode returns a node that knows of nobody, with the figures of a fixed seed.
+func newNode() *Membership {
+	self := member("a/1", "10.0.0.1:7560", alive, 5)
+	return New(0, Options{Self: self}, rand.New(rand.NewPCG(1, 1)))
+}
+
+// hear lets the node take claims, as news from the node that stranger is.
+func (m *Membership) hear(now core.Time, claims ...*nodepb.Member) []core.Output {
+	return m.Receive(now, stranger, memberSync(false, claims))
+}
+
+func (m *Membership) stateOf(id string) (nodepb.MemberState, uint64) {
+	known := m.table.get(id)
+	if known == nil {
+		return unknown, 0
+	}
+	return known.State, known.Incarnation
+}
+
+// Which of two claims of one node holds.
+func TestPrecedenceOfClaims(t *testing.T) {
+	type claim struct {
+		state       nodepb.MemberState
+		incarnation uint64
+	}
+	tests := []struct{ known, heard, want claim }{
+		{claim{unknown, 0}, claim{alive, 1}, claim{alive, 1}},
+		{claim{unknown, 0}, claim{suspect, 1}, claim{suspect, 1}},
+		{claim{unknown, 0}, claim{dead, 1}, claim{dead, 1}},
+		{claim{unknown, 0}, claim{left, 1}, claim{left, 1}},
+
+		{claim{alive, 3}, claim{alive, 2}, claim{alive, 3}},
+		{claim{alive, 3}, claim{alive, 4}, claim{alive, 4}},
+		{claim{alive, 3}, claim{suspect, 2}, claim{alive, 3}},
+		{claim{alive, 3}, claim{suspect, 3}, claim{suspect, 3}},
+		{claim{alive, 3}, claim{suspect, 4}, claim{suspect, 4}},
+		{claim{alive, 3}, claim{dead, 2}, claim{alive, 3}},
+		{claim{alive, 3}, claim{dead, 3}, claim{suspect, 3}},
+		{claim{alive, 3}, claim{dead, 4}, claim{suspect, 4}},
+		{claim{alive, 3}, claim{left, 1}, claim{left, 1}},
+
+		{claim{suspect, 3}, claim{alive, 3}, claim{suspect, 3}},
+		{claim{suspect, 3}, claim{alive, 4}, claim{alive, 4}},
+		{claim{suspect, 3}, claim{suspect, 2}, claim{suspect, 3}},
+		{claim{suspect, 3}, claim{suspect, 4}, claim{suspect, 4}},
+		{claim{suspect, 3}, claim{dead, 3}, claim{suspect, 3}},
+		{claim{suspect, 3}, claim{left, 3}, claim{left, 3}},
+
+		{claim{dead, 3}, claim{alive, 3}, claim{dead, 3}},
+		{claim{dead, 3}, claim{alive, 4}, claim{alive, 4}},
+		{claim{dead, 3}, claim{suspect, 3}, claim{dead, 3}},
+		{claim{dead, 3}, claim{suspect, 4}, claim{suspect, 4}},
+		{claim{dead, 3}, claim{dead, 5}, claim{dead, 5}},
+		{claim{dead, 3}, claim{left, 3}, claim{left, 3}},
+
+		{claim{left, 3}, claim{alive, 9}, claim{left, 3}},
+		{claim{left, 3}, claim{suspect, 9}, claim{left, 3}},
+		{claim{left, 3}, claim{dead, 9}, claim{left, 3}},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%v then %v", test.known, test.heard), func(t *testing.T) {
+			m := newNode()
+			if test.known.state != unknown {
+				m.table.set(claimOf(test.known.state, test.known.incarnation), core.Never, m.random)
+			}
+			m.hear(time.Millisecond, claimOf(test.heard.state, test.heard.incarnation))
+			state, incarnation := m.stateOf("b/1")
+			assert.Equal(t, state, test.want.state)
+			assert.Equal(t, incarnation, test.want.incarnation)
+			assert.Equal(t, len(m.Members()) == 2, isLive(test.want.state))
+		})
+	}
+}
+
+func TestClaimsThatNameNobodyAreIgnored(t *testing.T) {
+	m := newNode()
+	m.hear(0, &nodepb.Member{}, member("b/1", "", alive, 1), &nodepb.Member{Address: "10.0.0.2:7560"})
+	assert.Equal(t, len(m.table.entries), 0)
+}
+
+func TestALifeDoesNotMove(t *testing.T) {
+	m := newNode()
+	m.hear(0, claimOf(alive, 1), member("b/1", "10.0.0.9:7560", alive, 2))
+	assert.Equal(t, m.table.get("b/1").Address, "10.0.0.2:7560")
+}
+
+// sentTo returns the lists that were sent to an address.
+func sentTo(outputs []core.Output, address string) [][]*nodepb.Member {
+	var lists [][]*nodepb.Member
+	for _, output := range outputs {
+		if send, is := output.(core.Send); is && send.To == address {
+			lists = append(lists, send.Message.GetMemberSync().GetMembers())
+		}
+	}
+	return lists
+}
+
+func TestClaimsOfTheNodeItselfAreRefuted(t *testing.T) {
+	for _, state := range []nodepb.MemberState{suspect, dead} {
+		m := newNode()
+		outputs := m.hear(0, member("a/1", "10.0.0.1:7560", state, 7))
+		assert.Equal(t, m.table.self.Incarnation, uint64(8))
+		answers := sentTo(outputs, stranger.Address)
+		assert.Assert(t, len(answers) > 0)
+		assert.Equal(t, answers[len(answers)-1][0].Incarnation, uint64(8))
+		// An older claim needs no other incarnation, but its sender is told.
+		outputs = m.hear(0, member("a/1", "10.0.0.1:7560", state, 6))
+		assert.Equal(t, m.table.self.Incarnation, uint64(8))
+		assert.Equal(t, sentTo(outputs, stranger.Address)[0][0].Incarnation, uint64(8))
+	}
+}
+
+func TestAFormerLifeAtTheOwnAddress(t *testing.T) {
+	m := newNode()
+	m.hear(0, member("a/0", "10.0.0.1:7560", alive, 3))
+	assert.Equal(t, m.table.self.Incarnation, uint64(5))
+	m.hear(0, member("a/0", "10.0.0.1:7560", dead, 9))
+	assert.Equal(t, m.table.self.Incarnation, uint64(5))
+	m.hear(0, member("a/0", "10.0.0.1:7560", alive, 9))
+	assert.Equal(t, m.table.self.Incarnation, uint64(10))
+	assert.Equal(t, len(m.Members()), 1)
+}
+
+func TestTwoLivesAtOneAddress(t *testing.T) {
+	later := func(incarnation uint64) *nodepb.Member { return member("b/2", "10.0.0.2:7560", alive, incarnation) }
+	m := newNode()
+	m.hear(0, claimOf(alive, 3))
+	m.hear(0, later(3))
+	state, _ := m.stateOf("b/2")
+	assert.Equal(t, state, unknown, "the one known first stays where the incarnations are equal")
+	m.hear(0, later(4))
+	state, _ = m.stateOf("b/2")
+	assert.Equal(t, state, alive)
+	state, _ = m.stateOf("b/1")
+	assert.Equal(t, state, dead)
+	assert.Equal(t, len(m.Members()), 2)
+	assert.Assert(t, !mayReturn(m.table.entries["b/1"]), "nobody looks for a life that was replaced")
+}
+
+func TestALaterLifeIsToldOfTheFormer(t *testing.T) {
+	m := newNode()
+	m.hear(0, claimOf(alive, 3))
+	later := core.Peer{NodeID: "b/2", Address: "10.0.0.2:7560"}
+	outputs := m.Receive(0, later, memberSync(false, []*nodepb.Member{member("b/2", later.Address, alive, 1)}))
+	told := false
+	for _, list := range sentTo(outputs, later.Address) {
+		for _, claim := range list {
+			told = told || claim.NodeId == "b/1"
+		}
+	}
+	assert.Assert(t, told)
+}
+
+func TestWhatIsRememberedIsBounded(t *testing.T) {
+	m := newNode()
+	for i := range maxEntries + 100 {
+		m.hear(0, member(fmt.Sprintf("x%d/1", i), fmt.Sprintf("10.9.%d.%d:7560", i/200, i%200), dead, 1))
+	}
+	assert.Equal(t, len(m.table.entries), maxEntries)
+	m.Tick(DefaultDeadRetention + time.Second)
+	assert.Equal(t, len(m.table.entries), 0)
+	assert.Equal(t, len(m.table.down), 0)
+}
--- a/internal/node/membership/messages.go
+++ b/internal/node/membership/messages.go
@@ -24,6 +24,9 @@
 }
 
 func (m *Membership) send(address string, message *nodepb.Envelope) {
+	if address == "" {
+		return
+	}
 	m.outputs = append(m.outputs, core.Send{To: address, Message: message})
 }
 
--- a/internal/node/membership/push.go
+++ b/internal/node/membership/push.go
@@ -72,7 +72,7 @@
 // spread passes on a change of the list, soon and by gossip.
 func (m *Membership) spread(nodeID string) {
 	m.pushes.add(nodeID, true)
-	m.gossip.add(nodeID, transmissions(m.table.size())/2)
+	m.gossip.add(nodeID, newsTransmissions)
 }
 
 // mention passes on a suspicion or its refutation, soon where the allowance has it, and by gossip.
--- a/internal/node/wireproto/link/network.go
+++ b/internal/node/wireproto/link/network.go
@@ -38,7 +38,7 @@
 // wireproto.Unencodable.
 func New(options Options) (*Network, error) {
 	options = options.withDefaults()
-	configuration := net.ListenConfig{KeepAliveConfig: keepAlive}
+	configuration := net.ListenConfig{KeepAliveConfig: keepAlive(options)}
 	listener, err := configuration.Listen(context.Background(), "tcp4", options.ListenAddress)
 	if err != nil {
 		return nil, CannotListen.Wrap(err, "on %s", options.ListenAddress)
--- a/internal/node/wireproto/link/options.go
+++ b/internal/node/wireproto/link/options.go
@@ -17,17 +17,16 @@
 
 // Defaults of Options.
 const (
-	DefaultDialTimeout     = time.Second
-	DefaultSendTimeout     = 2 * time.Second
-	DefaultIdleClose       = 60 * time.Second
-	DefaultAcceptedIdle    = 90 * time.Second
-	DefaultFirstBackoff    = 50 * time.Millisecond
-	DefaultMaxBackoff      = time.Second
-	DefaultMaxQueueBytes   = 4 << 20
-	DefaultMaxTotalBytes   = 32 << 20
-	DefaultMaxAccepted     = 1024
-	DefaultKeepAlivePeriod = time.Second
-	DefaultKeepAliveCount  = 2
+	DefaultDialTimeout   = time.Second
+	DefaultSendTimeout   = 2 * time.Second
+	DefaultIdleClose     = 60 * time.Second
+	DefaultAcceptedIdle  = 90 * time.Second
+	DefaultKeepAliveIdle = 10 * time.Second
+	DefaultFirstBackoff  = 50 * time.Millisecond
+	DefaultMaxBackoff    = time.Second
+	DefaultMaxQueueBytes = 4 << 20
+	DefaultMaxTotalBytes = 32 << 20
+	DefaultMaxAccepted   = 1024
 )
 
 // Options of a Network. Zero values stand for the defaults.
@@ -52,6 +51,9 @@
 	IdleClose time.Duration
 	// AcceptedIdle is how long an accepted connection may be silent. It has to be longer than IdleClose.
 	AcceptedIdle time.Duration
+	// KeepAliveIdle is how long a connection rests until the kernel asks whether its other end is there. What is sent
+	// is watched by SendTimeout; these probes only find the connections that nobody uses, and cost bytes on each.
+	KeepAliveIdle time.Duration
 	// FirstBackoff, doubled up to MaxBackoff, is how long messages to a peer are dropped after it could not be
 	// reached.
 	FirstBackoff time.Duration
@@ -74,6 +76,7 @@
 	setDuration(&o.SendTimeout, DefaultSendTimeout)
 	setDuration(&o.IdleClose, DefaultIdleClose)
 	setDuration(&o.AcceptedIdle, DefaultAcceptedIdle)
+	setDuration(&o.KeepAliveIdle, DefaultKeepAliveIdle)
 	setDuration(&o.FirstBackoff, DefaultFirstBackoff)
 	setDuration(&o.MaxBackoff, DefaultMaxBackoff)
 	setInt(&o.MaxQueueBytes, DefaultMaxQueueBytes)
--- a/internal/node/wireproto/link/socket.go
+++ b/internal/node/wireproto/link/socket.go
@@ -8,12 +8,19 @@
 	"golang.org/x/sys/unix"
 )
 
-// keepAlive finds out about a peer that is gone without a word while nothing is sent to it.
-var keepAlive = net.KeepAliveConfig{
-	Enable:   true,
-	Idle:     DefaultKeepAlivePeriod,
-	Interval: DefaultKeepAlivePeriod,
-	Count:    DefaultKeepAliveCount,
+const (
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+)
+
+// keepAlive returns what finds out about a peer that is gone without a word while nothing is sent to it.
+func keepAlive(options Options) net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     options.KeepAliveIdle,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
+	}
 }
 
 // setUserTimeout bounds how long sent bytes stay without acknowledgement: a link that is cut says nothing
@@ -33,7 +40,7 @@
 func dialer(options Options) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         options.DialTimeout,
-		KeepAliveConfig: keepAlive,
+		KeepAliveConfig: keepAlive(options),
 		Control: func(_, _ string, connection syscall.RawConn) error {
 			return setUserTimeout(connection, options.SendTimeout)
 		},
