--- /dev/null
+++ b/internal/layers/node_test.go
@@ -0,0 +1,175 @@
+package layers
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// nodeCores are the state machines of a node (docs/design/system.md): they take inputs and the time, and return what is to
+// be sent, written and answered.
+var nodeCores = []string{"chain", "config", "config/rawjson", "config/schema", "core", "distribution", "kvindex", "membership",
+	"registry", "rendezvous", "rollout", "routing", "submit", "verdict", "view", "wireproto"}
+
+// allowedNames are what a core may use of packages that are else barred. Durations are numbers; a source of chance is
+// given, or made of a seed that is given; the statuses of HTTP are what brokers answer with.
+var allowedNames = map[string]func(name string) bool{
+	"time": func(name string) bool {
+		return slices.Contains([]string{"Duration", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute", "Hour"}, name)
+	},
+	"math/rand/v2": func(name string) bool { return slices.Contains([]string{"Rand", "Source", "New", "NewPCG"}, name) },
+	"net/http":     func(name string) bool { return strings.HasPrefix(name, "Status") },
+}
+
+// guardFiles put a mutex before a core for the requests that come on many goroutines; nothing else is in them.
+var guardFiles = []string{"kvindex/guarded.go", "routing/guarded.go"}
+
+// checkNodeCore gives what is wrong with one source file of a node's core.
+func checkNodeCore(name string, src any) []string {
+	file, err := parser.ParseFile(token.NewFileSet(), name, src, 0)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	var bad []string
+	packages := map[string]string{} // path by the name in the file
+	for _, spec := range file.Imports {
+		path, err := strconv.Unquote(spec.Path.Value)
+		if err != nil {
+			return []string{name + ": " + err.Error()}
+		}
+		if !barredInNodes(path) || path == "sync" && isGuard(name) {
+			continue
+		}
+		if allowedNames[path] == nil || spec.Name != nil && spec.Name.Name == "." {
+			bad = append(bad, name+" imports "+path)
+			continue
+		}
+		packages[localName(spec, path)] = path
+	}
+	ast.Inspect(file, func(node ast.Node) bool {
+		switch node := node.(type) {
+		case *ast.GoStmt:
+			bad = append(bad, name+" starts a goroutine")
+		case *ast.SelectorExpr:
+			if from, ok := node.X.(*ast.Ident); ok && packages[from.Name] != "" && !allowedNames[packages[from.Name]](node.Sel.Name) {
+				bad = append(bad, name+" uses "+from.Name+"."+node.Sel.Name)
+			}
+		}
+		return true
+	})
+	return bad
+}
+
+func barredInNodes(path string) bool {
+	return barred[path] || strings.HasPrefix(path, "net/") || strings.HasPrefix(path, "sync/") || path == "os/signal" || path == "runtime"
+}
+
+func isGuard(name string) bool {
+	return slices.ContainsFunc(guardFiles, func(file string) bool { return strings.HasSuffix(name, file) })
+}
+
+// localName is what a file calls a package that it imports.
+func localName(spec *ast.ImportSpec, path string) string {
+	if spec.Name != nil {
+		return spec.Name.Name
+	}
+	if path == "math/rand/v2" {
+		return "rand"
+	}
+	return path[strings.LastIndex(path, "/")+1:]
+}
+
+func TestNodeCoresArePure(t *testing.T) {
+	for _, core := range nodeCores {
+		files, err := filepath.Glob("../node/" + core + "/*.go")
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen := 0
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			seen++
+			for _, bad := range checkNodeCore(file, nil) {
+				t.Error(bad)
+			}
+		}
+		if seen == 0 {
+			t.Error("no files of", core)
+		}
+	}
+}
+
+func TestPlantedImpurityIsFound(t *testing.T) {
+	for _, planted := range []struct {
+		name string
+		src  string
+		bad  bool
+	}{
+		{"x/a.go", "package x\nimport \"time\"\nvar d = 3 * time.Second", false},
+		{"x/a.go", "package x\nimport \"time\"\nvar d = time.Now()", true},
+		{"x/a.go", "package x\nimport clock \"time\"\nvar d = clock.Since", true},
+		{"x/a.go", "package x\nimport . \"time\"\nvar d = Now()", true},
+		{"x/a.go", "package x\nimport \"math/rand/v2\"\nfunc f(r *rand.Rand) int { return r.IntN(3) }", false},
+		{"x/a.go", "package x\nimport \"math/rand/v2\"\nvar n = rand.IntN(3)", true},
+		{"x/a.go", "package x\nimport \"math/rand\"\nvar n *rand.Rand", true},
+		{"x/a.go", "package x\nimport \"net/http\"\nvar n = http.StatusOK", false},
+		{"x/a.go", "package x\nimport \"net/http\"\nvar n = http.DefaultClient", true},
+		{"x/a.go", "package x\nimport \"net/netip\"\nvar n netip.Addr", true},
+		{"x/a.go", "package x\nimport \"sync\"\nvar n sync.Mutex", true},
+		{"routing/guarded.go", "package x\nimport \"sync\"\nvar n sync.Mutex", false},
+		{"x/a.go", "package x\nimport \"sync/atomic\"\nvar n atomic.Bool", true},
+		{"x/a.go", "package x\nimport \"os\"\nvar n = os.Args", true},
+		{"x/a.go", "package x\nfunc f() { go f() }", true},
+	} {
+		if bad := checkNodeCore(planted.name, planted.src); (len(bad) > 0) != planted.bad {
+			t.Errorf("%s\n%s\ngives %v", planted.name, planted.src, bad)
+		}
+	}
+}
+
+// notInNodes are what a node must not link: clustering, agreement, discovery and proxying are its own work, and its storage
+// and messages are those of its design.
+var notInNodes = []string{"go.etcd.io/raft", "github.com/hashicorp/memberlist", "github.com/hashicorp/raft", "github.com/hashicorp/serf",
+	"net/http/httputil", "github.com/cockroachdb/pebble", "google.golang.org/grpc", "golang.org/x/net/http2", "kestrelspread/internal/fleet",
+	"kestrelspread/internal/standin", "kestrelspread/internal/rig"}
+
+// linkedInNode gives those of a program's packages that a node must not link.
+func linkedInNode(packages string) []string {
+	var found []string
+	for pkg := range strings.FieldsSeq(packages) {
+		for _, barred := range notInNodes {
+			if pkg == barred || strings.HasPrefix(pkg, barred+"/") {
+				found = append(found, pkg)
+			}
+		}
+	}
+	return found
+}
+
+func TestWhatANodeLinks(t *testing.T) {
+	packages := deps(t, "kestrelspread/cmd/kestrelnode")
+	for _, pkg := range linkedInNode(packages) {
+		t.Error("a node links", pkg)
+	}
+	if !strings.Contains(packages, "kestrelspread/internal/node/agent\n") {
+		t.Error("this check would find nothing: the node does not link its own packages")
+	}
+	for _, planted := range notInNodes {
+		if found := linkedInNode(packages + planted + "\n" + planted + "/v9/part\n"); len(found) != 2 {
+			t.Error("a planted import of", planted, "is not found:", found)
+		}
+	}
+	full := linkedInNode(deps(t, "kestrelspread/cmd/kestrelspread"))
+	for _, pkg := range []string{"go.etcd.io/raft/v3", "github.com/cockroachdb/pebble/v2", "google.golang.org/grpc", "golang.org/x/net/http2"} {
+		if !slices.Contains(full, pkg) {
+			t.Error("this check would find nothing: the full broker does not link", pkg)
+		}
+	}
+}
