--- a/internal/node/routing/affinity.go
+++ b/internal/node/routing/affinity.go
@@ -1,15 +1,6 @@
 package routing
 
-import (
-	"cmp"
-	"slices"
-)
-
-// affinitySet is how many brokers are candidates for the prediction on a sticky route.
-const affinitySet = 3
-
-// keptStep is how many tokens more a broker must keep to go before another.
-const keptStep = 256
+import "slices"
 
 // stickyPart is the part of a prompt by which its broker is found without an exchange: the deepest that is shared, as the
 // last one belongs to the request or its session (PROTOCOL.md, "Requests").
@@ -55,39 +46,6 @@
 	return x ^ x>>31
 }
 
-// byAffinity orders the candidates' first few places: those that the index names, then the rendezvous order. It returns how
-// many there are.
-func (r *Router) byAffinity(req *request, found []candidate) int {
-	part, ok := stickyPart(req.Parts)
-	if !ok {
-		return 0
-	}
-	key := affinityKey(part, req.model, req.wall)
-	for i := range found {
-		found[i].rank = weight(key, found[i].broker)
-	}
-	r.rankHolders(req, found)
-	n := min(affinitySet, len(found))
-	for place := range n {
-		best := place
-		for i := place + 1; i < len(found); i++ {
-			if ranksBefore(&found[i], &found[best]) {
-				best = i
-			}
-		}
-		found[place], found[best] = found[best], found[place]
-	}
-	return n
-}
-
-// ranksBefore puts who keeps clearly more first; between equals the rendezvous order decides, so that all proxies agree.
-func ranksBefore(a, b *candidate) bool {
-	if c := cmp.Compare(a.kept/keptStep, b.kept/keptStep); c != 0 {
-		return c > 0
-	}
-	return a.rank > b.rank
-}
-
 // rankHolders notes how many tokens of the prompt each candidate keeps, and the store under its version, as far as the index
 // knows.
 func (r *Router) rankHolders(req *request, found []candidate) {
--- a/internal/node/routing/affinity_test.go
+++ b/internal/node/routing/affinity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -47,21 +48,19 @@
 	}
 }
 
-// A broker that is clearly busier than the rest is passed over, and the prompt's parts are fetched from it.
+// A broker that has clearly more to read than the rest is passed over, and the prompt's parts are fetched from it.
 func TestBusyBrokerIsPassedOver(t *testing.T) {
 	w := newWorld(t, instances(5))
 	w.StoreSeen(w.now, storeAddress, false, false)
 	owner := w.begin(w.prompt(flowRoute, 77))
 	w.serve(owner, ms)
-	for id := range w.brokers {
-		w.ObserveLoad(w.now, id, Load{Running: 3, Slots: 64})
-	}
-	w.ObserveLoad(w.now, owner.Instance.ID, Load{Running: 12, Slots: 64})
+	w.PeerSent(w.now, owner.Instance.ID, 5000)
 	a := w.begin(w.prompt(flowRoute, 77))
 	assert.Assert(t, a.Instance.ID != owner.Instance.ID)
 	assert.Equal(t, a.FetchFrom, owner.Instance.Address)
 	w.serve(a, ms)
-	w.ObserveLoad(w.now, owner.Instance.ID, Load{Running: 5, Slots: 64})
+	w.now += time.Second
+	w.PeerSent(w.now, owner.Instance.ID, 100)
 	a = w.begin(w.prompt(flowRoute, 77))
 	assert.Equal(t, a.Instance.ID, owner.Instance.ID, "a little busier is no reason")
 	assert.Equal(t, a.FetchFrom, "")
@@ -119,10 +118,7 @@
 			a := w.begin(w.prompt(flowRoute, 77))
 			w.serve(a, ms)
 			owner := w.brokers[a.Instance.ID].instance
-			for id := range w.brokers {
-				w.ObserveLoad(w.now, id, Load{Running: 1, Slots: 64})
-			}
-			w.ObserveLoad(w.now, owner.ID, Load{Running: 50, Slots: 64})
+			w.PeerSent(w.now, owner.ID, 5000)
 			c.spoil(w, owner)
 			a = w.begin(w.prompt(flowRoute, 77))
 			assert.Assert(t, a.Instance.ID != owner.ID)
--- /dev/null
+++ b/internal/node/routing/backlog_test.go
@@ -0,0 +1,79 @@
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestBacklogIsReadInTime(t *testing.T) {
+	const perMillisecond = 50
+	var q backlog
+	assert.Equal(t, q.add(0, 5000, perMillisecond, nil), 5000.0)
+	assert.Equal(t, q.tokens(), 5000.0)
+	q.advance(40*ms, perMillisecond, nil)
+	assert.Equal(t, q.tokens(), 3000.0)
+	assert.Equal(t, q.add(60*ms, 1000, perMillisecond, nil), 6000.0)
+	assert.Equal(t, q.tokens(), 3000.0)
+	q.advance(time.Minute, perMillisecond, nil)
+	assert.Equal(t, q.tokens(), 0.0)
+	assert.Equal(t, q.add(time.Minute, 700, perMillisecond, nil), 6700.0, "what was idle time reads nothing ahead")
+	assert.Equal(t, q.tokens(), 700.0)
+}
+
+// An own request without its first token shows that the broker is slower than thought; one that has it, that all before it
+// was read.
+func TestBacklogByOwnRequests(t *testing.T) {
+	const perMillisecond = 50
+	var q backlog
+	first := &attempt{queueEnd: q.add(0, 5000, perMillisecond, nil)}
+	q.add(0, 2000, perMillisecond, first)
+	q.advance(time.Second, perMillisecond, first)
+	assert.Equal(t, q.tokens(), 2000.0+stillToRead)
+	q.passed(first.queueEnd)
+	assert.Equal(t, q.tokens(), 2000.0)
+	q.passed(1000)
+	assert.Equal(t, q.tokens(), 2000.0, "the front never goes back")
+}
+
+// The pace is the slope of latencies over the tokens before them, whatever else each answer takes.
+func TestReadingPace(t *testing.T) {
+	chance := rand.New(rand.NewPCG(3, 8))
+	for _, c := range []struct{ perToken, fixed, noise, want float64 }{
+		{0.018, 30, 20, 0.018},
+		{0.031, 80, 40, 0.031},
+		{5, 10, 0, paceMost},
+		{0, 10, 0, paceLeast},
+	} {
+		var p readingPace
+		assert.Equal(t, p.perToken(), paceAssumed)
+		for range 400 {
+			tokens := 200 + 9000*chance.Float64()
+			p.learn(tokens, c.fixed+c.perToken*tokens+c.noise*chance.Float64())
+		}
+		assert.Assert(t, math.Abs(p.perToken()-c.want) <= 0.1*c.want, "%v for %v", p.perToken(), c.want)
+	}
+	var same readingPace
+	for range 400 {
+		same.learn(1000, 50)
+	}
+	assert.Equal(t, same.perToken(), paceAssumed, "nothing to tell it from")
+}
+
+// The pace follows a change within some hundred answers.
+func TestReadingPaceFades(t *testing.T) {
+	chance := rand.New(rand.NewPCG(3, 8))
+	var p readingPace
+	for i := range 3000 {
+		perToken := 0.02
+		if i >= 1500 {
+			perToken = 0.06
+		}
+		tokens := 200 + 9000*chance.Float64()
+		p.learn(tokens, 20+perToken*tokens)
+	}
+	assert.Assert(t, math.Abs(p.perToken()-0.06) < 0.003)
+}
--- a/internal/node/routing/broker.go
+++ b/internal/node/routing/broker.go
@@ -32,6 +32,7 @@
 	out      int        // own attempts there
 	waiting  []*attempt // those that no answer has begun for, the oldest first
 	report   loadReport
+	backlog  backlog
 	history  [predict.HistorySize]sample
 	lately   *window.Hist // own latencies, scaled; nil before the first answer
 	line     float64
@@ -158,6 +159,14 @@
 	return first.age(now), first.load
 }
 
+// oldestWaiting is the attempt that has waited longest for its answer to begin, nil where none waits.
+func (b *broker) oldestWaiting() *attempt {
+	if len(b.waiting) == 0 {
+		return nil
+	}
+	return b.waiting[0]
+}
+
 func (b *broker) sent(a *attempt) {
 	b.out++
 	b.waiting = append(b.waiting, a)
--- a/internal/node/routing/candidates.go
+++ b/internal/node/routing/candidates.go
@@ -9,13 +9,11 @@
 )
 
 const (
-	overloadFactor = 1.25 // of the average load, above which a prompt's broker is passed over
-	overloadSlack  = 2.0  // requests
-	crowdSlow      = 2.0  // medians that a broker takes which is slow even where all are
-	otherZone      = 0.6  // what another zone counts against a broker, in average loads
-	tookTie        = 0.5  // what a broker's latency counts, in medians
-	chanceTie      = 0.1
-	coldFactor     = 2.0 // what each request counts at a broker that is slow from its start
+	crowdSlow  = 2.0 // medians that a broker takes which is slow even where all are
+	otherZone  = 0.6 // what another zone counts against a broker, in average loads
+	tookTie    = 0.5 // what a broker's latency counts, in medians
+	chanceTie  = 0.1
+	coldFactor = 2.0 // what each request counts at a broker that is slow from its start
 
 	newestFirstSpan  = 3 * time.Second // before older weights are over
 	newestFirstShare = 2.0 / 3         // of the brokers
@@ -35,9 +33,10 @@
 	scored   bool
 	slow     bool
 	trial    bool
-	rank     uint64
-	kept     int // tokens of the prompt, by the index
-	stored   int // tokens of the prompt that the store keeps, by the index
+	kept     int     // tokens of the prompt, by the index
+	stored   int     // tokens of the prompt that the store keeps, by the index
+	unread   int     // tokens that it has to read for the request
+	cost     float64 // ms until the first token, as far as brokers differ in it
 }
 
 // field is what is found for one request: brokers that are sound, and those in doubt.
@@ -205,10 +204,8 @@
 		r.counters.Trials++
 		return trial, false
 	}
-	if req.Route.Sticky {
-		if chosen, byPrediction = r.pickByAffinity(now, req, f); chosen != nil {
-			return chosen, byPrediction
-		}
+	if req.model != "" {
+		return r.pickByWork(now, req, f)
 	}
 	return r.pickByLoad(now, req, f)
 }
@@ -222,31 +219,6 @@
 	return nil
 }
 
-// pickByAffinity takes the first broker in the prompt's order that is neither predicted slow nor clearly busier than the
-// rest; nil where there is none.
-func (r *Router) pickByAffinity(now core.Time, req *request, f *field) (*candidate, bool) {
-	n := r.byAffinity(req, f.sound)
-	limit := overloadFactor*f.average + overloadSlack
-	skipped := false
-	for i := range n {
-		c := &f.sound[i]
-		r.score(now, req, f, c)
-		switch {
-		case c.slow:
-			skipped = true
-		case c.load <= limit:
-			if i == 0 || c.kept > 0 {
-				r.counters.ByAffinity++
-			}
-			if skipped {
-				r.counters.ByPrediction++
-			}
-			return c, n > 1
-		}
-	}
-	return nil, false
-}
-
 // pickByLoad is the design's choice: predicted-slow brokers are skipped, and of the rest the one with the fewest own requests
 // takes it; ties go by load, what answers took, the own zone and chance. If all look slow, the first still takes it.
 func (r *Router) pickByLoad(now core.Time, req *request, f *field) (*candidate, bool) {
@@ -262,7 +234,7 @@
 		if r.score(now, req, f, best); best.slow {
 			continue
 		}
-		if slices.ContainsFunc(f.sound, func(c candidate) bool { return c.slow }) {
+		if anySlow(f.sound) {
 			r.counters.ByPrediction++
 		} else {
 			r.counters.ByLoad++
@@ -271,6 +243,10 @@
 	}
 }
 
+func anySlow(found []candidate) bool {
+	return slices.ContainsFunc(found, func(c candidate) bool { return c.slow })
+}
+
 // leastLoaded is the candidate with the fewest own requests, of those not known to look slow or of all; nil where there is
 // none.
 func leastLoaded(found []candidate, slowToo bool) *candidate {
--- a/internal/node/routing/guarded.go
+++ b/internal/node/routing/guarded.go
@@ -75,6 +75,13 @@
 	g.router.SetPeers(now, proxies)
 }
 
+// PeerSent is Router.PeerSent.
+func (g *Guarded) PeerSent(now core.Time, instance string, tokens int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.PeerSent(now, instance, tokens)
+}
+
 // CoreDisturbed is Router.CoreDisturbed.
 func (g *Guarded) CoreDisturbed(now, at core.Time) {
 	g.mutex.Lock()
--- a/internal/node/routing/outcomes.go
+++ b/internal/node/routing/outcomes.go
@@ -33,6 +33,7 @@
 		b.orderedUntil = 0
 	}
 	p.answeredAt = now
+	b.backlog.passed(a.queueEnd)
 	if req.Route.Kind == config.KindStreaming {
 		r.learn(now, req, a) // an event is no quick error
 	}
@@ -51,8 +52,11 @@
 	if a.fetchFrom != "" {
 		b.moves.done(now, slow)
 	}
-	if a.salt != "" && p.seen >= predict.Few {
-		r.noteStore(now, a, p.median)
+	if a.salt != "" {
+		p.pace.learn(a.ahead, a.latency*a.scale)
+		if p.seen >= predict.Few {
+			r.noteStore(now, a, p.median)
+		}
 	}
 	b.learnLatency(now, a)
 	p.latencies.Add(milliseconds(now), a.latency)
--- /dev/null
+++ b/internal/node/routing/placement.go
@@ -0,0 +1,219 @@
+package routing
+
+import (
+	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/core"
+)
+
+// A model broker's answer begins when it has read what was sent there before, and then the prompt itself. So a request goes
+// where that is least: the tokens that wait there, those of the prompt that the broker lacks and nobody else keeps, and what
+// moving the others takes. Counts of requests tell little of it, as one prompt may be a hundred times another.
+const (
+	ownerShare    = 0.5  // of what must be read anew is taken off at the broker that should keep it
+	ownerLeast    = 4.0  // ms that are taken off there at least, so that proxies agree where costs are nearly equal
+	movesZones    = 2.0  // times as long between zones (PROTOCOL.md, "KV cache")
+	moveFixed     = 3.0  // ms for any move
+	zoneCost      = 2.0  // ms for a broker of another zone
+	requestCost   = 0.3  // ms for each request that runs there
+	fullCost      = 200. // ms where all places are taken
+	chanceCost    = 1.0  // ms at most, by chance
+	moveAssumed   = 0.01 // ms a token, where the configuration doesn't tell
+	bitsPerByte   = 8
+	bitsPerMsMbps = 1000 // bits in a ms at 1 Mbps
+)
+
+// placing is what the costs of all candidates for a request have in common.
+type placing struct {
+	perToken float64 // ms to read a token
+	engine   *config.Engine
+	store    *config.Service // nil: none that is well
+	shared   int             // tokens that others may keep
+	own      int             // tokens that nobody else can keep
+	owner    *broker         // should keep the shared parts
+	versions []versionKept   // used again by each request
+}
+
+// versionKept is the most tokens that any candidate with a version of the weights keeps.
+type versionKept struct {
+	version uint64
+	tokens  int
+}
+
+// pickByWork takes the candidate that is expected to begin its answer first, of those that aren't predicted slow; if all are,
+// the first of all.
+func (r *Router) pickByWork(now core.Time, req *request, f *field) (*candidate, bool) {
+	r.assess(now, req, f.sound)
+	for {
+		best := cheapest(f.sound, false)
+		if best == nil {
+			r.counters.AllSlow++
+			return cheapest(f.sound, true), false
+		}
+		if r.score(now, req, f, best); best.slow {
+			continue
+		}
+		r.countChoice(f, best)
+		return best, len(f.sound) > 1
+	}
+}
+
+func (r *Router) countChoice(f *field, best *candidate) {
+	switch {
+	case anySlow(f.sound):
+		r.counters.ByPrediction++
+	case best.kept > 0 || best.broker == r.placing.owner:
+		r.counters.ByAffinity++
+	default:
+		r.counters.ByLoad++
+	}
+}
+
+// cheapest is the candidate with the least cost, of those not known to look slow or of all; nil where there is none.
+func cheapest(found []candidate, slowToo bool) *candidate {
+	var best *candidate
+	for i := range found {
+		if c := &found[i]; (slowToo || !c.slow) && (best == nil || c.cost < best.cost) {
+			best = c
+		}
+	}
+	return best
+}
+
+// assess fills in what candidates lack of the prompt and what it costs to send the request there.
+func (r *Router) assess(now core.Time, req *request, found []candidate) {
+	r.rankHolders(req, found)
+	r.place(now, req, found)
+	for i := range found {
+		c := &found[i]
+		c.unread, c.cost = r.placing.work(c)
+		c.cost += r.placing.perToken * r.waiting(now, req.pool, c.broker)
+		c.cost += r.conditions(c)
+		if now < c.broker.instance.ColdUntil {
+			c.cost *= coldFactor
+		}
+	}
+}
+
+// place fills in what the candidates have in common.
+func (r *Router) place(now core.Time, req *request, found []candidate) {
+	p := &r.placing
+	p.perToken = req.pool.pace.perToken()
+	p.engine = r.compiled.Services[req.Service].Engine
+	p.store = r.store()
+	if p.store != nil && !r.storeWell(now, p.store.KVStoreAddr) {
+		p.store = nil
+	}
+	p.shared = sharedTokens(req.Parts)
+	p.own = max(req.TokensIn-p.shared, 0)
+	p.owner = owner(req, found)
+	p.versions = p.versions[:0]
+	for i := range found {
+		p.noteKept(found[i].version, found[i].kept)
+	}
+}
+
+func (p *placing) noteKept(version uint64, tokens int) {
+	for i := range p.versions {
+		if p.versions[i].version == version {
+			p.versions[i].tokens = max(p.versions[i].tokens, tokens)
+			return
+		}
+	}
+	p.versions = append(p.versions, versionKept{version, tokens})
+}
+
+func (p *placing) keptAnywhere(version uint64) int {
+	for _, kept := range p.versions {
+		if kept.version == version {
+			return kept.tokens
+		}
+	}
+	return 0
+}
+
+// owner is the candidate that should keep the prompt's parts, by the rendezvous order; nil where there is none.
+func owner(req *request, found []candidate) *broker {
+	part, ok := stickyPart(req.Parts)
+	if !ok {
+		return nil
+	}
+	key := affinityKey(part, req.model, req.wall)
+	var best *broker
+	highest := uint64(0)
+	for i := range found {
+		if w := weight(key, found[i].broker); best == nil || w > highest {
+			best, highest = found[i].broker, w
+		}
+	}
+	return best
+}
+
+// work tells how many tokens a candidate has to read for the request, and what reading and moving the rest takes, ms.
+func (p *placing) work(c *candidate) (unread int, cost float64) {
+	missing := max(p.shared-c.kept, 0)
+	moved, perMoved := p.move(c, missing)
+	anew := missing - moved
+	cost = p.perToken * float64(p.own+anew)
+	if c.broker == p.owner {
+		cost -= ownerLeast + ownerShare*p.perToken*float64(anew)
+	}
+	if moved > 0 {
+		cost += moveFixed + perMoved*float64(moved)
+	}
+	return p.own + anew, cost
+}
+
+// move is how many of the missing tokens can be fetched, and what each takes, ms.
+func (p *placing) move(c *candidate, missing int) (moved int, perToken float64) {
+	if missing < fetchLeastTokens {
+		return 0, 0
+	}
+	elsewhere := p.keptAnywhere(c.version)
+	if elsewhere > c.kept && elsewhere >= c.stored {
+		return min(elsewhere-c.kept, missing), p.moveTime(p.engine.LinkMbps, movesZones)
+	}
+	if p.store == nil || c.stored <= c.kept {
+		return 0, 0
+	}
+	times := 1.0
+	if p.store.Zone != c.broker.instance.Zone {
+		times = movesZones
+	}
+	return min(c.stored-c.kept, missing), p.moveTime(p.store.LinkMbps, times)
+}
+
+func (p *placing) moveTime(mbps, times float64) float64 {
+	if mbps <= 0 || p.engine.KVTokenBytes <= 0 {
+		return moveAssumed * times
+	}
+	return times * p.engine.KVTokenBytes * bitsPerByte / (mbps * bitsPerMsMbps)
+}
+
+// waiting is how many tokens a broker has to read before a new request's turn.
+func (r *Router) waiting(now core.Time, p *pool, b *broker) float64 {
+	b.backlog.advance(now, 1/p.pace.perToken(), b.oldestWaiting())
+	return b.backlog.tokens()
+}
+
+// conditions is what counts against a broker besides the work, ms.
+func (r *Router) conditions(c *candidate) float64 {
+	instance := c.broker.instance
+	cost := requestCost*c.load + chanceCost*r.options.Random.Float64()
+	if instance.Zone != r.options.Zone {
+		cost += zoneCost
+	}
+	if instance.Slots > 0 && c.load >= float64(instance.Slots) {
+		cost += fullCost
+	}
+	return cost
+}
+
+// PeerSent tells that another proxy has sent a request to a broker, which has so many tokens to read for it.
+func (r *Router) PeerSent(now core.Time, instance string, tokens int) {
+	b := r.brokers[instance]
+	if b == nil {
+		return
+	}
+	p := r.pool(b.instance.Service)
+	b.backlog.add(now, float64(tokens), 1/p.pace.perToken(), b.oldestWaiting())
+}
--- /dev/null
+++ b/internal/node/routing/placement_test.go
@@ -0,0 +1,150 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/registry"
+)
+
+// sized is a prompt with nothing that others share.
+func (w *world) sized(tokens int) Request {
+	q := w.request(flowRoute)
+	q.Model = model
+	q.TokensIn = tokens
+	q.Parts = []PromptPart{{ID: w.Router.options.Random.Uint64(), Tokens: tokens}}
+	return q
+}
+
+// Requests go where least waits to be read, however many run there.
+func TestLeastToRead(t *testing.T) {
+	w := newWorld(t, instances(3))
+	w.PeerSent(w.now, "i00", 30000)
+	w.PeerSent(w.now, "i01", 8000)
+	w.ObserveLoad(w.now, "i02", Load{Running: 20, Slots: 64})
+	assert.Equal(t, w.begin(w.sized(20000)).Instance.ID, "i02")
+	assert.Equal(t, w.begin(w.sized(600)).Instance.ID, "i01", "the long prompt waits at the other one now")
+	w.now += time.Second
+	seen := map[string]bool{}
+	for range 3 {
+		seen[w.begin(w.sized(3000)).Instance.ID] = true
+	}
+	assert.Equal(t, len(seen), 3, "what was sent is read by and by")
+}
+
+// A broker whose places are all taken is left for one with more to read.
+func TestPlacesTaken(t *testing.T) {
+	w := newWorld(t, instances(2))
+	w.ObserveLoad(w.now, "i00", Load{Running: 64, Slots: 64})
+	w.ObserveLoad(w.now, "i01", Load{Running: 3, Slots: 64})
+	w.PeerSent(w.now, "i01", 3000)
+	assert.Equal(t, w.begin(w.sized(600)).Instance.ID, "i01")
+}
+
+// Whether a prompt's parts are at a broker, can be moved or must be read anew is weighed against what waits there.
+func TestKeptPartsAgainstWaiting(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		holders []Holder
+		waiting int // tokens at the broker that keeps the parts
+		stays   bool
+	}{
+		{"kept there alone, nothing waits", []Holder{{Instance: "i00", Tokens: 1300}}, 0, true},
+		{"kept there alone, a little waits", []Holder{{Instance: "i00", Tokens: 1300}}, 300, true},
+		{"kept there alone, as the rest can fetch, much waits", []Holder{{Instance: "i00", Tokens: 1300}}, 4000, false},
+		{"kept at the store too", []Holder{{Instance: "i00", Tokens: 1300}, {Instance: storeAddress, Store: true, Tokens: 1300}}, 2000, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorldWith(t, instances(4), &fixedIndex{holders: c.holders})
+			w.PeerSent(w.now, "i00", c.waiting)
+			a := w.begin(w.prompt(flowRoute, 5))
+			assert.Equal(t, a.Instance.ID == "i00", c.stays)
+			assert.Equal(t, a.Unread, 300, "only the last part")
+		})
+	}
+}
+
+// What a broker has to read for a request is told for other proxies.
+func TestUnread(t *testing.T) {
+	w := newWorld(t, instances(3))
+	assert.Equal(t, w.begin(w.prompt(flowRoute, 5)).Unread, 1600)
+	assert.Equal(t, w.begin(w.request(safeRoute)).Unread, 0, "no model")
+	w.StoreSeen(w.now, storeAddress, false, false)
+	known := newWorldWith(t, instances(3), &fixedIndex{holders: []Holder{{Instance: storeAddress, Store: true, Tokens: 500}}})
+	assert.Equal(t, known.begin(known.prompt(flowRoute, 5)).Unread, 1100)
+	known.StoreSeen(known.now, storeAddress, false, false)
+	assert.Equal(t, known.begin(known.prompt(flowRoute, 5)).Unread, 1600, "the store is down")
+}
+
+// Renewed brokers have nothing of a prompt yet: they get requests as the old ones, which have it, fill up.
+func TestRenewedBrokersFillUp(t *testing.T) {
+	list := instances(6)
+	for _, instance := range list[:3] {
+		withVersion(instance, 2)
+	}
+	index := &versionedBrokers{salt: SaltID(cacheSalt(model, 1, "")), holders: []string{list[3].ID, list[4].ID, list[5].ID}}
+	w := newWorldWith(t, list, index)
+	w.SetConfig(w.now, configOf(map[string]uint64{model: 2}))
+	renewed := 0
+	for i := range 40 {
+		a := w.begin(w.prompt(flowRoute, uint64(i)))
+		if a.ExpectVersion == 2 {
+			renewed++
+		}
+		if i == 0 {
+			assert.Equal(t, a.ExpectVersion, uint64(1), "the first goes where it is kept")
+		}
+	}
+	assert.Assert(t, renewed >= 4 && renewed <= 20, "%d of 40 went to renewed brokers", renewed)
+}
+
+// versionedBrokers has all shared parts at some brokers under one salt.
+type versionedBrokers struct {
+	salt    uint64
+	holders []string
+}
+
+func (x *versionedBrokers) Holders(salt uint64, parts []PromptPart) []Holder {
+	if salt != x.salt {
+		return nil
+	}
+	var list []Holder
+	for _, id := range x.holders {
+		list = append(list, Holder{Instance: id, Tokens: sumTokens(parts[:len(parts)-1])})
+	}
+	return list
+}
+
+// A broker that is predicted slow is passed over by model requests too; where all are, the first by work takes it.
+func TestSlowModelBrokersArePassedOver(t *testing.T) {
+	w := newWorld(t, instances(3))
+	slow := map[string]bool{"i00": true}
+	serve := func() string {
+		a := w.begin(w.sized(1000))
+		latency := 30 * ms
+		if slow[a.Instance.ID] {
+			latency = 600 * ms
+		}
+		w.serve(a, latency)
+		return a.Instance.ID
+	}
+	for range 100 {
+		serve()
+	}
+	count := 0
+	for range 60 {
+		if serve() == "i00" {
+			count++
+		}
+	}
+	assert.Assert(t, count <= 6, "%d of 60 went to the slow one", count)
+}
+
+// PeerSent of brokers that are not known, or that run no model, changes nothing.
+func TestPeerSentOfUnknownBrokers(t *testing.T) {
+	w := newWorld(t, []*registry.Instance{instanceOf("i00", "z0")})
+	w.PeerSent(w.now, "i77", 5000)
+	assert.Equal(t, w.begin(w.sized(100)).Instance.ID, "i00")
+}
--- a/internal/node/routing/pool.go
+++ b/internal/node/routing/pool.go
@@ -23,6 +23,7 @@
 	budget   budget
 	overload overload
 
+	pace      readingPace
 	weights   predict.Weights
 	submits   predict.Submits
 	latencies *window.Hist // all answers of the service, scaled to the usual work
--- a/internal/node/routing/request.go
+++ b/internal/node/routing/request.go
@@ -33,6 +33,8 @@
 	broker        *broker
 	sentAt        core.Time
 	load          float64 // there, when it was sent
+	queueEnd      float64 // its place in the broker's backlog
+	ahead         float64 // tokens to be read before its first one, its own included, when it was sent
 	scale         float64 // expected latency against the usual of the pool
 	features      predict.Vector
 	predictedFast bool
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -33,6 +33,7 @@
 	awakeAt core.Time
 
 	field    field    // used again by each choice
+	placing  placing  // used again by each choice for a model
 	asked    []uint64 // used again by rankHolders
 	counters Counters
 }
@@ -251,6 +252,7 @@
 	if req.model != "" {
 		r.describeModel(now, req, chosen, out)
 		a.salt, a.fetchFrom = out.Salt, out.FetchFrom
+		r.queue(now, req, a, out, chosen.unread)
 	}
 	req.attempts = append(req.attempts, a)
 	b.sent(a)
@@ -270,6 +272,17 @@
 	}
 }
 
+// queue puts the prompt of an attempt at the end of what its broker has to read.
+func (r *Router) queue(now core.Time, req *request, a *attempt, out *Attempt, unread int) {
+	if unread == 0 {
+		unread = req.TokensIn
+	}
+	b := a.broker
+	a.queueEnd = b.backlog.add(now, float64(unread), 1/req.pool.pace.perToken(), b.oldestWaiting())
+	a.ahead = b.backlog.tokens()
+	out.Unread = unread
+}
+
 // another decides on a further attempt for a request of which nothing is out any more.
 func (r *Router) another(now core.Time, req *request, outcome *Outcome) Decision {
 	if !outcome.Verdict.MayRepeat(req.idempotent) || req.mayHaveRun() && !req.idempotent {
--- a/internal/node/routing/store_test.go
+++ b/internal/node/routing/store_test.go
@@ -41,14 +41,8 @@
 			if first.Instance.ID == source {
 				source = "i02"
 			}
-			busy := Load{Running: 50, Slots: 64}
-			w.ObserveLoad(w.now, first.Instance.ID, busy)
-			w.ObserveLoad(w.now, source, busy)
-			for _, b := range w.Router.brokers {
-				if b.instance.ID != first.Instance.ID && b.instance.ID != source {
-					w.ObserveLoad(w.now, b.instance.ID, Load{Running: 1, Slots: 64})
-				}
-			}
+			w.PeerSent(w.now, first.Instance.ID, 50000)
+			w.PeerSent(w.now, source, 50000)
 			index.holders = []Holder{{Instance: storeAddress, Store: true, Tokens: c.stored}, {Instance: source, Tokens: c.peers}}
 			if c.kept > 0 {
 				index.holders = append(index.holders, Holder{Instance: other, Tokens: c.kept})
--- a/internal/node/routing/world_test.go
+++ b/internal/node/routing/world_test.go
@@ -91,6 +91,7 @@
 	q := w.request(route)
 	q.Model = model
 	q.Parts = []PromptPart{{ID: 1, Tokens: 500}, {ID: part, Tokens: 800}, {ID: part ^ 0xfff000, Tokens: 300}}
+	q.TokensIn = 1600
 	return q
 }
 
