--- a/internal/rig/fleet/platform.go
+++ b/internal/rig/fleet/platform.go
@@ -81,28 +81,29 @@
 	return p.misses[node.Name] < missesOut
 }
 
-// pick gives the node for a new connection of a client, another one at each try.
+// pick gives the node for a new connection of a client; retries reach other nodes.
 func (p *platform) pick(zone string, client, try int) *Node {
-	for _, candidate := range p.zonesFrom(zone) {
-		all := p.inZone(candidate)
-		in := slices.DeleteFunc(slices.Clone(all), func(n *Node) bool { return !p.isIn(n) })
-		if len(in) == 0 {
-			continue
-		}
-		if 2*len(in) < len(all) {
-			in = all
+	var candidates []*Node
+	start := max(slices.Index(Zones, zone), 0)
+	for i := range Zones {
+		receiving := p.receiving(Zones[(start+i)%len(Zones)])
+		for j := range receiving {
+			candidates = append(candidates, receiving[(client+j)%len(receiving)])
 		}
-		return in[(client+try)%len(in)]
 	}
-	return p.nodes[(client+try)%len(p.nodes)]
-}
-
-// zonesFrom lists the zones, the client's own first.
-func (p *platform) zonesFrom(zone string) []string {
-	start := max(slices.Index(Zones, zone), 0)
-	return append(slices.Clone(Zones[start:]), Zones[:start]...)
+	if len(candidates) == 0 {
+		candidates = p.nodes
+	}
+	return candidates[try%len(candidates)]
 }
 
-func (p *platform) inZone(zone string) []*Node {
-	return slices.DeleteFunc(slices.Clone(p.nodes), func(n *Node) bool { return n.Zone != zone })
+// receiving lists the nodes of a zone that receive new connections: those that are in, or all where fewer than half are;
+// none where none is in.
+func (p *platform) receiving(zone string) []*Node {
+	all := slices.DeleteFunc(slices.Clone(p.nodes), func(n *Node) bool { return n.Zone != zone })
+	in := slices.DeleteFunc(slices.Clone(all), func(n *Node) bool { return !p.isIn(n) })
+	if len(in) > 0 && 2*len(in) < len(all) {
+		return all
+	}
+	return in
 }
