--- a/internal/node/chain/barrier.go
+++ b/internal/node/chain/barrier.go
@@ -10,6 +10,7 @@
 type barrierStart struct {
 	origin     *nodepb.Origin
 	rejection  *nodepb.CommandResult
+	turnedDown *submission // what the rejection is for
 	wantsState bool
 	nonce      uint64
 	number     uint64
@@ -58,6 +59,20 @@
 	s.passBarrier(barrier)
 }
 
+// unanswered lists the reads that wait for a barrier, and the commands that were turned down by one.
+func (s *Store) unanswered() (reads []barrierStart, commands []submission) {
+	for _, start := range append(s.barriers, s.waiting...) {
+		switch {
+		case start.number > 0 && s.now-start.started >= queueWait:
+		case start.turnedDown != nil:
+			commands = append(commands, *start.turnedDown)
+		case start.wantsState && start.origin != nil:
+			reads = append(reads, start)
+		}
+	}
+	return reads, commands
+}
+
 // startWaiting starts the barriers that waited for an inherited entry.
 func (s *Store) startWaiting() {
 	if s.inherited || !s.viewDurable {
--- a/internal/node/chain/head.go
+++ b/internal/node/chain/head.go
@@ -42,7 +42,7 @@
 
 func (s *Store) passToHead(from string, message *nodepb.Submit, origin *nodepb.Origin) {
 	head := view.Head(s.view)
-	if head == nil || head.GetAddress() == from || message.GetHops() >= maxHops {
+	if head == nil || message.GetHops() >= maxHops || message.GetHops() > 0 && head.GetAddress() == from {
 		return
 	}
 	s.send(head.GetAddress(), &nodepb.Envelope{Body: &nodepb.Envelope_Submit{Submit: &nodepb.Submit{
@@ -54,7 +54,7 @@
 	}}})
 }
 
-// passQueueOn sends what waits here to the new head.
+// passQueueOn sends the commands that wait here to the new head.
 func (s *Store) passQueueOn() {
 	for _, waiting := range s.queue {
 		message := &nodepb.Submit{Request: waiting.origin.GetRequest(), Command: waiting.command, Hops: waiting.hops}
@@ -86,7 +86,7 @@
 func (s *Store) take(next submission) {
 	result, take := s.options.Machine.Check(next.command)
 	if !take {
-		s.startBarrier(barrierStart{origin: next.origin, rejection: result})
+		s.startBarrier(barrierStart{origin: next.origin, rejection: result, turnedDown: &next})
 		return
 	}
 	s.retransmitAt = s.now + retransmitEvery
--- /dev/null
+++ b/internal/node/chain/member_test.go
@@ -0,0 +1,181 @@
+package chain_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/chain"
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// member is one Store alone, to which a test hands messages one by one, and whose disk the test completes.
+type member struct {
+	t       *testing.T
+	self    *nodepb.Voter
+	store   *chain.Store
+	machine *register
+	now     core.Time
+	records []core.Record
+	write   *core.Write // under way
+	sent    []core.Send // since last taken
+	pings   uint64
+}
+
+// voters a, b, c, d: disk "a" at address "addr-a", and so on.
+func voter(name string) *nodepb.Voter {
+	return &nodepb.Voter{DiskId: name, Address: "addr-" + name, NodeId: "node-" + name}
+}
+
+// testView makes a view of the voters, each one letter, with the chain.
+func testView(epoch uint64, voters, chainOrder string) *nodepb.View {
+	v := &nodepb.View{Epoch: epoch}
+	for _, name := range voters {
+		v.Voters = append(v.Voters, voter(string(name)))
+	}
+	for _, name := range chainOrder {
+		v.Chain = append(v.Chain, string(name))
+	}
+	return v
+}
+
+func newMember(t *testing.T, self *nodepb.Voter) *member {
+	m := &member{t: t, self: self}
+	m.start()
+	return m
+}
+
+// memberOf is a member that has the view on its disk.
+func memberOf(t *testing.T, name string, installed *nodepb.View) *member {
+	m := newMember(t, voter(name))
+	m.receive("x", &nodepb.Envelope{Body: &nodepb.Envelope_ViewDecided{ViewDecided: &nodepb.ViewDecided{View: installed}}})
+	m.durable()
+	m.take()
+	return m
+}
+
+// start begins a life of the member with what is on its disk.
+func (m *member) start() {
+	m.machine = newRegister()
+	m.write = nil
+	m.sent = nil
+	store, outputs, err := chain.New(m.now, chain.Options{
+		Self: m.self, Tolerance: 1, Machine: m.machine,
+	}, m.records, rand.New(rand.NewPCG(1, 2)))
+	assert.NilError(m.t, err)
+	m.store = store
+	m.collect(outputs)
+}
+
+func (m *member) collect(outputs []core.Output) {
+	for _, output := range outputs {
+		switch output := output.(type) {
+		case core.Send:
+			output.Message = proto.CloneOf(output.Message)
+			m.sent = append(m.sent, output)
+		case core.Write:
+			assert.Assert(m.t, m.write == nil, "one write at a time")
+			m.write = &output
+		}
+	}
+}
+
+func (m *member) receive(from string, envelope *nodepb.Envelope) {
+	m.collect(m.store.Receive(m.now, core.Peer{NodeID: "node-" + from, Address: "addr-" + from}, envelope))
+}
+
+// durable completes writes until none is under way.
+func (m *member) durable() {
+	for m.write != nil {
+		write := m.write
+		m.write = nil
+		if write.Checkpoint {
+			m.records = nil
+		}
+		m.records = append(m.records, write.Records...)
+		m.collect(m.store.Written(m.now, write.Token, nil))
+	}
+}
+
+// take returns what was sent since, each as "kind>address", without pings.
+func (m *member) take() []string {
+	var kinds []string
+	for _, output := range m.sent {
+		kind := fmt.Sprintf("%T", output.Message.GetBody())[len("*nodepb.Envelope_"):]
+		if kind != "VoterPing" {
+			kinds = append(kinds, kind+">"+output.To)
+		}
+	}
+	m.sent = nil
+	return kinds
+}
+
+// find returns the newest message sent that the picker takes.
+func find[T any](m *member, pick func(*nodepb.Envelope) *T) *T {
+	for i := len(m.sent) - 1; i >= 0; i-- {
+		if found := pick(m.sent[i].Message); found != nil {
+			return found
+		}
+	}
+	m.t.Helper()
+	m.t.Fatalf("not sent, only %v", m.take())
+	return nil
+}
+
+func command(id string, base, version uint64) *nodepb.Command {
+	return &nodepb.Command{Id: id, Change: &nodepb.Command_ConfigChange{
+		ConfigChange: &nodepb.ConfigChange{BaseVersion: base, Version: version},
+	}}
+}
+
+func entry(index, epoch uint64, id string) *nodepb.Entry {
+	return &nodepb.Entry{
+		Index: index, Epoch: epoch, Command: command(id, index-1, index),
+		Origin: &nodepb.Origin{Address: "addr-api", Request: 40 + index},
+	}
+}
+
+func appendOf(epoch uint64, e *nodepb.Entry, committed, committedEpoch uint64) *nodepb.Envelope {
+	return &nodepb.Envelope{Body: &nodepb.Envelope_Append{Append: &nodepb.Append{
+		Epoch: epoch, Entry: e, Committed: committed, CommittedEpoch: committedEpoch,
+	}}}
+}
+
+func noticeOf(epoch, index, entryEpoch uint64) *nodepb.Envelope {
+	return &nodepb.Envelope{Body: &nodepb.Envelope_CommitNotice{CommitNotice: &nodepb.CommitNotice{
+		Epoch: epoch, Index: index, EntryEpoch: entryEpoch,
+	}}}
+}
+
+func prepareOf(epoch uint64, round uint64, base *nodepb.View) *nodepb.Envelope {
+	return &nodepb.Envelope{Body: &nodepb.Envelope_Prepare{Prepare: &nodepb.Prepare{
+		Epoch: epoch, Ballot: &nodepb.Ballot{Round: round, Proposer: "b"}, Base: base,
+	}}}
+}
+
+func acceptOf(epoch uint64, round uint64, value *nodepb.View) *nodepb.Envelope {
+	return &nodepb.Envelope{Body: &nodepb.Envelope_Accept{Accept: &nodepb.Accept{
+		Epoch: epoch, Ballot: &nodepb.Ballot{Round: round, Proposer: "b"}, View: value,
+	}}}
+}
+
+func readBarrier(epoch, committed, committedEpoch, last uint64) *nodepb.Envelope {
+	return &nodepb.Envelope{Body: &nodepb.Envelope_Barrier{Barrier: &nodepb.Barrier{
+		Epoch: epoch, Origin: &nodepb.Origin{Address: "addr-api", Request: 9}, WantsState: true,
+		Committed: committed, CommittedEpoch: committedEpoch, LastIndex: last, Number: 5,
+	}}}
+}
+
+func submitOf(c *nodepb.Command) *nodepb.Envelope {
+	return &nodepb.Envelope{Body: &nodepb.Envelope_Submit{Submit: &nodepb.Submit{Request: 7, Command: c}}}
+}
+
+func joinOf(name string, epoch, committed, committedEpoch uint64, reachable ...string) *nodepb.Envelope {
+	return &nodepb.Envelope{Body: &nodepb.Envelope_JoinRequest{JoinRequest: &nodepb.JoinRequest{
+		Self: voter(name), Epoch: epoch, Committed: committed, CommittedEpoch: committedEpoch, Reachable: reachable,
+	}}}
+}
--- a/internal/node/chain/operator_test.go
+++ b/internal/node/chain/operator_test.go
@@ -19,6 +19,8 @@
 	stopped bool
 	command *nodepb.Command // without a clear answer yet
 	acked   int
+	ackedAt core.Time     // when the newest acknowledgement came
+	longest time.Duration // between two acknowledgements
 	reads   int
 }
 
@@ -101,6 +103,8 @@
 	switch result.GetCode() {
 	case nodepb.ResultCode_TAKEN:
 		o.acked++
+		o.longest = max(o.longest, o.world.now-o.ackedAt)
+		o.ackedAt = o.world.now
 		o.version = o.command.GetConfigChange().GetVersion()
 		o.command = nil
 	case nodepb.ResultCode_CONFLICT:
--- a/internal/node/chain/reconfigure.go
+++ b/internal/node/chain/reconfigure.go
@@ -365,16 +365,24 @@
 	}})
 }
 
-// leaveHead forgets what this node held as the head of the epoch before.
+// leaveHead ends what this node did as the head of the epoch before. What was not answered begins anew, here or at the new
+// head: a command that was turned down is checked again, as this node may have been superseded when it checked it.
 func (s *Store) leaveHead() {
 	s.inherited = false
+	reads, commands := s.unanswered()
 	s.waiting = nil
 	s.barriers = nil
 	s.leased = false
 	s.leaseFrom = 0
 	s.holdUntil = 0
 	clear(s.joiners)
-	if !s.isHead() {
-		s.passQueueOn()
+	s.queue = append(commands, s.queue...)
+	if s.isHead() {
+		s.waiting = reads
+		return
+	}
+	for _, read := range reads {
+		s.passToHead("", &nodepb.Submit{Request: read.origin.GetRequest(), Read: true}, read.origin)
 	}
+	s.passQueueOn()
 }
--- a/internal/node/chain/scenario_test.go
+++ b/internal/node/chain/scenario_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"kestrelspread/internal/node/chain"
 	"kestrelspread/internal/node/nodepb"
 )
 
@@ -67,3 +68,273 @@
 		assert.Assert(t, o.reads > 10, "read only %d", o.reads)
 	}
 }
+
+// settled is a world whose machines are all in the chain, and an operator that has begun.
+func settled(t *testing.T, settings worldSettings) (*world, *operator) {
+	t.Helper()
+	w := newWorld(t, 7, settings)
+	w.runUntil("all in the chain", 2*time.Second, w.whole(settings.core))
+	o := w.newOperator("a", 2*time.Millisecond)
+	w.runUntil("first acknowledgements", 3*time.Second, o.acksAgain(5))
+	o.longest = 0
+	return w, o
+}
+
+var four = worldSettings{core: 4, founders: 3, proxies: 2, tolerance: 1}
+
+func (w *world) inRole(role chain.Role) *node {
+	for _, n := range w.stores() {
+		if n.store.Status().Role == role {
+			return n
+		}
+	}
+	w.t.Fatalf("nobody is %v", role)
+	return nil
+}
+
+func TestKilledMemberReturns(t *testing.T) {
+	for _, role := range []chain.Role{chain.HeadOf, chain.Middle, chain.TailOf} {
+		for _, away := range []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second, 8 * time.Second} {
+			w, o := settled(t, four)
+			n := w.inRole(role)
+			n.kill()
+			w.runFor(away)
+			n.start()
+			back := w.runUntil("in the chain again", 1500*time.Millisecond, w.allSettled)
+			w.runUntil("acknowledges", time.Second, o.acksAgain(5))
+			t.Logf("%v killed for %v: no acknowledgement for %v, in the chain again after %v", role, away, o.longest, back)
+			assert.Assert(t, o.longest < 2*time.Second, "no acknowledgement for %v", o.longest)
+		}
+	}
+}
+
+func TestAllKilledAtOnce(t *testing.T) {
+	for _, settings := range []worldSettings{
+		{core: 1, founders: 1, proxies: 1, tolerance: 0},
+		{core: 3, founders: 3, proxies: 1, tolerance: 1},
+		four,
+		{core: 8, founders: 3, proxies: 1, tolerance: 2},
+	} {
+		w, o := settled(t, settings)
+		before := w.newestView().GetEpoch()
+		for _, n := range w.stores() {
+			n.kill()
+		}
+		w.runFor(900 * time.Millisecond)
+		for _, address := range w.order {
+			w.after(time.Duration(w.random.Int64N(int64(100*time.Millisecond))), w.nodes[address].start)
+		}
+		w.runFor(100 * time.Millisecond)
+		took := w.runUntil("acknowledges", time.Second, o.acksAgain(1))
+		t.Logf("%d core machines: acknowledged %v after the last was back", settings.core, took)
+		w.runFor(3 * time.Second)
+		assert.Equal(t, w.newestView().GetEpoch(), before, "the view stays")
+	}
+}
+
+func TestPowerLossAndLostDisks(t *testing.T) {
+	for _, settings := range []worldSettings{
+		{core: 3, founders: 3, proxies: 1, tolerance: 1},
+		four,
+		{core: 6, founders: 3, proxies: 1, tolerance: 2},
+		{core: 8, founders: 3, proxies: 1, tolerance: 2},
+	} {
+		for first := range settings.core {
+			w, o := settled(t, settings)
+			acked := o.acked
+			for i := range settings.core {
+				n := w.nodes[w.order[(first+i)%settings.core]]
+				if i < settings.tolerance {
+					n.wipe()
+				}
+				n.kill()
+				w.after(300*time.Millisecond, n.start)
+			}
+			w.runFor(300 * time.Millisecond)
+			took := w.runUntil("acknowledges", 3*time.Second, o.acksAgain(5))
+			whole := w.runUntil("all in the chain", 3*time.Second, w.allSettled)
+			t.Logf("%d core machines, disks lost from %d on: acknowledged after %v, whole %v later", settings.core, first, took, whole)
+			assert.Assert(t, len(w.checks.acked) > acked)
+			assert.Equal(t, len(w.newestView().GetVoters()), settings.core)
+		}
+	}
+}
+
+func TestReplacedMachine(t *testing.T) {
+	for _, settings := range []worldSettings{{core: 3, founders: 3, proxies: 1, tolerance: 1}, four} {
+		w, o := settled(t, settings)
+		w.nodes["core-1"].kill()
+		w.runFor(500 * time.Millisecond)
+		w.addNode("spare-1", true).start()
+		took := w.runUntil("the successor is in the chain", 3*time.Second, w.whole(settings.core))
+		t.Logf("%d core machines: the successor is in the chain after %v", settings.core, took)
+		w.runFor(4 * time.Second)
+		assert.Equal(t, len(w.newestView().GetVoters()), settings.core, "the lost voter is dropped")
+		w.nodes["core-2"].kill()
+		w.runUntil("acknowledges with another one lost", 2*time.Second, o.acksAgain(5))
+	}
+}
+
+func TestCutInTwo(t *testing.T) {
+	w, o := settled(t, worldSettings{core: 3, founders: 3, proxies: 1, tolerance: 1})
+	head := w.inRole(chain.HeadOf)
+	for _, other := range w.order {
+		if other != "proxy-1" {
+			w.net.cutBoth(head.address, other)
+		}
+	}
+	w.runUntil("the majority goes on", 2500*time.Millisecond, o.acksAgain(5))
+	assert.Equal(t, head.store.Status().Role, chain.HeadOf, "the old head can't know")
+	assert.Assert(t, !head.store.Status().Wedged, "a minority doesn't wedge itself")
+	w.runFor(5 * time.Second)
+	w.net.heal()
+	took := w.runUntil("whole again", 1500*time.Millisecond, w.allSettled)
+	t.Logf("whole again %v after the cut healed", took)
+}
+
+func TestEvenCutStopsBothSides(t *testing.T) {
+	w, o := settled(t, four)
+	for _, a := range []string{"core-1", "core-2"} {
+		for _, b := range []string{"core-3", "core-4"} {
+			w.net.cutBoth(a, b)
+		}
+	}
+	w.runFor(100 * time.Millisecond)
+	before := o.acked
+	w.runFor(5 * time.Second)
+	assert.Equal(t, o.acked, before)
+	w.net.heal()
+	took := w.runUntil("acknowledges", 1500*time.Millisecond, o.acksAgain(5))
+	t.Logf("acknowledges %v after the cut healed", took)
+}
+
+func TestCutBetweenTwoMembersDoesNotFlap(t *testing.T) {
+	for _, pair := range [][2]string{{"core-1", "core-2"}, {"core-1", "core-4"}, {"core-2", "core-3"}, {"core-3", "core-4"}} {
+		for _, oneWay := range []bool{false, true} {
+			w, o := settled(t, four)
+			before := w.newestView().GetEpoch()
+			w.net.cut(pair[0], pair[1])
+			if !oneWay {
+				w.net.cut(pair[1], pair[0])
+			}
+			w.runFor(20 * time.Second)
+			changes := w.newestView().GetEpoch() - before
+			t.Logf("cut %v one way %v: %d views, no acknowledgement for %v", pair, oneWay, changes, o.longest)
+			assert.Assert(t, changes <= 2, "%d views", changes)
+			assert.Assert(t, o.longest < 3*time.Second, "no acknowledgement for %v", o.longest)
+			w.net.heal()
+			w.runUntil("whole again", 1500*time.Millisecond, w.allSettled)
+		}
+	}
+}
+
+func TestFrozenMember(t *testing.T) {
+	for _, role := range []chain.Role{chain.HeadOf, chain.Middle, chain.TailOf} {
+		for _, frozen := range []time.Duration{600 * time.Millisecond, 2 * time.Second, 5 * time.Second} {
+			w, o := settled(t, four)
+			n := w.inRole(role)
+			n.freeze(frozen)
+			w.runFor(frozen)
+			took := w.runUntil("whole again", 1500*time.Millisecond, w.allSettled)
+			t.Logf("%v frozen for %v: no acknowledgement for %v, whole %v after", role, frozen, o.longest, took)
+			assert.Assert(t, o.longest < 2*time.Second, "no acknowledgement for %v", o.longest)
+			assert.Equal(t, len(w.newestView().GetVoters()), 4)
+		}
+	}
+}
+
+func TestAllFrozenBlameNobody(t *testing.T) {
+	w, o := settled(t, four)
+	before := w.newestView().GetEpoch()
+	for _, n := range w.stores() {
+		n.freeze(3 * time.Second)
+	}
+	w.runFor(5 * time.Second)
+	assert.Equal(t, w.newestView().GetEpoch(), before, "the view stays")
+	w.runUntil("acknowledges", time.Second, o.acksAgain(5))
+}
+
+func TestDiskTrouble(t *testing.T) {
+	troubles := map[string]func(w *world, n *node){
+		"fails": func(w *world, n *node) {
+			n.disk.failing = true
+			w.after(5*time.Second, func() { n.disk.failing = false })
+		},
+		"hangs": func(w *world, n *node) { n.disk.hangUntil = w.now + 5*time.Second },
+	}
+	for name, trouble := range troubles {
+		for _, role := range []chain.Role{chain.HeadOf, chain.Middle, chain.TailOf} {
+			w, o := settled(t, four)
+			n := w.inRole(role)
+			trouble(w, n)
+			w.runFor(5 * time.Second)
+			assert.Equal(t, n.store.Status().Role, chain.None, "a disk in trouble leaves the chain")
+			took := w.runUntil("whole again", 3*time.Second, w.allSettled)
+			t.Logf("disk of the %v %s: no acknowledgement for %v, whole %v after", role, name, o.longest, took)
+			assert.Assert(t, o.longest < 2500*time.Millisecond, "no acknowledgement for %v", o.longest)
+		}
+	}
+}
+
+func TestTransfer(t *testing.T) {
+	for _, role := range []chain.Role{chain.HeadOf, chain.Middle, chain.TailOf} {
+		w, o := settled(t, four)
+		n := w.inRole(role)
+		n.input(func() { n.carryOut(n.store.Transfer(w.now)) })
+		w.runFor(500 * time.Millisecond)
+		assert.Equal(t, n.store.Status().Role, chain.None)
+		n.kill()
+		w.runFor(2 * time.Second)
+		t.Logf("%v handed over and ended: no acknowledgement for %v", role, o.longest)
+		assert.Assert(t, o.longest < 300*time.Millisecond, "no acknowledgement for %v", o.longest)
+		n.start()
+		w.runUntil("whole again", 1500*time.Millisecond, w.allSettled)
+	}
+}
+
+func TestTransferOfTwo(t *testing.T) {
+	w, o := settled(t, worldSettings{core: 2, founders: 2, proxies: 1, tolerance: 1})
+	head := w.inRole(chain.HeadOf)
+	head.input(func() { head.carryOut(head.store.Transfer(w.now)) })
+	w.runFor(500 * time.Millisecond)
+	assert.Equal(t, head.store.Status().Role, chain.TailOf, "the chain needs both, so that the head goes to its end")
+	w.runUntil("acknowledges", time.Second, o.acksAgain(5))
+}
+
+func TestMissingFounder(t *testing.T) {
+	for missing := range 3 {
+		w := newWorld(t, 3, worldSettings{core: 4, founders: 3, proxies: 1, tolerance: 1, late: missing + 1})
+		away := w.nodes[w.order[missing]]
+		w.runUntil("a view without it", 3*time.Second, func() bool { return w.newestView() != nil })
+		w.runFor(2 * time.Second)
+		assert.Equal(t, len(w.newestView().GetChain()), 3)
+		away.start()
+		w.runUntil("it joins", 1500*time.Millisecond, w.whole(4))
+	}
+}
+
+func TestFoundersRestartBeforeTheFirstView(t *testing.T) {
+	w := newWorld(t, 5, worldSettings{core: 3, founders: 3, proxies: 1, tolerance: 1})
+	w.run(40 * time.Millisecond)
+	for range 10 {
+		for _, address := range w.order[:3] {
+			n := w.nodes[address]
+			n.kill()
+			w.after(30*time.Millisecond, n.start)
+		}
+		w.runFor(35 * time.Millisecond)
+	}
+	w.runUntil("all in the chain", 3*time.Second, w.whole(3))
+}
+
+// TestQuietCost bounds what a core without commands sends.
+func TestQuietCost(t *testing.T) {
+	w := newWorld(t, 1, worldSettings{core: 8, founders: 3, tolerance: 2})
+	w.runUntil("all in the chain", 2*time.Second, w.whole(8))
+	w.runFor(time.Second)
+	before := w.net.sent
+	w.runFor(10 * time.Second)
+	perSecond := float64(w.net.sent-before) / 10 / 8
+	t.Logf("%.1f messages a second of each of 8 machines", perSecond)
+	assert.Assert(t, perSecond < 30, "%.1f messages a second", perSecond)
+}
--- a/internal/node/chain/store.go
+++ b/internal/node/chain/store.go
@@ -96,6 +96,8 @@
 		pending:     r.pending,
 		caughtUp:    r.caughtUp,
 		joiners:     make(map[string]*joiner),
+		// A late word on a barrier of a former life must not be taken for one of this life.
+		barrierCount: random.Uint64(),
 	}
 	s.pendingDurable = s.pending != nil
 	if r.acceptor.GetEpoch() == s.acceptor.Epoch {
--- a/internal/node/chain/world_test.go
+++ b/internal/node/chain/world_test.go
@@ -42,6 +42,7 @@
 	founders  int
 	proxies   int
 	tolerance int
+	late      int // number of the core machine, from 1 on, that the test starts itself
 }
 
 // node is one machine: its disk and, while it runs, one life of its process.
@@ -109,8 +110,11 @@
 	for i := range settings.proxies {
 		w.addNode(fmt.Sprintf("proxy-%d", i+1), false)
 	}
-	for _, address := range w.order {
+	for i, address := range w.order {
 		n := w.nodes[address]
+		if i+1 == settings.late {
+			continue
+		}
 		w.after(time.Duration(w.random.Int64N(int64(300*time.Millisecond))), n.start)
 	}
 	return w
@@ -427,12 +431,11 @@
 	cuts      map[[2]string]bool // from, to
 	dieAfter  float64            // chance that a machine dies right after it sent something
 	died      func(n *node)
+	sent      int
 }
 
-var debugSend = func(*node, core.Send) {}
-
 func (t *network) send(from *node, output core.Send) {
-	debugSend(from, output)
+	t.sent++
 	t.deliver(from, output)
 	if t.world.random.Float64() < t.duplicate {
 		t.deliver(from, output)
--- a/internal/node/view/next.go
+++ b/internal/node/view/next.go
@@ -73,8 +73,12 @@
 	return true
 }
 
-// Rank is the number of members before this node in the chain that could propose in its place.
+// Rank is the number of members before this node in the chain that could propose in its place. Nobody else proposes for one
+// that is leaving.
 func (s *Situation) Rank() int {
+	if s.Leaving {
+		return 0
+	}
 	rank := 0
 	for _, diskID := range s.View.GetChain() {
 		if diskID == s.Self {
