--- a/internal/node/forward/flight.go
+++ b/internal/node/forward/flight.go
@@ -50,6 +50,7 @@
 		InstanceID:     f.attempt.Instance.ID,
 		Address:        f.attempt.Instance.Address,
 		MaxConnections: c.connLimit,
+		Earlier:        f.attempt.Number,
 	}
 	for {
 		conn, err := c.proxy.pool.Get(f.context, target, c.wall(c.intake.deadline))
--- /dev/null
+++ b/internal/node/forward/upstream/dial_test.go
@@ -0,0 +1,178 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+)
+
+// heldDials makes the pool's connections wait until they are let go, and announces each.
+type heldDials struct {
+	begun chan struct{}
+	let   chan struct{}
+}
+
+func holdDials(pool *Pool) *heldDials {
+	held := &heldDials{begun: make(chan struct{}, 100), let: make(chan struct{})}
+	connect := pool.connect
+	pool.connect = func(ctx context.Context, address string) (net.Conn, error) {
+		held.begun <- struct{}{}
+		select {
+		case <-held.let:
+			return connect(ctx, address)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return held
+}
+
+// TestPatienceFollowsConnectTimes.
+func TestPatienceFollowsConnectTimes(t *testing.T) {
+	const ms = time.Millisecond
+	for _, test := range []struct {
+		name  string
+		times []time.Duration
+		want  func(patience time.Duration) bool
+	}{
+		{"nothing known", nil, func(p time.Duration) bool { return p == 300*ms }},
+		{"one is no measure", repeat(ms, 1), func(p time.Duration) bool { return p > 250*ms }},
+		{"fast: the least", repeat(ms, 40), func(p time.Duration) bool { return p == 60*ms }},
+		{"other regions", repeat(20*ms, 60), func(p time.Duration) bool { return p > 150*ms && p < 170*ms }},
+		{"fast, one opening packet lost", append(repeat(ms, 40), time.Second), func(p time.Duration) bool { return p < 80*ms }},
+		{"became slow", append(repeat(ms, 40), repeat(200*ms, 20)...), func(p time.Duration) bool { return p == time.Second }},
+		{"and fast again", append(repeat(900*ms, 20), repeat(ms, 60)...), func(p time.Duration) bool { return p == 60*ms }},
+	} {
+		times := NewPool(Options{}).connectTimes
+		for _, took := range test.times {
+			times.note(took)
+		}
+		assert.Assert(t, test.want(times.patience()), "%s: %v", test.name, times.patience())
+	}
+}
+
+func repeat(took time.Duration, count int) []time.Duration {
+	list := make([]time.Duration, count)
+	for i := range list {
+		list[i] = took
+	}
+	return list
+}
+
+// TestPatienceGrowsWithAttempts, up to the bound on connecting: the request may have no other broker.
+func TestPatienceGrowsWithAttempts(t *testing.T) {
+	pool := newPool(t, Options{FirstPatience: 80 * time.Millisecond})
+	for earlier, want := range []time.Duration{80, 160, 320, 640, 1000, 1000} {
+		assert.Equal(t, pool.patience(earlier), want*time.Millisecond)
+	}
+	assert.Equal(t, pool.patience(1000), time.Second)
+}
+
+// TestConnectionThatComesLateIsKept for the next request, since new connections are dear.
+func TestConnectionThatComesLateIsKept(t *testing.T) {
+	p := newPeer(t, ok(""))
+	for _, test := range []struct {
+		name string
+		get  func(*Pool) error
+	}{
+		{"the patience ended", func(pool *Pool) error {
+			_, err := pool.Get(t.Context(), p.target("i-1"), soon())
+			return err
+		}},
+		{"the time given ended", func(pool *Pool) error {
+			_, err := pool.Get(t.Context(), p.target("i-1"), time.Now())
+			return err
+		}},
+		{"the client left", func(pool *Pool) error {
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			_, err := pool.Get(ctx, p.target("i-1"), soon())
+			return err
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			pool := newPool(t, Options{FirstPatience: time.Millisecond, LeastPatience: time.Millisecond, ConnectTimeout: patience})
+			held := holdDials(pool)
+			assert.Assert(t, errorx.IsOfType(test.get(pool), ConnectFailed))
+			open, idle := pool.Open()
+			assert.Equal(t, open, 1, "one that is still opened counts")
+			assert.Equal(t, idle, 0)
+			close(held.let)
+			awaitIdle(t, pool)
+			exchange(t, pool, p.target("i-1"))
+			assert.Equal(t, pool.Counters.Opened.Load(), uint64(1))
+			assert.Equal(t, pool.Counters.Reused.Load(), uint64(1))
+		})
+	}
+}
+
+// awaitIdle waits until a connection is at rest.
+func awaitIdle(t *testing.T, pool *Pool) {
+	t.Helper()
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	limit := time.After(patience)
+	for {
+		if _, idle := pool.Open(); idle > 0 {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-limit:
+			t.Fatal("no connection came to rest")
+		}
+	}
+}
+
+// TestConnectionThatNeverComesIsForgotten: it counts until its time is over.
+func TestConnectionThatNeverComesIsForgotten(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{FirstPatience: time.Millisecond, LeastPatience: time.Millisecond, ConnectTimeout: 20 * time.Millisecond})
+	holdDials(pool)
+	_, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.Assert(t, errorx.IsOfType(err, ConnectFailed))
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	limit := time.After(patience)
+	for {
+		if open, _ := pool.Open(); open == 0 {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-limit:
+			t.Fatal("the connection still counts")
+		}
+	}
+}
+
+// TestAClosedPoolKeepsNoLateConnection.
+func TestAClosedPoolKeepsNoLateConnection(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{FirstPatience: time.Millisecond, LeastPatience: time.Millisecond, ConnectTimeout: patience})
+	held := holdDials(pool)
+	_, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.Assert(t, errorx.IsOfType(err, ConnectFailed))
+	pool.Close()
+	close(held.let)
+	socket := <-p.sockets
+	_, err = socket.Read(make([]byte, 1))
+	assert.Assert(t, err != nil, "the connection is closed")
+	_, idle := pool.Open()
+	assert.Equal(t, idle, 0)
+}
+
+// TestAStoppedProcessWaitsOnceMore: the time in which it stood still says nothing of the broker.
+func TestAStoppedProcessWaitsOnceMore(t *testing.T) {
+	pool := newPool(t, Options{ConnectTimeout: 2 * time.Hour})
+	result := make(chan dialed, 1)
+	d := &dial{pool: pool, begun: time.Now().Add(-time.Hour), result: result}
+	go func() { result <- dialed{conn: &Conn{}} }()
+	conn, err := d.await(t.Context(), patience, soon())
+	assert.NilError(t, err)
+	assert.Assert(t, conn != nil)
+}
--- a/internal/node/forward/upstream/pool.go
+++ b/internal/node/forward/upstream/pool.go
@@ -24,6 +24,10 @@
 	KeepAliveMargin time.Duration
 	// ConnectTimeout bounds the time in which a connection must come up.
 	ConnectTimeout time.Duration
+	// FirstPatience is how long a request waits for a connection to come up while nothing is known of how long that usually
+	// takes, and LeastPatience how long it waits at least.
+	FirstPatience time.Duration
+	LeastPatience time.Duration
 	// SettleTime is how long Conn.Settle waits for a reset, beside a round trip.
 	SettleTime time.Duration
 	// SendTimeout is TCP_USER_TIMEOUT: how long sent bytes may stay without acknowledgement.
@@ -39,6 +43,8 @@
 	DefaultUnstatedIdleTime = 4 * time.Second
 	DefaultKeepAliveMargin  = 300 * time.Millisecond
 	DefaultConnectTimeout   = time.Second
+	DefaultFirstPatience    = 300 * time.Millisecond
+	DefaultLeastPatience    = 60 * time.Millisecond
 	DefaultSettleTime       = time.Millisecond
 	DefaultSendTimeout      = 3 * time.Second
 	DefaultMaxHeadBytes     = 64 << 10
@@ -63,6 +69,8 @@
 	o.UnstatedIdleTime = cmp.Or(o.UnstatedIdleTime, DefaultUnstatedIdleTime)
 	o.KeepAliveMargin = cmp.Or(o.KeepAliveMargin, DefaultKeepAliveMargin)
 	o.ConnectTimeout = cmp.Or(o.ConnectTimeout, DefaultConnectTimeout)
+	o.FirstPatience = cmp.Or(o.FirstPatience, DefaultFirstPatience)
+	o.LeastPatience = cmp.Or(o.LeastPatience, DefaultLeastPatience)
 	o.SettleTime = cmp.Or(o.SettleTime, DefaultSettleTime)
 	o.SendTimeout = cmp.Or(o.SendTimeout, DefaultSendTimeout)
 	o.MaxHeadBytes = cmp.Or(o.MaxHeadBytes, DefaultMaxHeadBytes)
@@ -76,6 +84,8 @@
 	Address    string
 	// MaxConnections bounds the connections of this proxy to the instance, in use and at rest; 0: no bound.
 	MaxConnections int
+	// Earlier counts the attempts that the request has made before this one. After each it waits longer for a connection.
+	Earlier int
 }
 
 // Counters count what happened to connections.
@@ -91,15 +101,16 @@
 // Pool keeps connections to brokers. It is safe for concurrent use.
 type Pool struct {
 	options  Options
-	dialer   net.Dialer
+	connect  func(ctx context.Context, address string) (net.Conn, error)
 	Counters Counters
 
-	mu       sync.Mutex
-	hosts    map[string]*host
-	idle     int
-	sweeping bool
-	sweeper  *time.Timer
-	closed   bool
+	mu           sync.Mutex
+	hosts        map[string]*host
+	idle         int
+	sweeping     bool
+	sweeper      *time.Timer
+	closed       bool
+	connectTimes connectTimes
 }
 
 // host holds the connections to one instance.
@@ -113,11 +124,20 @@
 
 // NewPool returns an empty pool.
 func NewPool(options Options) *Pool {
-	pool := &Pool{options: options.withDefaults(), hosts: make(map[string]*host)}
-	pool.dialer = net.Dialer{
+	options = options.withDefaults()
+	pool := &Pool{options: options, hosts: make(map[string]*host)}
+	pool.connectTimes = connectTimes{
+		mean:  options.FirstPatience / patienceFactor,
+		least: options.LeastPatience,
+		most:  options.ConnectTimeout,
+	}
+	dialer := net.Dialer{
 		Control:         pool.setSendTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
+	pool.connect = func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp4", address)
+	}
 	return pool
 }
 
@@ -151,7 +171,7 @@
 		p.closedAtRest(conn, rested)
 		conn.Close()
 	}
-	return p.open(ctx, target, now, until)
+	return p.open(ctx, target, until)
 }
 
 // takeIdle takes the connection that was used last out of the pool, and says how long it has rested. Connections that have
@@ -191,31 +211,6 @@
 	conn.host.unstated = min(conn.host.unstated, max(rested/2, minUnstatedIdleTime))
 }
 
-func (p *Pool) open(ctx context.Context, target Target, now, until time.Time) (*Conn, error) {
-	h, err := p.reserve(target)
-	if err != nil {
-		return nil, err
-	}
-	if limit := now.Add(p.options.ConnectTimeout); limit.Before(until) {
-		until = limit
-	}
-	ctx, cancel := context.WithDeadline(ctx, until)
-	defer cancel()
-	connection, err := p.dialer.DialContext(ctx, "tcp4", target.Address)
-	if err == nil {
-		var conn *Conn
-		if conn, err = newConn(p, h, connection); err == nil {
-			p.Counters.Opened.Add(1)
-			conn.connectTime = time.Since(now)
-			return conn, nil
-		}
-		connection.Close()
-	}
-	p.release(h)
-	p.Counters.Failed.Add(1)
-	return nil, ConnectFailed.Wrap(err, "connection to %s", target.InstanceID)
-}
-
 // reserve counts a new connection to the instance.
 func (p *Pool) reserve(target Target) (*host, error) {
 	p.mu.Lock()
