--- a/internal/rig/fleet/checks.go
+++ b/internal/rig/fleet/checks.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"kestrelspread/internal/standin/fleetoperator"
@@ -83,9 +84,28 @@
 	for _, text := range f.endedByThemselves() {
 		e.breach("ENDS", "%s", text)
 	}
+	for _, node := range f.Nodes {
+		e.checkLog(node.Name, node.Log())
+	}
 	return e.breaches
 }
 
+// crashWords in a node's log tell of a defect of the program.
+var crashWords = []string{"DATA RACE", "panic:", "fatal error:"}
+
+func (e *evidence) checkLog(node, log string) {
+	for _, word := range crashWords {
+		if at := strings.Index(log, word); at >= 0 {
+			e.breach("LOG", "%s:\n%s", node, firstLines(log[at:], 40))
+		}
+	}
+}
+
+func firstLines(text string, count int) string {
+	lines := strings.Split(text, "\n")
+	return strings.Join(lines[:min(len(lines), count)], "\n")
+}
+
 func (e *evidence) check() {
 	for i := range e.records {
 		e.checkAnswer(&e.records[i])
--- a/internal/rig/fleet/checks_test.go
+++ b/internal/rig/fleet/checks_test.go
@@ -94,6 +94,8 @@
 			e.records[0].Outcome, e.records[0].EndedAt = Closed, after(400)
 			e.arrivals = e.arrivals[1:]
 		}, "LOST"},
+		{"a crash in a log", func(e *evidence) { e.checkLog("node-1", "well\npanic: planted") }, "LOG"},
+		{"a plain log", func(e *evidence) { e.checkLog("node-1", "level=INFO msg=view epoch=1") }, ""},
 		{"what the client saw", func(e *evidence) { e.records[0].Problem = "MIXED: planted" }, "ANSWER"},
 		{"more brokers than allowed", func(e *evidence) {
 			e.records[0].Prefix, e.records[0].Kind = prefixLookup, Safe
--- /dev/null
+++ b/internal/rig/fleet/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package fleet
+
+var raceFlags []string
