--- a/internal/node/forward/upstream/conn.go
+++ b/internal/node/forward/upstream/conn.go
@@ -32,7 +32,9 @@
 
 	reused       bool // carried a request before this one
 	connectTime  time.Duration
-	answers      int  // answers read from it
+	answers      int // answers read from it
+	sentAt       time.Time
+	sentAnswers  int  // answers read from it when the last request was sent
 	doubtful     bool // not to be kept: bytes came that belong to no request
 	keepAlive    time.Duration
 	restingSince time.Time
@@ -107,6 +109,7 @@
 // Send writes a request once. The time bounds the writing. Where the connection took no byte, the error is Unsent.
 func (c *Conn) Send(head, body []byte, until time.Time) error {
 	c.SetDeadline(until)
+	c.sentAt, c.sentAnswers = time.Now(), c.answers
 	written, err := c.write(head, body)
 	if err == nil {
 		return nil
@@ -134,11 +137,21 @@
 	}
 	c.SetDeadline(until)
 	if _, err := c.reader.Peek(1); err != nil {
+		c.noteBroken(err)
 		return readFailure(err)
 	}
 	return nil
 }
 
+// noteBroken is told why nothing more comes. Where a kept connection was broken by its other end before any answer came, those
+// that have rested since before are likely to end as it did: the broker, or something between, has forgotten them.
+func (c *Conn) noteBroken(err error) {
+	ours := errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
+	if c.reused && !ours && c.answers == c.sentAnswers {
+		c.pool.closeRestingSince(c.host, c.sentAt)
+	}
+}
+
 // SetDeadline bounds what is read and written from now on.
 func (c *Conn) SetDeadline(until time.Time) {
 	c.mu.Lock()
--- a/internal/node/forward/upstream/pool.go
+++ b/internal/node/forward/upstream/pool.go
@@ -93,7 +93,7 @@
 	Opened   atomic.Uint64 // new connections that came up
 	Failed   atomic.Uint64 // new connections that did not
 	Reused   atomic.Uint64 // requests sent on a kept connection
-	Stale    atomic.Uint64 // kept connections found closed when they were to be used
+	Stale    atomic.Uint64 // kept connections found closed when they were to be used, or likely to be
 	Surplus  atomic.Uint64 // bytes found that belong to no request, and answers to earlier requests
 	Unframed atomic.Uint64 // answers without a length or chunks, of which nobody can tell whether they are whole
 }
@@ -284,6 +284,18 @@
 	p.idle -= count
 }
 
+// closeRestingSince closes the connections to an instance that have rested since before the time given.
+func (p *Pool) closeRestingSince(h *host, before time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for count < len(h.idle) && h.idle[count].restingSince.Before(before) {
+		count++
+	}
+	p.Counters.Stale.Add(uint64(count))
+	p.closeIdle(h, count)
+}
+
 // planSweep sets the timer that closes connections at rest; it runs only while there are some. The lock is held.
 func (p *Pool) planSweep() {
 	if p.sweeping || p.idle == 0 || p.closed {
--- a/internal/node/forward/upstream/pool_test.go
+++ b/internal/node/forward/upstream/pool_test.go
@@ -241,6 +241,58 @@
 }
 
 // TestConnectionsBelongToTheInstance, not to its address, which another broker may have later.
+// TestAKeptConnectionThatBreaksSpeaksAgainstTheOthers that have rested since before, and against no others.
+func TestAKeptConnectionThatBreaksSpeaksAgainstTheOthers(t *testing.T) {
+	arrived := make(chan struct{}, 100)
+	p := newPeer(t, func(socket *net.TCPConn, request *http.Request) {
+		if request.Header.Get(HeaderRequestID) == "r1" {
+			ok("")(socket, request)
+			return
+		}
+		arrived <- struct{}{}
+	})
+	for _, test := range []struct {
+		name    string
+		kept    bool // the connection carried a request before
+		end     func(conn *Conn, socket *net.TCPConn)
+		resting int // connections of before that are still kept
+	}{
+		{"reset", true, func(_ *Conn, socket *net.TCPConn) { socket.SetLinger(0); socket.Close() }, 0},
+		{"closed", true, func(_ *Conn, socket *net.TCPConn) { socket.Close() }, 0},
+		{"called off", true, func(conn *Conn, _ *net.TCPConn) { conn.Interrupt() }, 1},
+		{"no answer in time", true, func(conn *Conn, _ *net.TCPConn) { conn.LimitWait(time.Now()) }, 1},
+		{"a new one, reset", false, func(_ *Conn, socket *net.TCPConn) { socket.SetLinger(0); socket.Close() }, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			pool := newPool(t, Options{})
+			target := p.target("i-1")
+			resting, err := pool.Get(t.Context(), target, soon())
+			assert.NilError(t, err)
+			<-p.sockets
+			breaking, err := pool.Get(t.Context(), target, soon())
+			assert.NilError(t, err)
+			socket := <-p.sockets
+			if test.kept {
+				finish(t, breaking)
+				breaking, err = pool.Get(t.Context(), target, soon())
+				assert.NilError(t, err)
+			}
+			finish(t, resting)
+			assert.NilError(t, breaking.Send(request("r2"), nil, soon()))
+			<-arrived
+			later, err := pool.open(t.Context(), target, soon())
+			assert.NilError(t, err)
+			<-p.sockets
+			finish(t, later)
+			test.end(breaking, socket)
+			assert.Assert(t, breaking.Await(soon()) != nil)
+			breaking.Close()
+			_, idle := pool.Open()
+			assert.Equal(t, idle, test.resting+1)
+		})
+	}
+}
+
 func TestConnectionsBelongToTheInstance(t *testing.T) {
 	p := newPeer(t, ok(""))
 	pool := newPool(t, Options{})
