--- /dev/null
+++ b/internal/rig/scale/network.go
@@ -0,0 +1,63 @@
+package scale
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+	"kestrelspread/internal/node/wireproto"
+)
+
+// send carries a message to another node as an encoded frame. Messages of one node to another keep their order.
+func (f *Fleet) send(from *node, output core.Send) {
+	frame, err := from.sender.Append(nil, output.Message)
+	if err != nil {
+		f.unencodable++
+		return
+	}
+	kind := wireproto.KindOf(output.Message)
+	counted := &from.meter.kinds[kind]
+	counted.sent++
+	counted.sentBytes += uint64(len(frame))
+	to := f.byAddress[output.To]
+	if to == nil || f.loss > 0 && f.random.Float64() < f.loss {
+		return
+	}
+	f.clock.after(delay(from.place, to.place), func() { to.receive(kind, frame) })
+}
+
+// place is where a node or broker stands.
+type place struct{ zone, region string }
+
+// delay is how long a message takes.
+func delay(from, to place) time.Duration {
+	switch {
+	case from.zone == to.zone:
+		return delayInZone
+	case from.region == to.region:
+		return delayInRegion
+	default:
+		return delayRegions
+	}
+}
+
+// receive takes a frame off the network.
+func (n *node) receive(kind wireproto.Kind, frame []byte) {
+	if !n.running {
+		return
+	}
+	counted := &n.meter.kinds[kind]
+	counted.received++
+	counted.receivedBytes += uint64(len(frame))
+	n.turn(&counted.spent, func(now core.Time) {
+		message := new(nodepb.Envelope)
+		if proto.Unmarshal(frame[wireproto.HeaderSize:], message) != nil {
+			n.fleet.unencodable++
+			return
+		}
+		from := core.Peer{NodeID: message.SenderId, Address: message.SenderAddress}
+		n.carryOut(now, n.dispatch(now, from, message))
+	})
+}
