--- a/internal/node/forward/upstream/pool.go
+++ b/internal/node/forward/upstream/pool.go
@@ -30,7 +30,9 @@
 	LeastPatience time.Duration
 	// SettleTime is how long Conn.Settle waits for a reset, beside a round trip.
 	SettleTime time.Duration
-	// SendTimeout is TCP_USER_TIMEOUT: how long sent bytes may stay without acknowledgement.
+	// SendTimeout is TCP_USER_TIMEOUT: how long sent bytes may stay without acknowledgement. Twice as long after the last byte came,
+	// a machine that does not answer the kernel's probes is taken for dead. Clients give silent streams up after two seconds, so
+	// that a longer time saves no request, and a shorter one lets another broker take up what may be repeated.
 	SendTimeout time.Duration
 	// MaxHeadBytes bounds the head of an answer.
 	MaxHeadBytes int
@@ -46,7 +48,7 @@
 	DefaultFirstPatience    = 300 * time.Millisecond
 	DefaultLeastPatience    = 60 * time.Millisecond
 	DefaultSettleTime       = time.Millisecond
-	DefaultSendTimeout      = 3 * time.Second
+	DefaultSendTimeout      = time.Second
 	DefaultMaxHeadBytes     = 64 << 10
 )
 
