--- a/cmd/kestrelctl/fleetscale.go
+++ b/cmd/kestrelctl/fleetscale.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"os/signal"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -30,7 +32,9 @@
 				}
 				options.Binary = path
 			}
-			report, err := scale.Run(cmd.OutOrStdout(), options)
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt)
+			defer stop()
+			report, err := scale.Run(ctx, cmd.OutOrStdout(), options)
 			if err != nil {
 				return err
 			}
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -30,7 +31,8 @@
 	Target    Target       `json:"target"`
 	Sizes     []SizeResult `json:"sizes"`
 	Fits      []Fit        `json:"fits"`
-	Units     []Unit       `json:"units"`            // what single items take
+	Units     []Unit       `json:"units"` // what single items take
+	Real      []RealResult `json:"real,omitempty"`
 	Broken    []string     `json:"broken,omitempty"` // bounds of CheckSlopes
 	LeftOut   []string     `json:"leftOut,omitempty"`
 }
@@ -42,7 +44,7 @@
 )
 
 // Run measures all sizes, one after the other, and writes progress and tables to w.
-func Run(w io.Writer, options RunOptions) (*Report, error) {
+func Run(ctx context.Context, w io.Writer, options RunOptions) (*Report, error) {
 	debug.SetGCPercent(collectorPercent)
 	debug.SetMemoryLimit(machineMemory() / memoryShare)
 	report := &Report{
@@ -54,12 +56,18 @@
 	for _, unit := range report.Units {
 		unit.Print(w)
 	}
+	if options.Binary != "" {
+		var err error
+		if report.Real, err = RunReal(ctx, w, options.Binary, RealCases); err != nil {
+			return report, err
+		}
+	}
 	var last time.Duration
 	for i, size := range options.Sizes {
 		expected := last
 		if i > 0 {
 			growth := float64(size) / float64(options.Sizes[i-1])
-			expected = time.Duration(float64(last) * growth)
+			expected = time.Duration(float64(last) * growth * growth) // as nodes send to all there are
 		}
 		if time.Now().Add(expected).After(until) {
 			report.LeftOut = append(report.LeftOut, fmt.Sprintf("%d proxies: would take about %v", size, expected.Round(time.Second)))
