--- a/internal/rig/scale/events.go
+++ b/internal/rig/scale/events.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/kvindex"
 )
@@ -117,7 +119,12 @@
 // newPart is one that many prompts share, or one of its own.
 func (k *keptParts) newPart() uint64 {
 	if k.random.Float64() < sharedShare {
-		return uint64(len(k.broker.service))<<32 | uint64(k.random.IntN(sharedParts)) + 1
+		return sharedPart(k.broker.service, k.random)
 	}
 	return k.random.Uint64() | 1
 }
+
+// sharedPart is one of the parts that many prompts of a service begin with.
+func sharedPart(service string, random *rand.Rand) uint64 {
+	return xxhash.Sum64String(service)<<16 | uint64(random.IntN(sharedParts)) + 1
+}
--- a/internal/rig/scale/fleet.go
+++ b/internal/rig/scale/fleet.go
@@ -23,8 +23,13 @@
 	byBroker  map[string]*standInBroker // by address
 	seeds     []string                  // internal addresses
 
+	nodesByID   map[string]*node
 	loss        float64 // share of messages between nodes that get lost
-	eventsOn    bool    // brokers keep and drop parts
+	cutRegion   string  // the region that is out of contact with the others; empty: none
+	lookupEach  time.Duration
+	askedIndex  bool
+	relay       relay
+	eventsOn    bool // brokers keep and drop parts
 	unencodable int
 	versions    map[string]uint64 // newest named version by model
 	watch       watch
@@ -42,6 +47,9 @@
 	Seed uint64
 	// Chatter is for tests: each node sends a message to all others so often; 0: never.
 	Chatter time.Duration
+	// AskedIndex and Relayed try designs that the nodes do not have: see lookups.go and relay.go.
+	AskedIndex bool
+	Relayed    bool
 	// Until is when the last phase may begin, by the real clock; the zero time: no bound.
 	Until time.Time
 	// Spans of the phases; zero values stand for the defaults.
@@ -80,7 +88,8 @@
 	f := &Fleet{
 		shape: shape, clock: &timeline{}, random: rand.New(rand.NewPCG(options.Seed, 0x5ca1e)),
 		byAddress: map[string]*node{}, byControl: map[string]*node{}, byBroker: map[string]*standInBroker{},
-		versions: map[string]uint64{},
+		versions: map[string]uint64{}, nodesByID: map[string]*node{}, askedIndex: options.AskedIndex,
+		relay: relay{on: options.Relayed, homes: map[string]*node{}, counted: map[relayKey]bool{}},
 	}
 	for i := range shape.Core {
 		f.addNode(i, true, options.Chatter)
@@ -114,7 +123,7 @@
 	n := &node{
 		fleet: f, place: at, random: rand.New(rand.NewPCG(f.random.Uint64(), uint64(i))), meter: &meter{}, chatter: chatter,
 		targets: map[string]rollout.Target{}, requests: map[uint64]func(core.Time, core.Reply){},
-		callers: map[uint64]func(core.RegistryAnswer){}, armedAt: never,
+		callers: map[uint64]func(core.RegistryAnswer){}, asked: map[lookupKey]core.Time{}, armedAt: never,
 		self: &nodepb.Member{
 			NodeId: fmt.Sprintf("%s/%012x", name, f.random.Uint64()>>16), Name: name, Address: ip + ":7560", ControlAddress: ip + ":8381",
 			Zone: at.zone, Region: at.region, CountsForQuorum: hasDisk, ServesFront: true, Incarnation: 1,
@@ -126,6 +135,7 @@
 	f.nodes = append(f.nodes, n)
 	f.byAddress[n.self.Address] = n
 	f.byControl[n.self.ControlAddress] = n
+	f.nodesByID[n.self.NodeId] = n
 }
 
 // startWithin is the span in which all machines start.
--- a/internal/rig/scale/network.go
+++ b/internal/rig/scale/network.go
@@ -18,16 +18,34 @@
 		return
 	}
 	kind := wireproto.KindOf(output.Message)
-	counted := &from.meter.kinds[kind]
-	counted.sent++
-	counted.sentBytes += uint64(len(frame))
 	to := f.byAddress[output.To]
-	if to == nil || f.loss > 0 && f.random.Float64() < f.loss {
+	if to != from {
+		f.countSent(from, to, kind, output, len(frame))
+	}
+	if to == nil || f.cut(from, to) || f.loss > 0 && f.random.Float64() < f.loss {
 		return
 	}
 	f.clock.after(delay(from.place, to.place), func() { to.receive(kind, frame) })
 }
 
+// countSent counts a message at whoever sends it or passes it on.
+func (f *Fleet) countSent(from, to *node, kind wireproto.Kind, output core.Send, size int) {
+	bySender, passedBy := f.legs(from, to, output.Message)
+	if bySender {
+		from.meter.kinds[kind].sent++
+		from.meter.kinds[kind].sentBytes += uint64(size)
+	}
+	if passedBy != nil && passedBy != from && passedBy != to {
+		passedBy.meter.kinds[kind].sent++
+		passedBy.meter.kinds[kind].sentBytes += uint64(size)
+	}
+}
+
+// cut reports whether two nodes are out of contact.
+func (f *Fleet) cut(from, to *node) bool {
+	return f.cutRegion != "" && (from.place.region == f.cutRegion) != (to.place.region == f.cutRegion)
+}
+
 // place is where a node or broker stands.
 type place struct{ zone, region string }
 
--- a/internal/rig/scale/node.go
+++ b/internal/rig/scale/node.go
@@ -49,7 +49,9 @@
 	callers  map[uint64]func(core.RegistryAnswer)
 	last     uint64 // request
 	seen     seenRevisions
-	chatter  time.Duration // for tests: a message to all others each so often; 0: none
+	lookups  lookupCounts
+	asked    map[lookupKey]core.Time // answers of homes, where the index is asked
+	chatter  time.Duration           // for tests: a message to all others each so often; 0: none
 }
 
 // seenRevisions is what the node has passed on between its planes.
@@ -96,7 +98,7 @@
 	n.rollout = rollout.New(rollout.Options{Lease: lease, Thaw: thaw, Version: versionWithin})
 	n.index = kvindex.NewGuarded(kvindex.NewIndex(indexRecords))
 	n.subscriber = kvindex.NewSubscriber(n.index)
-	n.home = kvindex.NewHome(kvindex.HomeOptions{Epoch: uint64(f.clock.now/time.Millisecond) + 1})
+	n.home = kvindex.NewHome(kvindex.HomeOptions{Epoch: uint64(f.clock.now/time.Millisecond) + 1, BytesPerSecond: f.indexBytes()})
 	n.router = routing.NewGuarded(routing.New(now, routing.Options{
 		Zone: n.self.Zone, RetryBudgetRatio: retryRatio, BudgetWindow: retryWindow, RetryBudgetSlack: retrySlack,
 		VersionGrace: versionWithin, Index: n.index, Random: n.random,
@@ -106,6 +108,14 @@
 	n.turn(&n.meter.ticks, func(core.Time) {})
 }
 
+// indexBytes bounds what a home tells of each service and zone: all where it tells nobody but itself; 0: as the nodes have it.
+func (f *Fleet) indexBytes() int {
+	if f.askedIndex {
+		return 1 << 20
+	}
+	return 0
+}
+
 func (n *node) startStore(now core.Time) {
 	if !n.self.CountsForQuorum {
 		return
--- a/internal/rig/scale/phases.go
+++ b/internal/rig/scale/phases.go
@@ -17,12 +17,15 @@
 	Busy        map[Role]RoleRate `json:"busy"`     // with events of kept parts
 	HeapPerNode float64           `json:"heapPerNode"`
 	HeapBusy    float64           `json:"heapPerNodeBusy"` // after the events
+	Lookups     LookupResult      `json:"lookups"`
 	Changes     ChangeResult      `json:"changes"`
 	Death       DeathResult       `json:"death"`
 	CoreLoss    CoreLossResult    `json:"coreLoss"`
 	Brokers     BrokerResult      `json:"brokers"`
 	Campaign    CampaignResult    `json:"campaign"`
 	Loss        LossResult        `json:"loss"`
+	Cut         CutResult         `json:"cut"`
+	Zone        ZoneResult        `json:"zone"`
 	WallS       float64           `json:"wallS"`
 	GCPercent   float64           `json:"gcPercent"` // processor time of the collector's own threads, of all that the nodes took
 	Problems    []string          `json:"problems,omitempty"`
@@ -129,7 +132,9 @@
 	if phases.Troubles {
 		m.phase("messages get lost", m.losses)
 		m.phase("a proxy ends", m.death)
+		m.phase("two regions are out of contact", m.regionsCut)
 		m.phase("machines of the core end", m.coreLoss)
+		m.phase("a zone ends", m.zoneLost)
 	}
 	m.finish(began)
 	runtime.KeepAlive(f)
@@ -225,10 +230,12 @@
 func (m *measurement) busy() {
 	f := m.fleet
 	f.eventsOn = true
+	f.startLookups(TwoYears)
 	f.clock.runFor(m.spans.BusyWarmUp)
-	before := f.read()
+	before, lookups := f.read(), f.lookupCounts()
 	f.clock.runFor(m.spans.Busy)
 	m.result.Busy = f.since(before)
+	m.result.Lookups = f.lookupsSince(lookups, m.spans.Busy)
 	f.eventsOn = false
 	f.clock.runFor(calmAfterLoad)
 }
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -19,6 +19,9 @@
 	// Binary is the path of the nodes' program; empty: no real processes are started.
 	Binary string
 	Seed   uint64
+	// AskedIndex and Relayed try designs that the nodes do not have: see Options.
+	AskedIndex bool
+	Relayed    bool
 	// NoEvents leaves the index of kept prompts out.
 	NoEvents bool
 }
@@ -74,7 +77,7 @@
 			continue
 		}
 		began := time.Now()
-		result := Measure(ShapeOf(size, TwoYears), Options{Seed: options.Seed, Until: until}, Phases{Events: !options.NoEvents, Troubles: true},
+		result := Measure(ShapeOf(size, TwoYears), Options{Seed: options.Seed, Until: until, AskedIndex: options.AskedIndex, Relayed: options.Relayed}, Phases{Events: !options.NoEvents, Troubles: true},
 			func(step string) {
 				fmt.Fprintf(w, "%6.1f s  %d proxies: %s\n", time.Since(began).Seconds(), size, step)
 			})
--- a/internal/rig/scale/wiring.go
+++ b/internal/rig/scale/wiring.go
@@ -22,7 +22,7 @@
 	case *nodepb.Envelope_SubmitReply:
 		return n.submit.Receive(now, from, message)
 	case *nodepb.Envelope_IndexUpdate:
-		return n.subscriber.HandleUpdate(now, from, message.GetIndexUpdate())
+		return n.handleIndex(now, from, message.GetIndexUpdate())
 	case *nodepb.Envelope_IndexPoll:
 		return n.home.HandlePoll(now, from, message.GetIndexPoll())
 	default:
@@ -158,12 +158,19 @@
 	table := n.registry.Table()
 	n.subscriber.SetTable(table)
 	members := n.membership.Members()
-	n.home.SetSubscribers(addresses(members))
+	n.home.SetSubscribers(n.indexSubscribers(members))
 	n.home.SetSources(now, kvindex.SourcesOf(table, n.compiled.Stores, func(service, zone string) bool {
 		return indexHome(members, service, zone) == n.self.NodeId
 	}))
 }
 
+func (n *node) indexSubscribers(members []*nodepb.Member) []string {
+	if n.fleet.askedIndex {
+		return []string{n.self.Address}
+	}
+	return addresses(members)
+}
+
 func addresses(members []*nodepb.Member) []string {
 	list := make([]string, 0, len(members))
 	for _, member := range members {
