--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -28,16 +28,17 @@
 
 // Report is what a run brought.
 type Report struct {
-	Date      string       `json:"date"`
-	GoVersion string       `json:"go"`
-	Cores     int          `json:"cores"` // of the machine that measured
-	Target    Target       `json:"target"`
-	Sizes     []SizeResult `json:"sizes"`
-	Fits      []Fit        `json:"fits"`
-	Units     []Unit       `json:"units"` // what single items take
-	Real      []RealResult `json:"real,omitempty"`
-	Broken    []string     `json:"broken,omitempty"` // bounds of CheckSlopes
-	LeftOut   []string     `json:"leftOut,omitempty"`
+	Date      string          `json:"date"`
+	GoVersion string          `json:"go"`
+	Cores     int             `json:"cores"` // of the machine that measured
+	Target    Target          `json:"target"`
+	Sizes     []SizeResult    `json:"sizes"`
+	Fits      []Fit           `json:"fits"`
+	Units     []Unit          `json:"units"` // what single items take
+	Real      []RealResult    `json:"real,omitempty"`
+	Routing   []RoutingResult `json:"routing"`
+	Broken    []string        `json:"broken,omitempty"` // bounds of CheckSlopes
+	LeftOut   []string        `json:"leftOut,omitempty"`
 }
 
 // memoryShare of the machine's memory may be used: one in memoryShare.
@@ -59,6 +60,11 @@
 	for _, unit := range report.Units {
 		unit.Print(w)
 	}
+	for _, size := range options.Sizes {
+		result := RoutingAt(size, report.Target)
+		result.Print(w)
+		report.Routing = append(report.Routing, result)
+	}
 	if options.Binary != "" {
 		var err error
 		if report.Real, err = RunReal(ctx, w, options.Binary, RealCases); err != nil {
--- a/internal/rig/scale/units.go
+++ b/internal/rig/scale/units.go
@@ -104,11 +104,9 @@
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
 // brokersOf are the heartbeats of the brokers of a fleet.
-func brokersOf(count int) []*nodepb.Instance {
-	shape := ShapeOf(TwoYears.Proxies, TwoYears)
-	shape.Brokers = count
+func brokersOf(shape Shape) []*nodepb.Instance {
 	f := NewFleet(shape, Options{Seed: 1})
-	list := make([]*nodepb.Instance, 0, count)
+	list := make([]*nodepb.Instance, 0, shape.Brokers)
 	for _, b := range f.brokers {
 		list = append(list, b.instance())
 	}
@@ -116,8 +114,14 @@
 }
 
 func registryOf(count int) *registry.Registry {
+	shape := ShapeOf(TwoYears.Proxies, TwoYears)
+	shape.Brokers = count
+	return registryOfShape(shape)
+}
+
+func registryOfShape(shape Shape) *registry.Registry {
 	r := registry.New(0, registry.Options{SelfID: "self", SelfAddress: "10.1.0.1:7560", Zone: "zone-1"}, newRandom())
-	for i, instance := range brokersOf(count) {
+	for i, instance := range brokersOf(shape) {
 		r.Heartbeat(core.Time(i), uint64(i), instance)
 	}
 	r.Table()
