--- a/internal/node/routing/affinity_test.go
+++ b/internal/node/routing/affinity_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -19,8 +18,8 @@
 		a, b := first.begin(first.prompt(flowRoute, part)), second.begin(second.prompt(flowRoute, part))
 		assert.Equal(t, a.Instance.ID, b.Instance.ID)
 		owners[a.Instance.ID]++
-		first.serve(a, ms)
-		second.serve(b, ms)
+		first.read(a)
+		second.read(b)
 	}
 	assert.Equal(t, len(owners), 9)
 	for id, n := range owners {
@@ -36,7 +35,7 @@
 	for part := range uint64(200) {
 		a := w.begin(w.prompt(flowRoute, part))
 		before[part] = a.Instance.ID
-		w.serve(a, ms)
+		w.read(a)
 	}
 	w.SetTable(w.now, tableOf(list[1:]...))
 	for part := range uint64(200) {
@@ -44,26 +43,25 @@
 		if before[part] != list[0].ID {
 			assert.Equal(t, a.Instance.ID, before[part])
 		}
-		w.serve(a, ms)
+		w.read(a)
 	}
 }
 
 // A broker that has clearly more to read than the rest is passed over, and the prompt's parts are fetched from it.
 func TestBusyBrokerIsPassedOver(t *testing.T) {
-	w := newWorld(t, instances(5))
-	w.StoreSeen(w.now, storeAddress, false, false)
-	owner := w.begin(w.prompt(flowRoute, 77))
-	w.serve(owner, ms)
-	w.PeerSent(w.now, owner.Instance.ID, 5000)
-	a := w.begin(w.prompt(flowRoute, 77))
-	assert.Assert(t, a.Instance.ID != owner.Instance.ID)
-	assert.Equal(t, a.FetchFrom, owner.Instance.Address)
-	w.serve(a, ms)
-	w.now += time.Second
-	w.PeerSent(w.now, owner.Instance.ID, 100)
-	a = w.begin(w.prompt(flowRoute, 77))
-	assert.Equal(t, a.Instance.ID, owner.Instance.ID, "a little busier is no reason")
-	assert.Equal(t, a.FetchFrom, "")
+	for _, c := range []struct {
+		waiting int // tokens
+		passed  bool
+	}{{50, false}, {5000, true}} {
+		w := newWorld(t, instances(5))
+		w.StoreSeen(w.now, storeAddress, false, false)
+		owner := w.begin(w.prompt(flowRoute, 77))
+		w.read(owner)
+		w.PeerSent(w.now, Sent{Instance: owner.Instance.ID, Unread: c.waiting})
+		a := w.begin(w.prompt(flowRoute, 77))
+		assert.Equal(t, a.Instance.ID != owner.Instance.ID, c.passed)
+		assert.Equal(t, a.FetchFrom == owner.Instance.Address, c.passed)
+	}
 }
 
 // fixedIndex names holders whatever is asked for, and notes what it is told.
@@ -83,6 +81,7 @@
 	w := newWorldWith(t, instances(8), index)
 	owner := w.begin(w.prompt(flowRoute, 5))
 	w.serve(owner, ms)
+	w.now += readsBelieved
 	assert.DeepEqual(t, index.observed, []string{owner.Instance.ID})
 	for id := range w.brokers {
 		if id != owner.Instance.ID {
@@ -93,6 +92,7 @@
 	a := w.begin(w.prompt(flowRoute, 5))
 	assert.Equal(t, a.Instance.ID, index.holders[0].Instance)
 	w.serve(a, ms)
+	w.now += readsBelieved
 	index.holders = append(index.holders, Holder{Instance: owner.Instance.ID, Tokens: 1300})
 	a = w.begin(w.prompt(flowRoute, 5))
 	assert.Equal(t, a.Instance.ID, owner.Instance.ID, "between equals the order decides that all proxies find")
@@ -118,7 +118,7 @@
 			a := w.begin(w.prompt(flowRoute, 77))
 			w.serve(a, ms)
 			owner := w.brokers[a.Instance.ID].instance
-			w.PeerSent(w.now, owner.ID, 5000)
+			w.PeerSent(w.now, Sent{Instance: owner.ID, Unread: 20000})
 			c.spoil(w, owner)
 			a = w.begin(w.prompt(flowRoute, 77))
 			assert.Assert(t, a.Instance.ID != owner.ID)
--- a/internal/node/routing/api.go
+++ b/internal/node/routing/api.go
@@ -46,9 +46,8 @@
 	FetchFrom     string // Kv-Fetch; empty: none
 	SaveTo        string // Kv-Save; empty: none
 	Priority      int    // the Priority header, 0 to 9
-	// Unread is how many tokens of the prompt the broker has to read: what other proxies are to be told by PeerSent. 0: it runs
-	// no model.
-	Unread int
+	// Sent is what the other proxies are to be told at once, by PeerSent; nil: nothing.
+	Sent *Sent
 	// CopyAt is when to call Copy if no answer has begun by then; core.Never: no copy.
 	CopyAt core.Time
 	// ByPrediction: the prediction chose among the candidates (reported as a metric).
--- a/internal/node/routing/candidates.go
+++ b/internal/node/routing/candidates.go
@@ -33,7 +33,8 @@
 	scored   bool
 	slow     bool
 	trial    bool
-	kept     int     // tokens of the prompt, by the index
+	kept     int     // tokens of the prompt that it has, by the index and what was sent lately
+	coming   int     // tokens of the prompt that it has or is reading now
 	stored   int     // tokens of the prompt that the store keeps, by the index
 	unread   int     // tokens that it has to read for the request
 	cost     float64 // ms until the first token, as far as brokers differ in it
--- a/internal/node/routing/engine_test.go
+++ b/internal/node/routing/engine_test.go
@@ -78,6 +78,7 @@
 	known   map[kvKey]bool // parts that some broker has read
 
 	index            *lateIndex
+	told             bool // proxies tell one another what they send
 	store            *engine
 	kinds            map[string]*kindResult
 	readAgain, moved int
@@ -222,6 +223,7 @@
 	if d.Attempt == nil {
 		return
 	}
+	s.tell(c.proxy, d.Attempt.Sent)
 	g := &generation{client: c, attempt: d.Attempt, engine: s.engines[d.Attempt.Instance.ID], out: out}
 	c.calls = append(c.calls, &simCall{client: c, attempt: d.Attempt, broker: s.brokers[g.engine.id]})
 	if d.Attempt.CopyAt != core.Never {
@@ -234,6 +236,20 @@
 	s.at(s.now+hop, func() { g.engine.take(g) })
 }
 
+// tell passes on what a proxy has sent to a broker.
+func (s *engineSim) tell(from int, sent *Sent) {
+	if !s.told || sent == nil {
+		return
+	}
+	s.at(s.now+2*hop, func() {
+		for i, r := range s.proxies {
+			if i != from {
+				r.PeerSent(s.now, *sent)
+			}
+		}
+	})
+}
+
 func (e *engine) load() *Load {
 	return &Load{Running: len(e.running), Waiting: len(e.waiting), Slots: engineBatch}
 }
--- a/internal/node/routing/guarded.go
+++ b/internal/node/routing/guarded.go
@@ -76,10 +76,10 @@
 }
 
 // PeerSent is Router.PeerSent.
-func (g *Guarded) PeerSent(now core.Time, instance string, tokens int) {
+func (g *Guarded) PeerSent(now core.Time, sent Sent) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.router.PeerSent(now, instance, tokens)
+	g.router.PeerSent(now, sent)
 }
 
 // CoreDisturbed is Router.CoreDisturbed.
--- a/internal/node/routing/outcomes.go
+++ b/internal/node/routing/outcomes.go
@@ -33,7 +33,10 @@
 		b.orderedUntil = 0
 	}
 	p.answeredAt = now
-	b.backlog.passed(a.queueEnd)
+	if a.salt != "" {
+		b.backlog.passed(a.queueEnd)
+		r.reads.note(now, now, b, SaltID(a.salt), sharedParts(req.Parts))
+	}
 	if req.Route.Kind == config.KindStreaming {
 		r.learn(now, req, a) // an event is no quick error
 	}
--- a/internal/node/routing/placement.go
+++ b/internal/node/routing/placement.go
@@ -9,15 +9,16 @@
 // where that is least: the tokens that wait there, those of the prompt that the broker lacks and nobody else keeps, and what
 // moving the others takes. Counts of requests tell little of it, as one prompt may be a hundred times another.
 const (
-	ownerShare    = 0.5  // of what must be read anew is taken off at the broker that should keep it
-	ownerLeast    = 4.0  // ms that are taken off there at least, so that proxies agree where costs are nearly equal
-	movesZones    = 2.0  // times as long between zones (PROTOCOL.md, "KV cache")
-	moveFixed     = 3.0  // ms for any move
-	zoneCost      = 2.0  // ms for a broker of another zone
-	requestCost   = 0.3  // ms for each request that runs there
-	fullCost      = 200. // ms where all places are taken
-	chanceCost    = 1.0  // ms at most, by chance
-	moveAssumed   = 0.01 // ms a token, where the configuration doesn't tell
+	againFactor   = 3.0   // what a token counts more that was read lately elsewhere: its reading holds others up, and is priced
+	ownerShare    = 0.5   // of what must be read anew is taken off at the broker that should keep it
+	ownerLeast    = 4.0   // ms that are taken off there at least, so that proxies agree where costs are nearly equal
+	movesZones    = 2.0   // times as long between zones (PROTOCOL.md, "KV cache")
+	moveFixed     = 3.0   // ms for any move
+	zoneCost      = 2.0   // ms for a broker of another zone
+	requestCost   = 0.3   // ms for each request that runs there
+	fullCost      = 200.  // ms where all places are taken
+	chanceCost    = 1.0   // ms at most, by chance
+	moveAssumed   = 0.001 // ms a token, where the configuration doesn't tell
 	bitsPerByte   = 8
 	bitsPerMsMbps = 1000 // bits in a ms at 1 Mbps
 )
@@ -30,13 +31,14 @@
 	shared   int             // tokens that others may keep
 	own      int             // tokens that nobody else can keep
 	owner    *broker         // should keep the shared parts
-	versions []versionKept   // used again by each request
+	versions []versionParts  // used again by each request
 }
 
-// versionKept is the most tokens that any candidate with a version of the weights keeps.
-type versionKept struct {
+// versionParts is what is known of the prompt's parts under a version of the weights.
+type versionParts struct {
 	version uint64
-	tokens  int
+	kept    int // the most tokens that any candidate keeps
+	unseen  int // tokens at the end of the shared ones that no broker was sent lately
 }
 
 // pickByWork takes the candidate that is expected to begin its answer first, of those that aren't predicted slow; if all are,
@@ -108,27 +110,61 @@
 	p.owner = owner(req, found)
 	p.versions = p.versions[:0]
 	for i := range found {
-		p.noteKept(found[i].version, found[i].kept)
+		if p.parts(found[i].version) == nil {
+			unseen := r.noteReads(now, req, found, found[i].version)
+			p.versions = append(p.versions, versionParts{version: found[i].version, unseen: unseen})
+		}
+	}
+	for i := range found {
+		parts := p.parts(found[i].version)
+		parts.kept = max(parts.kept, found[i].kept)
 	}
 }
 
-func (p *placing) noteKept(version uint64, tokens int) {
-	for i := range p.versions {
-		if p.versions[i].version == version {
-			p.versions[i].tokens = max(p.versions[i].tokens, tokens)
-			return
+// noteReads notes at the candidates of a version what they are reading or have just read of the prompt, and returns how many
+// tokens at the end of the shared ones were not sent to any broker lately.
+func (r *Router) noteReads(now core.Time, req *request, found []candidate, version uint64) (unseen int) {
+	salt := SaltID(cacheSalt(req.model, version, req.wall))
+	tokens := 0
+	for _, part := range sharedParts(req.Parts) {
+		tokens += part.Tokens
+		reads := r.reads.of(now, salt, part)
+		if reads == nil {
+			unseen += part.Tokens
+			continue
+		}
+		unseen = 0
+		for i := range reads.places {
+			if place := &reads.places[i]; place.broker != nil && now < place.at+readsBelieved {
+				noteRead(now, found, place, tokens)
+			}
+		}
+	}
+	return unseen
+}
+
+// noteRead notes that a broker has so many tokens of the prompt, or will have them before its next request's turn.
+func noteRead(now core.Time, found []candidate, place *readPlace, tokens int) {
+	for i := range found {
+		c := &found[i]
+		if c.broker != place.broker {
+			continue
+		}
+		c.coming = max(c.coming, tokens)
+		if now >= place.readyAt {
+			c.kept = max(c.kept, tokens)
 		}
+		return
 	}
-	p.versions = append(p.versions, versionKept{version, tokens})
 }
 
-func (p *placing) keptAnywhere(version uint64) int {
-	for _, kept := range p.versions {
-		if kept.version == version {
-			return kept.tokens
+func (p *placing) parts(version uint64) *versionParts {
+	for i := range p.versions {
+		if p.versions[i].version == version {
+			return &p.versions[i]
 		}
 	}
-	return 0
+	return nil
 }
 
 // owner is the candidate that should keep the prompt's parts, by the rendezvous order; nil where there is none.
@@ -150,12 +186,15 @@
 
 // work tells how many tokens a candidate has to read for the request, and what reading and moving the rest takes, ms.
 func (p *placing) work(c *candidate) (unread int, cost float64) {
-	missing := max(p.shared-c.kept, 0)
-	moved, perMoved := p.move(c, missing)
+	known := p.parts(c.version)
+	missing := max(p.shared-max(c.kept, c.coming), 0)
+	moved, perMoved := p.move(c, known, missing)
 	anew := missing - moved
-	cost = p.perToken * float64(p.own+anew)
+	again := max(anew-known.unseen, 0)
+	reading := p.perToken * (float64(anew) + againFactor*float64(again))
+	cost = p.perToken*float64(p.own) + reading
 	if c.broker == p.owner {
-		cost -= ownerLeast + ownerShare*p.perToken*float64(anew)
+		cost -= ownerLeast + ownerShare*reading
 	}
 	if moved > 0 {
 		cost += moveFixed + perMoved*float64(moved)
@@ -164,22 +203,22 @@
 }
 
 // move is how many of the missing tokens can be fetched, and what each takes, ms.
-func (p *placing) move(c *candidate, missing int) (moved int, perToken float64) {
+func (p *placing) move(c *candidate, known *versionParts, missing int) (moved int, perToken float64) {
 	if missing < fetchLeastTokens {
 		return 0, 0
 	}
-	elsewhere := p.keptAnywhere(c.version)
-	if elsewhere > c.kept && elsewhere >= c.stored {
-		return min(elsewhere-c.kept, missing), p.moveTime(p.engine.LinkMbps, movesZones)
+	had := p.shared - missing
+	if known.kept > had && known.kept >= c.stored {
+		return known.kept - had, p.moveTime(p.engine.LinkMbps, movesZones)
 	}
-	if p.store == nil || c.stored <= c.kept {
+	if p.store == nil || c.stored <= had {
 		return 0, 0
 	}
 	times := 1.0
 	if p.store.Zone != c.broker.instance.Zone {
 		times = movesZones
 	}
-	return min(c.stored-c.kept, missing), p.moveTime(p.store.LinkMbps, times)
+	return min(c.stored-had, missing), p.moveTime(p.store.LinkMbps, times)
 }
 
 func (p *placing) moveTime(mbps, times float64) float64 {
@@ -208,12 +247,19 @@
 	return cost
 }
 
-// PeerSent tells that another proxy has sent a request to a broker, which has so many tokens to read for it.
-func (r *Router) PeerSent(now core.Time, instance string, tokens int) {
-	b := r.brokers[instance]
+// PeerSent tells what another proxy has sent to a model broker.
+func (r *Router) PeerSent(now core.Time, sent Sent) {
+	b := r.brokers[sent.Instance]
 	if b == nil {
 		return
 	}
-	p := r.pool(b.instance.Service)
-	b.backlog.add(now, float64(tokens), 1/p.pace.perToken(), b.oldestWaiting())
+	r.noteSent(now, r.pool(b.instance.Service), b, sent.Salt, sent.Parts, sent.Unread)
+}
+
+// noteSent puts a prompt at the end of what its broker has to read, and returns where it ends there.
+func (r *Router) noteSent(now core.Time, p *pool, b *broker, salt uint64, parts []PromptPart, unread int) (end float64) {
+	perToken := p.pace.perToken()
+	end = b.backlog.add(now, float64(unread), 1/perToken, b.oldestWaiting())
+	r.reads.note(now, now+fromMilliseconds(perToken*b.backlog.tokens()), b, salt, parts)
+	return end
 }
--- a/internal/node/routing/placement_test.go
+++ b/internal/node/routing/placement_test.go
@@ -21,8 +21,8 @@
 // Requests go where least waits to be read, however many run there.
 func TestLeastToRead(t *testing.T) {
 	w := newWorld(t, instances(3))
-	w.PeerSent(w.now, "i00", 30000)
-	w.PeerSent(w.now, "i01", 8000)
+	w.PeerSent(w.now, Sent{Instance: "i00", Unread: 30000})
+	w.PeerSent(w.now, Sent{Instance: "i01", Unread: 8000})
 	w.ObserveLoad(w.now, "i02", Load{Running: 20, Slots: 64})
 	assert.Equal(t, w.begin(w.sized(20000)).Instance.ID, "i02")
 	assert.Equal(t, w.begin(w.sized(600)).Instance.ID, "i01", "the long prompt waits at the other one now")
@@ -39,7 +39,7 @@
 	w := newWorld(t, instances(2))
 	w.ObserveLoad(w.now, "i00", Load{Running: 64, Slots: 64})
 	w.ObserveLoad(w.now, "i01", Load{Running: 3, Slots: 64})
-	w.PeerSent(w.now, "i01", 3000)
+	w.PeerSent(w.now, Sent{Instance: "i01", Unread: 3000})
 	assert.Equal(t, w.begin(w.sized(600)).Instance.ID, "i01")
 }
 
@@ -52,30 +52,43 @@
 		stays   bool
 	}{
 		{"kept there alone, nothing waits", []Holder{{Instance: "i00", Tokens: 1300}}, 0, true},
-		{"kept there alone, a little waits", []Holder{{Instance: "i00", Tokens: 1300}}, 300, true},
+		{"kept there alone, a little waits", []Holder{{Instance: "i00", Tokens: 1300}}, 100, true},
 		{"kept there alone, as the rest can fetch, much waits", []Holder{{Instance: "i00", Tokens: 1300}}, 4000, false},
 		{"kept at the store too", []Holder{{Instance: "i00", Tokens: 1300}, {Instance: storeAddress, Store: true, Tokens: 1300}}, 2000, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorldWith(t, instances(4), &fixedIndex{holders: c.holders})
-			w.PeerSent(w.now, "i00", c.waiting)
+			w.PeerSent(w.now, Sent{Instance: "i00", Unread: c.waiting})
 			a := w.begin(w.prompt(flowRoute, 5))
 			assert.Equal(t, a.Instance.ID == "i00", c.stays)
-			assert.Equal(t, a.Unread, 300, "only the last part")
+			assert.Equal(t, a.Sent, (*Sent)(nil), "only the last part is to be read")
 		})
 	}
 }
 
-// What a broker has to read for a request is told for other proxies.
-func TestUnread(t *testing.T) {
+// What a broker has to read for a request is told for other proxies, unless it is little.
+func TestSent(t *testing.T) {
+	unread := func(w *world) int {
+		a := w.begin(w.prompt(flowRoute, 5))
+		if a.Sent == nil {
+			return 0
+		}
+		assert.Equal(t, a.Sent.Instance, a.Instance.ID)
+		assert.Equal(t, a.Sent.Salt, SaltID(a.Salt))
+		assert.Equal(t, len(a.Sent.Parts), 2, "the last part is nobody else's")
+		return a.Sent.Unread
+	}
+	fresh := func(tokens int) *world {
+		return newWorldWith(t, instances(3), &fixedIndex{holders: []Holder{{Instance: storeAddress, Store: true, Tokens: tokens}}})
+	}
+	assert.Equal(t, unread(fresh(0)), 1600)
+	assert.Equal(t, unread(fresh(500)), 1100)
+	assert.Equal(t, unread(fresh(1300)), 0)
+	down := fresh(1300)
+	down.StoreSeen(down.now, storeAddress, false, false)
+	assert.Equal(t, unread(down), 1600)
 	w := newWorld(t, instances(3))
-	assert.Equal(t, w.begin(w.prompt(flowRoute, 5)).Unread, 1600)
-	assert.Equal(t, w.begin(w.request(safeRoute)).Unread, 0, "no model")
-	w.StoreSeen(w.now, storeAddress, false, false)
-	known := newWorldWith(t, instances(3), &fixedIndex{holders: []Holder{{Instance: storeAddress, Store: true, Tokens: 500}}})
-	assert.Equal(t, known.begin(known.prompt(flowRoute, 5)).Unread, 1100)
-	known.StoreSeen(known.now, storeAddress, false, false)
-	assert.Equal(t, known.begin(known.prompt(flowRoute, 5)).Unread, 1600, "the store is down")
+	assert.Equal(t, w.begin(w.request(safeRoute)).Sent, (*Sent)(nil), "no model")
 }
 
 // Renewed brokers have nothing of a prompt yet: they get requests as the old ones, which have it, fill up.
@@ -145,6 +158,6 @@
 // PeerSent of brokers that are not known, or that run no model, changes nothing.
 func TestPeerSentOfUnknownBrokers(t *testing.T) {
 	w := newWorld(t, []*registry.Instance{instanceOf("i00", "z0")})
-	w.PeerSent(w.now, "i77", 5000)
+	w.PeerSent(w.now, Sent{Instance: "i77", Unread: 5000})
 	assert.Equal(t, w.begin(w.sized(100)).Instance.ID, "i00")
 }
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -10,6 +10,9 @@
 // mostAttempts bounds the sends of one request, those included that brokers turned away.
 const mostAttempts = 5
 
+// tellLeast is how many tokens a broker must have to read for an attempt for other proxies to be told.
+const tellLeast = 500
+
 // Router decides for one proxy. It isn't safe for concurrent use: see Guarded.
 type Router struct {
 	options  Options
@@ -32,8 +35,9 @@
 	// awakeAt is when this process last came back from standing still.
 	awakeAt core.Time
 
-	field    field    // used again by each choice
-	placing  placing  // used again by each choice for a model
+	field    field   // used again by each choice
+	placing  placing // used again by each choice for a model
+	reads    recentReads
 	asked    []uint64 // used again by rankHolders
 	counters Counters
 }
@@ -277,10 +281,12 @@
 	if unread == 0 {
 		unread = req.TokensIn
 	}
-	b := a.broker
-	a.queueEnd = b.backlog.add(now, float64(unread), 1/req.pool.pace.perToken(), b.oldestWaiting())
-	a.ahead = b.backlog.tokens()
-	out.Unread = unread
+	salt, parts := SaltID(out.Salt), sharedParts(req.Parts)
+	a.queueEnd = r.noteSent(now, req.pool, a.broker, salt, parts, unread)
+	a.ahead = a.broker.backlog.tokens()
+	if unread >= tellLeast {
+		out.Sent = &Sent{Instance: out.Instance.ID, Salt: salt, Parts: parts, Unread: unread}
+	}
 }
 
 // another decides on a further attempt for a request of which nothing is out any more.
--- a/internal/node/routing/store_test.go
+++ b/internal/node/routing/store_test.go
@@ -33,7 +33,8 @@
 			w := newWorldWith(t, instances(5), index)
 			w.StoreSeen(w.now, storeAddress, !c.storeDown, false)
 			first := w.begin(w.prompt(flowRoute, 77))
-			w.serve(first, ms)
+			w.read(first)
+			w.now += readsBelieved // so that the index decides
 			other, source := "i00", "i01"
 			if first.Instance.ID == other {
 				other = "i02"
@@ -41,8 +42,8 @@
 			if first.Instance.ID == source {
 				source = "i02"
 			}
-			w.PeerSent(w.now, first.Instance.ID, 50000)
-			w.PeerSent(w.now, source, 50000)
+			w.PeerSent(w.now, Sent{Instance: first.Instance.ID, Unread: 50000})
+			w.PeerSent(w.now, Sent{Instance: source, Unread: 50000})
 			index.holders = []Holder{{Instance: storeAddress, Store: true, Tokens: c.stored}, {Instance: source, Tokens: c.peers}}
 			if c.kept > 0 {
 				index.holders = append(index.holders, Holder{Instance: other, Tokens: c.kept})
@@ -109,6 +110,11 @@
 	for _, othersLate := range []bool{false, true} {
 		t.Run(fmt.Sprint("others late: ", othersLate), func(t *testing.T) {
 			w := newWorld(t, instances(12))
+			fresh := func() Request {
+				q := w.prompt(flowRoute, w.Router.options.Random.Uint64())
+				q.Parts[0].ID = w.Router.options.Random.Uint64()
+				return q
+			}
 			short := func() Request {
 				q := w.prompt(flowRoute, 9)
 				q.Parts = []PromptPart{{ID: 1, Tokens: 100}, {ID: 9, Tokens: 900}}
@@ -121,17 +127,17 @@
 			if othersLate {
 				others = 400 * ms
 			}
-			for part := range uint64(storeLateFew) {
-				a := w.begin(w.prompt(flowRoute, part*1000))
+			for range storeLateFew {
+				a := w.begin(fresh())
 				assert.Equal(t, a.FetchFrom, storeAddress)
 				w.serve(a, 400*ms)
 				w.serve(w.begin(short()), others)
 			}
-			a := w.begin(w.prompt(flowRoute, 7))
+			a := w.begin(fresh())
 			assert.Equal(t, a.FetchFrom == storeAddress, othersLate)
 			w.serve(a, 30*ms)
 			w.now += storeRest
-			assert.Equal(t, w.begin(w.prompt(flowRoute, 7)).FetchFrom, storeAddress, "it is tried again")
+			assert.Equal(t, w.begin(fresh()).FetchFrom, storeAddress, "it is tried again")
 		})
 	}
 }
--- a/internal/node/routing/world_test.go
+++ b/internal/node/routing/world_test.go
@@ -111,6 +111,15 @@
 	w.answer(a)
 }
 
+// read has a model's attempt answered once its prompt was read at a usual pace.
+func (w *world) read(a *Attempt) {
+	unread := 300
+	if a.Sent != nil {
+		unread = a.Sent.Unread
+	}
+	w.serve(a, 10*ms+core.Time(unread)*20*time.Microsecond)
+}
+
 func (w *world) answer(a *Attempt) {
 	w.Started(w.now, a.Request, a.Number, nil)
 	w.Finished(w.now, a.Request, a.Number, Outcome{Verdict: verdict.Ran, Answered: true, Status: 200}, false)
