--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -13,7 +13,7 @@
 	"kestrelspread/internal/node/verdict"
 )
 
-// call is one client's request on its way through the proxy. The goroutine that serves the request owns it; flights of a
+// call is one client's request on its way through the proxy. The goroutine that serves the request owns it; attempts of a
 // race share what is below the mutex.
 type call struct {
 	proxy   *Proxy
@@ -33,14 +33,14 @@
 	// sent: some attempt may have run, so nothing may be promised.
 	sent bool
 	// fallback is a failure that a broker answered, kept while another attempt is made.
-	fallback *arrival
+	fallback *attemptResult
 	racing   int
-	results  chan *arrival
+	results  chan *attemptResult
 	stopLeft func() bool
 
-	mu      sync.Mutex
-	flights []*flight
-	left    bool // the client has left
+	mu       sync.Mutex
+	attempts []*attempt
+	left     bool // the client has left
 }
 
 // take checks the request and reads its body. It answers those that it does not take. The body comes first: what is decided
@@ -239,8 +239,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.left = true
-	for _, f := range c.flights {
-		f.clientLeft()
+	for _, a := range c.attempts {
+		a.clientLeft()
 	}
 }
 
--- a/internal/node/forward/delivery.go
+++ b/internal/node/forward/delivery.go
@@ -10,7 +10,7 @@
 )
 
 // deliver passes an answer on to the client.
-func (c *call) deliver(result *arrival) {
+func (c *call) deliver(result *attemptResult) {
 	defer result.release()
 	switch {
 	case result.whole():
@@ -23,7 +23,7 @@
 }
 
 // deliverWhole passes on an answer that is here in full; its connection has been given back.
-func (c *call) deliverWhole(result *arrival) {
+func (c *call) deliverWhole(result *attemptResult) {
 	c.concludeAnswered(result)
 	header := c.passOnHead(result.answer)
 	if mayHaveBody(c.request.Method, result.answer.Status) {
@@ -43,7 +43,7 @@
 const copyBytes = 16 << 10
 
 // deliverLarge passes on an answer piece by piece. One that breaks off breaks the client's connection off.
-func (c *call) deliverLarge(result *arrival) {
+func (c *call) deliverLarge(result *attemptResult) {
 	header := c.passOnHead(result.answer)
 	if result.answer.Length >= 0 {
 		header["Content-Length"] = lengthHeader(result.answer.Length)
@@ -56,11 +56,11 @@
 	}
 	err := c.copyLarge(result.answer, piece)
 	if err == nil {
-		result.flight.giveBack()
+		result.attempt.giveBack()
 		c.concludeAnswered(result)
 		return
 	}
-	result.flight.drop()
+	result.attempt.drop()
 	result.outcome.Canceled = errors.Is(err, errClient) || c.clientHasLeft()
 	c.conclude(result, false)
 	c.abort()
@@ -102,14 +102,14 @@
 
 // deliverEvents passes a stream on, event by event, and takes it up at another broker where it is cut and may be resumed.
 // The client's answer keeps the head and seal of the first broker (PROTOCOL.md, "Requests").
-func (c *call) deliverEvents(result *arrival) {
+func (c *call) deliverEvents(result *attemptResult) {
 	c.passOnHead(result.answer)
 	c.writer.WriteHeader(result.answer.Status)
 	s := &stream{call: c, flush: flusher(c.writer), resumable: c.intake.route.Idempotent()}
 	for result != nil {
 		err := s.passOn(result)
 		if err == nil {
-			result.flight.giveBack()
+			result.attempt.giveBack()
 			c.concludeAnswered(result)
 			result.release()
 			return
@@ -128,7 +128,7 @@
 }
 
 // passOn passes events on until the stream ends. nil: its broker ended it in the proper way.
-func (s *stream) passOn(result *arrival) error {
+func (s *stream) passOn(result *attemptResult) error {
 	events := result.events
 	for {
 		if err := s.write(events); err != nil {
@@ -175,12 +175,12 @@
 
 // takeUp goes on with a stream that was cut at another broker, behind the last whole event that the client has. nil: it
 // can't go on.
-func (s *stream) takeUp(cut *arrival, err error) *arrival {
+func (s *stream) takeUp(cut *attemptResult, err error) *attemptResult {
 	c := s.call
-	cut.flight.drop()
+	cut.attempt.drop()
 	cut.release()
 	clientGone := errors.Is(err, errClient) || c.clientHasLeft()
-	cut.outcome = cut.flight.cutOutcome(err, clientGone)
+	cut.outcome = cut.attempt.cutOutcome(err, clientGone)
 	mayGoOn := s.resumable && s.last.set && !clientGone && !errors.Is(err, errUnnumbered)
 	decision := c.conclude(cut, mayGoOn)
 	if !mayGoOn || !c.mayTryAgain() || decision.Attempt == nil {
--- a/internal/node/forward/doc.go
+++ b/internal/node/forward/doc.go
@@ -3,7 +3,7 @@
 //
 // One goroutine serves a request from end to end: the server's own. Only a copy of a late request adds goroutines.
 // The steps are: check the framing (clientConn), find route, tenant and deadline (intake), read the whole body, then make
-// the attempts that the router asks for (call, flight) until one has an answer for the client (delivery), or none will.
+// the attempts that the router asks for (call, retries, race, attempt) until one has an answer for the client (delivery), or none will.
 //
 // What holds, with its source in RULES.md:
 //
@@ -14,6 +14,9 @@
 //   - 503 is answered only if no attempt can have run (REFUSED); else 502, or 504 at the deadline.
 //   - Only whole events of a stream are passed on, none twice and in rising order (ORDER).
 //
+// While the process has just begun, requests wait a little for what it still lacks (startup); nothing is denied before the
+// configuration held is known to be the one in force.
+//
 // When a client leaves: nothing more is sent for it. A stream that is under way is closed, since its broker would generate
 // for nobody. Any other answer that is awaited is let come for a short time (Bounds.FinishAfterLeave) and thrown away: breaking
 // off work that can't be repeated is priced, and so is the new connection that would take the place of the closed one.
--- a/internal/node/forward/encode.go
+++ b/internal/node/forward/encode.go
@@ -7,18 +7,18 @@
 )
 
 // appendHead writes the head of the request as the broker gets it.
-func (f *flight) appendHead(head []byte, now core.Time) []byte {
-	c := f.call
+func (a *attempt) appendHead(head []byte, now core.Time) []byte {
+	c := a.call
 	r := c.request
 	head = append(head, r.Method...)
 	head = append(head, ' ')
 	head = append(head, r.RequestURI...)
 	head = append(head, " HTTP/1.1\r\n"...)
 	head = appendHeader(head, "Host", r.Host)
-	head = c.appendClientHeaders(head, f.after.set)
+	head = c.appendClientHeaders(head, a.after.set)
 	head = appendHeader(head, headerRequestID, c.intake.id)
 	head = appendNumberHeader(head, headerDeadline, max(int64((c.intake.deadline-now)/time.Millisecond), 1))
-	head = f.appendOwnHeaders(head)
+	head = a.appendOwnHeaders(head)
 	if length := len(c.bodyBytes()); length > 0 || r.ContentLength != 0 || r.Header["Content-Length"] != nil {
 		head = appendNumberHeader(head, "Content-Length", int64(length))
 	}
@@ -40,29 +40,29 @@
 }
 
 // appendOwnHeaders adds what this proxy says to the broker.
-func (f *flight) appendOwnHeaders(head []byte) []byte {
-	attempt, in := f.attempt, &f.call.intake
-	head = appendHeader(head, headerExpectInstance, attempt.Instance.ID)
+func (a *attempt) appendOwnHeaders(head []byte) []byte {
+	planned, in := a.planned, &a.call.intake
+	head = appendHeader(head, headerExpectInstance, planned.Instance.ID)
 	if in.tenant != nil {
 		head = appendHeader(head, headerTenant, in.tenant.Name)
 	}
-	if attempt.ExpectVersion != 0 {
-		head = appendNumberHeader(head, headerExpectVersion, int64(attempt.ExpectVersion))
+	if planned.ExpectVersion != 0 {
+		head = appendNumberHeader(head, headerExpectVersion, int64(planned.ExpectVersion))
 	}
-	if attempt.Salt != "" {
-		head = appendHeader(head, headerSalt, attempt.Salt)
+	if planned.Salt != "" {
+		head = appendHeader(head, headerSalt, planned.Salt)
 	}
-	if attempt.FetchFrom != "" {
-		head = appendHeader(head, headerFetch, attempt.FetchFrom)
+	if planned.FetchFrom != "" {
+		head = appendHeader(head, headerFetch, planned.FetchFrom)
 	}
-	if attempt.SaveTo != "" {
-		head = appendHeader(head, headerSave, attempt.SaveTo)
+	if planned.SaveTo != "" {
+		head = appendHeader(head, headerSave, planned.SaveTo)
 	}
 	if service := in.compiled.Services[in.service]; service != nil && service.Engine != nil {
-		head = appendNumberHeader(head, headerPriority, int64(attempt.Priority))
+		head = appendNumberHeader(head, headerPriority, int64(planned.Priority))
 	}
-	if f.after.set {
-		head = appendNumberHeader(head, headerLastEventID, f.after.number)
+	if a.after.set {
+		head = appendNumberHeader(head, headerLastEventID, a.after.number)
 	}
 	return head
 }
--- a/internal/node/forward/receive.go
+++ b/internal/node/forward/receive.go
@@ -13,56 +13,56 @@
 
 // receive reads the answer until it can be handed to the client: whole where it is small, to its first event where it is a
 // stream, else its head. Where that has not come until the time given, pending is true and receive may be called again.
-func (f *flight) receive(until time.Time) (result *arrival, pending bool) {
-	limit := f.call.holdUntil()
+func (a *attempt) receive(until time.Time) (result *attemptResult, pending bool) {
+	limit := a.call.holdUntil()
 	if until.IsZero() || until.After(limit) {
 		until = limit
 	}
-	if f.answer == nil {
-		if err := f.conn.Await(until); err != nil {
-			return f.failedOrPending(err, until, limit)
+	if a.answer == nil {
+		if err := a.conn.Await(until); err != nil {
+			return a.failedOrPending(err, until, limit)
 		}
-		f.conn.SetDeadline(limit)
-		answer, err := f.conn.ReadHead(f.call.request.Method, f.call.intake.id)
+		a.conn.SetDeadline(limit)
+		answer, err := a.conn.ReadHead(a.call.request.Method, a.call.intake.id)
 		if err != nil {
-			return f.failed(err), false
+			return a.failed(err), false
 		}
-		f.answer = answer
-		if result := f.judge(); result != nil {
+		a.answer = answer
+		if result := a.judge(); result != nil {
 			return result, false
 		}
 	}
-	if f.events != nil {
-		return f.receiveFirstEvent(until, limit)
+	if a.events != nil {
+		return a.receiveFirstEvent(until, limit)
 	}
-	return f.receiveBody(), false
+	return a.receiveBody(), false
 }
 
-func (f *flight) failedOrPending(err error, until, limit time.Time) (*arrival, bool) {
-	if errorx.IsOfType(err, upstream.TimedOut) && until.Before(limit) && !f.wasCanceled() {
+func (a *attempt) failedOrPending(err error, until, limit time.Time) (*attemptResult, bool) {
+	if errorx.IsOfType(err, upstream.TimedOut) && until.Before(limit) && !a.wasCanceled() {
 		return nil, true
 	}
-	return f.failed(err), false
+	return a.failed(err), false
 }
 
 // judge decides by the head whether the answer is one for the client. nil: it is.
-func (f *flight) judge() *arrival {
-	answer := f.answer
+func (a *attempt) judge() *attemptResult {
+	answer := a.answer
 	switch {
 	case answer.NotExecuted:
-		return f.turnedAway()
+		return a.turnedAway()
 	case answer.Header["Content-Encoding"] != nil:
-		return f.garbled("encoded body")
+		return a.garbled("encoded body")
 	case answer.Status < http.StatusMultipleChoices && len(answer.Header[headerSeal]) != 1:
-		return f.garbled("success without a seal")
-	case f.after.set && (answer.Status != http.StatusOK || !isEventStream(answer)):
-		return f.notResumed()
+		return a.garbled("success without a seal")
+	case a.after.set && (answer.Status != http.StatusOK || !isEventStream(answer)):
+		return a.notResumed()
 	}
 	if promises(answer.Status) {
-		return f.garbled("a promise that nothing vouches for")
+		return a.garbled("a promise that nothing vouches for")
 	}
 	if answer.Status == http.StatusOK && isEventStream(answer) {
-		f.events = newEventReader(answer, f.after)
+		a.events = newEventReader(answer, a.after)
 	}
 	return nil
 }
@@ -86,47 +86,47 @@
 
 // started tells the router that there is an answer for the client. Of an answer that is read whole it is told only then: until
 // its end has come, another attempt can take its place.
-func (f *flight) started() {
-	c := f.call
-	c.proxy.options.Port.Started(c.now(), c.id, f.attempt.Number, serverLoad(f.answer.Header))
+func (a *attempt) started() {
+	c := a.call
+	c.proxy.options.Port.Started(c.now(), c.id, a.planned.Number, serverLoad(a.answer.Header))
 }
 
 // receiveBody reads a small body whole; of a large one it leaves all but the head to the delivery.
-func (f *flight) receiveBody() *arrival {
-	result := &arrival{flight: f, answer: f.answer, outcome: f.outcome(verdict.Ran)}
-	most := int64(f.call.proxy.bounds.MaxWholeAnswerBytes)
-	if f.answer.Length > most {
-		f.started()
+func (a *attempt) receiveBody() *attemptResult {
+	result := &attemptResult{attempt: a, answer: a.answer, outcome: a.outcome(verdict.Ran)}
+	most := int64(a.call.proxy.bounds.MaxWholeAnswerBytes)
+	if a.answer.Length > most {
+		a.started()
 		return result
 	}
 	body := takeBuffer()
-	err := body.readAll(f.answer, f.answer.Length, most)
+	err := body.readAll(a.answer, a.answer.Length, most)
 	switch {
 	case err == nil:
-		f.started()
+		a.started()
 		result.body = body
-		f.giveBack()
+		a.giveBack()
 		return result
 	case err == errTooLarge:
-		f.started()
+		a.started()
 		result.prefix = body
 		return result
 	default:
 		body.release()
-		return f.failed(err)
+		return a.failed(err)
 	}
 }
 
-func (f *flight) receiveFirstEvent(until, limit time.Time) (*arrival, bool) {
-	for !f.events.ready() {
-		if err := f.conn.Await(until); err != nil {
-			return f.failedOrPending(err, until, limit)
+func (a *attempt) receiveFirstEvent(until, limit time.Time) (*attemptResult, bool) {
+	for !a.events.ready() {
+		if err := a.conn.Await(until); err != nil {
+			return a.failedOrPending(err, until, limit)
 		}
-		f.conn.SetDeadline(limit)
-		if err := f.events.fill(); err != nil {
-			return f.failed(err), false
+		a.conn.SetDeadline(limit)
+		if err := a.events.fill(); err != nil {
+			return a.failed(err), false
 		}
 	}
-	f.started()
-	return &arrival{flight: f, answer: f.answer, events: f.events, outcome: f.outcome(verdict.Ran)}, false
+	a.started()
+	return &attemptResult{attempt: a, answer: a.answer, events: a.events, outcome: a.outcome(verdict.Ran)}, false
 }
--- a/internal/node/forward/arrival.go
+++ b/internal/node/forward/result.go
@@ -10,9 +10,9 @@
 	"kestrelspread/internal/node/verdict"
 )
 
-// arrival is what came of a flight: an answer for the client, or a failure that outcome describes.
-type arrival struct {
-	flight  *flight
+// attemptResult is what came of an attempt: an answer for the client, or a failure that outcome describes.
+type attemptResult struct {
+	attempt *attempt
 	outcome routing.Outcome
 	err     error
 	// answer is set where there is one for the client. Its body is whole in body, or comes from events, or, where neither
@@ -29,78 +29,80 @@
 }
 
 // whole reports whether the answer is here in full.
-func (a *arrival) whole() bool { return a.body != nil }
+func (r *attemptResult) whole() bool { return r.body != nil }
 
 // brokerFailed reports whether the broker answered that it failed.
-func (a *arrival) brokerFailed() bool {
-	return a.answer != nil && a.answer.Status >= http.StatusInternalServerError
+func (r *attemptResult) brokerFailed() bool {
+	return r.answer != nil && r.answer.Status >= http.StatusInternalServerError
 }
 
-func (a *arrival) release() {
-	a.body.release()
-	a.prefix.release()
-	a.body, a.prefix = nil, nil
-	if a.events != nil {
-		a.events.release()
-		a.events = nil
+func (r *attemptResult) release() {
+	r.body.release()
+	r.prefix.release()
+	r.body, r.prefix = nil, nil
+	if r.events != nil {
+		r.events.release()
+		r.events = nil
 	}
 }
 
 // turnedAway ends an attempt that the broker did not run.
-func (f *flight) turnedAway() *arrival {
-	outcome := f.outcome(verdict.NotRun)
-	outcome.Misdirected = f.answer.Status == http.StatusMisdirectedRequest
-	outcome.NotExecuted = len(f.answer.Header[headerNotExecuted]) > 0
-	outcome.RetryAfter = parseSeconds(first(f.answer.Header, headerRetryAfter))
-	f.skipBody()
-	return &arrival{flight: f, outcome: outcome}
+func (a *attempt) turnedAway() *attemptResult {
+	outcome := a.outcome(verdict.NotRun)
+	outcome.Misdirected = a.answer.Status == http.StatusMisdirectedRequest
+	outcome.NotExecuted = len(a.answer.Header[headerNotExecuted]) > 0
+	outcome.RetryAfter = parseSeconds(first(a.answer.Header, headerRetryAfter))
+	a.skipBody()
+	return &attemptResult{attempt: a, outcome: outcome}
 }
 
 // maxIgnoredBytes bounds the body of an answer that is read only to keep its connection.
 const maxIgnoredBytes = 4 << 10
 
 // skipBody reads over a body that nobody wants.
-func (f *flight) skipBody() {
+func (a *attempt) skipBody() {
 	body := takeBuffer()
 	defer body.release()
-	if f.answer.Length > maxIgnoredBytes || body.readAll(f.answer, f.answer.Length, maxIgnoredBytes) != nil {
-		f.drop()
+	if a.answer.Length > maxIgnoredBytes || body.readAll(a.answer, a.answer.Length, maxIgnoredBytes) != nil {
+		a.drop()
 		return
 	}
-	f.giveBack()
+	a.giveBack()
 }
 
 // garbled ends an attempt whose answer is none of the broker's.
-func (f *flight) garbled(why string) *arrival { return f.failed(upstream.Garbled.New("%s", why)) }
+func (a *attempt) garbled(why string) *attemptResult {
+	return a.failed(upstream.Garbled.New("%s", why))
+}
 
 // notResumed ends an attempt to go on with a stream that the broker did not go on with.
-func (f *flight) notResumed() *arrival {
-	outcome := f.outcome(verdict.Ran)
-	f.skipBody()
-	return &arrival{flight: f, outcome: outcome}
+func (a *attempt) notResumed() *attemptResult {
+	outcome := a.outcome(verdict.Ran)
+	a.skipBody()
+	return &attemptResult{attempt: a, outcome: outcome}
 }
 
 // withheld ends an attempt that was not sent.
-func (f *flight) withheld() *arrival {
-	return &arrival{flight: f, outcome: routing.Outcome{Verdict: verdict.NotRun, Canceled: true}}
+func (a *attempt) withheld() *attemptResult {
+	return &attemptResult{attempt: a, outcome: routing.Outcome{Verdict: verdict.NotRun, Canceled: true}}
 }
 
 // failed ends an attempt by an error of the exchange.
-func (f *flight) failed(err error) *arrival {
-	f.drop()
-	if f.events != nil {
-		f.events.release()
+func (a *attempt) failed(err error) *attemptResult {
+	a.drop()
+	if a.events != nil {
+		a.events.release()
 	}
 	if errorx.IsOfType(err, upstream.Garbled) {
-		f.call.proxy.counters.garbled.Add(1)
+		a.call.proxy.counters.garbled.Add(1)
 	}
-	return &arrival{flight: f, outcome: f.failedOutcome(err), err: err}
+	return &attemptResult{attempt: a, outcome: a.failedOutcome(err), err: err}
 }
 
-func (f *flight) failedOutcome(err error) routing.Outcome {
-	outcome := f.outcome(upstream.VerdictOf(err))
+func (a *attempt) failedOutcome(err error) routing.Outcome {
+	outcome := a.outcome(upstream.VerdictOf(err))
 	outcome.TimedOut = errorx.IsOfType(err, upstream.TimedOut)
-	if f.calledOff(err) {
+	if a.calledOff(err) {
 		outcome.Canceled = true
 		return outcome
 	}
@@ -112,26 +114,26 @@
 
 // calledOff reports whether an attempt failed because the client left, another attempt won, or the time for connecting was cut
 // short by the request's deadline. None of them says anything of the broker.
-func (f *flight) calledOff(err error) bool {
-	if f.wasCanceled() || f.context.Err() != nil {
+func (a *attempt) calledOff(err error) bool {
+	if a.wasCanceled() || a.context.Err() != nil {
 		return true
 	}
-	return errorx.IsOfType(err, upstream.ConnectFailed) && f.call.now() >= f.call.intake.deadline
+	return errorx.IsOfType(err, upstream.ConnectFailed) && a.call.now() >= a.call.intake.deadline
 }
 
 // cutOutcome describes an attempt whose stream ended midway.
-func (f *flight) cutOutcome(err error, clientGone bool) routing.Outcome {
-	outcome := f.outcome(verdict.Ran)
+func (a *attempt) cutOutcome(err error, clientGone bool) routing.Outcome {
+	outcome := a.outcome(verdict.Ran)
 	outcome.TimedOut = errorx.IsOfType(err, upstream.TimedOut)
 	outcome.Canceled = clientGone
 	return outcome
 }
 
-func (f *flight) outcome(v verdict.Verdict) routing.Outcome {
+func (a *attempt) outcome(v verdict.Verdict) routing.Outcome {
 	outcome := routing.Outcome{Verdict: v}
-	if f.answer != nil {
-		outcome.Status = f.answer.Status
-		outcome.Load = serverLoad(f.answer.Header)
+	if a.answer != nil {
+		outcome.Status = a.answer.Status
+		outcome.Load = serverLoad(a.answer.Header)
 	}
 	return outcome
 }
