--- a/internal/node/chain/checks_test.go
+++ b/internal/node/chain/checks_test.go
@@ -18,6 +18,8 @@
 	ackedBy  map[uint64]string // command id by base version
 	newest   uint64            // index that an answer has shown
 	views    map[uint64]string
+	version  uint64    // of the newest committed entry
+	since    core.Time // when that was committed
 }
 
 func newChecks(w *world) *checks {
@@ -44,6 +46,10 @@
 	if known, ok := c.byIndex[entry.GetIndex()]; ok && known != name {
 		c.errorf("%s commits %s at index %d, others %s", n.address, name, entry.GetIndex(), known)
 	}
+	if version := entry.GetCommand().GetConfigChange().GetVersion(); version > c.version {
+		c.version = version
+		c.since = c.world.now
+	}
 	c.byIndex[entry.GetIndex()] = name
 	c.byID[id] = entry.GetIndex()
 	if how, ok := c.rejected[id]; ok {
@@ -74,9 +80,17 @@
 	c.views[status.Epoch] = described
 }
 
-// answered takes the answer of a command.
-func (c *checks) answered(command *nodepb.Command, reply core.Reply) {
+// answered takes the answer of a command that was brought at the time asked.
+func (c *checks) answered(command *nodepb.Command, asked core.Time, reply core.Reply) {
 	id := command.GetId()
+	change := command.GetConfigChange()
+	code := reply.Result.GetCode()
+	if code == nodepb.ResultCode_CONFLICT && change.GetBaseVersion() == c.version && c.since <= asked {
+		c.errorf("%s builds on the newest version %d and is turned down", id, c.version)
+	}
+	if code == nodepb.ResultCode_INVALID && change.GetVersion() > change.GetBaseVersion() {
+		c.errorf("%s is called invalid", id)
+	}
 	switch reply.Result.GetCode() {
 	case nodepb.ResultCode_TAKEN:
 		c.takenAnswer(command)
--- a/internal/node/chain/operator_test.go
+++ b/internal/node/chain/operator_test.go
@@ -13,6 +13,7 @@
 type operator struct {
 	world   *world
 	name    string
+	through []string // addresses of the machines it may call
 	pause   time.Duration
 	count   int
 	version uint64 // as it knows
@@ -25,7 +26,7 @@
 }
 
 func (w *world) newOperator(name string, pause time.Duration) *operator {
-	o := &operator{world: w, name: name, pause: pause}
+	o := &operator{world: w, name: name, pause: pause, through: w.order}
 	w.after(time.Second, o.next)
 	return o
 }
@@ -35,7 +36,7 @@
 		return
 	}
 	w := o.world
-	n := w.nodes[w.order[w.random.IntN(len(w.order))]]
+	n := w.nodes[o.through[w.random.IntN(len(o.through))]]
 	if !n.running {
 		w.after(50*time.Millisecond, o.next)
 		return
@@ -88,8 +89,9 @@
 	}
 	command := o.command
 	round := o.count
+	asked := w.now
 	n.call(command, func(reply core.Reply) {
-		w.checks.answered(command, reply)
+		w.checks.answered(command, asked, reply)
 		if o.command == command {
 			o.settle(reply.Result)
 		}
--- a/internal/node/chain/scenario_test.go
+++ b/internal/node/chain/scenario_test.go
@@ -72,9 +72,12 @@
 // settled is a world whose machines are all in the chain, and an operator that has begun.
 func settled(t *testing.T, settings worldSettings) (*world, *operator) {
 	t.Helper()
-	w := newWorld(t, 7, settings)
+	w := newWorld(t, *firstSeed+7, settings)
 	w.runUntil("all in the chain", 2*time.Second, w.whole(settings.core))
 	o := w.newOperator("a", 2*time.Millisecond)
+	if settings.proxies > 0 {
+		o.through = w.order[settings.core:]
+	}
 	w.runUntil("first acknowledgements", 3*time.Second, o.acksAgain(5))
 	o.longest = 0
 	return w, o
