--- a/internal/rig/scale/disasters.go
+++ b/internal/rig/scale/disasters.go
@@ -13,6 +13,8 @@
 	ChangeMs       float64 `json:"changeMs"` // until a change that was sent right after was acknowledged
 	BytesANode     float64 `json:"bytesANode"`
 	MostBytesANode float64 `json:"mostBytesANode"` // sent by the node that sent most
+	CPUMsANode     float64 `json:"cpuMsANode"`     // taken beyond the quiet rate, cores and codec alone
+	MostCPUMs      float64 `json:"mostCpuMs"`      // of the node that took most
 	Missing        int     `json:"missing"`        // nodes that still held one of the ended ones for a member
 }
 
@@ -26,6 +28,8 @@
 	StateMs        float64 `json:"stateMs"`   // after it healed, until the smaller part had the change
 	BytesANode     float64 `json:"bytesANode"`
 	MostBytesANode float64 `json:"mostBytesANode"`
+	CPUMsANode     float64 `json:"cpuMsANode"` // taken beyond the quiet rate from the cut on, cores and codec alone
+	MostCPUMs      float64 `json:"mostCpuMs"`
 }
 
 const (
@@ -69,6 +73,7 @@
 	}))
 	result.Missing = f.holding(gone)
 	result.BytesANode, result.MostBytesANode = m.bytesSince(before)
+	result.CPUMsANode, result.MostCPUMs = m.processorSince(before)
 }
 
 // changeAfterTrouble gives how long a change took that was sent right after a trouble.
@@ -94,6 +99,20 @@
 	return mean, most
 }
 
+// processorSince is the processor time that nodes have taken since a reading beyond the quiet rate, in ms, on the mean and at most.
+func (m *measurement) processorSince(before reading) (mean, most float64) {
+	f := m.fleet
+	quiet := m.result.Quiet[RoleNode].CPUPercent * 10 * (f.clock.now - before.at).Seconds()
+	running := f.running()
+	for _, n := range running {
+		counted := n.meter.minus(before.meters[n])
+		spent := milliseconds(counted.spent())
+		mean += (spent - quiet) / float64(len(running))
+		most = max(most, spent)
+	}
+	return mean, most
+}
+
 // holding counts the nodes that hold one of the named for a member.
 func (f *Fleet) holding(gone map[string]bool) int {
 	count := 0
@@ -136,7 +155,7 @@
 	}
 	result.Cut, result.CutS = apart, cutSpan.Seconds()
 	f.cutRegion = region
-	since := f.clock.now
+	cutAt, since := f.read(), f.clock.now
 	result.ChangeMs = milliseconds(m.changeAfterTrouble())
 	index := f.newestIndex()
 	f.clock.runFor(cutSpan - (f.clock.now - since))
@@ -156,6 +175,7 @@
 		m.problem("the regions were not one fleet again %v after the cut", healMost)
 	}
 	result.BytesANode, result.MostBytesANode = m.bytesSince(before)
+	result.CPUMsANode, result.MostCPUMs = m.processorSince(cutAt)
 }
 
 // forgotten is the share of pairs across the cut that had dropped one another.
--- a/internal/rig/scale/fit.go
+++ b/internal/rig/scale/fit.go
@@ -109,6 +109,13 @@
 			return 1000 * r.Campaign.HeadBytes / max(r.Campaign.LoadedMs, 1)
 		}, target.BytesPerS},
 		metric{"new weights: processor of the holder", "% of a core", func(r *SizeResult) float64 { return r.Campaign.HeadCPUPercent }, target.CPUPercent},
+		metric{"regions cut and healed: processor a node", "ms", func(r *SizeResult) float64 { return r.Cut.CPUMsANode }, 0},
+		metric{"regions cut and healed: bytes a node after the heal", "B", func(r *SizeResult) float64 { return r.Cut.BytesANode }, 0},
+		metric{"regions cut and healed: all members again", "ms", func(r *SizeResult) float64 { return r.Cut.MembersMs }, 0},
+		metric{"a zone ends: processor a node", "ms", func(r *SizeResult) float64 { return r.Zone.CPUMsANode }, 0},
+		metric{"a zone ends: bytes a node", "B", func(r *SizeResult) float64 { return r.Zone.BytesANode }, 0},
+		metric{"a zone ends: noticed by all", "ms", func(r *SizeResult) float64 { return r.Zone.NoticedMs }, 0},
+		metric{"a zone ends: its brokers silent", "ms", func(r *SizeResult) float64 { return r.Zone.SilentMs }, 0},
 		metric{"false suspicions while 0.5% of messages are lost", "a node an hour", func(r *SizeResult) float64 {
 			return float64(r.Loss.Suspicions) / max(r.Loss.SpanS, 1) * 3600 / float64(r.Shape.Nodes())
 		}, 0},
--- a/internal/rig/scale/print.go
+++ b/internal/rig/scale/print.go
@@ -29,10 +29,12 @@
 	fmt.Fprintf(w, "%.1f%% of messages lost for %.0f s: %d suspicions of %d nodes that ran, %d taken off, %d brokers silent by mistake\n",
 		100*r.Loss.Share, r.Loss.SpanS, r.Loss.Suspicions, r.Loss.Suspected, r.Loss.Deaths, r.Loss.SilentBrokers)
 	fmt.Fprintf(w, "lookups of prompts: %.1f a proxy a second, %.0f%% asked of the home, %.0f%% found\n", r.Lookups.ASecond, 100*r.Lookups.Asked, 100*r.Lookups.Found)
-	fmt.Fprintf(w, "a region of %d nodes out of contact for %.0f s: a change acknowledged in %.0f ms, %.0f%% had dropped one another; healed: all members after %.0f ms, the change everywhere after %.0f ms, %.0f bytes a node, %.0f at most\n",
-		r.Cut.Cut, r.Cut.CutS, r.Cut.ChangeMs, 100*r.Cut.ForgottenAt, r.Cut.MembersMs, r.Cut.StateMs, r.Cut.BytesANode, r.Cut.MostBytesANode)
-	fmt.Fprintf(w, "a zone of %d nodes and %d brokers ends: a change acknowledged in %.0f ms, all nodes noticed after %.0f ms (%d not), its brokers silent after %.0f ms, %.0f bytes a node, %.0f at most\n",
-		r.Zone.Nodes, r.Zone.Brokers, r.Zone.ChangeMs, r.Zone.NoticedMs, r.Zone.Missing, r.Zone.SilentMs, r.Zone.BytesANode, r.Zone.MostBytesANode)
+	fmt.Fprintf(w, "a region of %d nodes out of contact for %.0f s: a change acknowledged in %.0f ms, %.0f%% had dropped one another; healed: all members after %.0f ms, the change everywhere after %.0f ms, %.0f bytes a node, %.0f at most; %.0f ms of processor a node, %.0f at most\n",
+		r.Cut.Cut, r.Cut.CutS, r.Cut.ChangeMs, 100*r.Cut.ForgottenAt, r.Cut.MembersMs, r.Cut.StateMs, r.Cut.BytesANode, r.Cut.MostBytesANode,
+		r.Cut.CPUMsANode, r.Cut.MostCPUMs)
+	fmt.Fprintf(w, "a zone of %d nodes and %d brokers ends: a change acknowledged in %.0f ms, all nodes noticed after %.0f ms (%d not), its brokers silent after %.0f ms, %.0f bytes a node, %.0f at most; %.0f ms of processor a node, %.0f at most\n",
+		r.Zone.Nodes, r.Zone.Brokers, r.Zone.ChangeMs, r.Zone.NoticedMs, r.Zone.Missing, r.Zone.SilentMs, r.Zone.BytesANode, r.Zone.MostBytesANode,
+		r.Zone.CPUMsANode, r.Zone.MostCPUMs)
 	for _, problem := range r.Problems {
 		fmt.Fprintln(w, "problem:", problem)
 	}
--- a/internal/rig/scale/units.go
+++ b/internal/rig/scale/units.go
@@ -14,8 +14,10 @@
 	"kestrelspread/internal/node/kvindex"
 	"kestrelspread/internal/node/membership"
 	"kestrelspread/internal/node/nodepb"
+	"kestrelspread/internal/node/nodestatus"
 	"kestrelspread/internal/node/registry"
 	"kestrelspread/internal/node/routing"
+	"kestrelspread/internal/node/verdict"
 )
 
 // Unit is what one more item takes at a node: a line through several numbers of items. Base and Slope are in Unit.
@@ -54,6 +56,9 @@
 		{"configuration: bytes of a snapshot, a tenant", "B", []int{400, 1200, 3800}, func(n int) float64 { return float64(len(stateOf(n).Snapshot())) }, float64(target.Tenants)},
 		{"configuration: a change of one tenant, checked", "µs", []int{400, 1200, 3800}, func(n int) float64 { return changeTime(n, checked) }, float64(target.Tenants)},
 		{"configuration: a change of one tenant, applied and compiled", "µs", []int{400, 1200, 3800}, func(n int) float64 { return changeTime(n, applied) }, float64(target.Tenants)},
+		{"configuration: read back, with its snapshot opened", "µs", []int{400, 1200, 3800}, fetchTime, float64(target.Tenants)},
+		{"operator: bytes of a node's status, a node of the fleet", "B", []int{100, 400, 1000}, func(n int) float64 { return float64(len(encoded(statusOf(n, 0)))) }, nodes},
+		{"operator: bytes of a node's status, a broker", "B", []int{200, 600, 2000}, func(n int) float64 { return float64(len(encoded(statusOf(0, n)))) }, brokers},
 		{"events: read and taken in by the home", "µs", []int{150, 450, 1500}, eventsTime, target.EventsPerS / float64(target.ModelBrokers)},
 	}
 	units := make([]Unit, 0, len(list))
@@ -147,7 +152,7 @@
 	load := &routing.Load{Running: 1, Slots: slotsOfBroker}
 	for _, request := range requests {
 		router.Started(now+time.Millisecond, request, 0, load)
-		router.Finished(now+2*time.Millisecond, request, 0, routing.Outcome{Answered: true, Status: 200, Load: load}, false)
+		router.Finished(now+2*time.Millisecond, request, 0, routing.Outcome{Verdict: verdict.Ran, Answered: true, Status: 200, Load: load}, false)
 		router.End(now+2*time.Millisecond, request)
 	}
 	return router
@@ -265,3 +270,32 @@
 		state.Compile()
 	})
 }
+
+// fetchTime is the processor time of reading the configuration of so many tenants back, in µs.
+func fetchTime(tenants int) float64 {
+	state := stateOf(tenants)
+	return timeOf(func() {
+		if _, err := config.FetchSnapshot(state.Snapshot()); err != nil {
+			panic(err) // the state's own snapshot can be read
+		}
+	})
+}
+
+// statusOf is what a node answers that knows so many nodes and brokers.
+func statusOf(nodes, brokers int) *nodestatus.Status {
+	shape := ShapeOf(max(nodes, 1), TwoYears)
+	shape.Brokers = brokers
+	f := NewFleet(shape, Options{Seed: 1})
+	status := &nodestatus.Status{Node: f.nodes[0].self.Name, ID: f.nodes[0].self.NodeId}
+	for _, n := range f.nodes[:nodes] {
+		status.Members = append(status.Members, nodestatus.Member{
+			Name: n.self.Name, Address: n.self.Address, Zone: n.self.Zone, Counts: n.self.CountsForQuorum,
+		})
+	}
+	for _, b := range f.brokers {
+		status.Instances = append(status.Instances, nodestatus.Instance{
+			ID: b.id, Service: b.service, Address: b.address, Zone: b.place.zone, State: b.state.String(), Models: map[string]uint64{b.model: b.version},
+		})
+	}
+	return status
+}
