--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -39,7 +39,7 @@
 	}
 	for _, member := range a.membership.Members() {
 		status.Members = append(status.Members, nodestatus.Member{
-			Name: member.Name, Address: member.Address, Zone: member.Zone, Counts: member.CountsForQuorum,
+			ID: member.NodeId, Name: member.Name, Address: member.Address, Zone: member.Zone, Counts: member.CountsForQuorum,
 		})
 	}
 	status.Chain = a.chainStatus()
--- a/internal/node/nodestatus/status.go
+++ b/internal/node/nodestatus/status.go
@@ -19,6 +19,7 @@
 
 // Member is a node as another one sees it.
 type Member struct {
+	ID      string `json:"id"` // of this life of the node
 	Name    string `json:"name"`
 	Address string `json:"address"` // internal
 	Zone    string `json:"zone"`
--- a/internal/rig/fleet/demosteps.go
+++ b/internal/rig/fleet/demosteps.go
@@ -67,7 +67,7 @@
 		return "", err
 	}
 	started := time.Now()
-	err = d.AwaitAgreement(ctx, diskCount, nodeCount)
+	err = d.AwaitAgreement(ctx)
 	return fmt.Sprintf("%s killed: a change acknowledged %v after; it is in the chain again %v after its start",
 		head.Name, acknowledged.At.Sub(killed).Round(time.Millisecond), since(started)), err
 }
@@ -102,6 +102,6 @@
 		return "", err
 	}
 	started := time.Now()
-	err := d.AwaitAgreement(ctx, diskCount, nodeCount)
+	err := d.AwaitAgreement(ctx)
 	return fmt.Sprintf("%s was gone %v after SIGTERM; it serves again %v after its start", node.Name, took, since(started)), err
 }
