--- a/internal/node/chain/barrier.go
+++ b/internal/node/chain/barrier.go
@@ -26,13 +26,19 @@
 	once    bool
 }
 
+// answers reports whether the view in force here acknowledges and answers.
+func (s *Store) answers() bool {
+	return s.member() && s.viewDurable && view.Acknowledges(s.view)
+}
+
 // startBarrier sends a barrier through the chain. It waits while an inherited entry is not committed, which may have been
-// acknowledged.
+// acknowledged, and in a view that answers nothing.
 func (s *Store) startBarrier(start barrierStart) {
 	if !s.isHead() || !s.member() {
 		return
 	}
-	if s.inherited || !s.viewDurable {
+	if s.inherited || !s.answers() {
+		start.started = s.now
 		if len(s.waiting) < queueLimit {
 			s.waiting = append(s.waiting, start)
 		}
@@ -63,7 +69,7 @@
 func (s *Store) unanswered() (reads []barrierStart, commands []submission) {
 	for _, start := range append(s.barriers, s.waiting...) {
 		switch {
-		case start.number > 0 && s.now-start.started >= queueWait:
+		case s.now-start.started >= queueWait:
 		case start.turnedDown != nil:
 			commands = append(commands, *start.turnedDown)
 		case start.wantsState && start.origin != nil:
@@ -75,7 +81,7 @@
 
 // startWaiting starts the barriers that waited for an inherited entry.
 func (s *Store) startWaiting() {
-	if s.inherited || !s.viewDurable {
+	if s.inherited || !s.answers() {
 		return
 	}
 	waiting := s.waiting
@@ -102,7 +108,7 @@
 
 // passBarrier passes a barrier on if its epoch is in force here; the tail answers it.
 func (s *Store) passBarrier(barrier *nodepb.Barrier) {
-	if !s.member() || !s.viewDurable || barrier.GetEpoch() != s.view.GetEpoch() {
+	if !s.answers() || barrier.GetEpoch() != s.view.GetEpoch() {
 		return
 	}
 	if s.isTail() {
@@ -154,7 +160,7 @@
 func (s *Store) WantConfirmation(now core.Time) []core.Output {
 	s.advance(now)
 	switch {
-	case !s.member():
+	case !s.answers():
 	case s.isTail():
 		s.wantConfirmationAtTail()
 	case s.isHead():
--- a/internal/node/chain/founding.go
+++ b/internal/node/chain/founding.go
@@ -63,16 +63,13 @@
 
 // foundingView is the first view: the founders that are there and count, in the order of the seeds.
 func (s *Store) foundingView() *nodepb.View {
-	first := &nodepb.View{Epoch: 1}
+	var voters []*nodepb.Voter
 	for _, founder := range s.founders {
-		voter := s.founderVoter(founder)
-		if voter == nil {
-			continue
+		if voter := s.founderVoter(founder); voter != nil {
+			voters = append(voters, voter)
 		}
-		first.Voters = append(first.Voters, voter)
-		first.Chain = append(first.Chain, voter.GetDiskId())
 	}
-	return first
+	return view.First(voters, s.options.Tolerance)
 }
 
 func (s *Store) founderVoter(founder string) *nodepb.Voter {
--- a/internal/node/chain/head.go
+++ b/internal/node/chain/head.go
@@ -71,7 +71,7 @@
 
 // takesEntries reports whether the head may take a new entry or turn a command down just now.
 func (s *Store) takesEntries() bool {
-	return s.isHead() && s.member() && s.viewDurable && s.pending == nil && s.round == nil && s.now >= s.holdUntil
+	return s.isHead() && s.answers() && s.pending == nil && s.round == nil && s.now >= s.holdUntil
 }
 
 // takeNext takes commands from the queue until one became an entry.
--- a/internal/node/chain/member_test.go
+++ b/internal/node/chain/member_test.go
@@ -33,7 +33,7 @@
 
 // testView makes a view of the voters, each one letter, with the chain.
 func testView(epoch uint64, voters, chainOrder string) *nodepb.View {
-	v := &nodepb.View{Epoch: epoch}
+	v := &nodepb.View{Epoch: epoch, AcknowledgedBy: uint32(min(2, len(voters)))}
 	for _, name := range voters {
 		v.Voters = append(v.Voters, voter(string(name)))
 	}
--- a/internal/node/chain/protocol_test.go
+++ b/internal/node/chain/protocol_test.go
@@ -98,12 +98,20 @@
 	assert.DeepEqual(t, m.take(), []string{"CommitNotice>addr-a", "CommitNotice>addr-b"}) // a repeat is not answered twice
 }
 
-func TestShortChainDoesNotAcknowledge(t *testing.T) {
-	m := memberOf(t, "a", testView(1, "abc", "a"))
+// TestShortChainAnswersNothing: neither is a new command taken, nor an inherited one acknowledged, nor a read answered.
+func TestShortChainAnswersNothing(t *testing.T) {
+	m := memberOf(t, "a", testView(1, "abc", "abc"))
 	m.receive("api", submitOf(command("x", 0, 1)))
 	m.durable()
+	m.take()
+	m.receive("x", &nodepb.Envelope{Body: &nodepb.Envelope_ViewDecided{ViewDecided: &nodepb.ViewDecided{View: testView(2, "abc", "a")}}})
+	m.receive("api", submitOf(command("y", 0, 1)))
+	m.receive("api", &nodepb.Envelope{Body: &nodepb.Envelope_Submit{Submit: &nodepb.Submit{Request: 8, Read: true}}})
+	m.durable()
+	m.collect(m.store.WantConfirmation(m.now))
 	assert.Equal(t, len(m.take()), 0)
-	assert.Assert(t, m.store.Status().Pending)
+	assert.Equal(t, m.store.Status().Committed, uint64(0))
+	assert.Assert(t, m.store.Status().Pending && !m.store.Status().ConfirmedOnce)
 }
 
 func TestOnlyVoterAcknowledges(t *testing.T) {
--- a/internal/node/chain/reconfigure.go
+++ b/internal/node/chain/reconfigure.go
@@ -43,7 +43,7 @@
 		s.considerFounding()
 		return
 	}
-	if s.round != nil || !s.inChain() || !s.viewDurable || s.now < s.evaluateAt {
+	if s.round != nil || !s.proposes() || !s.viewDurable || s.now < s.evaluateAt {
 		return
 	}
 	s.evaluateAt = s.now + evaluateEvery
@@ -58,6 +58,9 @@
 	}
 }
 
+// proposes reports whether this node may propose the next view, as it holds all that was acknowledged.
+func (s *Store) proposes() bool { return slices.Contains(view.Proposers(s.view), s.diskID()) }
+
 func (s *Store) mayPropose(situation *view.Situation) bool {
 	switch {
 	case s.now < s.notBefore || !s.writer.healthy(s.now):
@@ -260,7 +263,7 @@
 		return nil
 	}
 	next := situation.Next()
-	if next != nil && !s.wedged {
+	if next != nil && !s.wedged && s.inChain() {
 		s.wedged = true
 		s.persist(kindWedge, &nodepb.WedgeRecord{Epoch: s.view.GetEpoch()}, nil)
 	}
--- a/internal/node/chain/seeds_test.go
+++ b/internal/node/chain/seeds_test.go
@@ -8,7 +8,6 @@
 
 	"kestrelspread/internal/node/chain"
 	"kestrelspread/internal/node/core"
-	"kestrelspread/internal/node/view"
 )
 
 var (
@@ -23,7 +22,7 @@
 	until core.Time
 	pause time.Duration // between two troubles, at most
 	wiped int           // disks lost since all machines were in the chain
-	// beyond: disks were lost while the state was on too few; what was acknowledged must hold even so.
+	// beyond: disks were lost while there were too few voters; what was acknowledged must hold even so.
 	beyond bool
 }
 
@@ -161,8 +160,7 @@
 	lost := w.random.IntN(w.settings.tolerance - f.wiped + 1)
 	f.wiped += lost
 	if newest := w.newestView(); lost > 0 {
-		enough := len(newest.GetVoters()) > 2*w.settings.tolerance && view.Acknowledges(newest, w.settings.tolerance)
-		f.beyond = f.beyond || !enough
+		f.beyond = f.beyond || len(newest.GetVoters()) <= 2*w.settings.tolerance
 	}
 	first := w.random.IntN(w.settings.core)
 	for i := range w.settings.core {
--- a/internal/node/view/next.go
+++ b/internal/node/view/next.go
@@ -32,7 +32,7 @@
 	Stuck(diskID string) bool
 }
 
-// Situation is what a member of the chain knows when it considers the next view.
+// Situation is what a node that may propose knows when it considers the next view.
 type Situation struct {
 	View      *nodepb.View
 	Self      string // disk id
@@ -51,21 +51,29 @@
 	switch {
 	case s.Wedged || s.chainBroken():
 		return true
+	case !Acknowledges(s.View) && s.lengthens():
+		return true
 	case s.Leaving && len(s.View.GetChain()) > 1:
 		return !slices.Equal(s.nextChain(), s.View.GetChain())
 	case Position(s.View, s.Self) != 0:
-		return false
+		return false // only the head takes joiners and drops voters
 	default:
 		return len(s.Joiners) > 0 || len(s.droppable(s.View.GetVoters())) > 0
 	}
 }
 
+// lengthens reports whether a view that acknowledges nothing can be followed by one that does, by those alone that hold the state.
+func (s *Situation) lengthens() bool {
+	next := s.Next()
+	return next != nil && Acknowledges(next)
+}
+
 // MajorityReachable reports whether a proposal can succeed just now.
 func (s *Situation) MajorityReachable() bool { return s.reachesMajority(s.View.GetVoters()) }
 
-// Settled reports whether every member of the chain is known to be in reach or not.
+// Settled reports whether everybody who may propose is known to be in reach or not.
 func (s *Situation) Settled() bool {
-	for _, diskID := range s.View.GetChain() {
+	for _, diskID := range Proposers(s.View) {
 		if s.condition(diskID) == Unknown {
 			return false
 		}
@@ -73,14 +81,14 @@
 	return true
 }
 
-// Rank is the number of members before this node in the chain that could propose in its place. Nobody else proposes for one
+// Rank is the number of nodes before this one that could propose in its place. Nobody else proposes for one
 // that is leaving.
 func (s *Situation) Rank() int {
 	if s.Leaving {
 		return 0
 	}
 	rank := 0
-	for _, diskID := range s.View.GetChain() {
+	for _, diskID := range Proposers(s.View) {
 		if diskID == s.Self {
 			break
 		}
@@ -91,19 +99,24 @@
 	return rank
 }
 
-// Next is the view to propose. It names only members of the chain and joiners, and leaves voters enough that a majority of
-// the new ones is in reach; nil if that can't be.
+// Next is the view to propose. It names only nodes that hold all that was acknowledged, and joiners, and leaves voters enough
+// that a majority of the new ones is in reach; nil if that can't be.
 func (s *Situation) Next() *nodepb.View {
 	chain := s.nextChain()
 	if len(chain) == 0 {
 		return nil
 	}
-	voters := s.nextVoters(chain)
+	kept := s.keptHolders(chain)
+	voters := s.nextVoters(append(slices.Clone(chain), kept...))
 	next := &nodepb.View{
-		Epoch:   s.View.GetEpoch() + 1,
-		Voters:  voters,
-		Chain:   chain,
-		Removed: s.nextRemoved(voters),
+		Epoch:          s.View.GetEpoch() + 1,
+		Voters:         voters,
+		Chain:          chain,
+		Removed:        s.nextRemoved(voters),
+		AcknowledgedBy: uint32(needed(len(voters), s.Tolerance)),
+	}
+	if !Acknowledges(next) {
+		next.Holders = slices.DeleteFunc(kept, func(diskID string) bool { return !IsVoter(next, diskID) })
 	}
 	if !Valid(next) || !s.reachesMajority(voters) || s.tooShort(next) {
 		return nil
@@ -111,13 +124,24 @@
 	return next
 }
 
+// keptHolders lists those outside the chain that hold what was acknowledged, if the chain may be too short: they stay
+// voters then.
+func (s *Situation) keptHolders(chain []string) []string {
+	if len(chain) > s.Tolerance {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(Proposers(s.View)), func(diskID string) bool {
+		return slices.Contains(chain, diskID)
+	})
+}
+
 // tooShort reports whether the chain would be too short to acknowledge, and whom it leaves out may be back soon: a short chain
 // gains nothing then, and the loss of its disks would be the loss of the state.
 func (s *Situation) tooShort(next *nodepb.View) bool {
-	if Acknowledges(next, s.Tolerance) {
+	if Acknowledges(next) {
 		return false
 	}
-	for _, diskID := range s.View.GetChain() {
+	for _, diskID := range Proposers(s.View) {
 		if !slices.Contains(next.GetChain(), diskID) && !s.lost(diskID) {
 			return true
 		}
@@ -154,14 +178,14 @@
 // and puts itself last, or nowhere if the others are enough.
 func (s *Situation) nextChain() []string {
 	var others []string
-	for _, diskID := range s.View.GetChain() {
+	for _, diskID := range Proposers(s.View) {
 		if diskID != s.Self && s.condition(diskID) == Reachable {
 			others = append(others, diskID)
 		}
 	}
 	others = s.withoutBrokenLinks(others)
 	if s.Leaving && len(others) > 0 {
-		if len(others) >= AcknowledgedBy(s.View, s.Tolerance) {
+		if len(others) >= needed(len(s.View.GetVoters()), s.Tolerance) {
 			return others
 		}
 		return append(others, s.Self)
@@ -205,22 +229,22 @@
 }
 
 // nextVoters adds the joiners, each in the place of its former self, else of a voter that is lost, else as one more;
-// then it drops who may be dropped.
-func (s *Situation) nextVoters(chain []string) []*nodepb.Voter {
+// then it drops who may be dropped. Those to be kept are neither replaced by another machine nor dropped.
+func (s *Situation) nextVoters(kept []string) []*nodepb.Voter {
 	voters := slices.Clone(s.View.GetVoters())
 	if s.Leaving {
 		return voters
 	}
 	for _, joiner := range s.Joiners {
-		voters = s.addVoter(voters, joiner, chain)
+		voters = s.addVoter(voters, joiner, kept)
 	}
-	dropped := s.droppable(voters)
+	dropped := slices.DeleteFunc(s.droppable(voters), func(diskID string) bool { return slices.Contains(kept, diskID) })
 	return slices.DeleteFunc(voters, func(voter *nodepb.Voter) bool {
 		return slices.Contains(dropped, voter.GetDiskId())
 	})
 }
 
-func (s *Situation) addVoter(voters []*nodepb.Voter, joiner *nodepb.Voter, chain []string) []*nodepb.Voter {
+func (s *Situation) addVoter(voters []*nodepb.Voter, joiner *nodepb.Voter, kept []string) []*nodepb.Voter {
 	place := slices.IndexFunc(voters, func(voter *nodepb.Voter) bool {
 		return voter.GetDiskId() == joiner.GetDiskId()
 	})
@@ -231,7 +255,7 @@
 	}
 	if place < 0 {
 		place = slices.IndexFunc(voters, func(voter *nodepb.Voter) bool {
-			return s.lost(voter.GetDiskId()) && !slices.Contains(chain, voter.GetDiskId())
+			return s.lost(voter.GetDiskId()) && !slices.Contains(kept, voter.GetDiskId())
 		})
 	}
 	if place < 0 {
--- a/internal/node/view/next_test.go
+++ b/internal/node/view/next_test.go
@@ -155,6 +155,50 @@
 	assert.Assert(t, !slices.Contains(removed, "b"), "who is a voter is not removed")
 }
 
+// TestHoldersOfAShortChain: a view that acknowledges nothing does not keep those from proposing that hold the state.
+func TestHoldersOfAShortChain(t *testing.T) {
+	whole := viewOf("abcdef", "abcd")
+	whole.AcknowledgedBy = 3
+	next := (&Situation{View: whole, Self: "a", Tolerance: 2, Reach: reach{lost: "cd"}}).Next()
+	assert.DeepEqual(t, next.GetChain(), []string{"a", "b"})
+	assert.Assert(t, !Acknowledges(next))
+	assert.DeepEqual(t, next.GetHolders(), []string{"c", "d"})
+	assert.DeepEqual(t, Proposers(next), []string{"a", "b", "c", "d"})
+
+	calm := &Situation{View: next, Self: "c", Tolerance: 2, Reach: reach{lost: "a", missing: "b"}}
+	assert.Assert(t, calm.Wanted(), "the chain is broken")
+	assert.Assert(t, calm.Next() == nil, "one of it may return")
+	assert.Equal(t, calm.Rank(), 0)
+
+	rescue := (&Situation{View: next, Self: "c", Tolerance: 2, Reach: reach{lost: "ab"}}).Next()
+	assert.DeepEqual(t, rescue.GetChain(), []string{"c", "d"})
+	assert.DeepEqual(t, rescue.GetHolders(), []string{"a", "b"})
+
+	longer := &Situation{View: next, Self: "c", Tolerance: 2, Reach: reach{lost: "a"}}
+	assert.Assert(t, longer.Wanted())
+	assert.DeepEqual(t, longer.Next().GetChain(), []string{"c", "b", "d"})
+	assert.Equal(t, len(longer.Next().GetHolders()), 0, "it acknowledges")
+	assert.Equal(t, longer.Rank(), 1)
+}
+
+// TestHoldersStayVoters: a machine that holds the state is neither dropped nor replaced by another, but gives way to its own
+// new disk.
+func TestHoldersStayVoters(t *testing.T) {
+	short := viewOf("abcd", "a")
+	short.AcknowledgedBy = 2
+	short.Holders = []string{"b"}
+	joiners := []*nodepb.Voter{{DiskId: "z", Address: "addr-z"}}
+	situation := Situation{View: short, Self: "a", Tolerance: 2, Reach: reach{lost: "b"}, Joiners: joiners}
+	next := situation.Next()
+	assert.DeepEqual(t, DiskIDs(next), []string{"a", "b", "c", "d", "z"})
+	assert.DeepEqual(t, next.GetHolders(), []string{"b"})
+
+	situation.Joiners = []*nodepb.Voter{{DiskId: "y", Address: "addr-b"}}
+	next = situation.Next()
+	assert.DeepEqual(t, DiskIDs(next), []string{"a", "y", "c", "d"})
+	assert.Equal(t, len(next.GetHolders()), 0)
+}
+
 func TestRank(t *testing.T) {
 	rank := func(self string, r reach, leaving bool) int {
 		situation := Situation{View: viewOf("abcd", "abcd"), Self: self, Reach: r, Leaving: leaving}
@@ -179,8 +223,10 @@
 	for members, majority := range map[int]int{1: 1, 2: 2, 3: 2, 4: 3, 5: 3, 6: 4, 8: 5} {
 		assert.Equal(t, Majority(members), majority)
 	}
-	for voters, by := range map[string]int{"a": 1, "ab": 2, "abc": 2} {
-		assert.Equal(t, AcknowledgedBy(viewOf(voters, "a"), 1), by)
+	for voters, by := range map[string]uint32{"a": 1, "ab": 2, "abc": 2} {
+		first := First(votersOf(voters), 1)
+		assert.Equal(t, first.GetAcknowledgedBy(), by)
+		assert.Assert(t, Valid(first) && Acknowledges(first))
 	}
 }
 
--- a/internal/node/view/view.go
+++ b/internal/node/view/view.go
@@ -95,13 +95,27 @@
 	return true
 }
 
-// AcknowledgedBy is how many members the chain must have before it acknowledges anything: one more than may be lost
-// at once, or all voters where there are fewer.
-func AcknowledgedBy(v *nodepb.View, tolerance int) int {
-	return min(tolerance+1, len(v.GetVoters()))
+// needed is how many members a chain must have before it acknowledges anything: one more than may be lost at once, or all
+// voters where there are fewer.
+func needed(voters, tolerance int) int { return min(tolerance+1, voters) }
+
+// Acknowledges reports whether the chain of the view is long enough to acknowledge and to answer.
+func Acknowledges(v *nodepb.View) bool {
+	return len(v.GetChain()) >= max(1, int(v.GetAcknowledgedBy()))
+}
+
+// Proposers lists who may propose the next view, as they hold all that was acknowledged: the members of the chain; where
+// the view acknowledges nothing, its holders as well.
+func Proposers(v *nodepb.View) []string {
+	if Acknowledges(v) {
+		return v.GetChain()
+	}
+	return append(slices.Clone(v.GetChain()), v.GetHolders()...)
 }
 
-// Acknowledges reports whether the chain of the view is long enough to acknowledge.
-func Acknowledges(v *nodepb.View, tolerance int) bool {
-	return len(v.GetChain()) >= AcknowledgedBy(v, tolerance)
+// First is the view of epoch 1: all founders that count, in their order.
+func First(founders []*nodepb.Voter, tolerance int) *nodepb.View {
+	first := &nodepb.View{Epoch: 1, Voters: founders, AcknowledgedBy: uint32(needed(len(founders), tolerance))}
+	first.Chain = DiskIDs(first)
+	return first
 }
