--- a/internal/node/routing/api.go
+++ b/internal/node/routing/api.go
@@ -20,17 +20,19 @@
 
 // Request is what the router needs to know of a client's request.
 type Request struct {
-	Route     *config.Route
-	Service   string // chosen by the caller where the route splits its traffic
-	Tenant    *config.Tenant
-	Urgency   int // priority in force, 0 first
-	Received  core.Time
-	Deadline  core.Time // the earlier of the client's and the route's
-	Model     string
-	Parts     []PromptPart
-	TokensIn  int
-	TokensOut int // the most it may generate
-	BodyBytes int
+	Route    *config.Route
+	Service  string // chosen by the caller where the route splits its traffic
+	Tenant   *config.Tenant
+	Urgency  int // priority in force, 0 first
+	Received core.Time
+	Deadline core.Time // the earlier of the client's and the route's
+	// ClientWait is how long the client said it will wait, counted from the receipt; 0: not told.
+	ClientWait core.Time
+	Model      string
+	Parts      []PromptPart
+	TokensIn   int
+	TokensOut  int // the most it may generate
+	BodyBytes  int
 	// Resumes: the client takes a stream up again with Last-Event-Id.
 	Resumes bool
 }
@@ -71,6 +73,7 @@
 	RefusedDeadline  RefusalReason = "deadline too close"
 	RefusedAttempts  RefusalReason = "no attempt left"
 	RefusedUnhealthy RefusalReason = "no broker in reach"
+	RefusedLate      RefusalReason = "too much waits"
 )
 
 // Decision is one of: an attempt to make, a refusal, or neither (nothing to do; the caller answers by what it has).
--- a/internal/node/routing/backlog.go
+++ b/internal/node/routing/backlog.go
@@ -64,10 +64,13 @@
 	p.both = paceFade*p.both + tokens*latency
 }
 
+// known reports whether enough was learnt.
+func (p *readingPace) known() bool { return p.weight >= paceFew }
+
 // perToken is the slope of latency over tokens, ms.
 func (p *readingPace) perToken() float64 {
 	variance := p.weight*p.tokens2 - p.tokens*p.tokens
-	if p.weight < paceFew || variance <= paceSpread*p.weight*p.tokens2 {
+	if !p.known() || variance <= paceSpread*p.weight*p.tokens2 {
 		return paceAssumed
 	}
 	slope := (p.weight*p.both - p.tokens*p.latency) / variance
--- a/internal/node/routing/candidates.go
+++ b/internal/node/routing/candidates.go
@@ -37,6 +37,7 @@
 	coming   int     // tokens of the prompt that it has or is reading now
 	stored   int     // tokens of the prompt that the store keeps, by the index
 	unread   int     // tokens that it has to read for the request
+	reading  float64 // ms to read and move the prompt
 	cost     float64 // ms until the first token, as far as brokers differ in it
 }
 
--- a/internal/node/routing/class.go
+++ b/internal/node/routing/class.go
@@ -24,6 +24,9 @@
 	seen      int
 	updatedAt core.Time
 	usedAt    core.Time
+	// longest is the most time that a client had lately for a request, and longestAt when.
+	longest   core.Time
+	longestAt core.Time
 }
 
 func newClass() *class { return &class{latencies: newLatencies(), updatedAt: -refreshKept} }
--- a/internal/node/routing/placement.go
+++ b/internal/node/routing/placement.go
@@ -87,7 +87,7 @@
 	r.place(now, req, found)
 	for i := range found {
 		c := &found[i]
-		c.unread, c.cost = r.placing.work(c)
+		r.placing.work(c)
 		c.cost += r.placing.perToken * r.waiting(now, req.pool, c.broker)
 		c.cost += r.conditions(c)
 		if now < c.broker.instance.ColdUntil {
@@ -184,22 +184,23 @@
 	return best
 }
 
-// work tells how many tokens a candidate has to read for the request, and what reading and moving the rest takes, ms.
-func (p *placing) work(c *candidate) (unread int, cost float64) {
+// work fills in how many tokens a candidate has to read for the request, how long reading and moving them takes, and what that
+// counts.
+func (p *placing) work(c *candidate) {
 	known := p.parts(c.version)
 	missing := max(p.shared-max(c.kept, c.coming), 0)
 	moved, perMoved := p.move(c, known, missing)
 	anew := missing - moved
 	again := max(anew-known.unseen, 0)
-	reading := p.perToken * (float64(anew) + againFactor*float64(again))
-	cost = p.perToken*float64(p.own) + reading
-	if c.broker == p.owner {
-		cost -= ownerLeast + ownerShare*reading
-	}
+	c.unread = p.own + anew
+	c.reading = p.perToken * float64(c.unread)
 	if moved > 0 {
-		cost += moveFixed + perMoved*float64(moved)
+		c.reading += moveFixed + perMoved*float64(moved)
+	}
+	c.cost = c.reading + p.perToken*againFactor*float64(again)
+	if c.broker == p.owner {
+		c.cost -= ownerLeast + ownerShare*p.perToken*(float64(anew)+againFactor*float64(again))
 	}
-	return p.own + anew, cost
 }
 
 // move is how many of the missing tokens can be fetched, and what each takes, ms.
--- a/internal/node/routing/request.go
+++ b/internal/node/routing/request.go
@@ -17,6 +17,7 @@
 	work       float64 // against the usual of its class
 	idempotent bool
 	oversized  bool // no broker's memory holds it
+	fresh      bool // its client's first try
 	copied     bool
 	answering  bool // an answer has begun
 	attempts   []*attempt
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -166,6 +166,10 @@
 	if chance := req.pool.overload.chance(req.Urgency); chance > 0 && r.options.Random.Float64() < chance {
 		return req.id, r.refuse(now, req, RefusedFull, core.Never)
 	}
+	if after, ok := r.postponed(now, req, f, chosen); ok {
+		r.counters.Refusals[RefusedLate]++
+		return req.id, Decision{Refusal: &Refusal{Reason: RefusedLate, RetryAfter: after}}
+	}
 	if r.hopeless(now, req, chosen) {
 		return req.id, r.refuse(now, req, RefusedDeadline, core.Never)
 	}
@@ -188,6 +192,7 @@
 		req.wall = r.walls.wall(req.Tenant)
 	}
 	req.class.came(req.TokensIn)
+	req.fresh = req.class.fresh(now, &req.Request)
 	req.work = req.class.work(req.TokensIn)
 	req.pool.budget.requests.Add(milliseconds(now), 1)
 	req.pool.overload.came(now, req.Urgency)
