--- a/cmd/kestrelctl/fleetscale.go
+++ b/cmd/kestrelctl/fleetscale.go
@@ -50,6 +50,7 @@
 	c.Flags().IntSliceVar(&options.Sizes, "sizes", []int{10, 30, 100, 300}, "numbers of proxies; the machines of the core come beside them")
 	c.Flags().BoolVar(&hollow, "hollow", false, "hollow nodes alone")
 	c.Flags().BoolVar(&options.NoEvents, "no-events", false, "leave the index of kept prompts out")
+	c.Flags().BoolVar(&options.NoTroubles, "no-troubles", false, "leave losses, ends and cuts out")
 	c.Flags().BoolVar(&options.AskedIndex, "try-asked-index", false, "try homes that answer questions in place of telling all proxies; the nodes don't do that")
 	c.Flags().BoolVar(&options.Relayed, "try-relayed-updates", false, "try updates of brokers that a node of each zone passes on; the nodes don't do that")
 	c.Flags().DurationVar(&options.Most, "most", scaleRunMost, "the time within which the last phase has to begin")
--- a/internal/rig/scale/phases.go
+++ b/internal/rig/scale/phases.go
@@ -102,8 +102,9 @@
 
 // Phases says what is measured, beside the quiet rate. The order is fixed: what disturbs most comes last.
 type Phases struct {
-	Events   bool // events of kept parts
-	Troubles bool // changes, deaths, draining, campaign, losses
+	Changes  bool // of the configuration, a broker that drains, new weights
+	Events   bool // of kept parts
+	Troubles bool // losses, ends and cuts
 }
 
 // Measure runs a hollow fleet of a shape through the phases. say is told what is being done; it may be nil.
@@ -120,7 +121,7 @@
 	m.settle()
 	m.result.HeapPerNode = float64(heapInUse()-before) / float64(shape.Nodes())
 	m.quiet()
-	if phases.Troubles {
+	if phases.Changes {
 		m.phase("changes of the configuration", m.changes)
 		m.phase("a broker drains", m.drain)
 		m.phase("new weights of a model", m.campaign)
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -22,8 +22,9 @@
 	// AskedIndex and Relayed try designs that the nodes do not have: see Options.
 	AskedIndex bool
 	Relayed    bool
-	// NoEvents leaves the index of kept prompts out.
-	NoEvents bool
+	// NoEvents leaves the index of kept prompts out, NoTroubles losses, ends and cuts.
+	NoEvents   bool
+	NoTroubles bool
 }
 
 // Report is what a run brought.
@@ -83,7 +84,7 @@
 			continue
 		}
 		began := time.Now()
-		result := Measure(ShapeOf(size, TwoYears), Options{Seed: options.Seed, Until: until, AskedIndex: options.AskedIndex, Relayed: options.Relayed}, Phases{Events: !options.NoEvents, Troubles: true},
+		result := Measure(ShapeOf(size, TwoYears), Options{Seed: options.Seed, Until: until, AskedIndex: options.AskedIndex, Relayed: options.Relayed}, Phases{Changes: true, Events: !options.NoEvents, Troubles: !options.NoTroubles},
 			func(step string) {
 				fmt.Fprintf(w, "%6.1f s  %d proxies: %s\n", time.Since(began).Seconds(), size, step)
 			})
@@ -91,7 +92,7 @@
 		result.Print(w)
 		report.Sizes = append(report.Sizes, result)
 	}
-	report.Fits = FitAll(report.Sizes, report.Target)
+	report.Fits = append(RealFits(report.Real), FitAll(report.Sizes, report.Target)...)
 	report.Broken = CheckSlopes(report.Sizes, Bounds())
 	report.printFits(w)
 	return report, nil
@@ -100,7 +101,7 @@
 func (r *Report) printFits(w io.Writer) {
 	fmt.Fprintf(w, "\nlines through the sizes, and what they come to at %d proxies:\n", r.Target.Proxies)
 	for _, fit := range r.Fits {
-		fmt.Fprintf(w, "%-62s %10.4g + %9.4g a proxy  (off by %2.0f%%, power %5.2f)  -> %.4g %s", fit.Metric, fit.Base, fit.Slope,
+		fmt.Fprintf(w, "%-62s %10.4g + %9.4g each  (off by %2.0f%%, power %5.2f)  -> %.4g %s", fit.Metric, fit.Base, fit.Slope,
 			100*fit.Error, fit.Power, fit.AtTarget, fit.Unit)
 		if fit.Limit > 0 {
 			fmt.Fprintf(w, ", %.3g times the limit", fit.Share)
