--- a/internal/node/routing/pool.go
+++ b/internal/node/routing/pool.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	reportFade  = 3000.0 // ms over which an expired report fades to the average
-	markTrusted = 2 * time.Second
-	scarceShare = 0.6 // of the brokers that don't leave
+	reportFade  = 3000.0          // ms over which an expired report fades to the average
+	markTrusted = 5 * time.Second // longer than a broker usually takes to load
+	scarceShare = 0.6             // of the brokers that don't leave
 	refreshKept = 250 * time.Millisecond
 )
 
