--- a/internal/node/chain/reconfigure.go
+++ b/internal/node/chain/reconfigure.go
@@ -270,25 +270,24 @@
 	return next
 }
 
-// decide ends the round: a majority has accepted. The others are told first, so that what this node passes to the new head
-// finds it as such.
+// decide ends the round: a majority has accepted.
 func (s *Store) decide() {
 	r := s.round
-	decided := &nodepb.Envelope{Body: &nodepb.Envelope_ViewDecided{ViewDecided: &nodepb.ViewDecided{View: r.Value()}}}
-	told := map[string]bool{s.address(): true}
+	decided := r.Value()
+	s.learn(decided)
 	for _, acceptor := range r.acceptors {
-		s.sendOnce(told, acceptor.address, decided)
+		s.tellView(acceptor.address)
 	}
-	for _, voter := range r.Value().GetVoters() {
-		s.sendOnce(told, voter.GetAddress(), decided)
+	for _, voter := range decided.GetVoters() {
+		if !slices.ContainsFunc(r.acceptors, func(a acceptorAddress) bool { return a.address == voter.GetAddress() }) {
+			s.tellView(voter.GetAddress())
+		}
 	}
-	s.learn(r.Value())
 }
 
-func (s *Store) sendOnce(told map[string]bool, address string, envelope *nodepb.Envelope) {
-	if !told[address] {
-		told[address] = true
-		s.send(address, &nodepb.Envelope{Body: envelope.Body})
+func (s *Store) tellView(address string) {
+	if address != s.address() {
+		s.sendView(address)
 	}
 }
 
@@ -380,22 +379,13 @@
 	s.leaseFrom = 0
 	s.holdUntil = 0
 	clear(s.joiners)
-	s.queue = append(s.unfinished(commands), s.queue...)
+	s.queue = append(commands, s.queue...)
 	if s.isHead() {
 		s.waiting = reads
 		return
 	}
 	for _, read := range reads {
-		s.passToHead(&nodepb.Submit{Request: read.origin.GetRequest(), Read: true}, read.origin)
+		s.passToHead("", &nodepb.Submit{Request: read.origin.GetRequest(), Read: true}, read.origin)
 	}
 	s.passQueueOn()
 }
-
-// unfinished adds the command of the entry that this node took and that is not committed, if another is the head now: the entry
-// may not have come through. Where it has, the new head knows the command by its id.
-func (s *Store) unfinished(commands []submission) []submission {
-	if s.isHead() || s.pending == nil || s.pending.GetCommand() != s.taken.command || s.now >= s.taken.expires {
-		return commands
-	}
-	return append([]submission{s.taken}, commands...)
-}
