--- a/internal/node/routing/overload_test.go
+++ b/internal/node/routing/overload_test.go
@@ -63,9 +63,21 @@
 	}
 }
 
-// Far beyond what the brokers can do, more is earned than by letting all wait for each other. A single course of such a crowd
-// is luck: several are played.
+// Far beyond what the brokers can do, more is earned than by letting all wait for each other.
 func TestOverloadedEngines(t *testing.T) {
+	s := newEngineSim(t, 10, 18, true)
+	s.run(12 * time.Second)
+	s.generate(125*3, 32*time.Second, s.prompts())
+	s.run(47 * time.Second)
+	t.Log(s.summary())
+	verdicts, letters := s.kinds["verdict"], s.kinds["letter"]
+	assert.Assert(t, verdicts.value() > 0.45)
+	assert.Assert(t, letters.value() > 0.5)
+	assert.Assert(t, letters.served() > verdicts.served(), "the more urgent are served more often")
+}
+
+// The same over several courses of such a crowd, in the mean.
+func TestOverloadedEnginesInTheMean(t *testing.T) {
 	const courses = 4
 	verdicts, letters := 0.0, 0.0
 	verdictsServed, lettersServed := 0.0, 0.0
