--- a/internal/node/chain/world_test.go
+++ b/internal/node/chain/world_test.go
@@ -31,6 +31,7 @@
 	net      network
 	checks   *checks
 	settings worldSettings
+	founders []string // addresses
 	disks    int
 	sync     time.Duration // of a disk in order
 	trace    []string
@@ -54,6 +55,7 @@
 
 	life        int
 	running     bool
+	removed     bool // for good
 	frozenUntil core.Time
 	store       *chain.Store
 	machine     *register
@@ -106,6 +108,7 @@
 	for i := range settings.core {
 		w.addNode(fmt.Sprintf("core-%d", i+1), true).bootstrap = true
 	}
+	w.founders = slices.Clone(w.order[:settings.founders])
 	for i := range settings.proxies {
 		w.addNode(fmt.Sprintf("proxy-%d", i+1), false)
 	}
@@ -134,8 +137,6 @@
 	return &disk{id: fmt.Sprintf("disk-%02d-%04x", w.disks, w.random.IntN(1<<16)), sync: w.sync}
 }
 
-func (w *world) founders() []string { return w.order[:w.settings.founders] }
-
 func (w *world) at(at core.Time, run func()) {
 	w.sequence++
 	heap.Push(&w.events, event{at: max(at, w.now), sequence: w.sequence, run: run})
@@ -198,7 +199,7 @@
 
 // start begins a life of the node's process.
 func (n *node) start() {
-	if n.running {
+	if n.running || n.removed {
 		return
 	}
 	w := n.world
@@ -227,7 +228,7 @@
 	n.machine.applied = func(entry *nodepb.Entry) { w.checks.applied(n, entry) }
 	store, outputs, err := chain.New(w.now, chain.Options{
 		Self:      &nodepb.Voter{DiskId: n.disk.id, Address: n.address, NodeId: n.nodeID()},
-		Founders:  w.founders(),
+		Founders:  w.founders,
 		Founding:  n.bootstrap,
 		Tolerance: w.settings.tolerance,
 		Machine:   n.machine,
