--- a/internal/node/chain/reconfigure.go
+++ b/internal/node/chain/reconfigure.go
@@ -114,6 +114,18 @@
 	return s.diskID()
 }
 
+// acceptorID is this node's name as an acceptor of the next epoch, empty if it is none.
+func (s *Store) acceptorID() string {
+	switch {
+	case s.view == nil && slices.Contains(s.founders, s.address()):
+		return s.address()
+	case view.IsVoter(s.view, s.diskID()):
+		return s.diskID()
+	default:
+		return ""
+	}
+}
+
 func (s *Store) acceptors() []acceptorAddress {
 	var acceptors []acceptorAddress
 	for _, voter := range s.view.GetVoters() {
@@ -278,3 +290,102 @@
 		s.sendView(address)
 	}
 }
+
+func (s *Store) receivePrepare(from core.Peer, message *nodepb.Prepare) {
+	s.learn(message.GetBase())
+	if message.GetEpoch() < s.acceptor.Epoch {
+		s.sendPromise(from.Address, &nodepb.Promise{Epoch: message.GetEpoch(), Refused: true, Decided: s.view})
+		return
+	}
+	id := s.acceptorID()
+	if id == "" || message.GetEpoch() != s.acceptor.Epoch {
+		return
+	}
+	promise, _ := s.acceptor.Prepare(message.GetBallot())
+	promise.Voter = id
+	if promise.GetRefused() {
+		s.sendPromise(from.Address, promise)
+		return
+	}
+	s.persist(kindAcceptor, s.acceptor.Record(), func() { s.sendPromise(from.Address, promise) })
+}
+
+func (s *Store) sendPromise(address string, promise *nodepb.Promise) {
+	s.send(address, &nodepb.Envelope{Body: &nodepb.Envelope_Promise{Promise: promise}})
+}
+
+func (s *Store) receiveAccept(from core.Peer, message *nodepb.Accept) {
+	s.learn(message.GetBase())
+	if message.GetEpoch() < s.acceptor.Epoch {
+		s.sendAccepted(from.Address, &nodepb.Accepted{Epoch: message.GetEpoch(), Refused: true, Decided: s.view})
+		return
+	}
+	id := s.acceptorID()
+	proper := view.Valid(message.GetView()) && message.GetView().GetEpoch() == message.GetEpoch()
+	if id == "" || message.GetEpoch() != s.acceptor.Epoch || !proper {
+		return
+	}
+	accepted, _ := s.acceptor.Accept(message.GetBallot(), message.GetView())
+	accepted.Voter = id
+	if accepted.GetRefused() {
+		s.sendAccepted(from.Address, accepted)
+		return
+	}
+	s.persist(kindAcceptor, s.acceptor.Record(), func() { s.sendAccepted(from.Address, accepted) })
+}
+
+func (s *Store) sendAccepted(address string, accepted *nodepb.Accepted) {
+	s.send(address, &nodepb.Envelope{Body: &nodepb.Envelope_Accepted{Accepted: accepted}})
+}
+
+// learn installs a decided view if it is newer than the one known.
+func (s *Store) learn(decided *nodepb.View) {
+	if decided == nil || decided.GetEpoch() <= view.Epoch(s.view) || !view.Valid(decided) {
+		return
+	}
+	s.view = decided
+	s.viewDurable = false
+	s.acceptor = view.NewAcceptor(decided.GetEpoch() + 1)
+	s.seenRound = 0
+	s.wedged = false
+	s.round = nil
+	s.wantedSince = core.Never
+	s.notBefore = 0
+	s.founders = nil
+	s.leaveHead()
+	s.joinAt = s.now
+	s.wholeState = false
+	s.watch()
+	s.persist(kindView, decided, func() {
+		if s.view != decided {
+			return
+		}
+		s.viewDurable = true
+		s.enterEpoch()
+	})
+	s.emit(core.Log{Message: "control state: view installed", Fields: []any{
+		"epoch", decided.GetEpoch(), "chain", decided.GetChain(), "voters", len(decided.GetVoters()),
+	}})
+}
+
+// leaveHead ends what this node did as the head of the epoch before. What was not answered begins anew, here or at the new
+// head: a command that was turned down is checked again, as this node may have been superseded when it checked it.
+func (s *Store) leaveHead() {
+	s.inherited = false
+	reads, commands := s.unanswered()
+	s.waiting = nil
+	s.barriers = nil
+	s.leased = false
+	s.leaseFrom = 0
+	s.holdUntil = 0
+	clear(s.joiners)
+	s.queue = append(commands, s.queue...)
+	if s.isHead() {
+		s.waiting = reads
+		return
+	}
+	for _, read := range reads {
+		s.passToHead("", &nodepb.Submit{Request: read.origin.GetRequest(), Read: true}, read.origin)
+	}
+	s.passQueueOn()
+}
