--- a/internal/node/forward/metrics.go
+++ b/internal/node/forward/metrics.go
@@ -45,13 +45,15 @@
 	ConnectionsStale  uint64 // kept ones found closed
 	ConnectionsOpen   int
 	ConnectionsIdle   int
+	// ConnectionsUnclaimed are being opened for requests that no longer wait for them.
+	ConnectionsUnclaimed int
 }
 
 // Metrics reads the counters.
 func (p *Proxy) Metrics() Metrics {
 	c := &p.counters
 	connections := &p.pool.Counters
-	open, idle := p.pool.Open()
+	now := p.pool.Connections()
 	return Metrics{
 		Requests:          c.requests.Load(),
 		Answered:          c.answered.Load(),
@@ -76,7 +78,9 @@
 		ConnectionsFailed: connections.Failed.Load(),
 		ConnectionsReused: connections.Reused.Load(),
 		ConnectionsStale:  connections.Stale.Load(),
-		ConnectionsOpen:   open,
-		ConnectionsIdle:   idle,
+		ConnectionsOpen:   now.Open,
+		ConnectionsIdle:   now.Idle,
+
+		ConnectionsUnclaimed: now.Unclaimed,
 	}
 }
--- a/internal/node/forward/upstream/dial.go
+++ b/internal/node/forward/upstream/dial.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"sync/atomic"
 	"time"
 )
 
@@ -38,8 +36,8 @@
 	pool    *Pool
 	host    *host
 	begun   time.Time
-	settled atomic.Bool // either the request has got the result, or it no longer waits
 	result  chan dialed
+	settled bool // either the request gets the result, or it no longer waits; guarded by pool.mu
 }
 
 // dialed is how a dial ended.
@@ -78,33 +76,39 @@
 	ctx, cancel := context.WithDeadline(context.Background(), d.begun.Add(d.pool.options.ConnectTimeout))
 	defer cancel()
 	socket, err := d.pool.connect(ctx, address)
-	conn, err := d.finish(socket, err)
-	if d.settled.CompareAndSwap(false, true) {
-		d.result <- dialed{conn, err}
-	} else if conn != nil {
-		d.pool.put(conn)
-	}
-}
-
-// finish makes a connection of a socket that came up.
-func (d *dial) finish(socket net.Conn, err error) (*Conn, error) {
 	var conn *Conn
 	if err == nil {
 		conn, err = newConn(d.pool, d.host, socket)
 	}
+	if err != nil && socket != nil {
+		socket.Close()
+	}
+	if d.end(conn, err) {
+		d.result <- dialed{conn, err}
+	}
+}
+
+// end counts how the dial ended. true: its request waits for the result; else the connection is kept for others.
+func (d *dial) end(conn *Conn, err error) bool {
+	p := d.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err != nil {
-		if socket != nil {
-			socket.Close()
-		}
-		d.pool.release(d.host)
-		return nil, err
+		p.releaseLocked(d.host)
+	} else {
+		conn.connectTime = time.Since(d.begun)
+		p.Counters.Opened.Add(1)
+		p.connectTimes.note(conn.connectTime)
 	}
-	conn.connectTime = time.Since(d.begun)
-	d.pool.Counters.Opened.Add(1)
-	d.pool.mu.Lock()
-	d.pool.connectTimes.note(conn.connectTime)
-	d.pool.mu.Unlock()
-	return conn, nil
+	if !d.settled {
+		d.settled = true
+		return true
+	}
+	p.unclaimed--
+	if conn != nil {
+		p.putLocked(conn)
+	}
+	return false
 }
 
 // await waits for the connection. Where this process stood still in the meantime, it waits once more: the time then says
@@ -147,9 +151,21 @@
 
 // abandon leaves the connection to other requests, unless it has come this very moment.
 func (d *dial) abandon(why error) (*Conn, error) {
-	if d.settled.CompareAndSwap(false, true) {
+	if d.leave() {
 		return nil, why
 	}
 	end := <-d.result
 	return end.conn, end.err
 }
+
+// leave notes that the request no longer waits. false: the result is there.
+func (d *dial) leave() bool {
+	d.pool.mu.Lock()
+	defer d.pool.mu.Unlock()
+	if d.settled {
+		return false
+	}
+	d.settled = true
+	d.pool.unclaimed++
+	return true
+}
--- a/internal/node/forward/upstream/pool.go
+++ b/internal/node/forward/upstream/pool.go
@@ -109,6 +109,7 @@
 	mu           sync.Mutex
 	hosts        map[string]*host
 	idle         int
+	unclaimed    int // being opened, for no request any more
 	sweeping     bool
 	sweeper      *time.Timer
 	closed       bool
@@ -245,9 +246,13 @@
 
 // put keeps a connection for later requests.
 func (p *Pool) put(conn *Conn) {
-	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.putLocked(conn)
+}
+
+func (p *Pool) putLocked(conn *Conn) {
+	now := time.Now()
 	conn.clearDeadlines()
 	conn.restingSince = now
 	conn.usableUntil = now.Add(p.restTime(conn))
@@ -346,12 +351,21 @@
 	}
 }
 
-// Open tells how many connections there are, in use and at rest.
-func (p *Pool) Open() (open, idle int) {
+// Connections counts connections by what they are there for.
+type Connections struct {
+	// Open are all that are up or being opened.
+	Open int
+	// Idle of them are at rest, and Unclaimed are being opened for requests that no longer wait for them.
+	Idle, Unclaimed int
+}
+
+// Connections tells how many connections there are just now.
+func (p *Pool) Connections() Connections {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	count := Connections{Idle: p.idle, Unclaimed: p.unclaimed}
 	for _, h := range p.hosts {
-		open += h.open
+		count.Open += h.open
 	}
-	return open, p.idle
+	return count
 }
