--- a/internal/node/chain/operator_test.go
+++ b/internal/node/chain/operator_test.go
@@ -13,7 +13,7 @@
 type operator struct {
 	world   *world
 	name    string
-	through []string // addresses of the machines it may call
+	through []string // addresses of the machines it may call; nil: all
 	pause   time.Duration
 	count   int
 	version uint64 // as it knows
@@ -26,7 +26,7 @@
 }
 
 func (w *world) newOperator(name string, pause time.Duration) *operator {
-	o := &operator{world: w, name: name, pause: pause, through: w.order}
+	o := &operator{world: w, name: name, pause: pause}
 	w.after(time.Second, o.next)
 	return o
 }
@@ -36,7 +36,11 @@
 		return
 	}
 	w := o.world
-	n := w.nodes[o.through[w.random.IntN(len(o.through))]]
+	through := o.through
+	if through == nil {
+		through = w.order
+	}
+	n := w.nodes[through[w.random.IntN(len(through))]]
 	if !n.running {
 		w.after(50*time.Millisecond, o.next)
 		return
--- a/internal/node/chain/seeds_test.go
+++ b/internal/node/chain/seeds_test.go
@@ -37,7 +37,7 @@
 
 func (f *faults) one() {
 	w := f.world
-	switch w.random.IntN(14) {
+	switch w.random.IntN(15) {
 	case 0, 1:
 		f.killed(f.pick(), f.short())
 	case 2:
@@ -62,6 +62,8 @@
 		f.transfer(f.pick())
 	case 13:
 		f.sayAndDie()
+	case 14:
+		f.replace()
 	}
 }
 
@@ -176,6 +178,23 @@
 	}
 }
 
+// replace removes a machine for good and adds another with an empty disk, as one of those that may be lost.
+func (f *faults) replace() {
+	w := f.world
+	if !w.allSettled() || w.settings.tolerance == 0 {
+		return
+	}
+	f.wiped = 1
+	i := w.random.IntN(w.settings.core)
+	w.nodes[w.order[i]].kill()
+	w.nodes[w.order[i]].removed = true
+	spare := w.addNode(fmt.Sprintf("spare-%d", len(w.nodes)), true)
+	w.order = w.order[:len(w.order)-1]
+	w.logf("%s replaces %s", spare.address, w.order[i])
+	w.order[i] = spare.address
+	w.after(f.short(), spare.start)
+}
+
 // sayAndDie kills machines right after they have said something that others rely on.
 func (f *faults) sayAndDie() {
 	w := f.world
@@ -185,7 +204,7 @@
 	w.after(f.short(), f.quiet)
 }
 
-// allSettled reports whether every core machine runs and is in the chain.
+// allSettled reports whether every core machine runs and is in the chain, and nobody else is a voter.
 func (w *world) allSettled() bool {
 	for _, address := range w.order[:w.settings.core] {
 		n := w.nodes[address]
@@ -193,7 +212,7 @@
 			return false
 		}
 	}
-	return w.chainLength() == w.settings.core
+	return w.chainLength() == w.settings.core && len(w.newestView().GetVoters()) == w.settings.core
 }
 
 func (f *faults) noise() {
--- a/internal/node/view/detector.go
+++ b/internal/node/view/detector.go
@@ -28,51 +28,6 @@
 	sentKept = 8
 )
 
-// Told is what a node says of itself in its pings.
-type Told struct {
-	Voter       *nodepb.Voter
-	Epoch       uint64
-	Committed   uint64
-	DiskHealthy bool
-	Counts      bool
-	Founding    bool
-	Wedged      bool
-	Missing     []string
-}
-
-// Target is a node to be watched; DiskID is empty where it isn't known.
-type Target struct {
-	Address string
-	DiskID  string
-}
-
-// sent remembers when a numbered message left.
-type sent struct {
-	sequence uint64
-	at       core.Time
-}
-
-// peer is what is known of the node at one address.
-type peer struct {
-	target  bool
-	expects string // disk id that the view has at this address, empty if any
-	told    *Told
-
-	since     core.Time // when watching began, or began anew
-	heard     core.Time // when its newest message came
-	proven    bool
-	confirmed core.Time // when the newest message to it left that is known to have arrived
-
-	nextPing     core.Time
-	sequence     uint64
-	pings        [sentKept]sent
-	pongs        [sentKept]sent
-	acknowledged uint64 // sequence of its newest pong
-
-	unhealthySince core.Time
-	wedgedSince    core.Time
-}
-
 // Detector finds out who can be reached, both ways, by numbered pings. Of two voters the one with the lower disk id pings; the
 // pong proves the way to the other and back to it, and the next ping, which names the pong, proves the same to the other.
 // A node outside the voters pings all of them.
--- a/internal/node/view/next.go
+++ b/internal/node/view/next.go
@@ -8,7 +8,7 @@
 	"kestrelspread/internal/node/nodepb"
 )
 
-// DropAfter is for how long a voter must have been out of reach before it may be dropped or replaced by another machine.
+// DropAfter is for how long a voter must have been out of reach before it may be dropped without a successor.
 const DropAfter core.Time = 3 * time.Second
 
 // Condition is what a node knows of its way to a voter and back.
@@ -228,7 +228,7 @@
 	return broken
 }
 
-// nextVoters adds the joiners, each in the place of its former self, else of a voter that is lost, else as one more;
+// nextVoters adds the joiners, each in the place of its former self, else of a voter that is out of reach, else as one more;
 // then it drops who may be dropped. Those to be kept are neither replaced by another machine nor dropped.
 func (s *Situation) nextVoters(kept []string) []*nodepb.Voter {
 	voters := slices.Clone(s.View.GetVoters())
@@ -255,7 +255,7 @@
 	}
 	if place < 0 {
 		place = slices.IndexFunc(voters, func(voter *nodepb.Voter) bool {
-			return s.lost(voter.GetDiskId()) && !slices.Contains(kept, voter.GetDiskId())
+			return s.replaceable(voter.GetDiskId()) && !slices.Contains(kept, voter.GetDiskId())
 		})
 	}
 	if place < 0 {
@@ -265,6 +265,11 @@
 	return voters
 }
 
+// replaceable reports whether a joiner may take the voter's place.
+func (s *Situation) replaceable(diskID string) bool {
+	return s.condition(diskID) == Missing && !s.isJoiner(diskID)
+}
+
 func (s *Situation) lost(diskID string) bool {
 	return diskID != s.Self && s.Reach.MissingFor(diskID) >= DropAfter
 }
