--- a/internal/node/chain/barrier.go
+++ b/internal/node/chain/barrier.go
@@ -1,20 +1,24 @@
 package chain
 
 import (
+	"slices"
+
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/nodepb"
 	"kestrelspread/internal/node/view"
 )
 
-// barrierStart is a barrier at the head: what for, and once it has started its number and time.
+// barrierStart is a barrier at the head: what for, and when.
 type barrierStart struct {
 	origin     *nodepb.Origin
 	rejection  *nodepb.CommandResult
 	turnedDown *submission // what the rejection is for
 	wantsState bool
 	nonce      uint64
-	number     uint64
+	expires    core.Time       // nobody waits for it any more
+	message    *nodepb.Barrier // once it has started
 	started    core.Time
+	repeatAt   core.Time
 }
 
 // confirmation is what the tail knows of the age of the committed state.
@@ -32,26 +36,19 @@
 }
 
 // startBarrier sends a barrier through the chain. It waits while an inherited entry is not committed, which may have been
-// acknowledged, and in a view that answers nothing.
+// acknowledged, in a view that answers nothing, and while the view changes.
 func (s *Store) startBarrier(start barrierStart) {
-	if !s.isHead() || !s.member() {
-		return
+	if start.expires == 0 {
+		start.expires = s.now + queueWait
 	}
-	if s.inherited || !s.answers() {
-		start.started = s.now
+	if s.inherited || !s.isHead() || !s.answers() {
 		if len(s.waiting) < queueLimit {
 			s.waiting = append(s.waiting, start)
 		}
 		return
 	}
 	s.barrierCount++
-	start.number = s.barrierCount
-	start.started = s.now
-	if len(s.barriers) >= barriersKept {
-		s.barriers = append(s.barriers[:0], s.barriers[1:]...)
-	}
-	s.barriers = append(s.barriers, start)
-	barrier := &nodepb.Barrier{
+	start.message = &nodepb.Barrier{
 		Epoch:          s.view.GetEpoch(),
 		Origin:         start.origin,
 		Rejection:      start.rejection,
@@ -60,16 +57,48 @@
 		LastIndex:      s.last().index,
 		Nonce:          start.nonce,
 		WantsState:     start.wantsState,
-		Number:         start.number,
+		Number:         s.barrierCount,
 	}
-	s.passBarrier(barrier)
+	start.started = s.now
+	start.repeatAt = s.now + retransmitEvery
+	if len(s.barriers) >= barriersKept {
+		s.barriers = append(s.barriers[:0], s.barriers[1:]...)
+	}
+	s.barriers = append(s.barriers, start)
+	s.passBarrier(start.message)
+}
+
+// repeatBarriers forgets barriers that nobody waits for any more, and sends those again that have not come through.
+func (s *Store) repeatBarriers() {
+	expired := func(start barrierStart) bool { return s.now >= start.expires }
+	s.barriers = slices.DeleteFunc(s.barriers, expired)
+	s.waiting = slices.DeleteFunc(s.waiting, expired)
+	var due []*nodepb.Barrier
+	for i := range s.barriers {
+		if start := &s.barriers[i]; s.now >= start.repeatAt {
+			start.repeatAt = s.now + retransmitEvery
+			due = append(due, start.message)
+		}
+	}
+	for _, message := range due {
+		s.passBarrier(message)
+	}
+}
+
+// barrierDeadline is when a barrier is to be repeated or forgotten.
+func (s *Store) barrierDeadline() core.Time {
+	deadline := core.Never
+	for i := range s.barriers {
+		deadline = min(deadline, s.barriers[i].repeatAt, s.barriers[i].expires)
+	}
+	return deadline
 }
 
 // unanswered lists the reads that wait for a barrier, and the commands that were turned down by one.
 func (s *Store) unanswered() (reads []barrierStart, commands []submission) {
 	for _, start := range append(s.barriers, s.waiting...) {
 		switch {
-		case s.now-start.started >= queueWait:
+		case s.now >= start.expires:
 		case start.turnedDown != nil:
 			commands = append(commands, *start.turnedDown)
 		case start.wantsState && start.origin != nil:
@@ -145,7 +174,7 @@
 // barrierDone notes at the head that one of its barriers has passed every member.
 func (s *Store) barrierDone(number uint64) {
 	for i, start := range s.barriers {
-		if start.number != number {
+		if start.message.GetNumber() != number {
 			continue
 		}
 		s.leaseFrom = max(s.leaseFrom, start.started)
@@ -191,7 +220,7 @@
 }
 
 func (s *Store) wantLease() {
-	if s.leased && s.now-s.leaseFrom < ConfirmEvery {
+	if s.leased && s.now-s.leaseFrom < ConfirmEvery || len(s.waiting) > 0 {
 		return
 	}
 	if running := len(s.barriers); running > 0 && s.now-s.barriers[running-1].started < confirmTimeout {
@@ -201,7 +230,7 @@
 }
 
 func (s *Store) receiveBarrierRequest(from core.Peer, request *nodepb.BarrierRequest) {
-	if !s.inForce(from, request.GetEpoch()) {
+	if !s.inForce(from, request.GetEpoch()) || !s.isHead() {
 		return
 	}
 	s.startBarrier(barrierStart{origin: request.GetOrigin(), nonce: request.GetNonce(), wantsState: request.GetWantsState()})
--- a/internal/node/chain/head.go
+++ b/internal/node/chain/head.go
@@ -20,29 +20,33 @@
 	if origin == nil {
 		origin = &nodepb.Origin{Address: from.Address, Request: message.GetRequest()}
 	}
-	if !s.isHead() {
-		s.passToHead(from.Address, message, origin)
-		return
-	}
-	if message.GetRead() {
+	switch {
+	case !s.isHead() && !s.passedByHead(from.Address, message):
+		s.passToHead(message, origin)
+	case message.GetRead():
 		s.startBarrier(barrierStart{origin: origin, wantsState: true})
-		return
+	case message.GetCommand() != nil && len(s.queue) < queueLimit:
+		s.queue = append(s.queue, submission{
+			command: message.GetCommand(),
+			origin:  origin,
+			hops:    message.GetHops(),
+			expires: s.now + queueWait,
+		})
+		s.takeNext()
 	}
-	if message.GetCommand() == nil || len(s.queue) >= queueLimit {
-		return
-	}
-	s.queue = append(s.queue, submission{
-		command: message.GetCommand(),
-		origin:  origin,
-		hops:    message.GetHops(),
-		expires: s.now + queueWait,
-	})
-	s.takeNext()
 }
 
-func (s *Store) passToHead(from string, message *nodepb.Submit, origin *nodepb.Origin) {
+// passedByHead reports whether the node that this one takes for the head passed the message on: it knows of a newer view,
+// which is on its way here, and the message waits for that.
+func (s *Store) passedByHead(from string, message *nodepb.Submit) bool {
 	head := view.Head(s.view)
-	if head == nil || message.GetHops() >= maxHops || message.GetHops() > 0 && head.GetAddress() == from {
+	return head != nil && message.GetHops() > 0 && head.GetAddress() == from
+}
+
+// passToHead passes a command or read on to the head that this node knows.
+func (s *Store) passToHead(message *nodepb.Submit, origin *nodepb.Origin) {
+	head := view.Head(s.view)
+	if head == nil || message.GetHops() >= maxHops {
 		return
 	}
 	s.send(head.GetAddress(), &nodepb.Envelope{Body: &nodepb.Envelope_Submit{Submit: &nodepb.Submit{
@@ -58,7 +62,7 @@
 func (s *Store) passQueueOn() {
 	for _, waiting := range s.queue {
 		message := &nodepb.Submit{Request: waiting.origin.GetRequest(), Command: waiting.command, Hops: waiting.hops}
-		s.passToHead("", message, waiting.origin)
+		s.passToHead(message, waiting.origin)
 	}
 	s.queue = nil
 }
@@ -89,6 +93,7 @@
 		s.startBarrier(barrierStart{origin: next.origin, rejection: result, turnedDown: &next})
 		return
 	}
+	s.taken = next
 	s.retransmitAt = s.now + retransmitEvery
 	s.replacePending(&nodepb.Entry{
 		Index:   s.committed.index + 1,
@@ -103,13 +108,13 @@
 	return s.pending != nil && s.pendingDurable && s.isHead() && s.member() && !s.isTail()
 }
 
-// retransmit repeats what isn't committed.
+// retransmit repeats what isn't committed, and the barriers that have not come through.
 func (s *Store) retransmit() {
-	if !s.repeats() || s.now < s.retransmitAt {
-		return
+	if s.repeats() && s.now >= s.retransmitAt {
+		s.retransmitAt = s.now + retransmitEvery
+		s.passPending()
 	}
-	s.retransmitAt = s.now + retransmitEvery
-	s.passPending()
+	s.repeatBarriers()
 }
 
 // enterEpoch starts this node's part in the view that was installed; it is called again when the view is durable.
--- a/internal/node/chain/install.go
+++ b/internal/node/chain/install.go
@@ -47,13 +47,22 @@
 	s.leaseFrom = 0
 	s.holdUntil = 0
 	clear(s.joiners)
-	s.queue = append(commands, s.queue...)
+	s.queue = append(s.unfinished(commands), s.queue...)
 	if s.isHead() {
 		s.waiting = reads
 		return
 	}
 	for _, read := range reads {
-		s.passToHead("", &nodepb.Submit{Request: read.origin.GetRequest(), Read: true}, read.origin)
+		s.passToHead(&nodepb.Submit{Request: read.origin.GetRequest(), Read: true}, read.origin)
 	}
 	s.passQueueOn()
 }
+
+// unfinished adds the command of the entry that this node took and that is not committed, if another is the head now: the entry
+// may not have come through. Where it has, the new head knows the command by its id.
+func (s *Store) unfinished(commands []submission) []submission {
+	if s.isHead() || s.pending == nil || s.pending.GetCommand() != s.taken.command || s.now >= s.taken.expires {
+		return commands
+	}
+	return append([]submission{s.taken}, commands...)
+}
--- a/internal/node/chain/operator_test.go
+++ b/internal/node/chain/operator_test.go
@@ -23,6 +23,7 @@
 	ackedAt core.Time     // when the newest acknowledgement came
 	longest time.Duration // between two acknowledgements
 	reads   int
+	slowest core.Time // that a call took to be answered in any way
 }
 
 func (w *world) newOperator(name string, pause time.Duration) *operator {
@@ -73,7 +74,9 @@
 func (o *operator) read(n *node) {
 	floor := o.world.checks.newest
 	round := o.count
+	asked := o.world.now
 	n.call(nil, func(reply core.Reply) {
+		o.slowest = max(o.slowest, o.world.now-asked)
 		state, ok := o.world.checks.readAnswer(floor, reply)
 		if o.count != round {
 			return
@@ -95,6 +98,7 @@
 	round := o.count
 	asked := w.now
 	n.call(command, func(reply core.Reply) {
+		o.slowest = max(o.slowest, w.now-asked)
 		w.checks.answered(command, asked, reply)
 		if o.command == command {
 			o.settle(reply.Result)
--- a/internal/node/chain/reconfigure.go
+++ b/internal/node/chain/reconfigure.go
@@ -258,23 +258,24 @@
 	return next
 }
 
-// decide ends the round: a majority has accepted.
+// decide ends the round: a majority has accepted. The others are told first, so that what this node passes to the new head
+// finds it as such.
 func (s *Store) decide() {
 	r := s.round
-	decided := r.Value()
-	s.learn(decided)
+	decided := &nodepb.Envelope{Body: &nodepb.Envelope_ViewDecided{ViewDecided: &nodepb.ViewDecided{View: r.Value()}}}
+	told := map[string]bool{s.address(): true}
 	for _, acceptor := range r.acceptors {
-		s.tellView(acceptor.address)
+		s.sendOnce(told, acceptor.address, decided)
 	}
-	for _, voter := range decided.GetVoters() {
-		if !slices.ContainsFunc(r.acceptors, func(a acceptorAddress) bool { return a.address == voter.GetAddress() }) {
-			s.tellView(voter.GetAddress())
-		}
+	for _, voter := range r.Value().GetVoters() {
+		s.sendOnce(told, voter.GetAddress(), decided)
 	}
+	s.learn(r.Value())
 }
 
-func (s *Store) tellView(address string) {
-	if address != s.address() {
-		s.sendView(address)
+func (s *Store) sendOnce(told map[string]bool, address string, envelope *nodepb.Envelope) {
+	if !told[address] {
+		told[address] = true
+		s.send(address, &nodepb.Envelope{Body: envelope.Body})
 	}
 }
--- a/internal/node/chain/store.go
+++ b/internal/node/chain/store.go
@@ -57,6 +57,7 @@
 	inherited    bool // pending is from before this epoch or this life, and may have been acknowledged
 	retransmitAt core.Time
 	queue        []submission
+	taken        submission     // the newest that became an entry
 	waiting      []barrierStart // barriers that wait until the inherited entry is committed
 	barriers     []barrierStart // started, newest last
 	barrierCount uint64
@@ -206,7 +207,7 @@
 func (s *Store) Deadline() core.Time { return s.wakeAt }
 
 func (s *Store) nextDeadline() core.Time {
-	deadline := min(s.detector.Deadline(), s.writer.deadline(s.now), s.joinDeadline(), s.roundDeadline())
+	deadline := min(s.detector.Deadline(), s.writer.deadline(s.now), s.joinDeadline(), s.roundDeadline(), s.barrierDeadline())
 	if s.repeats() {
 		deadline = min(deadline, s.retransmitAt)
 	}
--- /dev/null
+++ b/internal/node/chain/transfer_test.go
@@ -0,0 +1,36 @@
+package chain_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/chain"
+)
+
+// TestCallsOutliveATransfer: what reaches a head that hands over is answered by its successor, not only when the caller asks
+// another machine.
+func TestCallsOutliveATransfer(t *testing.T) {
+	const longest = 150 * time.Millisecond
+	for seed := range uint64(40) {
+		w := newWorld(t, seed, four)
+		w.runUntil("all in the chain", 2*time.Second, w.whole(four.core))
+		var operators []*operator
+		for _, name := range []string{"a", "b", "c"} {
+			o := w.newOperator(name, time.Millisecond)
+			o.through = w.order[four.core:]
+			operators = append(operators, o)
+		}
+		w.runUntil("first acknowledgements", 3*time.Second, operators[0].acksAgain(5))
+		for _, o := range operators {
+			o.slowest = 0
+		}
+		head := w.inRole(chain.HeadOf)
+		head.input(func() { head.carryOut(head.store.Transfer(w.now)) })
+		w.runFor(800 * time.Millisecond)
+		for _, o := range operators {
+			assert.Check(t, o.slowest < longest, "seed %d: a call of operator %s took %v", seed, o.name, o.slowest)
+		}
+	}
+}
