--- a/internal/node/registry/merge.go
+++ b/internal/node/registry/merge.go
@@ -27,7 +27,8 @@
 	if changed {
 		r.watchExpiry(rec)
 	}
-	if !changed && differBy(rec.coldUntil, coldBefore, coldTolerance) && !rec.gone() {
+	coldMoved := differBy(max(rec.coldUntil, now), max(coldBefore, now), coldTolerance)
+	if !changed && coldMoved && !rec.gone() {
 		r.refreshPicture(now, rec)
 	}
 	return rec, changed
--- a/internal/node/registry/merge_test.go
+++ b/internal/node/registry/merge_test.go
@@ -242,3 +242,21 @@
 	w.network.Run(time.Second)
 	assert.Assert(t, w.everyoneHas("1", func(i *Instance) bool { return i.Versions["m"] == 3 }))
 }
+
+// A warm broker's heartbeat says nothing new: the table stays as it is.
+func TestHeartbeatsOfAWarmBrokerLeaveTheTableAlone(t *testing.T) {
+	r := single()
+	beat := func(at time.Duration, sequence uint64, coldMs uint32) *Table {
+		r.Heartbeat(at, sequence, &nodepb.Instance{Id: "i", Service: "s", Zone: "a", Sequence: sequence, ColdRemainingMs: coldMs})
+		return r.Table()
+	}
+	cold := beat(time.Second, 1, 3000)
+	assert.Equal(t, beat(2*time.Second, 2, 2000), cold, "the cold start ends when it was said to")
+	longer := beat(3*time.Second, 3, 4000)
+	assert.Assert(t, longer != cold, "the cold start ends later than was said")
+	assert.Assert(t, beat(4*time.Second, 4, 0) != longer, "it has ended sooner than was said")
+	warm := r.Table()
+	for i := range uint64(10) {
+		assert.Equal(t, beat(time.Duration(5+i)*time.Second, 5+i, 0), warm)
+	}
+}
