--- a/internal/node/agent/lifecycle.go
+++ b/internal/node/agent/lifecycle.go
@@ -15,15 +15,34 @@
 	"kestrelspread/internal/node/wireproto/link"
 )
 
-// Shares of the grace after SIGTERM (DEPLOY.md: graceS, then SIGKILL).
+// The times of a stop (DEPLOY.md: graceS after SIGTERM comes SIGKILL).
 const (
-	acceptShare   = 0.45 // new connections are still taken: the platform needs two missed checks to notice
-	finishShare   = 0.88 // requests under way have ended or are cut off
-	leaveMargin   = 300 * time.Millisecond
-	defaultGrace  = 8 * time.Second
-	serverStopped = 2 * time.Second
+	defaultGrace = 8 * time.Second
+	// takeLimit is for how long new requests are taken: the platform asks each second and needs two missed answers to send no
+	// more. Later ones might not be over in time, and are turned away.
+	takeLimit = 2500 * time.Millisecond
+	// takeShare of the grace bounds takeLimit, and listenShare how long new connections are accepted.
+	takeShare   = 0.35
+	listenShare = 0.45
+	// finishMargin, and finishShare of the grace at most, is left when requests that are still under way are cut off.
+	finishMargin = 600 * time.Millisecond
+	finishShare  = 0.12
+	// leaveMargin is for the word of leaving to reach the other nodes.
+	leaveMargin = 300 * time.Millisecond
 )
 
+// stopTimes are the moments of a stop, counted from its beginning.
+type stopTimes struct{ refuse, close, cut time.Duration }
+
+func stopTimesOf(grace time.Duration) stopTimes {
+	share := func(part float64) time.Duration { return time.Duration(part * float64(grace)) }
+	return stopTimes{
+		refuse: min(takeLimit, share(takeShare)),
+		close:  share(listenShare),
+		cut:    grace - min(finishMargin, share(finishShare)),
+	}
+}
+
 // serve runs the node until ctx ends or a signal tells it to stop.
 func (a *Agent) serve(ctx context.Context, path string) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -145,9 +164,11 @@
 	if a.store != nil {
 		a.post(func(now core.Time) { a.carryOut(now, a.store.Transfer(now)) })
 	}
-	begun := time.Now()
-	time.Sleep(time.Duration(float64(grace) * acceptShare))
-	finish, cancel := context.WithDeadline(context.Background(), begun.Add(time.Duration(float64(grace)*finishShare)))
+	begun, times := time.Now(), stopTimesOf(grace)
+	time.Sleep(times.refuse)
+	a.proxy.RefuseNew()
+	time.Sleep(time.Until(begun.Add(times.close)))
+	finish, cancel := context.WithDeadline(context.Background(), begun.Add(times.cut))
 	defer cancel()
 	_ = a.proxy.Shutdown(finish)
 	left := make(chan struct{})
--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -49,6 +49,9 @@
 	if why := c.intake.checkRequest(c.request, c.framing()); why != nil {
 		return c.deny(why)
 	}
+	if c.proxy.refusing.Load() {
+		return c.refuse(c.proxy.bounds.UnreadyRetryAfter)
+	}
 	c.awaitStartup(knowsConfiguration)
 	compiled := c.proxy.configuration()
 	if compiled == nil {
--- a/internal/node/forward/lifecycle_test.go
+++ b/internal/node/forward/lifecycle_test.go
@@ -339,6 +339,27 @@
 	<-closed
 }
 
+// TestNewRequestsAreTurnedAwayLateInAStop: they would not be over in time. Those under way end as usual (RULES.md, LOST).
+func TestNewRequestsAreTurnedAwayLateInAStop(t *testing.T) {
+	proceed := make(chan struct{})
+	only := newBroker(t, "i-1", func(e *exchange) {
+		<-proceed
+		e.answer(200, "ok")
+	})
+	w := newWorld(t, newPort(only.instance, only.instance))
+	c := w.client()
+	c.send(post("/unsafe/a", "r1", "body"))
+	only.next()
+	w.proxy.RefuseNew()
+	got := w.do(post("/stream/a", "r2", "body"))
+	assert.Equal(t, got.StatusCode, 503)
+	assert.Assert(t, got.Header.Get(headerRetryAfter) != "")
+	assert.Assert(t, got.Close, "the client goes on elsewhere")
+	assert.Equal(t, only.arrived(), 0, "only the first came there")
+	close(proceed)
+	assert.Equal(t, c.read("POST").StatusCode, 200)
+}
+
 // TestClientTimeouts are those of the configuration with a margin, never less.
 func TestClientTimeouts(t *testing.T) {
 	w := newWorld(t, newPort())
--- a/internal/node/forward/proxy.go
+++ b/internal/node/forward/proxy.go
@@ -20,6 +20,7 @@
 	match    matcher
 	server   *http.Server
 	draining atomic.Bool
+	refusing atomic.Bool
 	buffered atomic.Int64 // bytes of requests' bodies that are held
 	counters counters
 }
--- a/internal/node/forward/server.go
+++ b/internal/node/forward/server.go
@@ -83,6 +83,13 @@
 	p.options.Startup.End()
 }
 
+// RefuseNew turns away requests that come from now on, with a promise that they have not run: too little time is left for them.
+// Those under way go on.
+func (p *Proxy) RefuseNew() {
+	p.Drain()
+	p.refusing.Store(true)
+}
+
 // Shutdown stops taking connections, closes those at rest and waits for the requests under way, while the context lasts.
 // Then it closes all.
 func (p *Proxy) Shutdown(ctx context.Context) error {
