--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -22,6 +22,7 @@
 	"kestrelspread/internal/node/distribution"
 	"kestrelspread/internal/node/forward"
 	"kestrelspread/internal/node/journal"
+	"kestrelspread/internal/node/loadhint"
 	"kestrelspread/internal/node/membership"
 	"kestrelspread/internal/node/nodepb"
 	"kestrelspread/internal/node/registry"
@@ -65,6 +66,7 @@
 	rollout      *rollout.Rollout
 	orders       *orders.Sender
 	prompts      promptIndex
+	hints        *loadhint.Spreader
 	router       *routing.Guarded
 	proxy        *forward.Proxy
 	startup      *forward.Startup
@@ -193,5 +195,6 @@
 	a.buildDuty()
 	a.openSavedBrokers()
 	a.buildIndex()
+	a.buildLoadHints()
 	a.buildDataPlane(now)
 }
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -24,7 +24,7 @@
 		VersionGrace:     bounds.Version(),
 		Index:            a.prompts.index,
 		Random:           newRandom(),
-	}))
+	}), a.tellSent)
 	a.startup = forward.NewStartup()
 	a.proxy = forward.New(forward.Options{
 		Port:     a.router,
--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -50,7 +50,7 @@
 }
 
 func (a *Agent) machines() []machine {
-	list := []machine{a.membership, a.distribution, a.registry, a.submit, a.prompts.home}
+	list := []machine{a.membership, a.distribution, a.registry, a.submit, a.prompts.home, a.hints}
 	if a.store != nil {
 		list = append(list, a.store)
 	}
@@ -92,6 +92,8 @@
 		return a.submit.Receive(now, from, message)
 	case *nodepb.Envelope_IndexUpdate:
 		return a.prompts.subscriber.HandleUpdate(now, from, message.GetIndexUpdate())
+	case *nodepb.Envelope_LoadHints:
+		return a.hints.Receive(now, from, message.GetLoadHints())
 	case *nodepb.Envelope_IndexPoll:
 		return a.prompts.home.HandlePoll(now, from, message.GetIndexPoll())
 	default:
@@ -129,6 +131,8 @@
 		}
 	case core.RegistryAnswer:
 		a.requests.answerRegistry(output)
+	case core.LoadHinted:
+		a.learnHints(now, output.Hints)
 	case core.TableChanged:
 		a.publishTable(now)
 	case core.Log:
@@ -159,6 +163,7 @@
 	a.prompts.stale = true
 	a.carryOut(now, a.registry.SetMembers(now, members))
 	a.carryOut(now, a.distribution.SetMembers(now, members))
+	a.hints.SetMembers(now, members)
 	var counting []*nodepb.Member
 	proxies := 0
 	for _, member := range members {
--- a/internal/node/core/events.go
+++ b/internal/node/core/events.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"kestrelspread/internal/node/nodepb"
+)
 
 // AskEvents asks a broker or store for the events of its kept parts. The answer comes back by EventsDone with the same
 // token. Source: PROTOCOL.md, "KV cache".
@@ -18,5 +22,9 @@
 	Lost    bool // it came back empty
 }
 
-func (AskEvents) isOutput() {}
-func (StoreSeen) isOutput() {}
+// LoadHinted tells what other proxies have just sent to model brokers.
+type LoadHinted struct{ Hints []*nodepb.LoadHint }
+
+func (AskEvents) isOutput()  {}
+func (LoadHinted) isOutput() {}
+func (StoreSeen) isOutput()  {}
--- a/internal/node/routing/guarded.go
+++ b/internal/node/routing/guarded.go
@@ -12,25 +12,39 @@
 type Guarded struct {
 	mutex  sync.Mutex
 	router *Router
+	// tell is given what other proxies are to be told; it must not wait.
+	tell func(*Sent)
 }
 
 var _ Port = (*Guarded)(nil)
 
-// NewGuarded wraps a router, which must not be used directly any more.
-func NewGuarded(router *Router) *Guarded { return &Guarded{router: router} }
+// NewGuarded wraps a router, which must not be used directly any more. tell is called with each Attempt.Sent and must not wait;
+// nil: nobody is told.
+func NewGuarded(router *Router, tell func(*Sent)) *Guarded {
+	return &Guarded{router: router, tell: tell}
+}
+
+// decided passes a decision on, and tells what other proxies are to know of it.
+func (g *Guarded) decided(decision Decision) Decision {
+	if g.tell != nil && decision.Attempt != nil && decision.Attempt.Sent != nil {
+		g.tell(decision.Attempt.Sent)
+	}
+	return decision
+}
 
 // Begin is Router.Begin.
 func (g *Guarded) Begin(now core.Time, request Request) (RequestID, Decision) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.router.Begin(now, request)
+	id, decision := g.router.Begin(now, request)
+	return id, g.decided(decision)
 }
 
 // Copy is Router.Copy.
 func (g *Guarded) Copy(now core.Time, request RequestID) Decision {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.router.Copy(now, request)
+	return g.decided(g.router.Copy(now, request))
 }
 
 // Started is Router.Started.
@@ -44,7 +58,7 @@
 func (g *Guarded) Finished(now core.Time, request RequestID, attempt int, outcome Outcome, resumable bool) Decision {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.router.Finished(now, request, attempt, outcome, resumable)
+	return g.decided(g.router.Finished(now, request, attempt, outcome, resumable))
 }
 
 // End is Router.End.
