--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -162,18 +162,12 @@
 // now is the steady time since the process started.
 func (a *Agent) now() core.Time { return time.Since(a.started) }
 
-// Ages of the confirmation of the control state at which the tail asks for another.
-const (
-	confirmationForRevocation = 300 * time.Millisecond
-	confirmationForReadiness  = 2 * time.Second
-)
-
 // confirmationAge: only where revoked keys must be refused everywhere in time does service hang on fresh confirmations.
 func confirmationAge(bounds settings.Bounds) time.Duration {
 	if bounds.GlobalRevocation {
-		return confirmationForRevocation
+		return distribution.ConfirmationForRevocation
 	}
-	return confirmationForReadiness
+	return distribution.ConfirmationForChanges
 }
 
 // buildPlanes makes the state machines that every node has.
--- a/internal/node/distribution/options.go
+++ b/internal/node/distribution/options.go
@@ -37,6 +37,16 @@
 	ConfirmationAge time.Duration
 }
 
+// Ages of the tail's own confirmation at which it asks for another.
+const (
+	// ConfirmationForRevocation keeps the age of every node's state far below the bound of a key's revocation.
+	ConfirmationForRevocation = 300 * time.Millisecond
+	// ConfirmationForChanges is for fleets without that bound. A tail that was cut off from the chain takes itself to be in touch
+	// for that time and tailSlack, and so do those who poll it; a change that others take meanwhile must reach these within
+	// configApplyMs of its acknowledgement, which is 2 s at the least.
+	ConfirmationForChanges = 700 * time.Millisecond
+)
+
 const (
 	defaultPollInterval = 500 * time.Millisecond
 	// startInterval is the time between polls of a node that has no confirmed state yet, for startPolls polls.
@@ -59,7 +69,7 @@
 	attachedFor = 800 * time.Millisecond
 	// subscribedFor is how long after a poll changes are pushed to who polled.
 	subscribedFor          = 2 * time.Second
-	defaultConfirmationAge = 300 * time.Millisecond
+	defaultConfirmationAge = ConfirmationForRevocation
 	// confirmationRetry bounds how often it asks for one.
 	confirmationRetry = 150 * time.Millisecond
 	// treeFanOut is how many nodes of a zone poll the same one.
--- a/internal/node/distribution/trouble_test.go
+++ b/internal/node/distribution/trouble_test.go
@@ -151,3 +151,27 @@
 	w.chain = append(w.chain, machine)
 	w.agree()
 }
+
+// A tail that is cut off from the rest of the core does not know so at once, nor do those who poll it: a change that the others take
+// must reach these in time all the same.
+func TestTailCutOffFromTheCore(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 12, 4, "a", "b", "c", "d")
+		for _, node := range w.nodes {
+			node.distribution.options.ConfirmationAge = ConfirmationForChanges
+		}
+		w.network.Run(5 * time.Second)
+		former := w.tail()
+		w.network.Run(time.Duration(w.network.Random.IntN(700)) * time.Millisecond)
+		for _, node := range w.chain[:len(w.chain)-1] {
+			w.network.Cut(former.Address, node.Address)
+		}
+		w.coreDown = true                      // no barrier passes all members
+		w.network.Run(1300 * time.Millisecond) // then the others agree on a chain without it
+		w.coreDown = false
+		w.chain = w.chain[:len(w.chain)-1]
+		w.agree()
+		index := w.commit()
+		w.within(time.Second, "all in touch hold the change", w.reached(index, former))
+	}
+}
