--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -22,6 +22,9 @@
 		BudgetWindow:     bounds.BudgetWindow(),
 		RetryBudgetSlack: bounds.RetryBudgetSlack,
 		VersionGrace:     bounds.Version(),
+		VersionAll:       bounds.VersionAll(),
+		Contact:          bounds.Contact(),
+		Heartbeat:        a.settings.Heartbeat(),
 		Index:            a.prompts.index,
 		Random:           newRandom(),
 	}), a.tellSent)
--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -182,6 +182,9 @@
 	a.router.SetPeers(now, max(proxies, 1))
 }
 
+// detectionTime is how long before a node hears of a view without a lost machine that machine was lost, at the least.
+const detectionTime = time.Second
+
 // exchangeView tells who acts on the view of the newest one known here.
 func (a *Agent) exchangeView(now core.Time) {
 	view := a.distribution.View()
@@ -193,6 +196,9 @@
 	if view.GetEpoch() <= a.seen.view {
 		return
 	}
+	if a.seen.view > 0 && view.LostMachine {
+		a.router.CoreDisturbed(now, now-detectionTime)
+	}
 	a.seen.view = view.GetEpoch()
 	a.log.Info("view", "epoch", view.Epoch, "chain", view.Chain, "voters", len(view.Voters))
 	a.carryOut(now, a.distribution.SetView(now, view))
--- a/internal/node/routing/options.go
+++ b/internal/node/routing/options.go
@@ -23,7 +23,9 @@
 	VersionGrace time.Duration
 	// VersionAll is versionAllMs, the same over all such stretches; 0: as VersionGrace.
 	VersionAll time.Duration
-	Random     *rand.Rand
+	// Contact is contactMs: for so long after a trouble the core is not stable.
+	Contact time.Duration
+	Random  *rand.Rand
 	// Index may be nil; then brokers are found by the hash of a prompt's parts alone. One that is an Observer too is told of
 	// the prompts that brokers have begun to answer.
 	Index Index
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -48,8 +48,10 @@
 func New(now core.Time, options Options) *Router {
 	options.withDefaults()
 	return &Router{
-		options:   options,
-		versions:  newVersions(now, versionBounds{single: options.VersionGrace, all: options.VersionAll}),
+		options: options,
+		versions: newVersions(now, versionBounds{
+			single: options.VersionGrace, all: options.VersionAll, contact: options.Contact,
+		}),
 		slackFrom: now + options.BudgetWindow,
 		startedAt: now,
 		brokers:   make(map[string]*broker),
--- a/internal/node/routing/versions.go
+++ b/internal/node/routing/versions.go
@@ -16,6 +16,9 @@
 	learnMargin = 700 * time.Millisecond
 	// stretchesMargin is kept of the bound of all calm stretches together, as it is counted without their pauses.
 	stretchesMargin = 2 * time.Second
+	// disturbanceMargin is kept of the time after a disturbance in which the core was not stable, as that may have begun sooner than
+	// is known.
+	disturbanceMargin = time.Second
 	// startGrace is given, from the start of this node, to what was named before it, as it can't know when. A node isn't in
 	// touch before it has run for contactMs (RULES.md, "In touch"), which is longer.
 	startGrace = 2500 * time.Millisecond
@@ -27,6 +30,8 @@
 type versionBounds struct {
 	single time.Duration // since the acknowledgement, within one stretch during which the core was stable
 	all    time.Duration // over all such stretches; 0: as single
+	// contact is contactMs: how long the core is not stable after a trouble (RULES.md, "Stable"); 0: not known.
+	contact time.Duration
 }
 
 // versions knows which versions of a model's weights requests may start on (RULES.md, VERSION): the newest, and an older one
@@ -49,6 +54,10 @@
 	until   core.Time
 	// limit is what no disturbance of the core puts until beyond.
 	limit core.Time
+	// fixed: no disturbance changes until.
+	fixed bool
+	// disturbedAt is the last disturbance that put off the limit.
+	disturbedAt core.Time
 }
 
 func newVersions(now core.Time, bounds versionBounds) versions {
@@ -71,7 +80,7 @@
 			m = &modelVersions{}
 			v.models[model] = m
 		}
-		m.named = append(m.named, namedVersion{version: version, until: until, limit: max(until, limit)})
+		m.named = append(m.named, namedVersion{version: version, until: until, limit: limit, fixed: limit <= until})
 		m.expire()
 	}
 }
@@ -85,13 +94,25 @@
 func (v *versions) disturbed(now, at core.Time) {
 	for _, m := range v.models {
 		for i := range m.named {
-			if named := &m.named[i]; now < named.until {
+			if named := &m.named[i]; now < named.until && !named.fixed {
+				v.putOff(named, at)
 				named.until = max(named.until, min(v.singleStretch(at), named.limit))
 			}
 		}
 	}
 }
 
+// putOff takes the time after a disturbance, in which the core was not stable, out of the bound of all stretches. Disturbances that
+// follow one another within that time count once.
+func (v *versions) putOff(named *namedVersion, at core.Time) {
+	unstable := v.bounds.contact - disturbanceMargin
+	if unstable <= 0 || named.disturbedAt != 0 && at < named.disturbedAt+v.bounds.contact {
+		return
+	}
+	named.disturbedAt = at
+	named.limit += unstable
+}
+
 func (m *modelVersions) expire() {
 	if len(m.named) > namedMost {
 		m.floor = m.named[0].version
--- a/internal/node/routing/versions_test.go
+++ b/internal/node/routing/versions_test.go
@@ -50,19 +50,28 @@
 	for _, c := range []struct {
 		name        string
 		all         time.Duration
+		contact     time.Duration
 		disturbedAt []time.Duration // since the naming
 		want        time.Duration   // since the naming
 	}{
-		{"never", 14 * time.Second, nil, 9300 * ms},
-		{"once", 14 * time.Second, []time.Duration{time.Second}, 10300 * ms},
-		{"twice", 14 * time.Second, []time.Duration{time.Second, 2 * time.Second}, 11300 * ms},
-		{"again and again", 14 * time.Second, []time.Duration{time.Second, 5 * time.Second, 9 * time.Second}, 12 * time.Second},
-		{"too late", 14 * time.Second, []time.Duration{9400 * ms}, 9300 * ms},
-		{"all stretches are bounded as one", 10 * time.Second, []time.Duration{2 * time.Second}, 9300 * ms},
-		{"no bound of all is known", 0, []time.Duration{2 * time.Second}, 9300 * ms},
+		{"never", 14 * time.Second, 0, nil, 9300 * ms},
+		{"once", 14 * time.Second, 0, []time.Duration{time.Second}, 10300 * ms},
+		{"twice", 14 * time.Second, 0, []time.Duration{time.Second, 2 * time.Second}, 11300 * ms},
+		{"again and again", 14 * time.Second, 0, []time.Duration{time.Second, 5 * time.Second, 9 * time.Second}, 12 * time.Second},
+		{
+			"what was not stable counts for none", 14 * time.Second, 3 * time.Second,
+			[]time.Duration{time.Second, 5 * time.Second, 9 * time.Second}, 18 * time.Second,
+		},
+		{
+			"troubles that overlap count once", 14 * time.Second, 3 * time.Second,
+			[]time.Duration{5 * time.Second, 6 * time.Second, 7500 * ms}, 14 * time.Second,
+		},
+		{"too late", 14 * time.Second, 0, []time.Duration{9400 * ms}, 9300 * ms},
+		{"all stretches are bounded as one", 10 * time.Second, 0, []time.Duration{2 * time.Second}, 9300 * ms},
+		{"no bound of all is known", 0, 0, []time.Duration{2 * time.Second}, 9300 * ms},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			v := newVersions(0, versionBounds{single: 10 * time.Second, all: c.all})
+			v := newVersions(0, versionBounds{single: 10 * time.Second, all: c.all, contact: c.contact})
 			v.learn(time.Second, configOf(nil))
 			v.learn(named, configOf(map[string]uint64{model: 2}))
 			for _, at := range c.disturbedAt {
--- a/internal/node/view/detector.go
+++ b/internal/node/view/detector.go
@@ -356,6 +356,9 @@
 	return missing
 }
 
+// OutOfReach implements Reach.
+func (d *Detector) OutOfReach(diskID string) bool { return slices.Contains(d.MissingVoters(), diskID) }
+
 // ReachableVoters lists the voters with a round trip lately.
 func (d *Detector) ReachableVoters() []string {
 	var reachable []string
--- a/internal/node/view/next.go
+++ b/internal/node/view/next.go
@@ -26,6 +26,8 @@
 	Condition(diskID string) Condition
 	// MissingFor is for how long the voter has been missing, 0 if it isn't.
 	MissingFor(diskID string) core.Time
+	// OutOfReach reports whether there is no way to the voter and back, whatever the health of its disk.
+	OutOfReach(diskID string) bool
 	// LinkBroken reports whether one of the two said that it misses the other.
 	LinkBroken(a, b string) bool
 	// Stuck reports whether the voter is wedged in the current epoch for longer than a proposal takes.
@@ -114,6 +116,7 @@
 		Chain:          chain,
 		Removed:        s.nextRemoved(voters),
 		AcknowledgedBy: uint32(needed(len(voters), s.Tolerance)),
+		LostMachine:    s.losesMachine(chain),
 	}
 	if !Acknowledges(next) {
 		next.Holders = slices.DeleteFunc(kept, func(diskID string) bool { return !IsVoter(next, diskID) })
@@ -124,6 +127,13 @@
 	return next
 }
 
+// losesMachine reports whether a member of the chain in force is left out of the next one because it can't be reached.
+func (s *Situation) losesMachine(next []string) bool {
+	return slices.ContainsFunc(s.View.GetChain(), func(diskID string) bool {
+		return diskID != s.Self && !slices.Contains(next, diskID) && s.Reach.OutOfReach(diskID)
+	})
+}
+
 // keptHolders lists those outside the chain that hold what was acknowledged, if the chain may be too short: they stay
 // voters then.
 func (s *Situation) keptHolders(chain []string) []string {
--- a/internal/node/view/next_test.go
+++ b/internal/node/view/next_test.go
@@ -19,6 +19,8 @@
 	lost    string // missing for long
 	broken  []string
 	stuck   string
+	// unhealthy voters answer, but their disks are in trouble: they count as missing all the same.
+	unhealthy string
 }
 
 func (r reach) Condition(diskID string) Condition {
@@ -43,6 +45,10 @@
 	}
 }
 
+func (r reach) OutOfReach(diskID string) bool {
+	return strings.Contains(r.missing+r.lost, diskID) && !strings.Contains(r.unhealthy, diskID)
+}
+
 func (r reach) LinkBroken(a, b string) bool {
 	return slices.Contains(r.broken, a+b) || slices.Contains(r.broken, b+a)
 }
@@ -142,6 +148,24 @@
 	assert.DeepEqual(t, next.GetRemoved(), []string{"c"})
 }
 
+// TestLostMachine: a view says whether it leaves out a machine that can't be reached; one that leaves, or whose disk alone is in
+// trouble, is not lost.
+func TestLostMachine(t *testing.T) {
+	for name, c := range map[string]struct {
+		situation Situation
+		lost      bool
+	}{
+		"a member is lost":           {Situation{Self: "a", Reach: reach{missing: "b"}}, true},
+		"its disk fails":             {Situation{Self: "a", Reach: reach{missing: "b", unhealthy: "b"}}, false},
+		"a joiner comes":             {Situation{Self: "a", Reach: reach{}, Joiners: votersOf("d")}, false},
+		"the proposer leaves":        {Situation{Self: "a", Reach: reach{}, Leaving: true}, false},
+		"another one is not reached": {Situation{Self: "a", Reach: reach{missing: "c"}, Leaving: true}, true},
+	} {
+		c.situation.View, c.situation.Tolerance = viewOf("abc", "abc"), 1
+		assert.Equal(t, c.situation.Next().GetLostMachine(), c.lost, name)
+	}
+}
+
 func TestRemovedIsBounded(t *testing.T) {
 	v := viewOf("abcd", "abc")
 	for range 40 {
