--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -87,6 +87,8 @@
 	members uint64
 	view    uint64 // epoch
 	holder  bool   // of the duty to bring new weights
+	// brokersChanged: the duty is to look at the brokers again.
+	brokersChanged bool
 	// startupOver: this node has learnt what it lacked when it started, or no longer waits for it.
 	startupOver bool
 	// leaseLost: the configuration was confirmed too long ago for keys to be trusted (globalRevocation).
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -104,6 +104,7 @@
 	a.router.SetTable(now, table)
 	a.brokersChanged(now, table)
 	a.prompts.stale = true
+	a.seen.brokersChanged = true
 }
 
 // fetchSnapshot gives the newest configuration of a state that was read through the chain.
--- a/internal/node/agent/duty.go
+++ b/internal/node/agent/duty.go
@@ -74,8 +74,10 @@
 		Holder:    a.self.NodeId,
 		Grant:     a.state.Duty(rollout.DutyName),
 	}
+	// A barrier of the head's own shows the same as a confirmation: all that was acknowledged before it began has been committed here.
+	situation.GrantAsOf = status.LeaseFrom
 	if at, ok := a.distribution.ConfirmedAt(); ok {
-		situation.GrantAsOf = at
+		situation.GrantAsOf = max(at, status.LeaseFrom)
 	}
 	for _, target := range a.targets {
 		situation.Targets = append(situation.Targets, target)
--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -71,7 +71,9 @@
 			a.carryOut(now, m.Tick(now))
 		}
 	}
-	a.stepRollout(now, false)
+	changed := a.seen.brokersChanged
+	a.seen.brokersChanged = false
+	a.stepRollout(now, changed)
 }
 
 // receive brings a message of another node to the plane that it is for.
--- a/internal/node/config/duties.go
+++ b/internal/node/config/duties.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"kestrelspread/internal/node/nodepb"
@@ -30,6 +32,9 @@
 	if change.GetFence() == current.GetFence() && change.GetHolder() != current.GetHolder() {
 		return s.refusal(nodepb.ResultCode_CONFLICT, "the fence was granted to another holder"), false
 	}
+	if change.GetFence() == current.GetFence() && !change.GetReleased() && !containsAll(change.GetTargets(), current.GetTargets()) {
+		return s.refusal(nodepb.ResultCode_CONFLICT, "more was granted under the fence"), false
+	}
 	return nil, true
 }
 
@@ -40,12 +45,29 @@
 	if err := checkName("holder", change.GetHolder()); err != nil {
 		return err
 	}
+	if len(change.GetTargets()) > maxDutyTargets {
+		return tooMany("target of a duty", maxDutyTargets)
+	}
+	for _, target := range change.GetTargets() {
+		if err := checkName("target", target); err != nil {
+			return err
+		}
+	}
 	if s.duties[change.GetDuty()] == nil && len(s.duties) >= maxDuties {
 		return tooMany("duty", maxDuties)
 	}
 	return nil
 }
 
+// containsAll reports whether all of the names are in the list.
+func containsAll(list, names []string) bool {
+	in := make(map[string]bool, len(list))
+	for _, name := range list {
+		in[name] = true
+	}
+	return !slices.ContainsFunc(names, func(name string) bool { return !in[name] })
+}
+
 func (s *State) applyDuty(change *nodepb.DutyChange) *nodepb.CommandResult {
 	result, entryNeeded := s.checkDuty(change)
 	if !entryNeeded {
@@ -53,6 +75,7 @@
 	}
 	s.duties[change.GetDuty()] = &nodepb.DutyChange{
 		Duty: change.GetDuty(), Holder: change.GetHolder(), Fence: change.GetFence(), Released: change.GetReleased(),
+		Targets: slices.Clone(change.GetTargets()),
 	}
 	return s.accepted(s.index, s.document.version)
 }
--- a/internal/node/config/restore.go
+++ b/internal/node/config/restore.go
@@ -93,6 +93,15 @@
 	if err := decodeFields(text, &duty.Duty, &duty.Holder, &duty.Fence, &duty.Released); err != nil {
 		return err
 	}
+	err := eachField(text, func(read field) error {
+		if read.number == fieldDutyTarget {
+			duty.Targets = append(duty.Targets, string(read.bytes))
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
 	if err := s.checkNewDuty(duty); err != nil {
 		return ErrSnapshot.Wrap(err, "duty")
 	}
--- a/internal/node/config/snapshot.go
+++ b/internal/node/config/snapshot.go
@@ -4,6 +4,8 @@
 	"hash/crc32"
 
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"kestrelspread/internal/node/nodepb"
 )
 
 // A snapshot is snapshotMagic, fields in the wire format of protocol buffers, and a CRC-32C of all before it. A reader
@@ -25,6 +27,8 @@
 	fieldDuty   protowire.Number = 5
 	fieldDrain  protowire.Number = 6
 	firstInside protowire.Number = 1 // fields of the messages within, by their order
+
+	fieldDutyTarget protowire.Number = 5 // within fieldDuty, repeated
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -45,7 +49,7 @@
 		text = appendBytes(text, fieldModel, encodeFields(named.Model, named.Version, named.Index))
 	}
 	for _, duty := range s.Duties() {
-		text = appendBytes(text, fieldDuty, encodeFields(duty.GetDuty(), duty.GetHolder(), duty.GetFence(), duty.GetReleased()))
+		text = appendBytes(text, fieldDuty, encodeDuty(duty))
 	}
 	for _, drain := range s.DrainIntents() {
 		text = appendBytes(text, fieldDrain, encodeFields(drain.GetSubject(), drain.GetKind(), drain.GetByMs()))
@@ -53,6 +57,14 @@
 	return protowire.AppendFixed32(text, crc32.Checksum(text, castagnoli))
 }
 
+func encodeDuty(duty *nodepb.DutyChange) []byte {
+	text := encodeFields(duty.GetDuty(), duty.GetHolder(), duty.GetFence(), duty.GetReleased())
+	for _, target := range duty.GetTargets() {
+		text = appendBytes(text, fieldDutyTarget, []byte(target))
+	}
+	return text
+}
+
 func encodeTaken(change takenChange) []byte {
 	return encodeFields(string(change.digest[:]), change.version, change.index)
 }
--- a/internal/node/config/weights.go
+++ b/internal/node/config/weights.go
@@ -4,10 +4,12 @@
 
 // Bounds of what is kept beside the configuration.
 const (
-	maxModels     = 4096
-	maxDuties     = 256
-	maxDrains     = 4096
-	maxNameLength = 512 // of a model, duty, holder, subject or kind, in bytes
+	maxModels = 4096
+	maxDuties = 256
+	// maxDutyTargets bounds what one grant names: the brokers of a service.
+	maxDutyTargets = 8192
+	maxDrains      = 4096
+	maxNameLength  = 512 // of a model, duty, holder, subject or kind, in bytes
 )
 
 // firstModelVersion is the version of weights that every model has before one is named.
--- a/internal/node/rollout/broker.go
+++ b/internal/node/rollout/broker.go
@@ -12,6 +12,8 @@
 	// markTimeout is how long nodes are waited for that do not confirm a mark: the order goes out all the same, and what
 	// they still send is turned away unrun.
 	markTimeout = time.Second
+	// claimTimeout is how long a claim is waited for.
+	claimTimeout = 2 * time.Second
 	// settleTime is kept between the mark and the order, so that requests on their way and those whose prompts are just
 	// read can begin: whatever has not begun when the order comes is turned away.
 	settleTime = 300 * time.Millisecond
@@ -35,6 +37,7 @@
 
 const (
 	waiting  phase = iota // nothing is under way
+	claiming              // the grant is to name it
 	marking               // marked; not all nodes have confirmed
 	settling              // marked everywhere; what is on its way may still begin
 	ordering              // the order is out
--- a/internal/node/rollout/campaign.go
+++ b/internal/node/rollout/campaign.go
@@ -44,23 +44,23 @@
 	return list
 }
 
-// startPending takes as many of the pending brokers out of service as the pace of their services allows.
-func (r *Rollout) startPending(now core.Time, s *Situation, pending []candidate, outputs []core.Output) []core.Output {
-	if len(pending) == 0 || !r.holder.mayOrder(now, s) {
-		return outputs
+// startPending claims as many of the pending brokers as the pace of their services allows to be out of service.
+func (r *Rollout) startPending(now core.Time, s *Situation, pending []candidate) {
+	pending = slices.DeleteFunc(slices.Clone(pending), func(c candidate) bool { return r.holder.barred(now, c.broker.instance.Id) })
+	if len(pending) == 0 || !r.holder.leads(now, s) {
+		return
 	}
 	services := r.countServices(pending)
 	for len(pending) > 0 {
 		next := r.choose(now, services, pending)
 		if next < 0 {
-			return outputs
+			return
 		}
 		chosen := pending[next]
 		pending = slices.Delete(pending, next, next+1)
 		services[chosen.broker.instance.Service].start(chosen.broker)
-		outputs = r.mark(now, chosen.broker, chosen.need, outputs)
+		r.claim(now, chosen.broker, chosen.need)
 	}
-	return outputs
 }
 
 // serviceCount is how a service stands in a campaign.
--- a/internal/node/rollout/holder.go
+++ b/internal/node/rollout/holder.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,15 +29,21 @@
 	head      bool
 	epoch     uint64
 	headSince core.Time
-	// decided: whether a former holder has to be waited for is known; until then nothing is ordered.
-	decided   bool
+	// decided: which brokers a former holder may have ordered is known; until then nothing is ordered.
+	decided bool
+	// waitUntil is when no former holder's order can be too young any more. Until then the brokers that such a one may have ordered are
+	// left alone: those that its grant names, or all.
 	waitUntil core.Time
-
-	name      string // of this node in orders
-	highest   uint64 // the highest fence known
-	asked     uint64 // fence of the grant asked for; 0: none
-	fence     uint64 // of the grant that stands in this node's name; 0: none
-	released  bool   // its release was asked for: nothing is ordered under it any more, whatever became of that
+	former    map[string]bool // by instance id
+	formerAll bool
+
+	name      string          // of this node in orders
+	highest   uint64          // the highest fence known
+	asked     uint64          // fence of the grant asked for; 0: none
+	fence     uint64          // of the grant that stands in this node's name; 0: none
+	claims    []string        // brokers that this node wants to order under the fence asked for, in the order of their claims
+	granted   map[string]bool // those of them that the grant that stands names
+	released  bool            // its release was asked for: nothing is ordered under it any more, whatever became of that
 	retryAt   core.Time
 	lastOrder core.Time // 0: none in this life
 }
@@ -70,13 +78,19 @@
 	h.headSince = now
 	h.decided = false
 	h.waitUntil = now + h.takeoverWait()
+	h.former, h.formerAll = nil, true
+	h.forgetGrant()
+	h.retryAt = 0
+}
+
+func (h *holder) forgetGrant() {
 	h.asked, h.fence = 0, 0
+	h.claims, h.granted = nil, nil
 	h.released = false
-	h.retryAt = 0
 }
 
-// decide finds out whether a former holder has to be waited for. Only a state that is current as of this headship tells:
-// what the former head was granted is in it.
+// decide finds out which brokers a former holder may have ordered. Only a state that is current as of this headship tells:
+// what the former head was granted is in it, and it orders nothing else.
 func (h *holder) decide(now core.Time, s *Situation) {
 	if h.decided {
 		return
@@ -89,60 +103,104 @@
 		return
 	}
 	h.decided = true
+	h.formerAll = false
 	if s.Grant == nil || s.Grant.Released {
-		h.waitUntil = now
+		return
 	}
+	h.former = map[string]bool{}
+	for _, id := range s.Grant.Targets {
+		h.former[id] = true
+	}
+}
+
+// barred reports whether a broker may have been ordered by a former holder so lately that this one must not.
+func (h *holder) barred(now core.Time, id string) bool {
+	return !h.decided || now < h.waitUntil && (h.formerAll || h.former[id])
 }
 
 // noteGrant finds out whether the grant that stands is the one asked for.
 func (h *holder) noteGrant(grant *nodepb.DutyChange) {
 	h.fence = 0
+	h.granted = nil
 	if grant == nil || h.asked == 0 || grant.Holder != h.name || grant.Fence != h.asked {
 		return
 	}
-	if !grant.Released {
-		h.fence = h.asked
+	if grant.Released {
+		h.forgetGrant()
 		return
 	}
-	h.asked = 0
-	h.released = false
+	h.fence = h.asked
+	h.granted = make(map[string]bool, len(grant.Targets))
+	for _, id := range grant.Targets {
+		h.granted[id] = true
+	}
 }
 
-// mayOrder reports whether an order may leave now.
-func (h *holder) mayOrder(now core.Time, s *Situation) bool {
-	return h.decided && now >= h.waitUntil && h.fence != 0 && !h.released && now < s.leaseEnd()
+// mayOrder reports whether an order to the broker may leave now.
+func (h *holder) mayOrder(now core.Time, s *Situation, id string) bool {
+	return h.covers(id) && !h.barred(now, id) && h.leads(now, s)
 }
 
-// notBefore is the moment before which nothing can be ordered, whatever the lease says.
-func (h *holder) notBefore() core.Time {
-	if !h.decided {
-		return 0
+// leads reports whether this node is certainly the head still.
+func (h *holder) leads(now core.Time, s *Situation) bool { return h.decided && now < s.leaseEnd() }
+
+// covers reports whether the grant that stands names the broker.
+func (h *holder) covers(id string) bool { return h.fence != 0 && !h.released && h.granted[id] }
+
+// claim notes that a broker is to be named in the grant.
+func (h *holder) claim(id string) {
+	if !slices.Contains(h.claims, id) {
+		h.claims = append(h.claims, id)
+		h.retryAt = 0
 	}
-	return h.waitUntil
 }
 
-// takeGrant asks for the grant where this node needs it and has not got it.
+// lacksGrant reports whether something was claimed that the grant that stands does not name.
+func (h *holder) lacksGrant() bool {
+	return h.released || h.fence == 0 || len(h.granted) < len(h.claims)
+}
+
+// takeGrant asks for the grant of all that was claimed, where it does not stand. Within a fence claims are only added, so that a
+// change that comes late takes nothing back.
 func (h *holder) takeGrant(now core.Time, s *Situation, outputs []core.Output) []core.Output {
-	if !h.decided || h.fence != 0 && !h.released || now < h.retryAt || now >= s.leaseEnd() {
+	if !h.leads(now, s) || len(h.claims) == 0 || !h.lacksGrant() || now < h.retryAt {
 		return outputs
 	}
-	// A release that is under way names the fence that it gives up, so a grant under a higher one outlives it.
-	h.asked = max(h.epoch<<fenceEpochShift, h.highest+1)
-	h.highest = h.asked
-	h.fence, h.released = 0, false
-	return h.submit(now, &nodepb.DutyChange{Duty: DutyName, Holder: h.name, Fence: h.asked}, outputs)
+	if h.asked == 0 || h.released {
+		// A release that is under way names the fence that it gives up, so a grant under a higher one outlives it.
+		h.asked = max(h.epoch<<fenceEpochShift, h.highest+1)
+		h.highest = h.asked
+		h.fence, h.granted, h.released = 0, nil, false
+		h.inherit(now)
+	}
+	change := &nodepb.DutyChange{Duty: DutyName, Holder: h.name, Fence: h.asked, Targets: slices.Clone(h.claims)}
+	return h.submit(now, change, outputs)
+}
+
+// inherit names what a former holder may have ordered in this node's grant as well, while that counts: who comes after this node must
+// know of it too.
+func (h *holder) inherit(now core.Time) {
+	if now >= h.waitUntil {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.former)) {
+		if !slices.Contains(h.claims, id) {
+			h.claims = append(h.claims, id)
+		}
+	}
 }
 
 // releaseAt is the moment from which a grant that nothing is needed of may be given back: by then no other's order can
-// follow the last of this node's within the lease.
+// follow the last of this node's, or of a holder before it, within the lease.
 func (h *holder) releaseAt() core.Time {
 	if h.fence == 0 {
 		return core.Never
 	}
-	if h.lastOrder == 0 {
-		return h.retryAt
+	at := max(h.retryAt, h.waitUntil)
+	if h.lastOrder != 0 {
+		at = max(at, h.lastOrder+h.lease+takeoverMargin)
 	}
-	return max(h.retryAt, h.lastOrder+h.lease+takeoverMargin)
+	return at
 }
 
 func (h *holder) release(now core.Time, outputs []core.Output) []core.Output {
@@ -150,6 +208,7 @@
 		return outputs
 	}
 	h.released = true
+	h.claims = nil
 	return h.submit(now, &nodepb.DutyChange{Duty: DutyName, Holder: h.name, Fence: h.fence, Released: true}, outputs)
 }
 
@@ -163,7 +222,7 @@
 
 // commandID is the same for the same change, so that it is recognised when it comes again.
 func commandID(duty *nodepb.DutyChange) string {
-	id := duty.Duty + "/" + duty.Holder + "/" + strconv.FormatUint(duty.Fence, 10)
+	id := duty.Duty + "/" + duty.Holder + "/" + strconv.FormatUint(duty.Fence, 10) + "/" + strconv.Itoa(len(duty.Targets))
 	if duty.Released {
 		id += "/released"
 	}
@@ -180,9 +239,9 @@
 
 // superseded gives up the grant after a broker has seen a higher fence. A later one is taken well above it.
 func (h *holder) superseded(now core.Time) {
-	h.fence, h.asked = 0, 0
-	h.released = false
+	h.forgetGrant()
 	h.highest += 1 << fenceEpochShift
 	h.waitUntil = now + h.takeoverWait()
+	h.formerAll = true
 	h.retryAt = h.waitUntil
 }
--- a/internal/node/rollout/rollout.go
+++ b/internal/node/rollout/rollout.go
@@ -53,7 +53,8 @@
 	r.observeBrokers(now, s.Instances)
 	outputs := r.advance(now, s, nil)
 	pending := r.pending()
-	outputs = r.startPending(now, s, pending, outputs)
+	r.startPending(now, s, pending)
+	outputs = r.advanceClaims(now, s, outputs)
 	outputs = r.keepGrant(now, s, len(pending) > 0, outputs)
 	r.planNext(now, s, len(pending) > 0)
 	return outputs
@@ -105,6 +106,16 @@
 	return outputs
 }
 
+// advanceClaims marks the brokers that were claimed and are covered by the grant already.
+func (r *Rollout) advanceClaims(now core.Time, s *Situation, outputs []core.Output) []core.Output {
+	for _, b := range r.ordered() {
+		if b.phase == claiming {
+			outputs = r.advanceBroker(now, s, b, outputs)
+		}
+	}
+	return outputs
+}
+
 // ordered lists the brokers at which something is under way, in a fixed order.
 func (r *Rollout) ordered() []*broker {
 	var list []*broker
@@ -125,6 +136,9 @@
 	if b.phase >= ordering && b.token == 0 && b.has() {
 		outputs = r.finish(now, b, outputs) // a heartbeat told of it
 	}
+	if b.phase == claiming && r.holder.mayOrder(now, s, b.instance.Id) {
+		return r.mark(now, b, outputs)
+	}
 	if !b.busy() || now < b.deadline() {
 		return outputs
 	}
@@ -133,6 +147,8 @@
 		return outputs
 	}
 	switch b.phase {
+	case claiming:
+		b.phase = waiting
 	case marking:
 		b.phase = settling
 		b.nextAt = now + settleTime
@@ -154,9 +170,16 @@
 	b.nextAt = now
 }
 
-// mark takes a broker out of service for a version.
-func (r *Rollout) mark(now core.Time, b *broker, lacking need, outputs []core.Output) []core.Output {
+// claim has the grant name a broker, so that whoever becomes head after this node knows that it may have been ordered.
+func (r *Rollout) claim(now core.Time, b *broker, lacking need) {
 	b.model, b.version = lacking.model, lacking.version
+	b.phase = claiming
+	b.nextAt = now + claimTimeout
+	r.holder.claim(b.instance.Id)
+}
+
+// mark takes a broker out of service.
+func (r *Rollout) mark(now core.Time, b *broker, outputs []core.Output) []core.Output {
 	b.phase = marking
 	b.marked = true
 	b.markedAt = now
@@ -186,9 +209,16 @@
 		b.phase = waiting
 		return r.unmark(now, b, outputs)
 	}
-	if !r.holder.mayOrder(now, s) {
+	switch id := b.instance.Id; {
+	case r.holder.barred(now, id):
+		b.postpone(now)
+		return r.unmark(now, b, outputs)
+	case !r.holder.leads(now, s):
 		b.nextAt = now + leasePoll
 		return outputs
+	case !r.holder.covers(id):
+		r.claim(now, b, lacking)
+		return outputs
 	}
 	b.model, b.version = lacking.model, lacking.version
 	b.phase = ordering
@@ -247,8 +277,8 @@
 		}
 	}
 	switch {
-	case pending && !r.holder.mayOrder(now, s):
-		r.wantBy(max(now+leasePoll, r.holder.notBefore()))
+	case pending:
+		r.wantBy(now + leasePoll)
 	case !pending && !busy:
 		r.wantBy(max(now, r.holder.releaseAt()))
 	}
