--- a/internal/node/rollout/broker.go
+++ b/internal/node/rollout/broker.go
@@ -19,10 +19,13 @@
 	settleTime = 300 * time.Millisecond
 	// reportLag is how old a report may be: what it does not show yet may still have been taken.
 	reportLag = 600 * time.Millisecond
+	// firstReport is how long after an order was taken the broker is first asked whether it has the version: some load faster, but
+	// reports lag behind by some hundred ms.
+	firstReport = 550 * time.Millisecond
 	// reportPause lies between two reports of a broker that is loading.
-	reportPause = 250 * time.Millisecond
+	reportPause = 150 * time.Millisecond
 	// longestReportPause bounds it for brokers that take long.
-	longestReportPause = time.Second
+	longestReportPause = 500 * time.Millisecond
 	// strayTime is how long a mark may still show that this machine has taken away.
 	strayTime = 3 * time.Second
 	// answerTimeout is how long the shell's own end of a call is waited for.
@@ -61,7 +64,8 @@
 	token    uint64    // of the call that is out; 0: none
 	askedAt  core.Time // when that call went out
 	pause    time.Duration
-	inDoubt  bool // an order may have been taken, and no report has told since
+	showsAt  core.Time // from when on a report shows any order that was taken
+	inDoubt  bool      // an order may have been taken, and no report has told since
 	failures int
 	retryAt  core.Time
 	marked   bool
@@ -124,6 +128,7 @@
 	b.phase = unsure
 	b.inDoubt = true
 	b.nextAt = since + reportLag
+	b.showsAt = b.nextAt
 	b.pause = reportPause
 }
 
--- a/internal/node/rollout/results.go
+++ b/internal/node/rollout/results.go
@@ -75,7 +75,8 @@
 		b.inDoubt = true
 		b.failures = 0
 		b.pause = reportPause
-		b.nextAt = max(now+reportLag, b.markedAt+r.paceOf(b).estimate())
+		b.nextAt = now + firstReport
+		b.showsAt = now + reportLag
 		return nil
 	case http.StatusOK:
 		return r.finish(now, b, nil)
@@ -115,7 +116,10 @@
 		b.phase = loading
 		r.askAgain(now, b)
 		return nil
-	default: // idle; reports are asked late enough for any order to show: it was not taken
+	case b.askedAt < b.showsAt: // it may be from before the order was taken
+		r.askAgain(now, b)
+		return nil
+	default: // idle; any order would show by now: it was not taken
 		b.inDoubt = false
 		b.postpone(now)
 		return r.unmark(now, b, nil)
