--- a/internal/node/config/commands_test.go
+++ b/internal/node/config/commands_test.go
@@ -99,6 +99,39 @@
 	assert.Equal(t, len(r.Duties()), 1)
 }
 
+// A grant names what its holder may act on; within a fence it only grows, so that a change that comes late takes nothing back.
+func TestDutyTargets(t *testing.T) {
+	grant := func(fence uint64, released bool, targets ...string) *nodepb.Command {
+		command := duty("a", fence, released)
+		command.GetDuty().Targets = targets
+		return command
+	}
+	r := newReplica(t)
+	for _, step := range []struct {
+		command *nodepb.Command
+		code    nodepb.ResultCode
+		entry   bool
+	}{
+		{grant(4, false, "i-1"), taken, true},
+		{grant(4, false, "i-1", "i-2"), taken, true},
+		{grant(4, false, "i-1", "i-2"), taken, false},
+		{grant(4, false, "i-1"), conflict, false},
+		{grant(4, false, "i-3", "i-2"), conflict, false},
+		{grant(4, false, "i-1", ""), invalid, false},
+		{grant(4, false, "i-2", "i-3", "i-1"), taken, true},
+		{grant(4, true), taken, true},
+		{grant(5, false, "i-9"), taken, true},
+		{grant(5, false, make([]string, 8193)...), invalid, false},
+	} {
+		before := r.Index()
+		assert.Equal(t, r.take(step.command).GetCode(), step.code, "%v", step)
+		assert.Equal(t, r.Index() > before, step.entry, "%v", step)
+	}
+	restored := newReplica(t)
+	assert.NilError(t, restored.Restore(r.Snapshot()))
+	assert.DeepEqual(t, restored.Duty("weights").GetTargets(), []string{"i-9"})
+}
+
 func drain(subject, kind string, byMs uint64, cancelled bool) *nodepb.Command {
 	intent := &nodepb.DrainIntent{Subject: subject, Kind: kind, ByMs: byMs, Cancelled: cancelled}
 	return &nodepb.Command{Change: &nodepb.Command_Drain{Drain: intent}}
