--- a/cmd/kestrelctl/fleet_test.go
+++ b/cmd/kestrelctl/fleet_test.go
@@ -30,7 +30,9 @@
 		Members:   []nodestatus.Member{{Name: "n1"}, {Name: "n2"}},
 		Chain:     &nodestatus.Chain{Epoch: epoch, Role: "head", Chain: []string{"a", "b"}, Committed: 12, DiskFine: true},
 		Instances: []nodestatus.Instance{{ID: "i1", State: "READY"}, {ID: "i2", State: "READY"}, {ID: "i3", State: "DRAINING"}},
-		Requests:  nodestatus.Requests{Taken: 10, Answered: 8, Refused: 1, Failed: 1},
+		Requests:  nodestatus.Requests{Taken: 10, Answered: 8, Refused: 1, Failed: 1, Attempts: 8},
+		Choices:   nodestatus.Choices{ByPrediction: 2, ByLoad: 6},
+		Refusals:  map[string]uint64{"all brokers full": 1},
 	}
 }
 
@@ -54,7 +56,7 @@
 		says      []string
 		failure   string
 	}{
-		{"agreement", agreeing, []string{"n1", "n2", "m=2", "head", "2 ready 1 draining"}, ""},
+		{"agreement", agreeing, []string{"n1", "n2", "m=2", "head", "2 ready 1 draining", "25.0%", "n1 refused: all brokers full 1"}, ""},
 		{"another view", append([]string{ahead}, agreeing...), []string{"n3", "the view differently: epoch 4, chain a b (n3)"}, "disagree on the view"},
 		{"a change on its way", append([]string{nodeAt(t, other)}, agreeing...), []string{"the state in force differently"}, ""},
 		{"nobody there", append([]string{nobody(t)}, agreeing...), []string{"unreachable", "n1"}, "can't be reached"},
--- a/cmd/kestrelctl/fleetstatus.go
+++ b/cmd/kestrelctl/fleetstatus.go
@@ -119,13 +119,18 @@
 		return json.NewEncoder(out).Encode(p)
 	}
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "node\tzone\tready\tconfig\tweights\tchain\tepoch\tcommitted\tconfirmed\tmembers\tbrokers\ttaken\tanswered\trefused\tfailed")
+	fmt.Fprintln(table, "node\tzone\tready\tconfig\tweights\tchain\tepoch\tcommitted\tconfirmed\tmembers\tbrokers\ttaken\tanswered\trefused\tfailed\tpredicted")
 	for _, node := range p.Nodes {
 		fmt.Fprintln(table, strings.Join(statusRow(node), "\t"))
 	}
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	for _, node := range p.Nodes {
+		if reasons := refusalsByReason(node.Refusals); reasons != "" {
+			fmt.Fprintf(out, "%s refused: %s\n", node.Node, reasons)
+		}
+	}
 	for _, text := range p.Unreachable {
 		fmt.Fprintln(out, "unreachable:", text)
 	}
@@ -152,7 +157,26 @@
 		node.Node, node.Zone, yesOrNo(node.Ready), fmt.Sprint(node.ConfigVersion), countedVersions(node.ModelVersions), role, epoch,
 		committed, orDash(node.ConfirmedAgo), fmt.Sprint(len(node.Members)), brokersByState(node.Instances), fmt.Sprint(requests.Taken),
 		fmt.Sprint(requests.Answered), fmt.Sprint(requests.Refused), fmt.Sprint(requests.Failed + requests.Aborted),
+		shareOf(node.Choices.ByPrediction, requests.Attempts),
+	}
+}
+
+// shareOf is a count as a share of a whole.
+func shareOf(count, whole uint64) string {
+	if whole == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%%", 100*float64(count)/float64(whole))
+}
+
+// refusalsByReason lists counts, as "all brokers full 7, retry budget spent 1".
+func refusalsByReason(refusals map[string]uint64) string {
+	var list []string
+	for reason, count := range refusals {
+		list = append(list, fmt.Sprintf("%s %d", reason, count))
 	}
+	slices.Sort(list)
+	return strings.Join(list, ", ")
 }
 
 func yesOrNo(yes bool) string {
--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -8,6 +8,7 @@
 	"kestrelspread/internal/node/forward"
 	"kestrelspread/internal/node/nodepb"
 	"kestrelspread/internal/node/nodestatus"
+	"kestrelspread/internal/node/routing"
 )
 
 const statusTimeout = time.Second
@@ -31,6 +32,8 @@
 		Node: a.settings.NodeName, ID: a.self.NodeId, Zone: a.self.Zone,
 		Ready: a.ready(), StateIndex: a.state.Index(), Requests: requestStatus(a.proxy.Metrics()),
 	}
+	counters := a.router.Counters()
+	status.Choices, status.Refusals = choiceStatus(&counters), refusalStatus(&counters)
 	if compiled := a.compiled.Load(); compiled != nil {
 		status.ConfigVersion, status.ModelVersions = compiled.Version, compiled.ModelVersions
 	}
@@ -76,6 +79,21 @@
 	return status
 }
 
+func choiceStatus(counters *routing.Counters) nodestatus.Choices {
+	return nodestatus.Choices{
+		ByPrediction: counters.ByPrediction, ByAffinity: counters.ByAffinity, ByLoad: counters.ByLoad, AllSlow: counters.AllSlow,
+		Trials: counters.Trials, Fallback: counters.Fallback, SetAside: counters.SetAside, BudgetDenied: counters.BudgetDenied,
+	}
+}
+
+func refusalStatus(counters *routing.Counters) map[string]uint64 {
+	refusals := make(map[string]uint64, len(counters.Refusals))
+	for reason, count := range counters.Refusals {
+		refusals[string(reason)] = count
+	}
+	return refusals
+}
+
 func requestStatus(metrics forward.Metrics) nodestatus.Requests {
 	return nodestatus.Requests{
 		Taken: metrics.Requests, Answered: metrics.Answered, Refused: metrics.Refused, Failed: metrics.Failed,
--- a/internal/node/nodestatus/status.go
+++ b/internal/node/nodestatus/status.go
@@ -15,6 +15,8 @@
 	Chain         *Chain            `json:"chain,omitempty"` // nil: no view is known
 	Instances     []Instance        `json:"instances"`
 	Requests      Requests          `json:"requests"`
+	Choices       Choices           `json:"choices"`
+	Refusals      map[string]uint64 `json:"refusals"` // by reason
 }
 
 // Member is a node as another one sees it.
@@ -47,6 +49,18 @@
 	Models  map[string]uint64 `json:"models"` // versions of weights
 }
 
+// Choices counts by what brokers were chosen since the node started.
+type Choices struct {
+	ByPrediction uint64 `json:"byPrediction"` // a broker was skipped because it was predicted slow
+	ByAffinity   uint64 `json:"byAffinity"`   // the broker that keeps the prompt's parts, or should
+	ByLoad       uint64 `json:"byLoad"`       // the one with the fewest requests, or the least to read
+	AllSlow      uint64 `json:"allSlow"`      // all were predicted slow, and the first took it
+	Trials       uint64 `json:"trials"`       // of brokers that were set aside
+	Fallback     uint64 `json:"fallback"`     // a broker that was set aside, as nothing better was left
+	SetAside     uint64 `json:"setAside"`     // brokers, for what came back from them
+	BudgetDenied uint64 `json:"budgetDenied"` // retries and copies that the budget did not allow
+}
+
 // Requests counts what became of clients' requests since the node started.
 type Requests struct {
 	Taken      uint64 `json:"taken"`
