--- a/internal/node/agent/duty.go
+++ b/internal/node/agent/duty.go
@@ -71,7 +71,7 @@
 		Epoch:     status.Epoch,
 		LeaseFrom: status.LeaseFrom,
 		Instances: a.registry.Instances(),
-		Holder:    a.self.NodeId,
+		Holder:    a.self.Name,
 		Grant:     a.state.Duty(rollout.DutyName),
 	}
 	// A barrier of the head's own shows the same as a confirmation: all that was acknowledged before it began has been committed here.
--- a/internal/node/config/commands_test.go
+++ b/internal/node/config/commands_test.go
@@ -121,15 +121,20 @@
 		{grant(4, false, "i-2", "i-3", "i-1"), taken, true},
 		{grant(4, true), taken, true},
 		{grant(5, false, "i-9"), taken, true},
+		{grant(6, false, "i-9", "i-8"), taken, true},
 		{grant(5, false, make([]string, 8193)...), invalid, false},
 	} {
 		before := r.Index()
 		assert.Equal(t, r.take(step.command).GetCode(), step.code, "%v", step)
 		assert.Equal(t, r.Index() > before, step.entry, "%v", step)
 	}
+	last := grant(7, false, "i-9")
+	last.GetDuty().Former = []string{"i-8"}
+	r.mustTake(last)
 	restored := newReplica(t)
 	assert.NilError(t, restored.Restore(r.Snapshot()))
 	assert.DeepEqual(t, restored.Duty("weights").GetTargets(), []string{"i-9"})
+	assert.DeepEqual(t, restored.Duty("weights").GetFormer(), []string{"i-8"})
 }
 
 func drain(subject, kind string, byMs uint64, cancelled bool) *nodepb.Command {
--- a/internal/node/config/duties.go
+++ b/internal/node/config/duties.go
@@ -45,10 +45,10 @@
 	if err := checkName("holder", change.GetHolder()); err != nil {
 		return err
 	}
-	if len(change.GetTargets()) > maxDutyTargets {
+	if len(change.GetTargets()) > maxDutyTargets || len(change.GetFormer()) > maxDutyTargets {
 		return tooMany("target of a duty", maxDutyTargets)
 	}
-	for _, target := range change.GetTargets() {
+	for _, target := range slices.Concat(change.GetTargets(), change.GetFormer()) {
 		if err := checkName("target", target); err != nil {
 			return err
 		}
@@ -75,7 +75,7 @@
 	}
 	s.duties[change.GetDuty()] = &nodepb.DutyChange{
 		Duty: change.GetDuty(), Holder: change.GetHolder(), Fence: change.GetFence(), Released: change.GetReleased(),
-		Targets: slices.Clone(change.GetTargets()),
+		Targets: slices.Clone(change.GetTargets()), Former: slices.Clone(change.GetFormer()),
 	}
 	return s.accepted(s.index, s.document.version)
 }
--- a/internal/node/config/restore.go
+++ b/internal/node/config/restore.go
@@ -94,8 +94,11 @@
 		return err
 	}
 	err := eachField(text, func(read field) error {
-		if read.number == fieldDutyTarget {
+		switch read.number {
+		case fieldDutyTarget:
 			duty.Targets = append(duty.Targets, string(read.bytes))
+		case fieldDutyFormer:
+			duty.Former = append(duty.Former, string(read.bytes))
 		}
 		return nil
 	})
--- a/internal/node/config/snapshot.go
+++ b/internal/node/config/snapshot.go
@@ -29,6 +29,7 @@
 	firstInside protowire.Number = 1 // fields of the messages within, by their order
 
 	fieldDutyTarget protowire.Number = 5 // within fieldDuty, repeated
+	fieldDutyFormer protowire.Number = 6 // the same
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -62,6 +63,9 @@
 	for _, target := range duty.GetTargets() {
 		text = appendBytes(text, fieldDutyTarget, []byte(target))
 	}
+	for _, former := range duty.GetFormer() {
+		text = appendBytes(text, fieldDutyFormer, []byte(former))
+	}
 	return text
 }
 
--- a/internal/node/rollout/holder.go
+++ b/internal/node/rollout/holder.go
@@ -36,12 +36,15 @@
 	waitUntil core.Time
 	former    map[string]bool // by instance id
 	formerAll bool
+	// earlier are the brokers that a former life of this machine may have ordered.
+	earlier []string
 
 	name      string          // of this node in orders
 	highest   uint64          // the highest fence known
 	asked     uint64          // fence of the grant asked for; 0: none
 	fence     uint64          // of the grant that stands in this node's name; 0: none
 	claims    []string        // brokers that this node wants to order under the fence asked for, in the order of their claims
+	inherited []string        // those of them that a former holder may have ordered
 	granted   map[string]bool // those of them that the grant that stands names
 	released  bool            // its release was asked for: nothing is ordered under it any more, whatever became of that
 	retryAt   core.Time
@@ -79,13 +82,14 @@
 	h.decided = false
 	h.waitUntil = now + h.takeoverWait()
 	h.former, h.formerAll = nil, true
+	h.earlier = nil
 	h.forgetGrant()
 	h.retryAt = 0
 }
 
 func (h *holder) forgetGrant() {
 	h.asked, h.fence = 0, 0
-	h.claims, h.granted = nil, nil
+	h.claims, h.inherited, h.granted = nil, nil, nil
 	h.released = false
 }
 
@@ -107,8 +111,14 @@
 	if s.Grant == nil || s.Grant.Released {
 		return
 	}
+	// A former life of this machine is the same holder; what it had found ordered by another one it has named.
+	ordered := s.Grant.Targets
+	if s.Grant.Holder == h.name {
+		ordered = s.Grant.Former
+		h.earlier = s.Grant.Targets
+	}
 	h.former = map[string]bool{}
-	for _, id := range s.Grant.Targets {
+	for _, id := range ordered {
 		h.former[id] = true
 	}
 }
@@ -173,17 +183,21 @@
 		h.fence, h.granted, h.released = 0, nil, false
 		h.inherit(now)
 	}
-	change := &nodepb.DutyChange{Duty: DutyName, Holder: h.name, Fence: h.asked, Targets: slices.Clone(h.claims)}
+	change := &nodepb.DutyChange{
+		Duty: DutyName, Holder: h.name, Fence: h.asked, Targets: slices.Clone(h.claims), Former: slices.Clone(h.inherited),
+	}
 	return h.submit(now, change, outputs)
 }
 
-// inherit names what a former holder may have ordered in this node's grant as well, while that counts: who comes after this node must
-// know of it too.
+// inherit names what a former holder, or a former life of this one, may have ordered in this node's grant as well, while that counts:
+// who comes after this node must know of it too.
 func (h *holder) inherit(now core.Time) {
+	h.inherited = nil
 	if now >= h.waitUntil {
 		return
 	}
-	for _, id := range slices.Sorted(maps.Keys(h.former)) {
+	h.inherited = slices.Sorted(maps.Keys(h.former))
+	for _, id := range slices.Concat(h.inherited, h.earlier) {
 		if !slices.Contains(h.claims, id) {
 			h.claims = append(h.claims, id)
 		}
@@ -203,7 +217,10 @@
 	return at
 }
 
-func (h *holder) release(now core.Time, outputs []core.Output) []core.Output {
+func (h *holder) release(now core.Time, s *Situation, outputs []core.Output) []core.Output {
+	if h.fence == 0 {
+		return h.closeFormer(now, s, outputs)
+	}
 	if now < h.releaseAt() {
 		return outputs
 	}
@@ -212,6 +229,26 @@
 	return h.submit(now, &nodepb.DutyChange{Duty: DutyName, Holder: h.name, Fence: h.fence, Released: true}, outputs)
 }
 
+// closeFormer ends a grant that a former holder left open, once its orders are old: else whoever becomes head later would leave its
+// brokers alone for no reason.
+func (h *holder) closeFormer(now core.Time, s *Situation, outputs []core.Output) []core.Output {
+	if s.Grant == nil || s.Grant.Released || now < h.closeAt(s) || !h.leads(now, s) {
+		return outputs
+	}
+	h.highest++
+	fence := max(h.epoch<<fenceEpochShift, h.highest)
+	h.highest = fence
+	return h.submit(now, &nodepb.DutyChange{Duty: DutyName, Holder: h.name, Fence: fence, Released: true}, outputs)
+}
+
+// closeAt is when closeFormer has something to do; core.Never: nothing.
+func (h *holder) closeAt(s *Situation) core.Time {
+	if !h.decided || h.fence != 0 || s.Grant == nil || s.Grant.Released {
+		return core.Never
+	}
+	return max(h.retryAt, h.waitUntil)
+}
+
 func (h *holder) submit(now core.Time, duty *nodepb.DutyChange, outputs []core.Output) []core.Output {
 	h.retryAt = now + grantRetry
 	return append(outputs, core.SubmitCommand{Command: &nodepb.Command{
--- a/internal/node/rollout/rollout.go
+++ b/internal/node/rollout/rollout.go
@@ -250,7 +250,7 @@
 	if pending || r.anyBusy() {
 		return r.holder.takeGrant(now, s, outputs)
 	}
-	return r.holder.release(now, outputs)
+	return r.holder.release(now, s, outputs)
 }
 
 func (r *Rollout) anyBusy() bool {
@@ -280,7 +280,7 @@
 	case pending:
 		r.wantBy(now + leasePoll)
 	case !pending && !busy:
-		r.wantBy(max(now, r.holder.releaseAt()))
+		r.wantBy(max(now, min(r.holder.releaseAt(), r.holder.closeAt(s))))
 	}
 }
 
--- a/internal/node/rollout/situation.go
+++ b/internal/node/rollout/situation.go
@@ -47,7 +47,7 @@
 	Grant *nodepb.DutyChange
 	// GrantAsOf is the moment as of which Grant is known to be current (the age of the distributed state); 0: not known.
 	GrantAsOf core.Time
-	// Holder is this node's identity in orders, stable for the life of its process.
+	// Holder is this machine's identity in orders, the same in all lives of its process.
 	Holder string
 }
 
