--- a/internal/node/loadhint/spreader_test.go
+++ b/internal/node/loadhint/spreader_test.go
@@ -18,8 +18,6 @@
 	network *coretest.Network
 	nodes   []*worldNode
 	members []*nodepb.Member
-	sent    map[string]int // messages by the kind of node that received them
-	crossed int            // messages between zones
 }
 
 type worldNode struct {
