--- a/internal/standin/llmbroker/broker_test.go
+++ b/internal/standin/llmbroker/broker_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -179,6 +180,24 @@
 	}
 }
 
+// TestAnOrderThatIsCutOffIsNone: its sender went, or held the body back. A whole one without a fence is noted as such.
+func TestAnOrderThatIsCutOffIsNone(t *testing.T) {
+	b := startModel(t, func(e *Engine) { e.Fencing = true })
+	socket, err := net.Dial("tcp4", b.Address())
+	assert.NilError(t, err)
+	_, err = fmt.Fprintf(socket, "POST %s HTTP/1.1\r\nHost: b\r\nContent-Length: 90\r\n\r\n{\"op\":\"version\"", pathOrder)
+	assert.NilError(t, err)
+	assert.NilError(t, socket.(*net.TCPConn).CloseWrite())
+	_, err = io.ReadAll(socket) // until the broker has done with it
+	assert.NilError(t, err)
+	assert.NilError(t, socket.Close())
+	assert.Equal(t, len(b.options.Ledger.Orders()), 0)
+
+	do(t, b, "POST", pathOrder, `{"op":"version","model":"m1","version":2,"mode":"wait","holder":"h"}`)
+	assert.Equal(t, len(b.options.Ledger.Orders()), 1)
+	assert.Assert(t, b.options.Ledger.Orders()[0].Order.Fence == nil)
+}
+
 func TestNewWeightsComeOnceNothingRuns(t *testing.T) {
 	b := startModel(t, func(e *Engine) { e.EventPause = 5 * time.Millisecond })
 	b.options.Engine.Weights.Name(model, 2)
