--- a/internal/standin/llmbroker/broker_test.go
+++ b/internal/standin/llmbroker/broker_test.go
@@ -182,17 +182,29 @@
 
 // TestAnOrderThatIsCutOffIsNone: its sender went, or held the body back. A whole one without a fence is noted as such.
 func TestAnOrderThatIsCutOffIsNone(t *testing.T) {
+	ends := map[string]func(*net.TCPConn) error{
+		"closed": (*net.TCPConn).CloseWrite,
+		"reset": func(socket *net.TCPConn) error {
+			if err := socket.SetLinger(0); err != nil {
+				return err
+			}
+			return socket.Close()
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			b := startModel(t, func(e *Engine) { e.Fencing = true })
+			socket, err := net.Dial("tcp4", b.Address())
+			assert.NilError(t, err)
+			_, err = fmt.Fprintf(socket, "POST %s HTTP/1.1\r\nHost: b\r\nContent-Length: 90\r\n\r\n{\"op\":\"version\"", pathOrder)
+			assert.NilError(t, err)
+			assert.NilError(t, end(socket.(*net.TCPConn)))
+			_, _ = io.ReadAll(socket) // until the broker has done with it
+			assert.NilError(t, b.server.Shutdown(t.Context()))
+			assert.Equal(t, len(b.options.Ledger.Orders()), 0)
+		})
+	}
 	b := startModel(t, func(e *Engine) { e.Fencing = true })
-	socket, err := net.Dial("tcp4", b.Address())
-	assert.NilError(t, err)
-	_, err = fmt.Fprintf(socket, "POST %s HTTP/1.1\r\nHost: b\r\nContent-Length: 90\r\n\r\n{\"op\":\"version\"", pathOrder)
-	assert.NilError(t, err)
-	assert.NilError(t, socket.(*net.TCPConn).CloseWrite())
-	_, err = io.ReadAll(socket) // until the broker has done with it
-	assert.NilError(t, err)
-	assert.NilError(t, socket.Close())
-	assert.Equal(t, len(b.options.Ledger.Orders()), 0)
-
 	do(t, b, "POST", pathOrder, `{"op":"version","model":"m1","version":2,"mode":"wait","holder":"h"}`)
 	assert.Equal(t, len(b.options.Ledger.Orders()), 1)
 	assert.Assert(t, b.options.Ledger.Orders()[0].Order.Fence == nil)
--- a/internal/standin/llmbroker/orders.go
+++ b/internal/standin/llmbroker/orders.go
@@ -89,7 +89,7 @@
 	at := time.Now()
 	status := http.StatusBadRequest
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<16))
-	if errors.Is(err, io.ErrUnexpectedEOF) {
+	if tooLarge := new(http.MaxBytesError); err != nil && !errors.As(err, &tooLarge) {
 		return
 	}
 	if expected := r.Header.Get(HeaderExpectInstance); expected != "" && expected != b.id {
