Transfer: messages that are too large for one frame go in fragments

Cause: a message over wireproto.MaxFrame (8 MiB) was dropped at its sender (link/queue.go, enqueue: "message can't be sent"), and a large one held up the heartbeats behind it on the same connection: 8 MiB take 6.7 s at 10 Mbit/s. A catch-up with a state and an entry of 6 MiB each, which config.MaxBodyBytes let in, could never arrive.

Change: internal/node/transfer, a state machine of its own: fragments of 32 KiB, two under way for a transfer and four for all, resumed behind the last byte that was acknowledged, bounded in number and size.

Tests under a virtual clock on links with a bandwidth: whole messages, resumption after cuts (less than a tenth sent twice), a receiver that starts again, peers that lie, heartbeats never behind more than 120 ms at 10 Mbit/s, 60 seeds of bad links. Not wired yet.

--- a/internal/node/core/answers.go
+++ b/internal/node/core/answers.go
@@ -1,5 +1,7 @@
 package core
 
+import "kestrelspread/internal/node/nodepb"
+
 // RegistryAnswer answers a heartbeat or a deregistration that came to this node's own API.
 type RegistryAnswer struct {
 	Request uint64
@@ -23,6 +25,12 @@
 // StateChanged reports that the distributed control state has a higher index than before.
 type StateChanged struct{}
 
+// MembersChanged tells the nodes that are alive or suspected, this one included.
+type MembersChanged struct{ Members []*nodepb.Member }
+
+// CoreDisturbed tells that a machine of the core was lost, at that time at the latest.
+type CoreDisturbed struct{ At Time }
+
 // ConfirmationWanted asks the tail's shell for a barrier through the chain, whose end it reports by
 // distribution.LocalConfirmed.
 type ConfirmationWanted struct{}
@@ -32,3 +40,5 @@
 func (TableChanged) isOutput()       {}
 func (StateChanged) isOutput()       {}
 func (ConfirmationWanted) isOutput() {}
+func (MembersChanged) isOutput()     {}
+func (CoreDisturbed) isOutput()      {}
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -21,6 +21,7 @@
 type Peer struct {
 	NodeID  string
 	Address string
+	Via     string // internal address of the relay that brought the message; empty: it came directly
 }
 
 // Output is one effect that a state machine asks its shell for.
@@ -29,6 +30,13 @@
 // Send asks for a message to be sent, at most once; it may be lost. The shell fills in the sender.
 type Send struct {
 	To      string // internal address
+	Via     string // internal address of a relay; empty: the shell chooses the way
+	Message *nodepb.Envelope
+}
+
+// Received tells of a message of another node that came in parts.
+type Received struct {
+	From    Peer
 	Message *nodepb.Envelope
 }
 
@@ -71,6 +79,7 @@
 }
 
 func (Send) isOutput()      {}
+func (Received) isOutput()  {}
 func (Write) isOutput()     {}
 func (Reply) isOutput()     {}
 func (Committed) isOutput() {}
--- /dev/null
+++ b/internal/node/transfer/transfer.go
@@ -0,0 +1,221 @@
+// Package transfer sends messages that are too large for one frame between nodes, as fragments.
+//
+// A fragment is sent once the ones before it are acknowledged, but for a small window, so that heartbeats and other short
+// messages on the same link wait for a few fragments at most. A transfer that loses fragments goes on from the last byte that
+// was acknowledged, also by another way. Like every message between nodes, one that is sent as fragments may be lost as a whole;
+// whoever needs it sends it again.
+//
+// Source: docs/design/control.md, "Large states".
+package transfer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+const (
+	// Threshold is the size from which on a message is sent as fragments, in bytes.
+	Threshold = 128 << 10
+	// MaxMessage bounds a message that is sent or received as fragments, in bytes.
+	MaxMessage = 64 << 20
+
+	// fragmentBytes takes 26 ms on a link of 10 Mbit/s.
+	fragmentBytes = 32 << 10
+	// windowBytes of one transfer, and allWindows of all of them, may be under way without an acknowledgement.
+	windowBytes = 2 * fragmentBytes
+	allWindows  = 4 * fragmentBytes
+	// maxOutgoing and maxIncoming bound the transfers under way, and maxIncomingBytes what they may hold here.
+	maxOutgoing      = 4
+	maxIncoming      = 16
+	maxIncomingBytes = MaxMessage
+
+	retryAfter  = 400 * time.Millisecond // without an acknowledgement, a fragment is sent again
+	mostRetry   = 2 * retryAfter         // between later ones
+	giveUpAfter = 10 * time.Second       // without progress, a transfer ends
+)
+
+// outgoing is a message on its way to another node.
+type outgoing struct {
+	id       uint64
+	to       string
+	subject  Subject
+	data     []byte
+	acked    int    // bytes that the receiver has
+	sent     int    // bytes sent, at least once
+	life     string // of the receiver that acknowledged
+	retries  int    // since the last acknowledgement
+	retryAt  core.Time
+	progress core.Time // when acked last rose
+}
+
+// Subject tells what a message is about. Of messages to one node with the same slot only one is under way at a time: another with
+// the same version is dropped, one with another version takes its place.
+type Subject struct {
+	Slot    string
+	Version string
+}
+
+// Transfers is the state machine of one node's transfers.
+type Transfers struct {
+	counter  uint64
+	outgoing []*outgoing
+	incoming map[incomingKey]*incoming
+	outputs  []core.Output
+}
+
+// New starts without transfers. random makes their numbers differ between the lives of a process.
+func New(random *rand.Rand) *Transfers {
+	return &Transfers{counter: random.Uint64(), incoming: make(map[incomingKey]*incoming)}
+}
+
+// Send starts to send the message to the node, unless it is larger than MaxMessage or too many are under way.
+func (t *Transfers) Send(now core.Time, to string, subject Subject, message *nodepb.Envelope) []core.Output {
+	if t.occupied(to, subject) || len(t.outgoing) >= maxOutgoing {
+		return nil
+	}
+	data, err := proto.Marshal(message)
+	if err != nil || len(data) > MaxMessage {
+		t.output(core.Log{Message: "message can't be sent", Fields: []any{"subject", subject.Slot, "bytes", len(data), "error", err}})
+		return t.finish()
+	}
+	t.counter++
+	t.outgoing = append(t.outgoing, &outgoing{
+		id: t.counter, to: to, subject: subject, data: data, retryAt: now + retryAfter, progress: now,
+	})
+	t.pump(now)
+	return t.finish()
+}
+
+// occupied reports whether a message about the same is under way to the node. One that is out of date is given up.
+func (t *Transfers) occupied(to string, subject Subject) bool {
+	same := func(o *outgoing) bool { return o.to == to && o.subject.Slot == subject.Slot }
+	at := slices.IndexFunc(t.outgoing, same)
+	if at < 0 {
+		return false
+	}
+	if t.outgoing[at].subject.Version == subject.Version {
+		return true
+	}
+	t.outgoing = slices.Delete(t.outgoing, at, at+1)
+	return false
+}
+
+// pump sends fragments while the windows have room; transfers take turns.
+func (t *Transfers) pump(now core.Time) {
+	underWay := 0
+	for _, o := range t.outgoing {
+		underWay += o.sent - o.acked
+	}
+	for progress := true; progress && underWay < allWindows; {
+		progress = false
+		for _, o := range t.outgoing {
+			if o.sent >= len(o.data) || o.sent-o.acked >= o.window() || underWay >= allWindows {
+				continue
+			}
+			underWay += t.sendFragment(now, o)
+			progress = true
+		}
+	}
+}
+
+// window is how many bytes may be under way: a single fragment until one that was sent again is acknowledged.
+func (o *outgoing) window() int {
+	if o.retries > 0 {
+		return fragmentBytes
+	}
+	return windowBytes
+}
+
+// sendFragment sends the next fragment and returns its size.
+func (t *Transfers) sendFragment(now core.Time, o *outgoing) int {
+	if o.sent == o.acked && o.retries == 0 {
+		o.retryAt = now + retryAfter
+	}
+	part := o.data[o.sent:min(o.sent+fragmentBytes, len(o.data))]
+	fragment := &nodepb.Fragment{Transfer: o.id, Total: uint64(len(o.data)), Offset: uint64(o.sent), Data: part}
+	t.send(o.to, &nodepb.Envelope{Body: &nodepb.Envelope_Fragment{Fragment: fragment}})
+	o.sent += len(part)
+	return len(part)
+}
+
+// Receive takes fragments and their acknowledgements.
+func (t *Transfers) Receive(now core.Time, from core.Peer, envelope *nodepb.Envelope) []core.Output {
+	switch body := envelope.GetBody().(type) {
+	case *nodepb.Envelope_Fragment:
+		t.receiveFragment(now, from, body.Fragment)
+	case *nodepb.Envelope_FragmentAck:
+		t.receiveAck(now, from, body.FragmentAck)
+	}
+	return t.finish()
+}
+
+// receiveAck goes on behind what the receiver has. Another life of the receiver has nothing of what the one before had.
+func (t *Transfers) receiveAck(now core.Time, from core.Peer, ack *nodepb.FragmentAck) {
+	at := slices.IndexFunc(t.outgoing, func(o *outgoing) bool { return o.id == ack.GetTransfer() && o.to == from.Address })
+	if at < 0 || ack.GetReceived() > uint64(len(t.outgoing[at].data)) {
+		return
+	}
+	o := t.outgoing[at]
+	received := int(ack.GetReceived())
+	switch {
+	case from.NodeID != o.life:
+		o.life = from.NodeID
+		o.acked, o.sent = received, max(received, min(o.sent, received+windowBytes))
+	case received <= o.acked:
+		return
+	default:
+		o.acked, o.sent = received, max(received, o.sent)
+	}
+	o.progress = now
+	o.retries = 0
+	o.retryAt = now + retryAfter
+	if o.acked == len(o.data) {
+		t.outgoing = slices.Delete(t.outgoing, at, at+1)
+	}
+	t.pump(now)
+}
+
+// Tick sends again what was not acknowledged, and ends transfers that make no progress.
+func (t *Transfers) Tick(now core.Time) []core.Output {
+	t.outgoing = slices.DeleteFunc(t.outgoing, func(o *outgoing) bool { return now-o.progress >= giveUpAfter })
+	for _, o := range t.outgoing {
+		if now >= o.retryAt {
+			o.retries++
+			o.retryAt = now + min(retryAfter<<min(o.retries, 4), mostRetry)
+			o.sent = o.acked
+		}
+	}
+	t.pump(now)
+	t.expireIncoming(now)
+	return t.finish()
+}
+
+// Deadline is when Tick wants to be called.
+func (t *Transfers) Deadline() core.Time {
+	deadline := core.Never
+	for _, o := range t.outgoing {
+		deadline = min(deadline, o.retryAt, o.progress+giveUpAfter)
+	}
+	for _, i := range t.incoming {
+		deadline = min(deadline, i.progress+giveUpAfter)
+	}
+	return deadline
+}
+
+func (t *Transfers) output(output core.Output) { t.outputs = append(t.outputs, output) }
+
+func (t *Transfers) send(to string, message *nodepb.Envelope) {
+	t.output(core.Send{To: to, Message: message})
+}
+
+func (t *Transfers) finish() []core.Output {
+	outputs := t.outputs
+	t.outputs = nil
+	return outputs
+}
--- /dev/null
+++ b/internal/node/transfer/transfer_test.go
@@ -0,0 +1,336 @@
+package transfer
+
+import (
+	"bytes"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// world runs the transfers of some nodes over links with a bandwidth, under a virtual clock.
+type world struct {
+	random    *rand.Rand
+	now       core.Time
+	events    events
+	sequence  int
+	nodes     map[string]*end
+	perSecond int           // bytes that a link carries
+	delay     time.Duration // of each message beside that
+	loss      float64
+	duplicate float64
+	cut       bool
+	sent      int // bytes
+	mostBusy  time.Duration
+}
+
+// end is one node.
+type end struct {
+	address   string
+	life      int
+	transfers *Transfers
+	linkFree  core.Time // of what it sends
+	received  []*nodepb.Envelope
+}
+
+type event struct {
+	at       core.Time
+	sequence int
+	run      func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newWorld(seed uint64, addresses ...string) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 5)), nodes: map[string]*end{}, perSecond: 1 << 20, delay: 2 * time.Millisecond,
+	}
+	for _, address := range addresses {
+		w.nodes[address] = &end{address: address}
+		w.restart(address)
+	}
+	return w
+}
+
+// restart begins another life of a node.
+func (w *world) restart(address string) {
+	node := w.nodes[address]
+	node.life++
+	node.transfers = New(rand.New(rand.NewPCG(w.random.Uint64(), 6)))
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.sequence++
+	heap.Push(&w.events, event{w.now + d, w.sequence, run})
+}
+
+// runUntil plays until the condition holds and reports whether it does by the limit.
+func (w *world) runUntil(limit time.Duration, condition func() bool) bool {
+	for end := w.now + limit; !condition(); {
+		due, from := w.nextDeadline()
+		if len(w.events) > 0 && w.events[0].at <= due {
+			next := heap.Pop(&w.events).(event)
+			w.now = max(w.now, next.at)
+			next.run()
+		} else {
+			w.now = max(w.now, due)
+			if w.now > end {
+				return false
+			}
+			w.carryOut(from, from.transfers.Tick(w.now))
+		}
+		if w.now > end {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) nextDeadline() (core.Time, *end) {
+	due, from := core.Never, (*end)(nil)
+	for _, node := range w.nodes {
+		if deadline := node.transfers.Deadline(); deadline < due {
+			due, from = deadline, node
+		}
+	}
+	return due, from
+}
+
+func (w *world) carryOut(from *end, outputs []core.Output) {
+	for _, output := range outputs {
+		switch output := output.(type) {
+		case core.Send:
+			w.carry(from, output)
+			if w.random.Float64() < w.duplicate {
+				w.carry(from, output)
+			}
+		case core.Received:
+			from.received = append(from.received, output.Message)
+		}
+	}
+}
+
+// carry brings a message over the link of its sender, which takes time for each byte.
+func (w *world) carry(from *end, output core.Send) {
+	size := proto.Size(output.Message)
+	w.sent += size
+	from.linkFree = max(from.linkFree, w.now) + time.Duration(size)*time.Second/time.Duration(w.perSecond)
+	w.mostBusy = max(w.mostBusy, from.linkFree-w.now)
+	if w.cut || w.random.Float64() < w.loss {
+		return
+	}
+	to, life := w.nodes[output.To], w.nodes[output.To].life
+	peer := core.Peer{NodeID: fmt.Sprintf("%s#%d", from.address, from.life), Address: from.address}
+	w.after(from.linkFree-w.now+w.delay, func() {
+		if to.life == life && !w.cut {
+			w.carryOut(to, to.transfers.Receive(w.now, peer, output.Message))
+		}
+	})
+}
+
+func (w *world) send(from, to string, message *nodepb.Envelope) {
+	node := w.nodes[from]
+	w.carryOut(node, node.transfers.Send(w.now, to, SubjectOf(message), message))
+}
+
+// snapshotOf makes a large message: a push of a state.
+func (w *world) snapshotOf(size int, index uint64) *nodepb.Envelope {
+	state := make([]byte, size)
+	for i := range state {
+		state[i] = byte(w.random.Uint32())
+	}
+	push := &nodepb.StatePush{Index: index, Snapshot: &nodepb.StateSnapshot{Index: index, State: state}}
+	return &nodepb.Envelope{Body: &nodepb.Envelope_StatePush{StatePush: push}}
+}
+
+func stateOf(message *nodepb.Envelope) []byte { return message.GetStatePush().GetSnapshot().GetState() }
+
+func TestLargeMessageArrivesWhole(t *testing.T) {
+	for _, size := range []int{1, fragmentBytes, fragmentBytes + 1, 3 * windowBytes, 8 << 20} {
+		w := newWorld(uint64(size), "a", "b")
+		message := w.snapshotOf(size, 1)
+		w.send("a", "b", message)
+		assert.Assert(t, w.runUntil(time.Minute, func() bool { return len(w.nodes["b"].received) == 1 }), "%d bytes", size)
+		assert.Assert(t, bytes.Equal(stateOf(w.nodes["b"].received[0]), stateOf(message)))
+		w.runUntil(time.Second, func() bool { return len(w.nodes["a"].transfers.outgoing) == 0 })
+		assert.Equal(t, len(w.nodes["a"].transfers.outgoing), 0)
+	}
+}
+
+// TestShortMessagesWaitForFewFragments: on a link of 10 Mbit/s, heartbeats are never held up for long, however much is sent.
+func TestShortMessagesWaitForFewFragments(t *testing.T) {
+	w := newWorld(3, "a", "b", "c", "d", "e", "f")
+	w.perSecond = 10_000_000 / 8
+	for _, to := range []string{"b", "c", "d", "e", "f"} {
+		w.send("a", to, w.snapshotOf(2<<20, 1))
+	}
+	w.runUntil(20*time.Second, func() bool { return false })
+	assert.Assert(t, w.mostBusy < 120*time.Millisecond, "the link is busy for %v", w.mostBusy)
+	for _, to := range []string{"b", "c", "d", "e"} {
+		assert.Equal(t, len(w.nodes[to].received), 1)
+	}
+	assert.Equal(t, len(w.nodes["f"].received), 0, "a fifth transfer is not begun beside four")
+}
+
+func TestTransferGoesOnAfterACut(t *testing.T) {
+	w := newWorld(4, "a", "b")
+	const size = 8 << 20
+	w.send("a", "b", w.snapshotOf(size, 1))
+	for range 4 {
+		w.runUntil(1500*time.Millisecond, func() bool { return false })
+		w.cut = true
+		w.runUntil(3*time.Second, func() bool { return false })
+		w.cut = false
+	}
+	assert.Assert(t, w.runUntil(10*time.Second, func() bool { return len(w.nodes["b"].received) == 1 }))
+	assert.Assert(t, w.sent < size+size/10, "%d bytes for %d: what had come is not sent again", w.sent, size)
+}
+
+func TestTransferWithoutProgressIsGivenUp(t *testing.T) {
+	w := newWorld(5, "a", "b")
+	w.send("a", "b", w.snapshotOf(4<<20, 1))
+	w.runUntil(time.Second, func() bool { return false })
+	w.cut = true
+	w.runUntil(giveUpAfter+time.Second, func() bool { return false })
+	assert.Equal(t, len(w.nodes["a"].transfers.outgoing), 0)
+	w.runUntil(giveUpAfter, func() bool { return false })
+	assert.Equal(t, len(w.nodes["b"].transfers.incoming), 0)
+}
+
+func TestReceiverThatStartsAgainGetsAllOfIt(t *testing.T) {
+	w := newWorld(6, "a", "b")
+	message := w.snapshotOf(2<<20, 1)
+	w.send("a", "b", message)
+	w.runUntil(time.Second, func() bool { return false })
+	w.restart("b")
+	assert.Assert(t, w.runUntil(10*time.Second, func() bool { return len(w.nodes["b"].received) == 1 }))
+	assert.Assert(t, bytes.Equal(stateOf(w.nodes["b"].received[0]), stateOf(message)))
+}
+
+// TestSubjects: what comes again while it is under way is not sent twice, an entry gives way to another one, and commands
+// don't wait for one another.
+func TestSubjects(t *testing.T) {
+	body := make([]byte, 1<<20)
+	entry := func(epoch, index uint64) *nodepb.Envelope {
+		command := &nodepb.Command{Change: &nodepb.Command_ConfigChange{ConfigChange: &nodepb.ConfigChange{Body: body}}}
+		return &nodepb.Envelope{Body: &nodepb.Envelope_Append{Append: &nodepb.Append{
+			Epoch: epoch, Entry: &nodepb.Entry{Index: index, Epoch: epoch, Command: command},
+		}}}
+	}
+	submit := func(request uint64) *nodepb.Envelope {
+		command := &nodepb.Command{Change: &nodepb.Command_ConfigChange{ConfigChange: &nodepb.ConfigChange{Body: body}}}
+		return &nodepb.Envelope{Body: &nodepb.Envelope_Submit{Submit: &nodepb.Submit{Request: request, Command: command}}}
+	}
+	catchUp := func(epoch, sequence uint64) *nodepb.Envelope {
+		return &nodepb.Envelope{Body: &nodepb.Envelope_CatchUp{CatchUp: &nodepb.CatchUp{
+			Epoch: epoch, Sequence: sequence, Snapshot: body,
+		}}}
+	}
+	for _, c := range []struct {
+		name          string
+		first, second *nodepb.Envelope
+		arrive        int
+	}{
+		{"the same entry again", entry(3, 7), entry(3, 7), 1},
+		{"another entry", entry(3, 7), entry(4, 7), 1},
+		{"the state of the same epoch again", catchUp(3, 1), catchUp(3, 2), 1},
+		{"two commands", submit(1), submit(2), 2},
+		{"the same command again", submit(1), submit(1), 1},
+	} {
+		w := newWorld(7, "a", "b")
+		w.send("a", "b", c.first)
+		w.send("a", "b", c.second)
+		w.runUntil(5*time.Second, func() bool { return false })
+		received := w.nodes["b"].received
+		assert.Equal(t, len(received), c.arrive, c.name)
+		if c.name == "another entry" {
+			assert.Equal(t, received[0].GetAppend().GetEpoch(), uint64(4))
+		}
+	}
+}
+
+// TestFragmentsThatLie: lengths and offsets of a peer are not trusted.
+func TestFragmentsThatLie(t *testing.T) {
+	fragment := func(total, offset uint64, size int) *nodepb.Envelope {
+		return &nodepb.Envelope{Body: &nodepb.Envelope_Fragment{Fragment: &nodepb.Fragment{
+			Transfer: 1, Total: total, Offset: offset, Data: make([]byte, size),
+		}}}
+	}
+	from := core.Peer{NodeID: "x#1", Address: "x"}
+	for _, lying := range []*nodepb.Envelope{
+		fragment(0, 0, 10), fragment(MaxMessage+1, 0, 10), fragment(1<<63, 0, 10), fragment(5, 0, 10), fragment(100, 50, 10),
+		fragment(100, 1<<63, 10),
+	} {
+		transfers := New(rand.New(rand.NewPCG(1, 1)))
+		for _, output := range transfers.Receive(0, from, lying) {
+			_, delivered := output.(core.Received)
+			assert.Assert(t, !delivered, "%v", lying.GetFragment().GetTotal())
+		}
+	}
+	transfers := New(rand.New(rand.NewPCG(1, 1)))
+	ack := &nodepb.FragmentAck{Transfer: 99, Received: 1 << 62}
+	transfers.Receive(0, from, &nodepb.Envelope{Body: &nodepb.Envelope_FragmentAck{FragmentAck: ack}})
+	for i := range uint64(100) {
+		transfers.Receive(0, core.Peer{NodeID: fmt.Sprint(i), Address: "x"}, fragment(MaxMessage/2, 0, 10))
+	}
+	assert.Assert(t, len(transfers.incoming) <= 2, "%d transfers of half of what may be held", len(transfers.incoming))
+}
+
+// TestTransfersOnBadLinks sends on links that lose, double and are cut, to receivers that start again. Whatever arrives is what
+// was sent, and once all is quiet everything does.
+func TestTransfersOnBadLinks(t *testing.T) {
+	for seed := range uint64(60) {
+		w := newWorld(seed, "a", "b", "c")
+		w.perSecond = 200_000 + w.random.IntN(20_000_000)
+		w.loss, w.duplicate = 0.1*w.random.Float64(), 0.1*w.random.Float64()
+		w.delay = time.Duration(w.random.Int64N(int64(20 * time.Millisecond)))
+		sent := map[uint64][]byte{}
+		for i := range uint64(6) {
+			message := w.snapshotOf(1+w.random.IntN(1<<20), 10*seed+i)
+			sent[message.GetStatePush().GetIndex()] = stateOf(message)
+			ends := [][2]string{{"a", "b"}, {"a", "c"}, {"b", "a"}, {"c", "b"}}[w.random.IntN(4)]
+			w.send(ends[0], ends[1], message)
+			w.runUntil(time.Duration(w.random.Int64N(int64(time.Second))), func() bool { return false })
+			switch w.random.IntN(4) {
+			case 0:
+				w.cut = !w.cut
+			case 1:
+				w.restart([]string{"b", "c"}[w.random.IntN(2)])
+			}
+		}
+		w.cut, w.loss, w.duplicate = false, 0, 0
+		last := w.snapshotOf(300_000, 1)
+		sent[1] = stateOf(last)
+		w.runUntil(2*giveUpAfter, func() bool { return len(w.nodes["c"].transfers.outgoing) == 0 })
+		w.send("c", "a", last)
+		arrived := func() bool {
+			received := w.nodes["a"].received
+			return len(received) > 0 && received[len(received)-1].GetStatePush().GetIndex() == 1
+		}
+		assert.Assert(t, w.runUntil(10*time.Second, arrived), "seed %d", seed)
+		for _, node := range w.nodes {
+			for _, message := range node.received {
+				assert.Assert(t, bytes.Equal(stateOf(message), sent[message.GetStatePush().GetIndex()]), "seed %d", seed)
+			}
+		}
+	}
+}
