Control side: one state machine a node; relays between core machines; states bounded and read by index

Change: - view: pings go by way of other nodes as well once the direct way is unproven for 0.4 s; Detector.Route names the relay with the newest proof, while the direct way is dead (view/paths.go). Messages may double, be delayed and change order already, so that nothing else changes for safety. One hop, only to core machines, twelve relays at the most. - internal/node/control: the control side of a node as one state machine, taken out of package agent, which now only runs it. A refused write asks for the checkpoint. Joiners find 256 entries, not 8; the state for them is encoded once. Calls with large bodies have longer. - A read names the index that its node holds, and is answered with the index alone where that is the newest.

These came to stand in one commit as package control carries all of them; the core's messages are the same otherwise.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -15,22 +15,16 @@
 	"sync/atomic"
 	"time"
 
-	"kestrelspread/internal/node/chain"
 	"kestrelspread/internal/node/config"
-	"kestrelspread/internal/node/config/schema"
+	"kestrelspread/internal/node/control"
 	"kestrelspread/internal/node/core"
-	"kestrelspread/internal/node/distribution"
 	"kestrelspread/internal/node/forward"
 	"kestrelspread/internal/node/journal"
 	"kestrelspread/internal/node/loadhint"
-	"kestrelspread/internal/node/membership"
 	"kestrelspread/internal/node/nodepb"
-	"kestrelspread/internal/node/registry"
-	"kestrelspread/internal/node/rollout"
 	"kestrelspread/internal/node/rollout/orders"
 	"kestrelspread/internal/node/routing"
 	"kestrelspread/internal/node/settings"
-	"kestrelspread/internal/node/submit"
 	"kestrelspread/internal/node/wireproto/link"
 )
 
@@ -47,29 +41,22 @@
 	log      *slog.Logger
 	settings *settings.Settings
 	started  time.Time
-	random   *mathrand.Rand
 	self     *nodepb.Member
 
 	inbox    chan func(now core.Time)
 	requests *pendingRequests
 
-	network    *link.Network
-	membership *membership.Membership
-	// journal, writer and store are there on machines that count for the quorum, once their disk takes writes.
-	journal      *journal.Journal
-	writer       *journal.Writer
-	store        *chain.Store
-	submit       *submit.Client
-	state        *config.State // what distribution has published
-	distribution *distribution.Distribution
-	registry     *registry.Registry
-	rollout      *rollout.Rollout
-	orders       *orders.Sender
-	prompts      promptIndex
-	hints        *loadhint.Spreader
-	router       *routing.Guarded
-	proxy        *forward.Proxy
-	startup      *forward.Startup
+	network *link.Network
+	control *control.Node
+	// journal and writer are there on machines that count for the quorum, once their disk takes writes.
+	journal *journal.Journal
+	writer  *journal.Writer
+	orders  *orders.Sender
+	prompts promptIndex
+	hints   *loadhint.Spreader
+	router  *routing.Guarded
+	proxy   *forward.Proxy
+	startup *forward.Startup
 
 	compiled  atomic.Pointer[config.Compiled]
 	confirmed atomic.Int64 // core.Time of the confirmation of the published state; 0: never
@@ -77,18 +64,12 @@
 	proxies   atomic.Int64 // nodes that serve clients, this one included
 
 	seen        seenRevisions
-	targets     map[string]rollout.Target
 	brokersCopy savedBrokers
 	compaction  uint64 // token of the checkpoint that is being written; 0: none
 }
 
-// seenRevisions is what the loop has passed on between the planes.
+// seenRevisions is what the loop has noted of this node's course.
 type seenRevisions struct {
-	members uint64
-	view    uint64 // epoch
-	holder  bool   // of the duty to bring new weights
-	// brokersChanged: the duty is to look at the brokers again.
-	brokersChanged bool
 	// startupOver: this node has learnt what it lacked when it started, or no longer waits for it.
 	startupOver bool
 	// leaseLost: the configuration was confirmed too long ago for keys to be trusted (globalRevocation).
@@ -140,10 +121,8 @@
 		log:      log.With("node", loaded.NodeName),
 		settings: loaded,
 		started:  time.Now(),
-		random:   newRandom(),
 		inbox:    make(chan func(core.Time), inboxLength),
 		requests: newPendingRequests(),
-		targets:  map[string]rollout.Target{},
 	}
 	a.self = &nodepb.Member{
 		NodeId:          loaded.NodeName + "/" + life,
@@ -164,30 +143,27 @@
 // now is the steady time since the process started.
 func (a *Agent) now() core.Time { return time.Since(a.started) }
 
-// confirmationAge: only where revoked keys must be refused everywhere in time does service hang on fresh confirmations.
-func confirmationAge(bounds settings.Bounds) time.Duration {
-	if bounds.GlobalRevocation {
-		return distribution.ConfirmationForRevocation
+// bounds are the figures of the rules for the control side.
+func (a *Agent) bounds() control.Bounds {
+	bounds := a.settings.Bounds
+	return control.Bounds{
+		GlobalRevocation: bounds.GlobalRevocation, Revoke: bounds.Revoke(),
+		Lease: bounds.Lease(), Thaw: bounds.Thaw(), Version: bounds.Version(),
 	}
-	return distribution.ConfirmationForChanges
 }
 
 // buildPlanes makes the state machines that every node has.
 func (a *Agent) buildPlanes() {
 	now := a.now()
-	seeds := a.settings.SeedInternalAddresses()
-	a.membership = membership.New(now, membership.Options{Self: a.self, Seeds: seeds}, a.random)
-	a.submit = submit.New(submit.Options{Random: newRandom()})
-	a.state = config.NewState(schema.NewChecker())
-	a.distribution = distribution.New(now, distribution.Options{
-		SelfID: a.self.NodeId, SelfAddress: a.self.Address, Zone: a.self.Zone,
-		Counts: a.self.CountsForQuorum, State: a.state, Seeds: seeds,
-		ConfirmationAge: confirmationAge(a.settings.Bounds),
-	}, a.random)
-	a.registry = registry.New(now, registry.Options{
-		SelfID: a.self.NodeId, SelfAddress: a.self.Address, ControlAddress: a.self.ControlAddress, Zone: a.self.Zone,
-		Heartbeat: a.settings.Heartbeat(),
-	}, a.random)
+	a.control = control.New(now, control.Options{
+		Self:               a.self,
+		Seeds:              a.settings.SeedInternalAddresses(),
+		Bootstrap:          a.settings.Bootstrap,
+		Tolerance:          a.settings.FaultTolerance.Machines,
+		ConfigurationLimit: a.configurationLimit(),
+		Heartbeat:          a.settings.Heartbeat(),
+		Bounds:             a.bounds(),
+	}, newRandom())
 	a.buildDuty()
 	a.openSavedBrokers()
 	a.buildIndex()
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -9,10 +9,6 @@
 	"kestrelspread/internal/node/routing"
 )
 
-// revocationMargin is kept between the bound of a key's revocation and the last moment at which a request is sent on:
-// the way to the broker and a late thread.
-const revocationMargin = 600 * time.Millisecond
-
 // buildDataPlane makes the router and the proxy.
 func (a *Agent) buildDataPlane(now core.Time) {
 	bounds := a.settings.Bounds
@@ -49,17 +45,12 @@
 
 // mayServe reports whether a request may be sent on now. Source: RULES.md, "API keys".
 func (a *Agent) mayServe(now core.Time, public bool) bool {
-	compiled := a.compiled.Load()
-	if compiled == nil || compiled.Version == 0 {
-		return false
-	}
-	return public || !a.settings.Bounds.GlobalRevocation || a.leaseHolds(now)
+	return a.bounds().MayServe(now, a.compiled.Load(), core.Time(a.confirmed.Load()), public)
 }
 
 // leaseHolds reports whether the configuration here was confirmed recently enough for keys to be trusted.
 func (a *Agent) leaseHolds(now core.Time) bool {
-	confirmed := core.Time(a.confirmed.Load())
-	return confirmed != 0 && now-confirmed < a.settings.Bounds.Revoke()-revocationMargin
+	return a.bounds().LeaseHolds(now, core.Time(a.confirmed.Load()))
 }
 
 // ready is the answer to the platform.
@@ -80,7 +71,7 @@
 	known := forward.Knowledge{
 		Configuration: compiled != nil && compiled.Version != 0,
 		Confirmed:     a.confirmed.Load() != 0,
-		Brokers:       a.registry.Synced() || a.brokersCopy.restored,
+		Brokers:       a.control.Registry().Synced() || a.brokersCopy.restored,
 	}
 	a.startup.Note(known)
 	a.seen.startupOver = now >= startupLimit || known.Complete()
@@ -91,20 +82,18 @@
 
 // stateChanged publishes a new control state to the data plane.
 func (a *Agent) stateChanged(now core.Time) {
-	compiled := a.state.Compile()
+	compiled := a.control.Compiled()
 	a.compiled.Store(compiled)
 	a.prompts.stale = true
 	a.router.SetConfig(now, compiled)
-	a.noteTargets(now, compiled)
 }
 
 // publishTable hands the brokers known to the data plane.
 func (a *Agent) publishTable(now core.Time) {
-	table := a.registry.Table()
+	table := a.control.Registry().Table()
 	a.router.SetTable(now, table)
 	a.brokersChanged(now, table)
 	a.prompts.stale = true
-	a.seen.brokersChanged = true
 }
 
 // fetchSnapshot gives the newest configuration of a state that was read through the chain.
--- a/internal/node/agent/index.go
+++ b/internal/node/agent/index.go
@@ -50,9 +50,9 @@
 	if compiled == nil {
 		return
 	}
-	table := a.registry.Table()
+	table := a.control.Registry().Table()
 	a.prompts.subscriber.SetTable(table)
-	members := a.membership.Members()
+	members := a.control.Members()
 	a.prompts.home.SetSubscribers(proxyAddresses(members))
 	a.prompts.home.SetSources(now, kvindex.SourcesOf(table, compiled.Stores, func(service, zone string) bool {
 		return indexHome(members, service, zone) == a.self.NodeId
--- a/internal/node/agent/lifecycle.go
+++ b/internal/node/agent/lifecycle.go
@@ -116,7 +116,9 @@
 		if err != nil {
 			return nil, err
 		}
-		started.control = controlapi.NewServer(controlapi.Handler(backend{a}, controlapi.Options{Log: a.log}))
+		started.control = controlapi.NewServer(controlapi.Handler(backend{a}, controlapi.Options{
+			Log: a.log, MaxBodyBytes: int64(a.configurationLimit()),
+		}))
 		go func() { _ = started.control.Serve(listener) }()
 	}
 	if listen.Readiness != "" {
@@ -148,7 +150,7 @@
 func (a *Agent) settingsChanged(changed *settings.Settings) {
 	a.post(func(now core.Time) {
 		a.log.Info("settings changed")
-		a.membership.SetSeeds(changed.SeedInternalAddresses())
+		a.control.SetSeeds(changed.SeedInternalAddresses())
 	})
 }
 
@@ -161,9 +163,7 @@
 	a.log.Info("stopping", "grace", grace)
 	a.stopping.Store(true)
 	a.proxy.Drain()
-	if a.store != nil {
-		a.post(func(now core.Time) { a.carryOut(now, a.store.Transfer(now)) })
-	}
+	a.post(func(now core.Time) { a.carryOut(now, a.control.Transfer(now)) })
 	begun, times := time.Now(), stopTimesOf(grace)
 	time.Sleep(times.refuse)
 	a.proxy.RefuseNew()
@@ -173,7 +173,7 @@
 	_ = a.proxy.Shutdown(finish)
 	left := make(chan struct{})
 	a.post(func(now core.Time) {
-		a.carryOut(now, a.membership.Leave(now))
+		a.carryOut(now, a.control.Leave(now))
 		close(left)
 	})
 	<-left
--- a/internal/node/agent/requests.go
+++ b/internal/node/agent/requests.go
@@ -18,13 +18,11 @@
 	mutex    sync.Mutex
 	next     uint64
 	commands map[uint64]chan core.Reply
-	internal map[uint64]func(now core.Time, reply core.Reply) // of this node's own planes
 	registry map[uint64]chan core.RegistryAnswer
 }
 
 func newPendingRequests() *pendingRequests {
-	return &pendingRequests{commands: map[uint64]chan core.Reply{},
-		internal: map[uint64]func(core.Time, core.Reply){}, registry: map[uint64]chan core.RegistryAnswer{}}
+	return &pendingRequests{commands: map[uint64]chan core.Reply{}, registry: map[uint64]chan core.RegistryAnswer{}}
 }
 
 func (p *pendingRequests) addCommand() (uint64, chan core.Reply) {
@@ -36,24 +34,6 @@
 	return p.next, answer
 }
 
-// addInternal numbers a command of this node's own planes; done runs on the control loop.
-func (p *pendingRequests) addInternal(done func(now core.Time, reply core.Reply)) uint64 {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.next++
-	p.internal[p.next] = done
-	return p.next
-}
-
-// takeInternal gives what is to be done with a reply to one of the own planes' commands; nil: it is not one.
-func (p *pendingRequests) takeInternal(request uint64) func(now core.Time, reply core.Reply) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	done := p.internal[request]
-	delete(p.internal, request)
-	return done
-}
-
 func (p *pendingRequests) addRegistry() (uint64, chan core.RegistryAnswer) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -79,15 +59,6 @@
 	}
 }
 
-// replied brings the control state's answer to whoever asked.
-func (a *Agent) replied(now core.Time, reply core.Reply) {
-	if done := a.requests.takeInternal(reply.Request); done != nil {
-		done(now, reply)
-		return
-	}
-	a.requests.answerCommand(reply)
-}
-
 func (p *pendingRequests) answerRegistry(reply core.RegistryAnswer) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -104,14 +75,14 @@
 
 func (b backend) Heartbeat(ctx context.Context, instance *nodepb.Instance) (controlapi.HeartbeatAnswer, error) {
 	answer, err := b.registry(ctx, func(now core.Time, request uint64) []core.Output {
-		return b.agent.registry.Heartbeat(now, request, instance)
+		return b.agent.control.Heartbeat(now, request, instance)
 	})
 	return controlapi.HeartbeatAnswer{HeartbeatURL: answer.HeartbeatURL}, err
 }
 
 func (b backend) Deregister(ctx context.Context, id string) error {
 	_, err := b.registry(ctx, func(now core.Time, request uint64) []core.Output {
-		return b.agent.registry.Deregister(now, request, id)
+		return b.agent.control.Deregister(now, request, id)
 	})
 	return err
 }
@@ -133,14 +104,14 @@
 
 func (b backend) Submit(ctx context.Context, command *nodepb.Command) (*nodepb.CommandResult, error) {
 	reply, err := b.command(ctx, func(now core.Time, request uint64) []core.Output {
-		return b.agent.submit.Submit(now, request, command)
+		return b.agent.control.Submit(now, request, command)
 	})
 	return reply.Result, err
 }
 
 func (b backend) Fetch(ctx context.Context) ([]byte, error) {
 	reply, err := b.command(ctx, func(now core.Time, request uint64) []core.Output {
-		return b.agent.submit.Read(now, request)
+		return b.agent.control.Read(now, request)
 	})
 	if err != nil {
 		return nil, err
--- a/internal/node/agent/savedbrokers.go
+++ b/internal/node/agent/savedbrokers.go
@@ -40,7 +40,7 @@
 	instances, err := a.brokersCopy.file.Load(time.Now())
 	if err == nil {
 		a.post(func(now core.Time) {
-			a.carryOut(now, a.registry.Restore(now, instances))
+			a.carryOut(now, a.control.RestoreBrokers(now, instances))
 			a.brokersCopy.restored = len(instances) > 0
 		})
 	}
@@ -69,7 +69,7 @@
 	}
 	a.brokersCopy.due = core.Never
 	select {
-	case a.brokersCopy.copy <- a.registry.Instances():
+	case a.brokersCopy.copy <- a.control.Registry().Instances():
 	default: // the disk is slow; look again
 		a.brokersCopy.due = now + saveInterval
 	}
--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -30,7 +30,7 @@
 func (a *Agent) status(now core.Time) *nodestatus.Status {
 	status := &nodestatus.Status{
 		Node: a.settings.NodeName, ID: a.self.NodeId, Zone: a.self.Zone,
-		Ready: a.ready(), StateIndex: a.state.Index(), Requests: requestStatus(a.proxy.Metrics()),
+		Ready: a.ready(), StateIndex: a.control.State().Index(), Requests: requestStatus(a.proxy.Metrics()),
 	}
 	counters := a.router.Counters()
 	status.Choices, status.Refusals = choiceStatus(&counters), refusalStatus(&counters)
@@ -40,13 +40,13 @@
 	if at := core.Time(a.confirmed.Load()); at != 0 {
 		status.ConfirmedAgo = (now - at).Round(time.Millisecond).String()
 	}
-	for _, member := range a.membership.Members() {
+	for _, member := range a.control.Members() {
 		status.Members = append(status.Members, nodestatus.Member{
 			ID: member.NodeId, Name: member.Name, Address: member.Address, Zone: member.Zone, Counts: member.CountsForQuorum,
 		})
 	}
 	status.Chain = a.chainStatus()
-	for _, instance := range a.registry.Instances() {
+	for _, instance := range a.control.Registry().Instances() {
 		status.Instances = append(status.Instances, instanceStatus(instance))
 	}
 	return status
@@ -64,7 +64,7 @@
 }
 
 func (a *Agent) chainStatus() *nodestatus.Chain {
-	view := a.distribution.View()
+	view := a.control.View()
 	if view == nil {
 		return nil
 	}
@@ -72,8 +72,7 @@
 	for _, voter := range view.Voters {
 		status.Voters = append(status.Voters, voter.DiskId+"@"+voter.Address)
 	}
-	if a.store != nil {
-		own := a.store.Status()
+	if own, ok := a.control.StoreStatus(); ok {
 		status.Role, status.Committed, status.Pending, status.DiskFine = own.Role.String(), own.Committed, own.Pending, own.DiskHealthy
 	}
 	return status
--- a/internal/node/agent/store.go
+++ b/internal/node/agent/store.go
@@ -3,12 +3,9 @@
 import (
 	"time"
 
-	"kestrelspread/internal/node/chain"
 	"kestrelspread/internal/node/config"
-	"kestrelspread/internal/node/config/schema"
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/journal"
-	"kestrelspread/internal/node/nodepb"
 )
 
 // diskRetry passes between two tries to open a disk, or to write to one, at the start.
@@ -47,32 +44,37 @@
 
 // attachStore makes this node a member of the core.
 func (a *Agent) attachStore(now core.Time, opened *journal.Journal, recovered []core.Record) {
-	voter := &nodepb.Voter{DiskId: opened.Identity(), Address: a.self.Address, NodeId: a.self.NodeId}
-	store, outputs, err := chain.New(now, chain.Options{
-		Self:      voter,
-		Founders:  a.settings.SeedInternalAddresses(),
-		Founding:  a.settings.Bootstrap && len(recovered) == 0,
-		Tolerance: a.settings.FaultTolerance.Machines,
-		Machine:   config.NewState(schema.NewChecker()),
-	}, recovered, newRandom())
+	outputs, err := a.control.AttachStore(now, opened.Identity(), recovered)
 	if err != nil {
 		a.log.Error("control state", "error", err)
 		return
 	}
 	a.journal = opened
 	a.writer = journal.NewWriter(opened, a.written)
-	a.store = store
-	a.self.DiskId = voter.DiskId
-	a.distribution.SetDiskID(voter.DiskId)
-	a.carryOut(now, a.membership.UpdateSelf(now, func(self *nodepb.Member) { self.DiskId = voter.DiskId }))
 	a.carryOut(now, outputs)
-	a.membersChanged(now)
+}
+
+// memoryShare of the memory limit may be taken by a configuration: one in memoryShare. Each node holds it several times over,
+// as text, read and encoded, for the moment of a change.
+const memoryShare = 24
+
+// configurationLimit is the size of the largest configuration that a machine like this one can hold, make durable, send and read
+// back, in bytes.
+func (a *Agent) configurationLimit() int {
+	limit := int64(config.MaxBodyBytes)
+	if memory := int64(a.settings.Limits.MemoryMB) << 20; memory > 0 {
+		limit = min(limit, memory/memoryShare)
+	}
+	if a.settings.CountsForQuorum {
+		limit = min(limit, journal.LargestState(int64(a.settings.Limits.DiskMB)<<20))
+	}
+	return int(limit)
 }
 
 // written reports the end of a write to the store.
 func (a *Agent) written(token uint64, err error) {
 	a.post(func(now core.Time) {
-		outputs := a.store.Written(now, token, err)
+		outputs := a.control.Written(now, token, err)
 		if err != nil {
 			a.log.Warn("journal", "error", err)
 			a.writer.Resume()
@@ -81,9 +83,7 @@
 			a.compaction = 0
 		}
 		a.carryOut(now, outputs)
-		if err == nil {
-			a.compactIfNeeded(now)
-		}
+		a.compactIfNeeded(now) // after a failure as well: the ring may have had no room left
 	})
 }
 
@@ -92,7 +92,7 @@
 	if a.compaction != 0 || !a.journal.NeedsCheckpoint() {
 		return
 	}
-	outputs := a.store.Compact(now)
+	outputs := a.control.Compact(now)
 	for _, output := range outputs {
 		if write, ok := output.(core.Write); ok && write.Checkpoint {
 			a.compaction = write.Token
--- a/internal/node/chain/barrier.go
+++ b/internal/node/chain/barrier.go
@@ -14,6 +14,7 @@
 	rejection  *nodepb.CommandResult
 	turnedDown *submission // what the rejection is for
 	wantsState bool
+	knownIndex uint64 // of the state that the reader holds
 	nonce      uint64
 	expires    core.Time       // nobody waits for it any more
 	message    *nodepb.Barrier // once it has started
@@ -57,6 +58,7 @@
 		LastIndex:      s.last().index,
 		Nonce:          start.nonce,
 		WantsState:     start.wantsState,
+		KnownIndex:     start.knownIndex,
 		Number:         s.barrierCount,
 	}
 	start.started = s.now
@@ -151,7 +153,7 @@
 func (s *Store) answerBarrier(barrier *nodepb.Barrier) {
 	switch {
 	case barrier.GetWantsState():
-		s.answer(barrier.GetOrigin(), nil, s.snapshot())
+		s.answer(barrier.GetOrigin(), nil, s.stateFor(barrier.GetKnownIndex()))
 	case barrier.GetRejection() != nil:
 		s.answer(barrier.GetOrigin(), barrier.GetRejection(), nil)
 	}
@@ -166,6 +168,14 @@
 	s.notifyCommitted(barrier.GetNumber())
 }
 
+// stateFor is the answer to a reader that holds the state of an index; where that is the newest, it needs no more than that word.
+func (s *Store) stateFor(knownIndex uint64) *nodepb.StateSnapshot {
+	if knownIndex > 0 && knownIndex >= s.committed.index {
+		return &nodepb.StateSnapshot{Index: s.committed.index}
+	}
+	return s.snapshot()
+}
+
 func (s *Store) confirmed(at core.Time) {
 	s.confirm.at = max(s.confirm.at, at)
 	s.confirm.once = true
--- a/internal/node/chain/head.go
+++ b/internal/node/chain/head.go
@@ -24,7 +24,7 @@
 	case !s.isHead() && !s.passedByHead(from.Address, message):
 		s.passToHead(message, origin)
 	case message.GetRead():
-		s.startBarrier(barrierStart{origin: origin, wantsState: true})
+		s.startBarrier(barrierStart{origin: origin, wantsState: true, knownIndex: message.GetKnownIndex()})
 	case message.GetCommand() != nil && len(s.queue) < queueLimit:
 		s.queue = append(s.queue, submission{
 			command: message.GetCommand(),
@@ -55,6 +55,8 @@
 		Read:    message.GetRead(),
 		Hops:    message.GetHops() + 1,
 		Origin:  origin,
+
+		KnownIndex: message.GetKnownIndex(),
 	}}})
 }
 
--- a/internal/node/chain/install.go
+++ b/internal/node/chain/install.go
@@ -53,7 +53,8 @@
 		return
 	}
 	for _, read := range reads {
-		s.passToHead(&nodepb.Submit{Request: read.origin.GetRequest(), Read: true}, read.origin)
+		message := &nodepb.Submit{Request: read.origin.GetRequest(), Read: true, KnownIndex: read.knownIndex}
+		s.passToHead(message, read.origin)
 	}
 	s.passQueueOn()
 }
--- a/internal/node/chain/join.go
+++ b/internal/node/chain/join.go
@@ -112,11 +112,27 @@
 	message.Entries = entries
 	if !enough {
 		message.HasSnapshot = true
-		message.Snapshot = s.options.Machine.Snapshot()
+		message.Snapshot = s.encodedState()
 	}
 	s.send(j.voter.GetAddress(), &nodepb.Envelope{Body: &nodepb.Envelope_CatchUp{CatchUp: message}})
 }
 
+// encodedState is the committed state, which is encoded once for all joiners that ask for it shortly after one another.
+func (s *Store) encodedState() []byte {
+	if s.encoded == nil || s.encodedAt != s.committed {
+		s.encoded, s.encodedAt = s.options.Machine.Snapshot(), s.committed
+	}
+	s.encodedUntil = s.now + catchUpKept
+	return s.encoded
+}
+
+// dropEncodedState forgets the encoded state that no joiner asked for lately.
+func (s *Store) dropEncodedState() {
+	if s.now >= s.encodedUntil {
+		s.encoded = nil
+	}
+}
+
 // entriesAfter lists the committed entries after the position, if all are still kept.
 func (s *Store) entriesAfter(from position) (entries []*nodepb.Entry, enough bool) {
 	if from == s.committed || from.index > s.committed.index {
--- a/internal/node/chain/options.go
+++ b/internal/node/chain/options.go
@@ -60,6 +60,7 @@
 	queueLimit       = 64                     // commands at the head
 	maxHops          = 3                      // of a command on its way to the head
 	barriersKept     = 32                     // started barriers whose end is awaited
-	recentEntries    = 8                      // committed entries kept for joiners
-	recentEntryBytes = 256 << 10              // and their size together
+	recentEntries    = 256                    // committed entries kept for joiners
+	recentEntryBytes = 1 << 20                // and their size together
+	catchUpKept      = 2 * time.Second        // an encoded state is kept for joiners
 )
--- a/internal/node/chain/pings.go
+++ b/internal/node/chain/pings.go
@@ -44,19 +44,32 @@
 		return
 	}
 	told := s.told()
-	for _, address := range due {
-		s.sendPing(address, told)
+	for _, probe := range due {
+		s.sendPing(probe, told)
 	}
 }
 
-func (s *Store) ping(address string) { s.sendPing(address, s.told()) }
+func (s *Store) ping(address string) {
+	s.sendPing(view.Probe{Address: address, Via: s.detector.Route(address)}, s.told())
+}
 
-func (s *Store) sendPing(address string, told view.Told) {
-	ping := s.detector.Ping(address, told)
-	ping.View = s.viewFor(address)
-	s.send(address, &nodepb.Envelope{Body: &nodepb.Envelope_VoterPing{VoterPing: ping}})
+func (s *Store) sendPing(probe view.Probe, told view.Told) {
+	ping := s.detector.Ping(probe.Address, probe.Via, told)
+	ping.View = s.viewFor(probe.Address)
+	s.emit(core.Send{
+		To:      probe.Address,
+		Via:     probe.Via,
+		Message: &nodepb.Envelope{Body: &nodepb.Envelope_VoterPing{VoterPing: ping}},
+	})
 }
 
+// SetRelays names the nodes that may relay messages to core machines that can't be reached directly, best first.
+func (s *Store) SetRelays(addresses []string) { s.detector.SetRelays(addresses) }
+
+// Route is the internal address of the node by which messages to the address should go just now; empty: directly. Pings and
+// pongs take the way that they are to prove.
+func (s *Store) Route(address string) string { return s.detector.Route(address) }
+
 // viewFor is the view if the node at the address was last seen with an older one.
 func (s *Store) viewFor(address string) *nodepb.View {
 	told := s.detector.Told(address)
@@ -67,16 +80,20 @@
 }
 
 func (s *Store) receivePing(from core.Peer, ping *nodepb.VoterPing) {
-	pong := s.detector.Pinged(from.Address, ping, s.told())
+	pong := s.detector.Pinged(from.Address, from.Via, ping, s.told())
 	s.learn(ping.GetView())
 	pong.Epoch = view.Epoch(s.view)
 	pong.View = s.viewFor(from.Address)
-	s.send(from.Address, &nodepb.Envelope{Body: &nodepb.Envelope_VoterPong{VoterPong: pong}})
+	s.emit(core.Send{
+		To:      from.Address,
+		Via:     from.Via,
+		Message: &nodepb.Envelope{Body: &nodepb.Envelope_VoterPong{VoterPong: pong}},
+	})
 	s.heard(from, ping.GetEpoch())
 }
 
 func (s *Store) receivePong(from core.Peer, pong *nodepb.VoterPong) {
-	s.detector.Ponged(from.Address, pong)
+	s.detector.Ponged(from.Address, from.Via, pong)
 	s.learn(pong.GetView())
 	if s.viewFor(from.Address) != nil {
 		s.sendView(from.Address)
--- /dev/null
+++ b/internal/node/chain/read_test.go
@@ -0,0 +1,46 @@
+package chain_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// TestReadersThatHoldTheNewestStateAreToldSo: the answer names the index alone; a reader that lacks something gets all.
+func TestReadersThatHoldTheNewestStateAreToldSo(t *testing.T) {
+	w, o := settled(t, four)
+	o.stopped = true
+	w.runFor(time.Second)
+	newest := w.checks.newest
+	for _, known := range []uint64{0, 1, newest - 1, newest, newest + 5} {
+		var answer *nodepb.StateSnapshot
+		n := w.nodes["proxy-1"]
+		n.requests++
+		n.replies[n.requests] = func(reply core.Reply) { answer = reply.State }
+		n.input(func() { n.carryOut(n.client.Read(w.now, n.requests, known)) })
+		w.runUntil("the answer", time.Second, func() bool { return answer != nil })
+		assert.Equal(t, answer.GetIndex(), newest)
+		assert.Equal(t, len(answer.GetState()) == 0, known >= newest, "known: %d of %d", known, newest)
+	}
+}
+
+// TestAMemberThatWasAwayForHundredsOfChanges comes back while changes go on: with its disk, and with an empty one.
+func TestAMemberThatWasAwayForHundredsOfChanges(t *testing.T) {
+	for _, wiped := range []bool{false, true} {
+		w, o := settled(t, four)
+		n := w.nodes["core-2"]
+		n.kill()
+		if wiped {
+			n.wipe()
+		}
+		w.runUntil("four hundred changes", time.Minute, o.acksAgain(400))
+		n.start()
+		took := w.runUntil("in the chain again", 2*time.Second, w.allSettled)
+		t.Logf("wiped: %v, in the chain after %v", wiped, took)
+		w.runUntil("goes on", time.Second, o.acksAgain(5))
+	}
+}
--- a/internal/node/chain/store.go
+++ b/internal/node/chain/store.go
@@ -65,6 +65,9 @@
 	leased       bool
 	joiners      map[string]*joiner
 	holdUntil    core.Time
+	encoded      []byte // the committed state at encodedAt, for joiners; nil: none is kept
+	encodedAt    position
+	encodedUntil core.Time
 
 	// At the tail.
 	confirm confirmation
@@ -189,6 +192,7 @@
 	s.takeNext()
 	s.joinDue()
 	s.driveRound()
+	s.dropEncodedState()
 	s.evaluate()
 }
 
--- a/internal/node/config/change.go
+++ b/internal/node/config/change.go
@@ -8,8 +8,9 @@
 	"kestrelspread/internal/node/nodepb"
 )
 
-// MaxBodyBytes bounds the body of a change, and a whole configuration, so that a snapshot fits into one frame between nodes.
-const MaxBodyBytes = 6 << 20
+// MaxBodyBytes bounds the body of a change, and a whole configuration, in any fleet: what it takes to bring a state to a node
+// is bounded by transfer.MaxMessage. A fleet may bound them further by its machines, see State.SetLimit.
+const MaxBodyBytes = 24 << 20
 
 // preparedChange is a change of the configuration as read against the state's document. It is dropped with the next
 // entry.
@@ -40,6 +41,9 @@
 	if err != nil {
 		return s.invalidResult(err), false
 	}
+	if size := max(len(change.GetBody()), prepared.next.renderedSize()); size > s.limit {
+		return s.tooLarge(size), false
+	}
 	if err := s.checkPrepared(prepared); err != nil {
 		return s.invalidResult(err), false
 	}
@@ -125,6 +129,11 @@
 	return s.refusal(nodepb.ResultCode_INVALID, reason)
 }
 
+func (s *State) tooLarge(size int) *nodepb.CommandResult {
+	text := fmt.Sprintf("the configuration would have %d bytes; these machines hold %d", size, s.limit)
+	return s.refusal(nodepb.ResultCode_TOO_LARGE, text)
+}
+
 func (s *State) conflict(change *nodepb.ConfigChange) *nodepb.CommandResult {
 	text := fmt.Sprintf("based on version %d; version %d is current", change.GetBaseVersion(), s.document.version)
 	return s.refusal(nodepb.ResultCode_CONFLICT, text)
--- a/internal/node/config/restore.go
+++ b/internal/node/config/restore.go
@@ -14,6 +14,7 @@
 		return err
 	}
 	restored := NewState(s.checker)
+	restored.limit = s.limit
 	err = eachField(text, func(read field) error { return restored.restoreField(read, s.document) })
 	if err != nil {
 		return err
--- a/internal/node/config/snapshot.go
+++ b/internal/node/config/snapshot.go
@@ -15,7 +15,7 @@
 	checksumBytes = 4
 
 	// MaxSnapshotBytes bounds a snapshot that is read.
-	MaxSnapshotBytes = 8 << 20
+	MaxSnapshotBytes = MaxBodyBytes + 4<<20
 )
 
 // Fields of a snapshot.
--- a/internal/node/config/state.go
+++ b/internal/node/config/state.go
@@ -11,6 +11,7 @@
 // and drain intentions. It belongs to one goroutine.
 type State struct {
 	checker  Checker // nil: no schema is checked
+	limit    int     // of a configuration and of the body of a change, in bytes; for Check alone
 	index    uint64
 	document *document
 	taken    *takenChanges
@@ -26,11 +27,15 @@
 // NewState is the state before the first entry. The checker is asked by Check about the schema of items; it may be nil on
 // nodes that never call Check.
 func NewState(checker Checker) *State {
-	state := &State{checker: checker}
+	state := &State{checker: checker, limit: MaxBodyBytes}
 	state.reset()
 	return state
 }
 
+// SetLimit bounds what Check lets in: the body of a change and the whole configuration after it, in bytes. Entries that others
+// took are applied whatever their size, so that replicas never differ.
+func (s *State) SetLimit(bytes int) { s.limit = min(bytes, MaxBodyBytes) }
+
 func (s *State) reset() {
 	s.index = 0
 	s.document = emptyDocument
--- a/internal/node/controlapi/api.go
+++ b/internal/node/controlapi/api.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"kestrelspread/internal/node/nodepb"
+	"kestrelspread/internal/node/submit"
 )
 
 // Backend carries the calls out. Each context ends after Options.CallTimeout, or when the caller has left. An error
@@ -103,7 +104,12 @@
 
 // callContext bounds a call of the Backend.
 func (a *api) callContext(r *http.Request) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(r.Context(), a.callTimeout)
+	return a.sizedCallContext(r, 0)
+}
+
+// sizedCallContext bounds a call with a body of that many bytes, for which callers wait longer.
+func (a *api) sizedCallContext(r *http.Request, bytes int) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), a.callTimeout+submit.ExtraTime(bytes))
 }
 
 func (a *api) status(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/controlapi/operator.go
+++ b/internal/node/controlapi/operator.go
@@ -85,7 +85,7 @@
 
 // submit brings a command to the chain and words its result.
 func (a *api) submit(w http.ResponseWriter, r *http.Request, path string, command *nodepb.Command) {
-	ctx, cancel := a.callContext(r)
+	ctx, cancel := a.sizedCallContext(r, len(command.GetConfigChange().GetBody()))
 	defer cancel()
 	result, err := a.backend.Submit(ctx, command)
 	if err != nil {
@@ -109,6 +109,8 @@
 		writeJSON(w, http.StatusPreconditionFailed, reply)
 	case nodepb.ResultCode_INVALID:
 		writeJSON(w, http.StatusBadRequest, reply)
+	case nodepb.ResultCode_TOO_LARGE:
+		writeJSON(w, http.StatusRequestEntityTooLarge, reply)
 	default:
 		writeUnavailable(w, result.GetText())
 	}
--- a/internal/node/controlapi/operator_test.go
+++ b/internal/node/controlapi/operator_test.go
@@ -56,6 +56,8 @@
 		{"taken", taken(7), nil, http.StatusOK, `{"version":7}`},
 		{"conflict", &nodepb.CommandResult{Code: nodepb.ResultCode_CONFLICT, Text: "version 6 is current", Version: 6}, nil,
 			http.StatusPreconditionFailed, `{"version":6,"error":"version 6 is current"}`},
+		{"too large", &nodepb.CommandResult{Code: nodepb.ResultCode_TOO_LARGE, Text: "these machines hold 5000000", Version: 6}, nil,
+			http.StatusRequestEntityTooLarge, `{"version":6,"error":"these machines hold 5000000"}`},
 		{"invalid", &nodepb.CommandResult{Code: nodepb.ResultCode_INVALID, Text: `routes[0].timeoutMs: is 0`, Version: 6}, nil,
 			http.StatusBadRequest, `{"version":6,"error":"routes[0].timeoutMs: is 0"}`},
 		{"unavailable", &nodepb.CommandResult{Code: nodepb.ResultCode_UNAVAILABLE, Text: "no chain"}, nil,
--- a/internal/node/journal/journal.go
+++ b/internal/node/journal/journal.go
@@ -19,6 +19,8 @@
 	diskShare = 2
 	// minAppendedBytes is appended at least before a checkpoint is asked for, however small the one before was.
 	minAppendedBytes = 512 << 10
+	// smallRecordBytes of a segment are left for the small records beside states and changes.
+	smallRecordBytes = 512 << 10
 	// reserveShare of a segment is left when a checkpoint is asked for: one in reserveShare.
 	reserveShare = 4
 )
@@ -94,6 +96,17 @@
 	return journal, records, nil
 }
 
+// LargestState is the size of the largest state that a journal on a disk of that many bytes can keep, if no record is larger than
+// the state: a segment takes a checkpoint with the state, the record that waits to be committed, and the one after it.
+func LargestState(maxBytes int64) int64 {
+	if maxBytes <= 0 {
+		maxBytes = defaultDiskBytes
+	}
+	const recordsInSegment = 3
+	segment := maxBytes / diskShare / ringSegments
+	return (segment - min(smallRecordBytes, segment/reserveShare)) / recordsInSegment
+}
+
 // Identity names the disk; empty where nothing is kept. It is durable before anything else that is written.
 func (j *Journal) Identity() string { return j.identity }
 
@@ -228,7 +241,8 @@
 func (j *Journal) setNeedsCheckpoint() {
 	appended := j.end.offset - j.checkpointEnd
 	much := appended >= max(minAppendedBytes, j.checkpointEnd)
-	short := appended > 0 && j.end.offset > j.current.limit-j.current.limit/reserveShare
+	left := j.current.limit - j.end.offset
+	short := appended > 0 && (left < j.current.limit/reserveShare || left < j.checkpointEnd/2)
 	j.needsCheckpoint.Store(much || short)
 }
 
--- a/internal/node/submit/client.go
+++ b/internal/node/submit/client.go
@@ -18,8 +18,17 @@
 	DefaultTimeout core.Time = 800 * time.Millisecond
 	// tryElsewhereAfter is when a call that got no answer goes to another core machine as well.
 	tryElsewhereAfter = 250 * time.Millisecond
+	// extraBytesPerSecond is how fast large commands are taken to come to the head and through the chain.
+	extraBytesPerSecond = 2 << 20
+	// freeBytes of a command need no further time.
+	freeBytes = 128 << 10
 )
 
+// ExtraTime is how much longer a call with a body of that many bytes may take.
+func ExtraTime(bytes int) core.Time {
+	return core.Time(max(0, bytes-freeBytes)) * time.Second / extraBytesPerSecond
+}
+
 // Options of a Client.
 type Options struct {
 	// Timeout of a call; 0 means DefaultTimeout.
@@ -33,7 +42,8 @@
 type call struct {
 	request uint64 // as this node's API names it
 	message *nodepb.Submit
-	tried   []string // addresses
+	tried   []string  // addresses
+	extra   core.Time // for its size
 	nextTry core.Time
 	expires core.Time
 }
@@ -89,16 +99,18 @@
 	return c.finish()
 }
 
-// Read asks the tail for the committed state.
-func (c *Client) Read(now core.Time, request uint64) []core.Output {
-	c.start(now, request, &nodepb.Submit{Read: true})
+// Read asks the tail for the committed state. knownIndex is that of the state that this node holds: where it is the newest, the
+// answer names just the index.
+func (c *Client) Read(now core.Time, request, knownIndex uint64) []core.Output {
+	c.start(now, request, &nodepb.Submit{Read: true, KnownIndex: knownIndex})
 	return c.finish()
 }
 
 func (c *Client) start(now core.Time, request uint64, message *nodepb.Submit) {
 	c.counter++
 	message.Request = c.counter
-	call := &call{request: request, message: message, expires: now + c.options.Timeout}
+	extra := ExtraTime(len(message.GetCommand().GetConfigChange().GetBody()))
+	call := &call{request: request, message: message, extra: extra, expires: now + c.options.Timeout + extra}
 	c.calls = append(c.calls, call)
 	c.try(now, call)
 }
@@ -164,7 +176,7 @@
 
 // try sends the call to the head, or to the next machine that was not tried.
 func (c *Client) try(now core.Time, call *call) {
-	call.nextTry = now + tryElsewhereAfter
+	call.nextTry = now + tryElsewhereAfter + call.extra
 	if address := c.choose(call); address != "" {
 		c.sendTo(now, call, address)
 	}
@@ -200,7 +212,7 @@
 
 func (c *Client) sendTo(now core.Time, call *call, address string) {
 	call.tried = append(call.tried, address)
-	call.nextTry = now + tryElsewhereAfter
+	call.nextTry = now + tryElsewhereAfter + call.extra
 	c.outputs = append(c.outputs, core.Send{
 		To:      address,
 		Message: &nodepb.Envelope{Body: &nodepb.Envelope_Submit{Submit: call.message}},
--- a/internal/node/view/detector.go
+++ b/internal/node/view/detector.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,7 +26,7 @@
 	// stuckAfter is how long a proposer may be wedged before another member of the chain proposes in its place.
 	stuckAfter = 600 * time.Millisecond
 	// sentKept is how many of the newest messages to a peer are kept by number until they are known to have arrived.
-	sentKept = 8
+	sentKept = 32
 )
 
 // Detector finds out who can be reached, both ways, by numbered pings. Of two voters the one with the lower disk id pings; the
@@ -39,6 +40,7 @@
 	outsider bool              // this node is not among the voters
 	interval core.Time
 	nextPing core.Time
+	relays   []string // addresses, best first
 
 	firstSequence uint64
 }
@@ -101,6 +103,8 @@
 			heard:          d.now,
 			nextPing:       d.now,
 			sequence:       d.firstSequence,
+			heardDirect:    d.now,
+			paths:          paths{direct: d.now},
 			unhealthySince: core.Never,
 			wedgedSince:    core.Never,
 		}
@@ -118,36 +122,47 @@
 	for _, p := range d.peers {
 		p.since = now
 		p.heard = max(p.heard, now-passiveAfter)
+		p.paths.direct = max(p.paths.direct, now-relayAfter)
 	}
 	return true
 }
 
-// Due lists the addresses that are to be pinged now; the caller sends each what Ping returns.
-func (d *Detector) Due() []string {
+// Due lists the pings that are to be sent now; the caller sends each what Ping returns.
+func (d *Detector) Due() []Probe {
 	if d.now < d.nextPing {
 		return nil
 	}
 	d.nextPing = d.now + d.interval
-	var due []string
+	var due []Probe
 	for address, p := range d.peers {
 		if !p.target && d.now-p.heard > forgetAfter {
 			delete(d.peers, address)
 			continue
 		}
-		if p.target && d.now >= p.nextPing && d.pings(p) {
-			due = append(due, address)
+		if !p.target || !d.pings(p) {
+			continue
+		}
+		if d.now >= p.nextPing {
+			due = append(due, Probe{Address: address})
+		}
+		for _, relay := range d.relayDue(address, p) {
+			due = append(due, Probe{Address: address, Via: relay})
 		}
 	}
-	slices.Sort(due)
+	slices.SortFunc(due, func(a, b Probe) int {
+		return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Via, b.Via))
+	})
 	return due
 }
 
-// pings reports whether this node is the one of the two that pings.
+// passive reports whether the other one of the two usually pings.
+func (d *Detector) passive(p *peer) bool {
+	return !d.outsider && p.expects != "" && d.self.GetDiskId() >= p.expects
+}
+
+// pings reports whether this node pings the peer just now.
 func (d *Detector) pings(p *peer) bool {
-	if d.outsider || p.expects == "" || d.self.GetDiskId() < p.expects {
-		return true
-	}
-	return d.now-p.heard >= passiveAfter
+	return !d.passive(p) || d.now-p.heard >= passiveAfter || d.now-p.paths.direct >= passiveRelayAfter
 }
 
 // Deadline is when Due has something to say.
@@ -158,14 +173,16 @@
 	return d.nextPing
 }
 
-// Ping makes the next ping for the address.
-func (d *Detector) Ping(address string, self Told) *nodepb.VoterPing {
+// Ping makes the next ping for the address, to be sent by the relay, or directly where that is empty.
+func (d *Detector) Ping(address, via string, self Told) *nodepb.VoterPing {
 	p := d.peer(address)
 	p.sequence++
-	p.pings[p.sequence%sentKept] = sent{p.sequence, d.now}
-	p.nextPing = d.now
-	if d.now-p.heard > slowPingAfter {
-		p.nextPing = d.now + slowPing
+	p.pings[p.sequence%sentKept] = sent{p.sequence, d.now, via}
+	if via == "" {
+		p.nextPing = d.now
+		if d.now-p.heardDirect > slowPingAfter {
+			p.nextPing = d.now + slowPing
+		}
 	}
 	return &nodepb.VoterPing{
 		Sequence:     p.sequence,
@@ -181,10 +198,10 @@
 	}
 }
 
-// Pinged takes a ping and makes the pong.
-func (d *Detector) Pinged(address string, ping *nodepb.VoterPing, self Told) *nodepb.VoterPong {
+// Pinged takes a ping and makes the pong, which is to go back the way that the ping came.
+func (d *Detector) Pinged(address, via string, ping *nodepb.VoterPing, self Told) *nodepb.VoterPong {
 	p := d.peer(address)
-	d.note(p, Told{
+	d.note(p, via, Told{
 		Voter:       ping.GetSelf(),
 		Epoch:       ping.GetEpoch(),
 		Committed:   ping.GetCommitted(),
@@ -195,7 +212,7 @@
 		Missing:     ping.GetMissing(),
 	})
 	d.confirm(p, p.pongs[ping.GetAcknowledged()%sentKept], ping.GetAcknowledged())
-	p.pongs[ping.GetSequence()%sentKept] = sent{ping.GetSequence(), d.now}
+	p.pongs[ping.GetSequence()%sentKept] = sent{ping.GetSequence(), d.now, via}
 	return &nodepb.VoterPong{
 		Sequence:    ping.GetSequence(),
 		Self:        self.Voter,
@@ -210,9 +227,9 @@
 }
 
 // Ponged takes the answer to a ping.
-func (d *Detector) Ponged(address string, pong *nodepb.VoterPong) {
+func (d *Detector) Ponged(address, via string, pong *nodepb.VoterPong) {
 	p := d.peer(address)
-	d.note(p, Told{
+	d.note(p, via, Told{
 		Voter:       pong.GetSelf(),
 		Epoch:       pong.GetEpoch(),
 		Committed:   pong.GetCommitted(),
@@ -231,7 +248,7 @@
 func (d *Detector) Proven(address string, voter *nodepb.Voter, left core.Time) {
 	p := d.peer(address)
 	if p.told == nil || p.told.Voter.GetDiskId() != voter.GetDiskId() {
-		d.note(p, Told{Voter: voter, DiskHealthy: true, Counts: true})
+		d.note(p, "", Told{Voter: voter, DiskHealthy: true, Counts: true})
 	}
 	p.heard = d.now
 	p.proven = true
@@ -245,15 +262,20 @@
 	}
 	p.proven = true
 	p.confirmed = max(p.confirmed, message.at)
+	p.paths.proven(message.via, message.at)
 	return true
 }
 
-func (d *Detector) note(p *peer, told Told) {
+func (d *Detector) note(p *peer, via string, told Told) {
+	if via == "" {
+		p.heardDirect = d.now
+	}
 	if p.told != nil && p.told.Voter.GetNodeId() != told.Voter.GetNodeId() {
 		p.pongs = [sentKept]sent{}
 		p.proven = false
 		p.since = d.now
 		p.acknowledged = 0
+		p.paths = paths{direct: max(p.paths.direct, d.now-relayAfter)}
 	}
 	p.heard = d.now
 	if told.DiskHealthy {
--- a/internal/node/view/peer.go
+++ b/internal/node/view/peer.go
@@ -27,6 +27,7 @@
 type sent struct {
 	sequence uint64
 	at       core.Time
+	via      string // address of the relay; empty: directly
 }
 
 // peer is what is known of the node at one address.
@@ -35,12 +36,16 @@
 	expects string // disk id that the view has at this address, empty if any
 	told    *Told
 
-	since     core.Time // when watching began, or began anew
-	heard     core.Time // when its newest message came
-	proven    bool
-	confirmed core.Time // when the newest message to it left that is known to have arrived
+	since core.Time // when watching began, or began anew
+	heard core.Time // when its newest message came
+	// heardDirect is when the newest one came that no relay brought.
+	heardDirect core.Time
+	proven      bool
+	confirmed   core.Time // when the newest message to it left that is known to have arrived
 
-	nextPing     core.Time
+	paths        paths
+	nextRelayed  core.Time // pings by relays
+	nextPing     core.Time // direct ones
 	sequence     uint64
 	pings        [sentKept]sent
 	pongs        [sentKept]sent
