View: a silent peer that is the only relay known is no cause to panic

Cause: relayDue (view/paths.go) took the first of the relays to try where there may be none: a node panicked 5 s after the only other node it knew, the peer itself, had fallen silent. Change: none is tried then. TestNoRelayButThePeerItself, seen panicking.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -65,7 +65,6 @@
 
 	seen        seenRevisions
 	brokersCopy savedBrokers
-	compaction  uint64 // token of the checkpoint that is being written; 0: none
 }
 
 // seenRevisions is what the loop has noted of this node's course.
--- a/internal/node/agent/store.go
+++ b/internal/node/agent/store.go
@@ -71,32 +71,15 @@
 	return int(limit)
 }
 
-// written reports the end of a write to the store.
+// written reports the end of a write to the control side.
 func (a *Agent) written(token uint64, err error) {
+	needsCheckpoint := a.journal.NeedsCheckpoint()
 	a.post(func(now core.Time) {
-		outputs := a.control.Written(now, token, err)
+		outputs := a.control.Written(now, token, err, needsCheckpoint)
 		if err != nil {
 			a.log.Warn("journal", "error", err)
 			a.writer.Resume()
 		}
-		if token == a.compaction {
-			a.compaction = 0
-		}
 		a.carryOut(now, outputs)
-		a.compactIfNeeded(now) // after a failure as well: the ring may have had no room left
 	})
 }
-
-// compactIfNeeded has the journal begin again with the state alone where it is nearly full.
-func (a *Agent) compactIfNeeded(now core.Time) {
-	if a.compaction != 0 || !a.journal.NeedsCheckpoint() {
-		return
-	}
-	outputs := a.control.Compact(now)
-	for _, output := range outputs {
-		if write, ok := output.(core.Write); ok && write.Checkpoint {
-			a.compaction = write.Token
-		}
-	}
-	a.carryOut(now, outputs)
-}
--- a/internal/node/control/inputs.go
+++ b/internal/node/control/inputs.go
@@ -50,16 +50,27 @@
 	return n.take()
 }
 
-// Written takes the end of a write to the journal.
-func (n *Node) Written(now core.Time, token uint64, err error) []core.Output {
+// Written takes the end of a write to the journal. Where that needs a checkpoint, also after a write that found no room, everything
+// that must survive is written anew as one.
+func (n *Node) Written(now core.Time, token uint64, err error, needsCheckpoint bool) []core.Output {
+	if token == n.compaction {
+		n.compaction = 0
+	}
 	n.carryOut(now, n.store.Written(now, token, err))
+	if needsCheckpoint && n.compaction == 0 {
+		n.compact(now)
+	}
 	return n.take()
 }
 
-// Compact has everything that must survive written anew, as one checkpoint.
-func (n *Node) Compact(now core.Time) []core.Output {
-	n.carryOut(now, n.store.Compact(now))
-	return n.take()
+func (n *Node) compact(now core.Time) {
+	outputs := n.store.Compact(now)
+	for _, output := range outputs {
+		if write, ok := output.(core.Write); ok && write.Checkpoint {
+			n.compaction = write.Token
+		}
+	}
+	n.carryOut(now, outputs)
 }
 
 // ownRequest marks the numbers of the duty's own commands; those of callers are below.
--- a/internal/node/control/node.go
+++ b/internal/node/control/node.go
@@ -36,6 +36,8 @@
 	Tolerance int
 	// ConfigurationLimit is the size of the largest configuration that machines like this one hold, in bytes.
 	ConfigurationLimit int
+	// Checker checks the items of configurations at the head of the chain; nil: the schema of package schema.
+	Checker config.Checker
 	// Heartbeat is how often brokers announce themselves.
 	Heartbeat time.Duration
 	Bounds    Bounds
@@ -67,11 +69,12 @@
 	rollout      *rollout.Rollout
 	transfers    *transfer.Transfers
 
-	seen      seenRevisions
-	confirmed core.Time // of the state held here; 0: never
-	targets   map[string]rollout.Target
-	grants    map[uint64]bool // requests of the duty's own commands
-	requests  uint64          // the last of them
+	seen       seenRevisions
+	confirmed  core.Time // of the state held here; 0: never
+	targets    map[string]rollout.Target
+	grants     map[uint64]bool // requests of the duty's own commands
+	requests   uint64          // the last of them
+	compaction uint64          // token of the checkpoint that is being written; 0: none
 	// coreAddresses are the internal addresses of the members that count, for which this node relays messages.
 	coreAddresses map[string]bool
 }
@@ -88,13 +91,16 @@
 // New makes a node without a disk; see AttachStore.
 func New(now core.Time, options Options, random *rand.Rand) *Node {
 	self := options.Self
+	if options.Checker == nil {
+		options.Checker = schema.NewChecker()
+	}
 	n := &Node{
 		options:    options,
 		random:     random,
 		self:       self,
 		membership: membership.New(now, membership.Options{Self: self, Seeds: options.Seeds}, random),
 		submit:     submit.New(submit.Options{Random: derived(random)}),
-		state:      config.NewState(schema.NewChecker()),
+		state:      config.NewState(options.Checker),
 		transfers:  transfer.New(derived(random)),
 		targets:    map[string]rollout.Target{},
 		grants:     map[uint64]bool{},
@@ -130,7 +136,7 @@
 // AttachStore makes this node a member of the core, once its disk has proved that it takes writes. records is what the journal
 // holds.
 func (n *Node) AttachStore(now core.Time, diskID string, records []core.Record) ([]core.Output, error) {
-	machine := config.NewState(schema.NewChecker())
+	machine := config.NewState(n.options.Checker)
 	machine.SetLimit(n.options.ConfigurationLimit)
 	store, outputs, err := chain.New(now, chain.Options{
 		Self:      &nodepb.Voter{DiskId: diskID, Address: n.self.Address, NodeId: n.self.NodeId},
--- a/internal/node/transfer/subject.go
+++ b/internal/node/transfer/subject.go
@@ -13,14 +13,15 @@
 	kind := wireproto.KindOf(message).String()
 	switch body := message.GetBody().(type) {
 	case *nodepb.Envelope_Submit:
-		return Subject{Slot: fmt.Sprintf("%s %d", kind, body.Submit.GetRequest())}
+		return Subject{Slot: fmt.Sprintf("%s %d", kind, body.Submit.GetRequest()), Urgent: true}
 	case *nodepb.Envelope_SubmitReply:
 		return Subject{Slot: fmt.Sprintf("%s %d", kind, body.SubmitReply.GetRequest())}
 	case *nodepb.Envelope_Append:
 		entry := body.Append.GetEntry()
-		return Subject{Slot: kind, Version: fmt.Sprintf("%d %d %d", body.Append.GetEpoch(), entry.GetIndex(), entry.GetEpoch())}
+		version := fmt.Sprintf("%d %d %d", body.Append.GetEpoch(), entry.GetIndex(), entry.GetEpoch())
+		return Subject{Slot: kind, Version: version, Urgent: true}
 	case *nodepb.Envelope_CatchUp:
-		return Subject{Slot: kind, Version: fmt.Sprint(body.CatchUp.GetEpoch())}
+		return Subject{Slot: kind, Version: fmt.Sprint(body.CatchUp.GetEpoch()), Urgent: true}
 	default:
 		return Subject{Slot: kind}
 	}
--- a/internal/node/transfer/transfer.go
+++ b/internal/node/transfer/transfer.go
@@ -30,7 +30,8 @@
 	// windowBytes of one transfer, and allWindows of all of them, may be under way without an acknowledgement.
 	windowBytes = 2 * fragmentBytes
 	allWindows  = 4 * fragmentBytes
-	// maxOutgoing and maxIncoming bound the transfers under way, and maxIncomingBytes what they may hold here.
+	// maxOutgoing, of urgent ones and of others, and maxIncoming bound the transfers under way, and maxIncomingBytes what they may
+	// hold here.
 	maxOutgoing      = 4
 	maxIncoming      = 16
 	maxIncomingBytes = MaxMessage
@@ -38,6 +39,7 @@
 	retryAfter  = 400 * time.Millisecond // without an acknowledgement, a fragment is sent again
 	mostRetry   = 2 * retryAfter         // between later ones
 	giveUpAfter = 10 * time.Second       // without progress, a transfer ends
+	stalled     = time.Second            // without progress, it gives way to a new one
 )
 
 // outgoing is a message on its way to another node.
@@ -59,6 +61,8 @@
 type Subject struct {
 	Slot    string
 	Version string
+	// Urgent messages, on which acknowledgements wait, go before others.
+	Urgent bool
 }
 
 // Transfers is the state machine of one node's transfers.
@@ -76,7 +80,7 @@
 
 // Send starts to send the message to the node, unless it is larger than MaxMessage or too many are under way.
 func (t *Transfers) Send(now core.Time, to string, subject Subject, message *nodepb.Envelope) []core.Output {
-	if t.occupied(to, subject) || len(t.outgoing) >= maxOutgoing {
+	if t.occupied(to, subject) || !t.makeRoom(now, subject.Urgent) {
 		return nil
 	}
 	data, err := proto.Marshal(message)
@@ -106,24 +110,64 @@
 	return false
 }
 
-// pump sends fragments while the windows have room; transfers take turns.
+// makeRoom reports whether another transfer may begin. Where there are too many, the one that made no progress for longest ends, if
+// that is long enough: its receiver may be gone, and must not hold up the others.
+func (t *Transfers) makeRoom(now core.Time, urgent bool) bool {
+	count, slowest := 0, -1
+	for i, o := range t.outgoing {
+		if o.subject.Urgent != urgent {
+			continue
+		}
+		count++
+		if slowest < 0 || o.progress < t.outgoing[slowest].progress {
+			slowest = i
+		}
+	}
+	if count < maxOutgoing {
+		return true
+	}
+	if now-t.outgoing[slowest].progress < stalled {
+		return false
+	}
+	t.outgoing = slices.Delete(t.outgoing, slowest, slowest+1)
+	return true
+}
+
+// pump sends fragments while the windows have room: urgent transfers first, and else by turns.
 func (t *Transfers) pump(now core.Time) {
 	underWay := 0
 	for _, o := range t.outgoing {
-		underWay += o.sent - o.acked
+		if o.retries == 0 {
+			underWay += o.sent - o.acked
+		}
 	}
+	underWay = t.pumpThose(now, true, underWay)
+	t.pumpThose(now, false, underWay)
+}
+
+// pumpThose sends fragments of urgent transfers, or of the others. What is under way of transfers that had to send again is not
+// waited for, as their receivers may be gone.
+func (t *Transfers) pumpThose(now core.Time, urgent bool, underWay int) int {
 	for progress := true; progress && underWay < allWindows; {
 		progress = false
 		for _, o := range t.outgoing {
-			if o.sent >= len(o.data) || o.sent-o.acked >= o.window() || underWay >= allWindows {
+			full := o.sent >= len(o.data) || o.sent-o.acked >= o.window()
+			if o.subject.Urgent != urgent || full || o.retries == 0 && underWay >= allWindows {
 				continue
 			}
-			underWay += t.sendFragment(now, o)
+			sent := t.sendFragment(now, o)
 			progress = true
+			if o.retries == 0 {
+				underWay += sent
+			}
 		}
 	}
+	return underWay
 }
 
+// waits reports whether fragments are under way whose acknowledgement has not come.
+func (o *outgoing) waits() bool { return o.sent > o.acked }
+
 // window is how many bytes may be under way: a single fragment until one that was sent again is acknowledged.
 func (o *outgoing) window() int {
 	if o.retries > 0 {
@@ -185,7 +229,7 @@
 func (t *Transfers) Tick(now core.Time) []core.Output {
 	t.outgoing = slices.DeleteFunc(t.outgoing, func(o *outgoing) bool { return now-o.progress >= giveUpAfter })
 	for _, o := range t.outgoing {
-		if now >= o.retryAt {
+		if o.waits() && now >= o.retryAt {
 			o.retries++
 			o.retryAt = now + min(retryAfter<<min(o.retries, 4), mostRetry)
 			o.sent = o.acked
@@ -200,7 +244,10 @@
 func (t *Transfers) Deadline() core.Time {
 	deadline := core.Never
 	for _, o := range t.outgoing {
-		deadline = min(deadline, o.retryAt, o.progress+giveUpAfter)
+		deadline = min(deadline, o.progress+giveUpAfter)
+		if o.waits() {
+			deadline = min(deadline, o.retryAt)
+		}
 	}
 	for _, i := range t.incoming {
 		deadline = min(deadline, i.progress+giveUpAfter)
--- a/internal/node/view/paths.go
+++ b/internal/node/view/paths.go
@@ -106,9 +106,10 @@
 	if len(d.relays) == 0 || d.now-p.paths.direct < limit || d.now < p.nextRelayed {
 		return nil
 	}
+	tried := p.paths.tried(d.now, d.relays, address)
 	if d.now-p.heard > slowPingAfter {
 		p.nextRelayed = d.now + slowPing
-		return p.paths.tried(d.now, d.relays, address)[:1]
+		return tried[:min(1, len(tried))]
 	}
-	return p.paths.tried(d.now, d.relays, address)
+	return tried
 }
--- a/internal/node/view/paths_test.go
+++ b/internal/node/view/paths_test.go
@@ -96,3 +96,16 @@
 	assert.Equal(t, p.nodes["a"].Route("b"), "")
 	assert.Equal(t, p.nodes["a"].Condition("b"), Unknown)
 }
+
+// TestNoRelayButThePeerItself: a silent peer that is the only other node known is pinged directly alone.
+func TestNoRelayButThePeerItself(t *testing.T) {
+	p := newPair("a", "b")
+	for _, node := range p.nodes {
+		node.SetRelays([]string{"b", "a"})
+	}
+	p.step(time.Second)
+	delete(p.nodes, "b")
+	p.step(10 * time.Second)
+	assert.Equal(t, p.nodes["a"].Condition("b"), Missing)
+	assert.Equal(t, p.nodes["a"].Route("b"), "")
+}
--- /dev/null
+++ b/internal/rig/faultrun/run_test.go
@@ -0,0 +1,37 @@
+package faultrun
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+var (
+	seedCount = flag.Int("seeds", 60, "how many seeds to play")
+	firstSeed = flag.Uint64("first-seed", 0, "the first of them")
+)
+
+func TestSeeds(t *testing.T) {
+	seeds := *seedCount
+	if testing.Short() {
+		seeds = 20
+	}
+	for i := range uint64(seeds) {
+		seed := *firstSeed + i
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := Play(PlanOf(seed), false)
+			if r.Breach == "" {
+				t.Logf("%d changes, %d reads, %d relayed, longest %v, unclear %v", r.Changes, r.Reads, r.Relayed, r.Longest, r.Unclear)
+				return
+			}
+			t.Errorf("seed %d (core %d, tolerance %d, padding %d, pause %v, delay %v): %s", seed, r.Plan.Core, r.Plan.Tolerance, r.Plan.Padding,
+				r.Plan.Pause, r.Plan.Delay, r.Breach)
+			if testing.Verbose() {
+				again := Play(r.Plan, true)
+				t.Log(strings.Join(again.Trace, "\n"))
+			}
+		})
+	}
+}
