--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -146,6 +146,7 @@
 func (a *Agent) bounds() control.Bounds {
 	bounds := a.settings.Bounds
 	return control.Bounds{
+		Contact:          bounds.Contact(),
 		GlobalRevocation: bounds.GlobalRevocation, Revoke: bounds.Revoke(),
 		Lease: bounds.Lease(), Thaw: bounds.Thaw(), Version: bounds.Version(),
 	}
--- a/internal/node/control/lease.go
+++ b/internal/node/control/lease.go
@@ -11,15 +11,26 @@
 // the way to the broker and a late thread.
 const revocationMargin = 600 * time.Millisecond
 
-// MayServe reports whether a request may be sent on now under a configuration that was confirmed at the time; 0: never. Source:
-// RULES.md, "API keys".
+// MayServe reports whether a request may be sent on now, by the time since the process started, under a configuration that was
+// confirmed at the time; 0: never in this life.
+//
+// A process that has just started serves what it holds meanwhile, where no lease forbids it: nobody relies on it until it has been in
+// touch for contactMs. After that a configuration that was never confirmed may be older than what others acknowledged, however long
+// this process runs, and is not served. Source: RULES.md, "Configuration", "API keys".
 func (b Bounds) MayServe(now core.Time, compiled *config.Compiled, confirmed core.Time, public bool) bool {
-	if compiled == nil || compiled.Version == 0 {
+	switch {
+	case compiled == nil || compiled.Version == 0:
 		return false
+	case confirmed == 0 && now >= b.unconfirmedLimit():
+		return false
+	default:
+		return public || b.LeaseHolds(now, confirmed)
 	}
-	return public || b.LeaseHolds(now, confirmed)
 }
 
+// unconfirmedLimit is how long after its start a process may serve a configuration that was not confirmed.
+func (b Bounds) unconfirmedLimit() core.Time { return b.Contact * 2 / 3 }
+
 // LeaseHolds reports whether a configuration was confirmed recently enough for keys to be trusted.
 func (b Bounds) LeaseHolds(now, confirmed core.Time) bool {
 	return !b.GlobalRevocation || confirmed != 0 && now-confirmed < b.Revoke-revocationMargin
--- a/internal/node/control/node.go
+++ b/internal/node/control/node.go
@@ -45,6 +45,7 @@
 
 // Bounds are the figures of the rules that the control side keeps. Source: DEPLOY.md, "Settings of a process".
 type Bounds struct {
+	Contact          time.Duration
 	GlobalRevocation bool
 	Revoke           time.Duration
 	Lease            time.Duration
--- a/internal/node/journal/journal.go
+++ b/internal/node/journal/journal.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
+	"io"
 	"sync/atomic"
 
 	"kestrelspread/internal/node/core"
@@ -33,6 +34,8 @@
 	MaxBytes int64
 	// FS is the disk; nil: the real one.
 	FS FileSystem
+	// Random is what identities and numbers of attempts are drawn from; nil: the system's source of randomness.
+	Random io.Reader
 }
 
 // Recovery is what Open found.
@@ -50,6 +53,7 @@
 type Journal struct {
 	segments [ringSegments]*segment // nil where nothing is kept
 	identity string
+	random   io.Reader
 	recovery Recovery
 
 	generation uint64   // the highest number ever used
@@ -71,7 +75,10 @@
 // appended after it, in order. A disk that refuses writes gives a journal whose writes fail until it takes them again.
 // An error means that the disk can't be read, so that nothing is known of its state.
 func Open(options Options) (*Journal, []core.Record, error) {
-	journal := &Journal{}
+	if options.Random == nil {
+		options.Random = rand.Reader
+	}
+	journal := &Journal{random: options.Random}
 	if options.Dir == "" {
 		journal.healthy.Store(true)
 		return journal, nil, nil
@@ -86,7 +93,7 @@
 		limit := options.MaxBytes / diskShare / ringSegments
 		journal.segments[number] = newSegment(options.FS, options.Dir, number, limit)
 	}
-	journal.attempt = randomNumber()
+	journal.attempt = journal.randomNumber()
 	records, err := journal.recover()
 	if err != nil {
 		_ = journal.Close()
@@ -136,7 +143,7 @@
 		return Full.New("append: %d bytes of %d are in use", j.end.offset, j.current.limit)
 	}
 	if err := j.append(records, end); err != nil {
-		j.attempt = randomNumber()
+		j.attempt = j.randomNumber()
 		j.healthy.Store(false)
 		return Unwritten.Wrap(err, "append")
 	}
@@ -189,7 +196,7 @@
 func (j *Journal) checkpoint(target *segment, records []core.Record) error {
 	target.doubtful = true
 	j.generation++
-	j.attempt = randomNumber()
+	j.attempt = j.randomNumber()
 	if err := target.create(); err != nil {
 		return err
 	}
@@ -260,15 +267,15 @@
 func (j *Journal) inMemory() bool { return j.segments[0] == nil }
 
 // randomNumber draws a number that no other attempt has.
-func randomNumber() uint64 {
+func (j *Journal) randomNumber() uint64 {
 	var b [8]byte
-	_, _ = rand.Read(b[:]) // never fails
+	_, _ = io.ReadFull(j.random, b[:]) // never fails
 	return binary.LittleEndian.Uint64(b[:])
 }
 
 // newIdentity draws an identity for a disk.
-func newIdentity() string {
+func (j *Journal) newIdentity() string {
 	var b [identityBytes / 2]byte
-	_, _ = rand.Read(b[:]) // never fails
+	_, _ = io.ReadFull(j.random, b[:]) // never fails
 	return hex.EncodeToString(b[:])
 }
--- a/internal/node/journal/recover.go
+++ b/internal/node/journal/recover.go
@@ -41,10 +41,10 @@
 	switch {
 	case j.recovery.Damaged:
 		j.next = (damagedSegment + 1) % ringSegments // the damaged one is kept until the new one is durable
-		j.identity = newIdentity()
+		j.identity = j.newIdentity()
 		return nil, nil
 	case found == nil:
-		j.identity = newIdentity()
+		j.identity = j.newIdentity()
 		return nil, nil
 	}
 	j.takeOver(newest, found)
--- a/internal/node/transfer/incoming.go
+++ b/internal/node/transfer/incoming.go
@@ -16,7 +16,8 @@
 // incoming is a message that is on its way to this node, or that has come whole.
 type incoming struct {
 	total    int
-	data     []byte // without a gap; nil once it was delivered
+	data     []byte         // without a gap; nil once it was delivered
+	ahead    map[int][]byte // fragments behind a gap, by offset: at most a window of them
 	whole    bool
 	progress core.Time
 }
@@ -34,18 +35,15 @@
 	key := incomingKey{sender: from.NodeID, id: fragment.GetTransfer()}
 	i := t.incoming[key]
 	if i == nil {
-		if !t.hasRoom(fragment.GetTotal()) {
+		if !t.hasRoom(fragment.GetTotal()) && (!t.dropStalled(now) || !t.hasRoom(fragment.GetTotal())) {
 			return
 		}
 		i = &incoming{total: int(fragment.GetTotal()), progress: now}
 		t.incoming[key] = i
 	}
-	fits := len(fragment.GetData()) <= i.total-i.received()
-	if fragment.GetOffset() == uint64(i.received()) && fits && !i.whole {
-		i.data = append(i.data, fragment.GetData()...)
-		i.progress = now
+	if !i.whole {
+		i.add(now, fragment.GetOffset(), fragment.GetData())
 	}
-	i.whole = i.whole || len(i.data) == i.total
 	ack := &nodepb.FragmentAck{Transfer: key.id, Received: uint64(i.received())}
 	t.send(from.Address, &nodepb.Envelope{Body: &nodepb.Envelope_FragmentAck{FragmentAck: ack}})
 	if i.whole && i.data != nil {
@@ -53,18 +51,59 @@
 	}
 }
 
-// hasRoom reports whether another transfer of that size may come in.
+// add takes a fragment, and those that came before it though they follow it.
+func (i *incoming) add(now core.Time, offset uint64, data []byte) {
+	if offset > uint64(i.total) || len(data) > i.total-int(offset) || len(data) == 0 {
+		return
+	}
+	at := int(offset)
+	if at > len(i.data) && at <= len(i.data)+windowBytes && len(i.ahead) < windowBytes/fragmentBytes {
+		if i.ahead == nil {
+			i.ahead = map[int][]byte{}
+		}
+		i.ahead[at] = data
+		return
+	}
+	for next := data; at == len(i.data) && len(next) > 0; next = i.ahead[at] {
+		i.data = append(i.data, next...)
+		i.progress = now
+		delete(i.ahead, at)
+		at = len(i.data)
+	}
+	if len(i.data) == i.total {
+		i.whole, i.ahead = true, nil
+	}
+}
+
+// hasRoom reports whether another transfer of that size may come in. Those that are over hold nothing.
 func (t *Transfers) hasRoom(total uint64) bool {
-	if total == 0 || total > MaxMessage || len(t.incoming) >= maxIncoming {
+	if total == 0 || total > MaxMessage {
 		return false
 	}
-	held := int(total)
+	count, held := 1, int(total)
 	for _, i := range t.incoming {
 		if !i.whole {
+			count++
 			held += i.total
 		}
 	}
-	return held <= maxIncomingBytes
+	return count <= maxIncoming && held <= maxIncomingBytes
+}
+
+// dropStalled ends the transfer that made no progress for longest, if that is long enough: its sender may have given it up.
+func (t *Transfers) dropStalled(now core.Time) bool {
+	var slowest incomingKey
+	progress := now - stalled
+	for key, i := range t.incoming {
+		if !i.whole && (i.progress < progress || i.progress == progress && key.id < slowest.id) {
+			slowest, progress = key, i.progress
+		}
+	}
+	if slowest.sender == "" {
+		return false
+	}
+	delete(t.incoming, slowest)
+	return true
 }
 
 // deliver hands the message to the node. What is kept of the transfer says that it is over.
--- a/internal/node/transfer/transfer.go
+++ b/internal/node/transfer/transfer.go
@@ -36,8 +36,8 @@
 	maxIncoming      = 16
 	maxIncomingBytes = MaxMessage
 
-	retryAfter  = 400 * time.Millisecond // without an acknowledgement, a fragment is sent again
-	mostRetry   = 2 * retryAfter         // between later ones
+	retryAfter  = 250 * time.Millisecond // without an acknowledgement, a fragment is sent again
+	mostRetry   = 4 * retryAfter         // between later ones
 	giveUpAfter = 10 * time.Second       // without progress, a transfer ends
 	stalled     = time.Second            // without progress, it gives way to a new one
 )
--- a/internal/rig/faultrun/health.go
+++ b/internal/rig/faultrun/health.go
@@ -7,6 +7,7 @@
 	world       *World
 	coreAt      time.Duration // when something was last done to the core
 	stableSince time.Duration // the core is stable since then; -1: it isn't
+	restUntil   time.Duration // more was lost at a time than is tolerated: service may rest until then
 }
 
 func (h *health) coreTroubled() {
@@ -55,8 +56,11 @@
 	return 2*reached > len(counting)
 }
 
-// sample follows the time since when the core is stable.
+// sample follows the time since when the core is stable, and whether more is lost than is tolerated.
 func (h *health) sample() {
+	if h.lost() > h.world.plan.Tolerance {
+		h.restUntil = h.world.now + recoveryTime
+	}
 	switch {
 	case !h.stable():
 		h.stableSince = -1
@@ -65,6 +69,30 @@
 	}
 }
 
+// lost counts the machines that count as lost: those in trouble, and for catchUpS after it.
+func (h *health) lost() int {
+	lost := 0
+	for _, m := range h.world.core() {
+		if !m.up() || m.troubles > 0 || h.world.now-m.troubleAt < catchUpTime || h.cutOff(m) {
+			lost++
+		}
+	}
+	return lost
+}
+
+// cutOff reports whether the machine is cut off from another one of the core.
+func (h *health) cutOff(m *machine) bool {
+	for _, other := range h.world.core() {
+		if !h.linked(m, other) {
+			return true
+		}
+	}
+	return false
+}
+
+// rests reports whether service may rest, as losses have overlapped beyond what is tolerated.
+func (h *health) rests() bool { return h.world.now < h.restUntil }
+
 // inTouch reports whether the machine is in touch just now.
 func (h *health) inTouch(m *machine) bool {
 	w := h.world
--- a/internal/rig/faultrun/machine.go
+++ b/internal/rig/faultrun/machine.go
@@ -117,9 +117,10 @@
 		Checker:            noChecker{},
 		Heartbeat:          heartbeatTime,
 		Bounds: control.Bounds{
-			GlobalRevocation: w.plan.GlobalRevocation, Revoke: revokeTime, Lease: leaseTime, Thaw: thawTime, Version: versionTime,
+			Contact: contactTime, GlobalRevocation: w.plan.GlobalRevocation, Revoke: revokeTime, Lease: leaseTime, Thaw: thawTime, Version: versionTime,
 		},
 	}, rand.New(rand.NewPCG(w.random.Uint64(), 12)))
+	m.bootstrap = false
 	if m.counts {
 		m.openDisk(m.life)
 	}
@@ -133,7 +134,9 @@
 		if m.life != life || !m.running {
 			return
 		}
-		opened, records, err := journal.Open(journal.Options{Dir: "/data", MaxBytes: diskBytes, FS: m.disk})
+		opened, records, err := journal.Open(journal.Options{
+			Dir: "/data", MaxBytes: diskBytes, FS: m.disk, Random: chanceReader{w.random},
+		})
 		if err == nil && !opened.Healthy() {
 			err = opened.Append(nil)
 		}
@@ -145,14 +148,24 @@
 	})
 }
 
+// chanceReader draws bytes from a source of chance.
+type chanceReader struct{ random *rand.Rand }
+
+func (r chanceReader) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = byte(r.random.Uint32())
+	}
+	return len(b), nil
+}
+
 func (m *machine) attach(now core.Time, opened *journal.Journal, records []core.Record) {
 	outputs, err := m.node.AttachStore(now, opened.Identity(), records)
 	if err != nil {
 		m.world.fail("%s can't take up its journal: %v", m.name, err)
 		return
 	}
-	m.bootstrap = false
 	m.journal = opened
+	m.world.logf("%s: disk attached, %d records", m.name, len(records))
 	m.carryOut(outputs)
 }
 
--- a/internal/rig/faultrun/operator.go
+++ b/internal/rig/faultrun/operator.go
@@ -123,6 +123,7 @@
 		return
 	}
 	m := w.pick()
+	w.logf("%s goes to %s", sent.id, m.name)
 	number, moved := sent.attempts, false
 	goOn := func(after time.Duration) {
 		if !moved && sent.attempts == number {
@@ -134,6 +135,7 @@
 	w.callMachine(m, func() { goOn(callPause) }, func(request uint64) func(core.Time) {
 		m.replies[request] = func(reply core.Reply) {
 			status := statusOf(reply.Result)
+			w.logf("%s answers %d to %s: %s", m.name, status, sent.id, reply.Result.GetText())
 			w.checks.answered(m, sent, status)
 			w.answer(m, func() {
 				if status == http.StatusServiceUnavailable {
@@ -156,7 +158,8 @@
 			return
 		}
 		if w.random.Float64() < w.plan.CallLoss {
-			return // reset on its way
+			refused() // reset on its way
+			return
 		}
 		m.requests++
 		m.input(call(m.requests))
--- a/internal/rig/faultrun/plan.go
+++ b/internal/rig/faultrun/plan.go
@@ -97,6 +97,10 @@
 		plan.Pause *= 4
 	}
 	pace := 300*time.Millisecond + time.Duration(random.Int64N(int64(3500*time.Millisecond)))
+	if random.IntN(3) == 0 {
+		plan.spread(random)
+		return &plan
+	}
 	for at := time.Duration(random.Int64N(int64(3 * time.Second))); at < plan.Length; {
 		plan.Troubles = append(plan.Troubles, Trouble{
 			At: at, Kind: allKinds[random.IntN(len(allKinds))], A: random.IntN(1000), B: random.IntN(1000), X: random.IntN(60),
@@ -106,3 +110,23 @@
 	}
 	return &plan
 }
+
+// singleKinds are troubles that one at a time are borne whole.
+var singleKinds = []Kind{
+	Kill, PowerLoss, Freeze, CutOff, EvenCut, PairCut, ProxyCut, DiskFull, DiskFails, DiskHangs, DiskSlow, Wipe, AfterAck, Replace, Stop,
+	AnswerLoss, Seeds, Drain, Weights, Burst,
+}
+
+// spread makes a plan of troubles that come one after the other, each when the one before is over: what is promised of machines in touch
+// holds throughout.
+func (p *Plan) spread(random *rand.Rand) {
+	p.Length = 60 * time.Second
+	for at := 4 * time.Second; at < p.Length; {
+		t := Trouble{
+			At: at, Kind: singleKinds[random.IntN(len(singleKinds))], A: random.IntN(1000), B: random.IntN(1000), X: random.IntN(60),
+			For: 50*time.Millisecond + time.Duration(random.Int64N(int64(4*time.Second))),
+		}
+		p.Troubles = append(p.Troubles, t)
+		at += t.For + catchUpTime + time.Duration(random.Int64N(int64(5*time.Second)))
+	}
+}
--- a/internal/rig/faultrun/run_test.go
+++ b/internal/rig/faultrun/run_test.go
@@ -35,3 +35,15 @@
 		})
 	}
 }
+
+// TestARunFollowsFromItsSeed: played twice, the same happens.
+func TestARunFollowsFromItsSeed(t *testing.T) {
+	for seed := range uint64(6) {
+		first, second := Play(PlanOf(seed), true), Play(PlanOf(seed), true)
+		for i := range first.Trace {
+			if i >= len(second.Trace) || first.Trace[i] != second.Trace[i] {
+				t.Fatalf("seed %d differs from line %d on:\n%s\n%s", seed, i, first.Trace[i], second.Trace[min(i, len(second.Trace)-1)])
+			}
+		}
+	}
+}
