--- a/internal/rig/faultrun/world.go
+++ b/internal/rig/faultrun/world.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"kestrelspread/internal/node/chain"
-	"kestrelspread/internal/node/config"
 )
 
 // The bounds that the fleets are run with. Source: DEPLOY.md, "Settings of a process".
@@ -43,7 +42,6 @@
 	history   history
 	health    health
 	disks     int
-	checker   config.Checker
 
 	breach string // the first; empty: none
 	trace  []string
