--- a/internal/rig/faultrun/plan.go
+++ b/internal/rig/faultrun/plan.go
@@ -61,6 +61,8 @@
 	Drain       Kind = "drain"   // a broker leaves; X: it tells a core machine first
 	Weights     Kind = "weights" // new ones are named
 	Burst       Kind = "burst"   // the operators hurry
+	// Forget is no trouble that is borne: all disks are lost at once. It shows that a loss is found.
+	Forget Kind = "forget"
 )
 
 var allKinds = []Kind{
--- a/internal/rig/faultrun/troubles.go
+++ b/internal/rig/faultrun/troubles.go
@@ -79,6 +79,10 @@
 		w.nameWeights(w.checks.weights+1, time.Duration(0))
 	case Burst:
 		w.burst(t.For)
+	case Forget:
+		for _, m := range w.others() {
+			w.forget(m)
+		}
 	}
 }
 
@@ -272,6 +276,16 @@
 	}
 }
 
+// forget ends a process and empties its disk.
+func (w *World) forget(m *machine) {
+	if m.counts {
+		m.wipe()
+	} else {
+		m.kill(true)
+	}
+	w.after(time.Second, m.start)
+}
+
 // afterAck strikes the machine that acknowledges the next order, as it does.
 func (w *World) afterAck(t Trouble) {
 	w.checks.onAck = func(m *machine) {
--- a/internal/rig/scale/lookups.go
+++ b/internal/rig/scale/lookups.go
@@ -79,7 +79,7 @@
 		n.lookups.found++
 		return
 	}
-	home := n.fleet.nodesByID[indexHome(n.membership.Members(), key.service, n.self.Zone)]
+	home := n.fleet.nodesByID[indexHome(n.control.Members(), key.service, n.self.Zone)]
 	if home == nil {
 		return
 	}
--- a/internal/rig/scale/network.go
+++ b/internal/rig/scale/network.go
@@ -76,6 +76,6 @@
 			return
 		}
 		from := core.Peer{NodeID: message.SenderId, Address: message.SenderAddress}
-		n.carryOut(now, n.dispatch(now, from, message))
+		n.carryOut(now, n.control.Receive(now, from, message))
 	})
 }
--- a/internal/rig/scale/phases.go
+++ b/internal/rig/scale/phases.go
@@ -288,7 +288,7 @@
 func (f *Fleet) newestIndex() uint64 {
 	newest := uint64(0)
 	for _, n := range f.nodes {
-		newest = max(newest, n.state.Index())
+		newest = max(newest, n.control.State().Index())
 	}
 	return newest
 }
--- a/internal/rig/scale/results.go
+++ b/internal/rig/scale/results.go
@@ -104,21 +104,21 @@
 	case RoleNode:
 		return true
 	case RoleProxy:
-		return n.store == nil
+		return !n.self.CountsForQuorum
 	case RoleHead:
-		return n.store != nil && n.isHead()
+		return n.isHead()
 	case RoleMiddle:
-		return n.store != nil && n.store.Status().Role == chain.Middle
+		return n.role() == chain.Middle
 	case RoleTail:
-		return n.store != nil && n.store.Status().Role == chain.TailOf
+		return n.role() == chain.TailOf
 	case RoleBrokerHome:
 		return counted.calls.received > 0
 	case RoleIndexHome:
 		return n.home.Deadline() != never
 	case RoleConfigHome:
-		return n.store == nil && counted.kinds[kindStatePoll].received > 0
+		return !n.self.CountsForQuorum && counted.kinds[kindStatePoll].received > 0
 	case RoleNoHome:
-		return n.store == nil && !n.plays(RoleBrokerHome, counted) && !n.plays(RoleIndexHome, counted) &&
+		return !n.self.CountsForQuorum && !n.plays(RoleBrokerHome, counted) && !n.plays(RoleIndexHome, counted) &&
 			!n.plays(RoleConfigHome, counted)
 	default:
 		return false
