--- a/internal/rig/faultrun/planted_test.go
+++ b/internal/rig/faultrun/planted_test.go
@@ -35,7 +35,7 @@
 	{point: 1, name: "messages of other epochs are taken", file: "chain/store.go",
 		old: "	return epoch == known && epoch > 0\n", new: "	return known > 0\n"},
 	{point: 1, name: "a proposer does not wedge itself", file: "chain/reconfigure.go",
-		old: "		s.wedged = true\n		s.persist(kindWedge", new: "		s.persist(kindWedge", test: "chain TestSeeds"},
+		old: "		s.wedged = true\n		s.persist(kindWedge", new: "		s.persist(kindWedge", test: "chain TestWedgedMemberPassesNothing"},
 	{point: 1, name: "the age of a confirmation counts from the answer", file: "distribution/poll.go",
 		old: "d.confirm(poll.sentAt - time.Duration(reply.AgeMs)*time.Millisecond)", new: "d.confirm(now)"},
 	{point: 1, name: "keys are served whatever the age of the confirmation", file: "control/lease.go",
