--- a/internal/node/transfer/transfer_test.go
+++ b/internal/node/transfer/transfer_test.go
@@ -372,3 +372,21 @@
 		}
 	}
 }
+
+// TestTimesOfLargeStates tells how long a state takes over links of the deployments' speeds, and holds that it is near what the
+// link bears.
+func TestTimesOfLargeStates(t *testing.T) {
+	for _, megabits := range []int{10, 100, 1000} {
+		for _, size := range []int{1 << 20, 8 << 20, 24 << 20} {
+			w := newWorld(1, "a", "b")
+			w.perSecond = megabits * 1_000_000 / 8
+			w.delay = 1400 * time.Microsecond
+			w.send("a", "b", w.snapshotOf(size, 1))
+			assert.Assert(t, w.runUntil(time.Minute, func() bool { return len(w.nodes["b"].received) == 1 }))
+			least := time.Duration(size) * time.Second / time.Duration(w.perSecond)
+			t.Logf("%d MiB at %d Mbit/s: %v, the link alone %v", size>>20, megabits, w.now.Round(time.Millisecond), least.Round(time.Millisecond))
+			roundTrips := time.Duration(size/windowBytes+1) * 2 * w.delay
+			assert.Assert(t, w.now < 2*least+roundTrips, "%d bytes at %d Mbit/s take %v", size, megabits, w.now)
+		}
+	}
+}
