--- a/internal/node/routing/router_test.go
+++ b/internal/node/routing/router_test.go
@@ -38,6 +38,11 @@
 			q.Deadline = w.now + 40*ms
 			return q
 		}, outcomeFull, refusal},
+		{"safe, too late and may have run", func(w *world) Request {
+			q := w.request(safeRoute)
+			q.Deadline = w.now + 40*ms
+			return q
+		}, outcomeReset, nothing},
 		{"unsafe, too late and may have run", func(w *world) Request {
 			q := w.request(onceRoute)
 			q.Deadline = w.now + 40*ms
