Stores of kept prompts: each part is kept in one store, whichever proxy it comes by

Cause: each proxy saved to and fetched from the store of its own zone, so three stores kept the same parts three times; and a part that any store kept counted as stored, though another store was asked for it. Lines at fault: routing/store.go store(), noteHolder in affinity.go. Change: the store of a prompt is the first in the rendezvous order of its sticky part; only that store counts. Both tests fail on the former code.

--- a/internal/node/routing/affinity.go
+++ b/internal/node/routing/affinity.go
@@ -1,6 +1,10 @@
 package routing
 
-import "slices"
+import (
+	"slices"
+
+	"kestrelspread/internal/node/core"
+)
 
 // stickyPart is the part of a prompt by which its broker is found without an exchange: the deepest that is shared, as the
 // last one belongs to the request or its session (PROTOCOL.md, "Requests").
@@ -46,12 +50,16 @@
 	return x ^ x>>31
 }
 
-// rankHolders notes how many tokens of the prompt each candidate keeps, and the store under its version, as far as the index
-// knows.
-func (r *Router) rankHolders(req *request, found []candidate) {
+// rankHolders notes how many tokens of the prompt each candidate keeps, and its store under the candidate's version, as far as the
+// index knows.
+func (r *Router) rankHolders(now core.Time, req *request, found []candidate) {
 	if r.options.Index == nil || req.model == "" {
 		return
 	}
+	store := ""
+	if keeping := r.storeFor(now, req); keeping != nil {
+		store = keeping.KVStoreAddr
+	}
 	r.asked = r.asked[:0]
 	for i := range found {
 		version := found[i].version
@@ -61,7 +69,9 @@
 		r.asked = append(r.asked, version)
 		salt := SaltID(cacheSalt(req.model, version, req.wall))
 		for _, holder := range r.options.Index.Holders(salt, req.Parts) {
-			noteHolder(found, version, holder)
+			if !holder.Store || holder.Instance == store {
+				noteHolder(found, version, holder)
+			}
 		}
 	}
 }
--- a/internal/node/routing/fetch.go
+++ b/internal/node/routing/fetch.go
@@ -51,10 +51,9 @@
 		return ""
 	}
 	holder := r.bestHolder(now, req, chosen)
-	store := r.store()
-	storeWell := store != nil && r.storeWell(now, store.KVStoreAddr)
+	store := r.storeFor(now, req)
 	switch {
-	case storeWell && (holder == nil || chosen.stored > holder.kept):
+	case store != nil && (holder == nil || chosen.stored > holder.kept):
 		return store.KVStoreAddr
 	case holder != nil:
 		return holder.broker.instance.Address
--- a/internal/node/routing/placement.go
+++ b/internal/node/routing/placement.go
@@ -83,7 +83,7 @@
 
 // assess fills in what candidates lack of the prompt and what it costs to send the request there.
 func (r *Router) assess(now core.Time, req *request, found []candidate) {
-	r.rankHolders(req, found)
+	r.rankHolders(now, req, found)
 	r.place(now, req, found)
 	for i := range found {
 		c := &found[i]
@@ -101,10 +101,7 @@
 	p := &r.placing
 	p.perToken = req.pool.pace.perToken()
 	p.engine = r.compiled.Services[req.Service].Engine
-	p.store = r.store()
-	if p.store != nil && !r.storeWell(now, p.store.KVStoreAddr) {
-		p.store = nil
-	}
+	p.store = r.storeFor(now, req)
 	p.shared = sharedTokens(req.Parts)
 	p.own = max(req.TokensIn-p.shared, 0)
 	p.owner = owner(req, found)
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -278,7 +278,7 @@
 	if out.FetchFrom = r.fetchSource(now, req, chosen); out.FetchFrom != "" {
 		r.counters.Fetches++
 	}
-	if out.SaveTo = r.saveTarget(req, chosen); out.SaveTo != "" {
+	if out.SaveTo = r.saveTarget(now, req, chosen); out.SaveTo != "" {
 		r.counters.Saves++
 	}
 }
--- a/internal/node/routing/store.go
+++ b/internal/node/routing/store.go
@@ -23,17 +23,24 @@
 	restsUntil core.Time // it isn't fetched from before
 }
 
-// store is the store that brokers of this zone use, nil where the configuration has none.
-func (r *Router) store() *config.Service {
-	if r.compiled == nil || len(r.compiled.Stores) == 0 {
+// storeFor is the store that keeps the shared parts of a request's prompt: of those that are well, the first in the rendezvous order of
+// its sticky part. So each part is kept in one store, by whatever proxy it is saved, and the stores together hold as much as all of
+// their memory. nil: there is none.
+func (r *Router) storeFor(now core.Time, req *request) *config.Service {
+	part, ok := stickyPart(req.Parts)
+	if !ok || r.compiled == nil {
 		return nil
 	}
+	key := affinityKey(part, req.model, req.wall)
+	var best *config.Service
+	highest := uint64(0)
 	for _, store := range r.compiled.Stores {
-		if store.Zone == r.options.Zone {
-			return store
+		weight := mix(key ^ hashText(store.KVStoreAddr))
+		if (best == nil || weight > highest) && r.storeWell(now, store.KVStoreAddr) {
+			best, highest = store, weight
 		}
 	}
-	return r.compiled.Stores[0]
+	return best
 }
 
 func (r *Router) storeState(address string) *storeState {
@@ -53,13 +60,10 @@
 
 // saveTarget is the store that the chosen broker should send the prompt's parts to, or empty where the index has the shared
 // parts there: what is sent in vain drives out what is of use.
-func (r *Router) saveTarget(req *request, chosen *candidate) string {
-	store := r.store()
+func (r *Router) saveTarget(now core.Time, req *request, chosen *candidate) string {
+	store := r.storeFor(now, req)
 	shared := sharedTokens(req.Parts)
-	switch {
-	case store == nil, shared < fetchLeastTokens, r.storeState(store.KVStoreAddr).dead:
-		return ""
-	case chosen.stored >= shared-sharedSlack:
+	if store == nil || shared < fetchLeastTokens || chosen.stored >= shared-sharedSlack {
 		return ""
 	}
 	return store.KVStoreAddr
--- a/internal/node/routing/store_test.go
+++ b/internal/node/routing/store_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/config"
 )
 
 // Where parts are fetched from and sent to, by what the index knows of the prompt's 1,300 shared tokens.
@@ -141,3 +143,56 @@
 		})
 	}
 }
+
+// threeStores is the configuration of the tests with a store in each zone.
+func threeStores() *config.Compiled {
+	compiled := configOf(nil)
+	compiled.Stores = nil
+	for i := range 3 {
+		compiled.Stores = append(compiled.Stores, &config.Service{
+			Name: fmt.Sprintf("store%d", i), KVStoreAddr: fmt.Sprintf("10.9.0.%d:9000", i), Zone: fmt.Sprintf("z%d", i),
+		})
+	}
+	return compiled
+}
+
+// Several stores keep each part once, whichever proxy it comes by, so that together they hold as much as their memory.
+func TestEachPartHasOneStore(t *testing.T) {
+	targets := map[string]int{}
+	for part := range uint64(60) {
+		saved := map[string]bool{}
+		for _, zone := range []string{"z0", "z1", "z2"} {
+			w := newWorld(t, instances(6))
+			w.Router.options.Zone = zone
+			w.SetConfig(w.now, threeStores())
+			a := w.begin(w.prompt(flowRoute, part+10))
+			assert.Equal(t, a.FetchFrom, a.SaveTo)
+			saved[a.SaveTo] = true
+			targets[a.SaveTo]++
+		}
+		assert.Equal(t, len(saved), 1)
+	}
+	assert.Equal(t, len(targets), 3)
+	for address, count := range targets {
+		assert.Assert(t, count >= 3*10, "%s: %d", address, count)
+	}
+}
+
+// What another store keeps counts for nothing, as it isn't fetched from; one that is down is replaced by the next in the order.
+func TestOnlyThePromptsStoreCounts(t *testing.T) {
+	index := &fixedIndex{}
+	w := newWorldWith(t, instances(6), index)
+	w.SetConfig(w.now, threeStores())
+	own := w.begin(w.prompt(flowRoute, 5)).SaveTo
+	for i := range 3 {
+		address := fmt.Sprintf("10.9.0.%d:9000", i)
+		index.holders = []Holder{{Instance: address, Store: true, Tokens: 1300}}
+		a := w.begin(w.prompt(flowRoute, 5))
+		assert.Equal(t, a.FetchFrom, own)
+		assert.Equal(t, a.SaveTo == "", address == own, "what is kept where it belongs is not sent again")
+	}
+	w.StoreSeen(w.now, own, false, false)
+	next := w.begin(w.prompt(flowRoute, 5))
+	assert.Assert(t, next.FetchFrom != own && next.FetchFrom != "")
+	assert.Equal(t, next.SaveTo, next.FetchFrom)
+}
