--- a/cmd/kestrelctl/fleetstatus.go
+++ b/cmd/kestrelctl/fleetstatus.go
@@ -127,9 +127,10 @@
 		return err
 	}
 	for _, node := range p.Nodes {
-		if reasons := refusalsByReason(node.Refusals); reasons != "" {
+		if reasons := countsByReason(node.Refusals); reasons != "" {
 			fmt.Fprintf(out, "%s refused: %s\n", node.Node, reasons)
 		}
+		printLate(out, node)
 	}
 	for _, text := range p.Unreachable {
 		fmt.Fprintln(out, "unreachable:", text)
@@ -140,6 +141,29 @@
 	return nil
 }
 
+// latePrinted is how many late answers of a node are printed; --json has all that the node keeps.
+const latePrinted = 3
+
+// printLate says why a node's answers were late, and what was expected of prompts.
+func printLate(out io.Writer, node *nodestatus.Status) {
+	if len(node.Disabled) > 0 {
+		fmt.Fprintf(out, "%s switched off: %s\n", node.Node, strings.Join(node.Disabled, ", "))
+	}
+	if p := node.Prompts; p.Shared > 0 {
+		fmt.Fprintf(out, "%s shared tokens: %s held, %s coming, %s from brokers, %s from the store, %s first, %s again\n", node.Node,
+			shareOf(p.Held, p.Shared), shareOf(p.Coming, p.Shared), shareOf(p.FromBroker, p.Shared), shareOf(p.FromStore, p.Shared),
+			shareOf(p.First, p.Shared), shareOf(p.Again, p.Shared))
+	}
+	if causes := countsByReason(node.Late); causes != "" {
+		fmt.Fprintf(out, "%s late: %s\n", node.Node, causes)
+	}
+	for _, late := range node.LateNewest[max(len(node.LateNewest)-latePrinted, 0):] {
+		fmt.Fprintf(out, "  %s ago, %s at %s: %s; first event %s, pause %s, %d tokens unread, %d ahead, longest other %d, load %.0f believed, %d+%d reported\n",
+			late.Ago, late.Route, late.Instance, late.Cause, late.First, late.Pause, late.Unread, late.Ahead, late.LongestOther, late.Load,
+			late.Running, late.Waiting)
+	}
+}
+
 // statusRow is a node's line of the table.
 func statusRow(node *nodestatus.Status) []string {
 	role, epoch, committed := "-", "-", "-"
@@ -169,8 +193,8 @@
 	return fmt.Sprintf("%.1f%%", 100*float64(count)/float64(whole))
 }
 
-// refusalsByReason lists counts, as "all brokers full 7, retry budget spent 1".
-func refusalsByReason(refusals map[string]uint64) string {
+// countsByReason lists counts, as "all brokers full 7, retry budget spent 1".
+func countsByReason(refusals map[string]uint64) string {
 	var list []string
 	for reason, count := range refusals {
 		list = append(list, fmt.Sprintf("%s %d", reason, count))
--- a/cmd/kestrelnode/main.go
+++ b/cmd/kestrelnode/main.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 
 	"kestrelspread/internal/node/agent"
+	"kestrelspread/internal/node/routing"
 	"kestrelspread/internal/node/settings"
 )
 
@@ -18,6 +19,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&runCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
+	subcommands.Register(&mechanismsCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
@@ -33,22 +35,43 @@
 	return path, nil
 }
 
-type runCommand struct{}
+type runCommand struct{ disable string }
 
 func (*runCommand) Name() string     { return "run" }
 func (*runCommand) Synopsis() string { return "run one node until SIGTERM" }
 func (*runCommand) Usage() string {
-	return "run: run one node; " + settingsVariable + " names its settings file\n"
+	return "run [--disable NAME,...]: run one node; " + settingsVariable + " names its settings file\n"
 }
-func (*runCommand) SetFlags(*flag.FlagSet) {}
-func (*runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *runCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.disable, "disable", "", "mechanisms of the decisions to switch off, see `kestrelnode mechanisms`")
+}
+func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	path, err := settingsPath()
+	var disabled routing.Mechanism
+	if err == nil {
+		disabled, err = routing.ParseMechanisms(c.disable)
+	}
 	if err == nil {
-		err = agent.Run(ctx, path, os.Stderr)
+		err = agent.Run(ctx, path, disabled, os.Stderr)
 	}
 	return report(err)
 }
 
+type mechanismsCommand struct{}
+
+func (*mechanismsCommand) Name() string     { return "mechanisms" }
+func (*mechanismsCommand) Synopsis() string { return "list the mechanisms that --disable switches off" }
+func (*mechanismsCommand) Usage() string {
+	return "mechanisms: a line for each mechanism of the decisions\n"
+}
+func (*mechanismsCommand) SetFlags(*flag.FlagSet) {}
+func (*mechanismsCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	for _, mechanism := range routing.Mechanisms() {
+		fmt.Printf("%-16s %s\n", mechanism.Name, mechanism.About)
+	}
+	return subcommands.ExitSuccess
+}
+
 type checkCommand struct{}
 
 func (*checkCommand) Name() string           { return "check" }
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -40,6 +40,7 @@
 type Agent struct {
 	log      *slog.Logger
 	settings *settings.Settings
+	disabled routing.Mechanism // switched off
 	started  time.Time
 	self     *nodepb.Member
 
@@ -75,15 +76,18 @@
 	leaseLost bool
 }
 
-// Run runs a node with the settings file at path until SIGTERM, SIGINT or the end of ctx.
-func Run(ctx context.Context, path string, logTo io.Writer) error {
+// Run runs a node with the settings file at path until SIGTERM, SIGINT or the end of ctx, without the mechanisms that are disabled.
+func Run(ctx context.Context, path string, disabled routing.Mechanism, logTo io.Writer) error {
 	loaded, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
 	log := slog.New(slog.NewTextHandler(logTo, &slog.HandlerOptions{Level: slog.LevelInfo}))
 	limitRuntime(loaded)
-	return New(loaded, log).serve(ctx, path)
+	if disabled != 0 {
+		log.Warn("mechanisms are switched off", "names", disabled.Names())
+	}
+	return New(loaded, disabled, log).serve(ctx, path)
 }
 
 // limitRuntime fits the runtime to the machine that the settings describe.
@@ -114,11 +118,12 @@
 }
 
 // New builds a node; nothing is served yet.
-func New(loaded *settings.Settings, log *slog.Logger) *Agent {
+func New(loaded *settings.Settings, disabled routing.Mechanism, log *slog.Logger) *Agent {
 	life := hex.EncodeToString(randomBytes(6))
 	a := &Agent{
 		log:      log.With("node", loaded.NodeName),
 		settings: loaded,
+		disabled: disabled,
 		started:  time.Now(),
 		inbox:    make(chan func(core.Time), inboxLength),
 		requests: newPendingRequests(),
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -23,7 +23,8 @@
 		Heartbeat:        a.settings.Heartbeat(),
 		Index:            a.prompts.index,
 		Random:           newRandom(),
-	}), a.tellSent)
+		Disabled:         a.disabled,
+	}), a.tellSent, a.tellStream)
 	a.startup = forward.NewStartup()
 	a.proxy = forward.New(forward.Options{
 		Port:     a.router,
--- a/internal/node/agent/loadhints.go
+++ b/internal/node/agent/loadhints.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/loadhint"
 	"kestrelspread/internal/node/nodepb"
@@ -14,7 +16,17 @@
 // tellSent tells the other proxies what this one has sent. It is called by the data plane, which never waits for the control
 // loop: while that is far behind, nothing is told.
 func (a *Agent) tellSent(sent *routing.Sent) {
-	hint := hintOf(sent)
+	a.tellHint(hintOf(sent))
+}
+
+// tellStream tells the other proxies of a stream that has ended.
+func (a *Agent) tellStream(seen *routing.StreamSeen) {
+	a.tellHint(&nodepb.LoadHint{Instance: seen.Instance, Stream: &nodepb.StreamSeen{
+		UsualUs: uint32(seen.Usual.Microseconds()), LongestUs: uint32(seen.Longest.Microseconds()), LastedUs: uint32(seen.Lasted.Microseconds()),
+	}})
+}
+
+func (a *Agent) tellHint(hint *nodepb.LoadHint) {
 	select {
 	case a.inbox <- func(now core.Time) { a.hints.Sent(now, hint) }:
 	default:
@@ -24,6 +36,13 @@
 // learnHints hands the router what other proxies have sent.
 func (a *Agent) learnHints(now core.Time, hints []*nodepb.LoadHint) {
 	for _, hint := range hints {
+		if stream := hint.Stream; stream != nil {
+			a.router.PeerStream(now, routing.StreamSeen{
+				Instance: hint.Instance, Usual: time.Duration(stream.UsualUs) * time.Microsecond,
+				Longest: time.Duration(stream.LongestUs) * time.Microsecond, Lasted: time.Duration(stream.LastedUs) * time.Microsecond,
+			})
+			continue
+		}
 		a.router.PeerSent(now, sentOf(hint))
 	}
 }
--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -34,6 +34,8 @@
 	}
 	counters := a.router.Counters()
 	status.Choices, status.Refusals = choiceStatus(&counters), refusalStatus(&counters)
+	status.Prompts, status.Late, status.LateNewest = nodestatus.Prompts(counters.Prompts), lateStatus(&counters), lateNewest(now, a.router.Late())
+	status.Disabled = a.disabled.Names()
 	if compiled := a.compiled.Load(); compiled != nil {
 		status.ConfigVersion, status.ModelVersions = compiled.Version, compiled.ModelVersions
 	}
@@ -93,6 +95,28 @@
 	return refusals
 }
 
+func lateStatus(counters *routing.Counters) map[string]uint64 {
+	late := make(map[string]uint64, len(counters.Late))
+	for cause, count := range counters.Late {
+		late[string(cause)] = count
+	}
+	return late
+}
+
+func lateNewest(now core.Time, list []routing.LateRequest) []nodestatus.LateRequest {
+	newest := make([]nodestatus.LateRequest, 0, len(list))
+	for _, late := range list {
+		newest = append(newest, nodestatus.LateRequest{
+			Ago: rounded(now - late.At), Route: late.Route, Instance: late.Instance, Cause: string(late.Cause),
+			First: rounded(late.First), Pause: rounded(late.Pause), Unread: late.Unread, Ahead: late.Ahead,
+			LongestOther: late.LongestOther, Load: late.Load, Running: late.Reported.Running, Waiting: late.Reported.Waiting,
+		})
+	}
+	return newest
+}
+
+func rounded(t core.Time) string { return t.Round(time.Millisecond).String() }
+
 func requestStatus(metrics forward.Metrics) nodestatus.Requests {
 	return nodestatus.Requests{
 		Taken: metrics.Requests, Answered: metrics.Answered, Refused: metrics.Refused, Failed: metrics.Failed,
--- a/internal/node/forward/delivery.go
+++ b/internal/node/forward/delivery.go
@@ -95,6 +95,8 @@
 	// last is the last event that the client has; it is known only where the stream may be taken up again.
 	last      eventID
 	resumable bool
+	// pauses are those of the broker that the stream comes from now.
+	pauses pauseMeter
 }
 
 // errClient says that the client's connection failed.
@@ -108,6 +110,7 @@
 	s := &stream{call: c, flush: flusher(c.writer), resumable: c.intake.route.Idempotent()}
 	for result != nil {
 		err := s.passOn(result)
+		result.outcome.Pauses = s.pauses.summary()
 		if err == nil {
 			result.attempt.giveBack()
 			c.concludeAnswered(result)
@@ -130,7 +133,9 @@
 // passOn passes events on until the stream ends. nil: its broker ended it in the proper way.
 func (s *stream) passOn(result *attemptResult) error {
 	events := result.events
+	s.pauses = pauseMeter{}
 	for {
+		s.pauses.note(s.call.now())
 		if err := s.write(events); err != nil {
 			return err
 		}
@@ -180,7 +185,9 @@
 	cut.attempt.drop()
 	cut.release()
 	clientGone := errors.Is(err, errClient) || c.clientHasLeft()
+	pauses := cut.outcome.Pauses
 	cut.outcome = cut.attempt.cutOutcome(err, clientGone)
+	cut.outcome.Pauses = pauses
 	mayGoOn := s.resumable && s.last.set && !clientGone && !errors.Is(err, errUnnumbered)
 	decision := c.conclude(cut, mayGoOn)
 	if !mayGoOn || !c.mayTryAgain() || decision.Attempt == nil {
--- /dev/null
+++ b/internal/node/forward/pauses_test.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/routing"
+)
+
+func TestPausesOfAStream(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name   string
+		pauses []core.Time
+		want   routing.Pauses
+	}{
+		{"no event", nil, routing.Pauses{}},
+		{"even", []core.Time{30 * ms, 30 * ms, 30 * ms, 30 * ms}, routing.Pauses{Count: 4, Usual: 30 * ms, Longest: 30 * ms}},
+		{"prompts are read most of the time", []core.Time{300 * ms, 31 * ms, 350 * ms, 30 * ms, 320 * ms, 290 * ms, 310 * ms},
+			routing.Pauses{Count: 7, Usual: 31 * ms, Longest: 350 * ms}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var meter pauseMeter
+			now := 5 * time.Second
+			meter.note(now)
+			for _, pause := range c.pauses {
+				now += pause
+				meter.note(now)
+			}
+			assert.Equal(t, meter.summary(), c.want)
+		})
+	}
+}
+
+// The longest pause counts wherever it is, the usual one comes from the first ones.
+func TestPausesOfALongStream(t *testing.T) {
+	var meter pauseMeter
+	now := time.Second
+	meter.note(now)
+	for i := range 3 * pausesKept {
+		pause := 20 * time.Millisecond
+		if i == 2*pausesKept {
+			pause = time.Second
+		}
+		now += pause
+		meter.note(now)
+	}
+	assert.Equal(t, meter.summary(), routing.Pauses{Count: 3 * pausesKept, Usual: 20 * time.Millisecond, Longest: time.Second})
+}
--- a/internal/node/forward/router_test.go
+++ b/internal/node/forward/router_test.go
@@ -21,7 +21,7 @@
 			RetryBudgetSlack: 100,
 			BudgetWindow:     10 * time.Second,
 			Random:           rand.New(rand.NewPCG(1, 2)),
-		}), nil)
+		}), nil, nil)
 		table := &registry.Table{Revision: 1, ByService: map[string][]*registry.Instance{}, ByID: map[string]*registry.Instance{}}
 		for _, b := range brokers {
 			b.instance.Zone = "zone"
--- a/internal/node/nodestatus/status.go
+++ b/internal/node/nodestatus/status.go
@@ -17,6 +17,38 @@
 	Requests      Requests          `json:"requests"`
 	Choices       Choices           `json:"choices"`
 	Refusals      map[string]uint64 `json:"refusals"` // by reason
+	Prompts       Prompts           `json:"prompts"`
+	Late          map[string]uint64 `json:"late"`               // answers of model brokers by cause
+	LateNewest    []LateRequest     `json:"lateNewest"`         // the oldest first
+	Disabled      []string          `json:"disabled,omitempty"` // mechanisms that are switched off
+}
+
+// Prompts counts the shared tokens of prompts that were sent to model brokers, by where they were expected to come from.
+type Prompts struct {
+	Shared       uint64 `json:"shared"`       // in all
+	Held         uint64 `json:"held"`         // kept by the chosen broker
+	Coming       uint64 `json:"coming"`       // being read there for an earlier request
+	FromBroker   uint64 `json:"fromBroker"`   // fetched from another broker
+	FromStore    uint64 `json:"fromStore"`    // fetched from a store
+	First        uint64 `json:"first"`        // to be read, not sent to any broker lately
+	Again        uint64 `json:"again"`        // to be read, though some broker was sent them lately
+	BlindFetches uint64 `json:"blindFetches"` // fetches though nobody was known to keep what was missing
+}
+
+// LateRequest is an answer that was late, with what was believed of its broker when it was sent.
+type LateRequest struct {
+	Ago          string  `json:"ago"`
+	Route        string  `json:"route"`
+	Instance     string  `json:"instance"`
+	Cause        string  `json:"cause"`
+	First        string  `json:"first"`        // from the receipt to the first event; where that was in time, 0s
+	Pause        string  `json:"pause"`        // the longest between two events
+	Unread       int     `json:"unread"`       // tokens of its prompt that the broker was to read
+	Ahead        int     `json:"ahead"`        // tokens that the broker was to read before its first event
+	LongestOther int     `json:"longestOther"` // tokens of the longest prompt that the broker was sent meanwhile
+	Load         float64 `json:"load"`         // of the broker, as believed
+	Running      int     `json:"running"`      // by the broker's last report
+	Waiting      int     `json:"waiting"`      // by the broker's last report
 }
 
 // Member is a node as another one sees it.
--- a/internal/node/routing/affinity.go
+++ b/internal/node/routing/affinity.go
@@ -53,7 +53,7 @@
 // rankHolders notes how many tokens of the prompt each candidate keeps, and its store under the candidate's version, as far as the
 // index knows.
 func (r *Router) rankHolders(now core.Time, req *request, found []candidate) {
-	if r.options.Index == nil || req.model == "" {
+	if r.options.Index == nil || req.model == "" || !r.uses(PromptIndex) {
 		return
 	}
 	store := ""
--- a/internal/node/routing/api.go
+++ b/internal/node/routing/api.go
@@ -80,6 +80,8 @@
 type Decision struct {
 	Attempt *Attempt
 	Refusal *Refusal
+	// StreamSeen is what the other proxies are to be told, by PeerStream; nil: nothing.
+	StreamSeen *StreamSeen
 }
 
 // Load is what a broker tells of itself in X-Kestrelspread-Server-Load.
@@ -104,6 +106,15 @@
 	// RetryAfter as the broker named it, 0 if it did not.
 	RetryAfter core.Time
 	Load       *Load
+	// Pauses are those between the events of a stream.
+	Pauses Pauses
+}
+
+// Pauses are those between the events of a stream, as they came from its broker.
+type Pauses struct {
+	Count   int
+	Usual   core.Time // while the broker reads no other prompt
+	Longest core.Time
 }
 
 // Port is what package forward calls; Router implements it. Calls are serialised by the caller.
--- a/internal/node/routing/broker.go
+++ b/internal/node/routing/broker.go
@@ -27,20 +27,24 @@
 
 // broker is what this proxy knows of one instance by its own sight.
 type broker struct {
-	instance *registry.Instance
-	hash     uint64     // of the instance's id, for the order of a prompt's parts
-	out      int        // own attempts there
-	waiting  []*attempt // those that no answer has begun for, the oldest first
-	report   loadReport
-	backlog  backlog
-	history  [predict.HistorySize]sample
-	lately   *window.Hist // own latencies, scaled; nil before the first answer
-	line     float64
-	lineAt   core.Time
-	took     float64 // ms, scaled: smoothed latency
-	tookAt   core.Time
-	health   health
-	moves    moves
+	instance  *registry.Instance
+	hash      uint64     // of the instance's id, for the order of a prompt's parts
+	out       int        // own attempts there
+	waiting   []*attempt // those that no answer has begun for, the oldest first
+	report    loadReport
+	backlog   backlog
+	step      float64 // ms between two events while it reads no other prompt
+	steps     int     // streams that step was learnt from
+	longReads longReads
+	risks     fadedSum // of prompts sent there that make streams late
+	history   [predict.HistorySize]sample
+	lately    *window.Hist // own latencies, scaled; nil before the first answer
+	line      float64
+	lineAt    core.Time
+	took      float64 // ms, scaled: smoothed latency
+	tookAt    core.Time
+	health    health
+	moves     moves
 	// fullAt is when it last turned a request away for want of room, and fullUntil how long that is believed.
 	fullAt    core.Time
 	fullUntil core.Time
--- a/internal/node/routing/candidates.go
+++ b/internal/node/routing/candidates.go
@@ -37,6 +37,8 @@
 	coming   int     // tokens of the prompt that it has or is reading now
 	stored   int     // tokens of the prompt that the store keeps, by the index
 	unread   int     // tokens that it has to read for the request
+	anew     int     // shared ones of them
+	again    int     // of these, tokens that some broker was sent lately
 	reading  float64 // ms to read and move the prompt
 	cost     float64 // ms until the first token, as far as brokers differ in it
 }
@@ -80,7 +82,7 @@
 // permitted reports whether the rules let the request go to the broker at all.
 func (r *Router) permitted(now, startsAt core.Time, req *request, b *broker) (candidate, bool) {
 	c := candidate{broker: b}
-	if !req.pool.usable(now, b) || now < b.health.misdirectedUntil {
+	if !r.usable(now, req.pool, b) || now < b.health.misdirectedUntil {
 		return c, false
 	}
 	if req.model != "" {
@@ -94,11 +96,11 @@
 func (r *Router) sort(now core.Time, req *request, f *field, c candidate) {
 	b := c.broker
 	h := &b.health
-	if !h.aside() && r.hangs(now, req.pool, b) {
+	if r.uses(BrokerTrials) && !h.aside() && r.hangs(now, req.pool, b) {
 		r.setAside(now, b, hanging)
 	}
 	switch {
-	case b.believedFull(now, req.Urgency):
+	case r.uses(RefusalPause) && b.believedFull(now, req.Urgency):
 		f.full++
 		f.earliest = min(f.earliest, max(b.fullUntil, b.orderedUntil))
 	case h.aside() && r.mayTry(now, req, b):
@@ -127,7 +129,7 @@
 // newestFirst leaves only brokers with the newest weights shortly before the time of older ones is over, if they are enough
 // for all requests. Where they are few, the older ones are used to the last, as all would wait at the few.
 func (r *Router) newestFirst(now core.Time, req *request, sound []candidate) []candidate {
-	if req.model == "" || !r.versions.anyEndsWithin(now, req.model, newestFirstSpan) {
+	if req.model == "" || !r.uses(NewestFirst) || !r.versions.anyEndsWithin(now, req.model, newestFirstSpan) {
 		return sound
 	}
 	newest := r.versions.newest(req.model)
@@ -191,8 +193,8 @@
 	}
 	p := req.pool
 	c.scored = true
-	c.features = p.features(now, c.broker, c.load, f.average)
-	c.slow = p.slow(&c.features)
+	c.features = r.features(now, p, c.broker, c.load, f.average)
+	c.slow = r.uses(Prediction) && p.slow(&c.features)
 	// In a crowd all are slow, and who looks fast is who was left alone: only who is far slower than the rest is passed over.
 	if c.slow && p.crowded() && c.broker.expected(now, p.median) < crowdSlow*p.median {
 		c.slow = false
--- a/internal/node/routing/copies.go
+++ b/internal/node/routing/copies.go
@@ -14,7 +14,7 @@
 
 // copyAt is when an attempt whose answer has not begun may have a copy: past pX of its class's latencies.
 func (r *Router) copyAt(now core.Time, req *request) core.Time {
-	if !req.idempotent || req.copied || req.runs() >= req.Route.MaxAttempts {
+	if !r.uses(Copies) || !req.idempotent || req.copied || req.runs() >= req.Route.MaxAttempts {
 		return core.Never
 	}
 	at := milliseconds(now)
@@ -34,7 +34,7 @@
 // Copy decides on the design's copy: one, to the next broker that looks fast, within maxAttempts and the retry budget.
 func (r *Router) Copy(now core.Time, id RequestID) Decision {
 	req := r.requests[id]
-	if req == nil {
+	if req == nil || !r.uses(Copies) {
 		return Decision{}
 	}
 	waiting := req.onlyWaiting()
--- a/internal/node/routing/counters.go
+++ b/internal/node/routing/counters.go
@@ -16,6 +16,21 @@
 	Fetches      uint64
 	Saves        uint64
 	Refusals     map[RefusalReason]uint64
+	Prompts      PromptCounters
+	Late         map[LateCause]uint64 // answers of model brokers
+}
+
+// PromptCounters count the shared tokens of prompts that were sent to model brokers, by where they were expected to come from.
+type PromptCounters struct {
+	Shared     uint64 // in all
+	Held       uint64 // kept by the chosen broker
+	Coming     uint64 // being read there for an earlier request
+	FromBroker uint64 // fetched from another broker
+	FromStore  uint64 // fetched from a store
+	First      uint64 // to be read, not sent to any broker lately
+	Again      uint64 // to be read, though some broker was sent them lately
+	// BlindFetches counts fetches that were named though nobody was known to keep what is missing.
+	BlindFetches uint64
 }
 
 // clone copies the counters for a reader.
--- a/internal/node/routing/fetch.go
+++ b/internal/node/routing/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/window"
 )
@@ -17,6 +18,7 @@
 	moveSpan         = 5000. // ms
 	moveFew          = 3.0   // slow moves before a share of them counts
 	moveShare        = 0.5   // of the moves to a broker: more slow ones, and none is asked for
+	outdatedShare    = 0.1   // of what the index tells of brokers isn't kept there any more, about
 )
 
 // moves counts the answers of a broker that had parts to fetch, and those of them that were slow: links between brokers may
@@ -43,27 +45,59 @@
 
 // fetchSource is the address that the chosen broker should fetch the prompt's shared parts from, or empty.
 //
-// A broker that by the index has as much as the store goes first, as its link is quicker and not everybody's. Else it is the
-// store, also where the index has the parts at the chosen broker itself: brokers drop them within seconds and tell of it late.
+// A broker that has as much as the store goes first where that is known from what it was sent just now, or where the store's link, which
+// is everybody's, is much slower: what the index tells of brokers is old at times, and a fetch that finds nothing has the parts read
+// again. Else it is the store, also where the index has the parts at the chosen broker itself: brokers drop them within seconds and tell of it late.
 // Where the store is down, it is the broker that should have them by its place in their order.
 func (r *Router) fetchSource(now core.Time, req *request, chosen *candidate) string {
 	if sharedTokens(req.Parts) < fetchLeastTokens || chosen.broker.moves.slow(now) {
 		return ""
 	}
-	holder := r.bestHolder(now, req, chosen)
+	var holder *candidate
+	if r.uses(KVFetch) {
+		holder = r.bestHolder(now, req, chosen)
+	}
 	store := r.storeFor(now, req)
 	switch {
 	case store != nil && (holder == nil || chosen.stored > holder.kept):
 		return store.KVStoreAddr
+	case store != nil && chosen.stored == holder.kept && !holder.surelyKeeps() && r.storeIsNear(req, store, holder, chosen):
+		return store.KVStoreAddr
 	case holder != nil:
 		return holder.broker.instance.Address
 	}
+	if !r.uses(KVFetch) {
+		return ""
+	}
 	if keeper := r.keeper(now, req, chosen); keeper != nil {
 		return keeper.instance.Address
 	}
 	return ""
 }
 
+// surelyKeeps reports whether a broker was sent lately what it is believed to keep.
+func (c *candidate) surelyKeeps() bool { return c.coming >= c.kept }
+
+// storeIsNear reports whether moving parts from the store takes so little more time than from a broker that the store is better, as it
+// surely has them.
+func (r *Router) storeIsNear(req *request, store *config.Service, holder, chosen *candidate) bool {
+	engine := r.compiled.Services[req.Service].Engine
+	if store.LinkMbps <= 0 || engine.LinkMbps <= 0 {
+		return false
+	}
+	fromStore := moveTime(engine, store.LinkMbps, zonesFactor(store.Zone, chosen))
+	fromBroker := moveTime(engine, engine.LinkMbps, zonesFactor(holder.broker.instance.Zone, chosen))
+	return fromStore-fromBroker <= outdatedShare*req.pool.perToken(chosen.broker)
+}
+
+// zonesFactor is how many times as long a move from a zone to the chosen broker takes as one within a zone.
+func zonesFactor(zone string, chosen *candidate) float64 {
+	if zone == chosen.broker.instance.Zone {
+		return 1
+	}
+	return movesZones
+}
+
 // bestHolder is the candidate that by the index keeps clearly more of the prompt than the chosen one, one of the same zone
 // first; nil where none does.
 func (r *Router) bestHolder(now core.Time, req *request, chosen *candidate) *candidate {
--- a/internal/node/routing/guarded.go
+++ b/internal/node/routing/guarded.go
@@ -12,16 +12,17 @@
 type Guarded struct {
 	mutex  sync.Mutex
 	router *Router
-	// tell is given what other proxies are to be told; it must not wait.
-	tell func(*Sent)
+	// What other proxies are to be told is given to these; they must not wait.
+	tell       func(*Sent)
+	tellStream func(*StreamSeen)
 }
 
 var _ Port = (*Guarded)(nil)
 
-// NewGuarded wraps a router, which must not be used directly any more. tell is called with each Attempt.Sent and must not wait;
-// nil: nobody is told.
-func NewGuarded(router *Router, tell func(*Sent)) *Guarded {
-	return &Guarded{router: router, tell: tell}
+// NewGuarded wraps a router, which must not be used directly any more. tell is called with each Attempt.Sent, tellStream with each
+// Decision.StreamSeen; they must not wait. nil: nobody is told.
+func NewGuarded(router *Router, tell func(*Sent), tellStream func(*StreamSeen)) *Guarded {
+	return &Guarded{router: router, tell: tell, tellStream: tellStream}
 }
 
 // decided passes a decision on, and tells what other proxies are to know of it.
@@ -29,6 +30,9 @@
 	if g.tell != nil && decision.Attempt != nil && decision.Attempt.Sent != nil {
 		g.tell(decision.Attempt.Sent)
 	}
+	if g.tellStream != nil && decision.StreamSeen != nil {
+		g.tellStream(decision.StreamSeen)
+	}
 	return decision
 }
 
@@ -96,6 +100,13 @@
 	g.router.PeerSent(now, sent)
 }
 
+// PeerStream is Router.PeerStream.
+func (g *Guarded) PeerStream(now core.Time, seen StreamSeen) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.router.PeerStream(now, seen)
+}
+
 // CoreDisturbed is Router.CoreDisturbed.
 func (g *Guarded) CoreDisturbed(now, at core.Time) {
 	g.mutex.Lock()
@@ -124,6 +135,13 @@
 	g.router.Resumed(now)
 }
 
+// Late is Router.Late.
+func (g *Guarded) Late() []LateRequest {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.router.Late()
+}
+
 // Counters is Router.Counters.
 func (g *Guarded) Counters() Counters {
 	g.mutex.Lock()
--- a/internal/node/routing/guarded_test.go
+++ b/internal/node/routing/guarded_test.go
@@ -14,7 +14,7 @@
 
 // Requests on many connections, and news of brokers, meet in one router.
 func TestGuardedServesManyAtOnce(t *testing.T) {
-	g := NewGuarded(New(0, Options{Zone: "z0", RetryBudgetRatio: 0.2, RetryBudgetSlack: 60, Random: rand.New(rand.NewPCG(1, 1))}), nil)
+	g := NewGuarded(New(0, Options{Zone: "z0", RetryBudgetRatio: 0.2, RetryBudgetSlack: 60, Random: rand.New(rand.NewPCG(1, 1))}), nil, nil)
 	g.SetPeers(0, 4)
 	g.SetConfig(0, configOf(nil))
 	g.SetTable(0, tableOf(instances(4)...))
--- a/internal/node/routing/health.go
+++ b/internal/node/routing/health.go
@@ -152,6 +152,9 @@
 
 func (r *Router) setAside(now core.Time, b *broker, why ailment) {
 	h := &b.health
+	if !r.uses(BrokerTrials) {
+		return
+	}
 	if h.aside() {
 		if why == unreachable {
 			h.ailment = why
--- a/internal/node/routing/lateness.go
+++ b/internal/node/routing/lateness.go
@@ -34,10 +34,10 @@
 // postponed reports whether a first try is to be sent back, and after which time it should come again.
 func (r *Router) postponed(now core.Time, req *request, f *field, chosen *candidate) (after core.Time, ok bool) {
 	target := req.Route.TargetLatencyMs
-	if req.model == "" || !req.fresh || target <= 0 || !req.pool.pace.known() {
+	if req.model == "" || !r.uses(Postponing) || !req.fresh || target <= 0 || !req.pool.pace.known() {
 		return 0, false
 	}
-	waiting := r.placing.perToken * r.waiting(now, req.pool, chosen.broker)
+	waiting := r.waiting(now, req.pool, chosen.broker)
 	expected := waiting + chosen.reading
 	if expected <= lateFactor*target || waiting < lateByWait*target || !requestsWait(now, f) {
 		return 0, false
--- /dev/null
+++ b/internal/node/routing/mechanisms_test.go
@@ -0,0 +1,54 @@
+package routing
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestMechanismsByName(t *testing.T) {
+	var all Mechanism
+	var names []string
+	for _, info := range Mechanisms() {
+		assert.Assert(t, all&info.Mechanism == 0, "%s shares its bit", info.Name)
+		assert.Assert(t, info.About != "")
+		all |= info.Mechanism
+		names = append(names, info.Name)
+		set, err := ParseMechanisms(info.Name)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, set.Names(), []string{info.Name})
+	}
+	set, err := ParseMechanisms(strings.Join(names, ","))
+	assert.NilError(t, err)
+	assert.Equal(t, set, all)
+	set, err = ParseMechanisms("")
+	assert.NilError(t, err)
+	assert.Equal(t, set, Mechanism(0))
+	_, err = ParseMechanisms("copies,copy")
+	assert.ErrorContains(t, err, `"copy"`)
+}
+
+// Requests are served with any mechanism off, and with all of them.
+func TestServedWithoutMechanisms(t *testing.T) {
+	var all Mechanism
+	for _, info := range Mechanisms() {
+		all |= info.Mechanism
+	}
+	for _, info := range append(Mechanisms(), MechanismInfo{Mechanism: all, Name: "all"}) {
+		t.Run(info.Name, func(t *testing.T) {
+			index := &fixedIndex{holders: []Holder{{Instance: "i02", Tokens: 1300}, {Instance: storeAddress, Store: true, Tokens: 1300}}}
+			w := newWorldWith(t, instances(5), index)
+			w.Router.options.Disabled = info.Mechanism
+			for part := range uint64(30) {
+				w.read(w.begin(w.prompt(againRoute, part)))
+				w.serve(w.begin(w.request(safeRoute)), 20*ms)
+			}
+			a := w.begin(w.prompt(againRoute, 1))
+			assert.Assert(t, info.Mechanism&KVStore == 0 || a.SaveTo == "" && a.FetchFrom != storeAddress)
+			assert.Assert(t, info.Mechanism&KVFetch == 0 || a.FetchFrom == "" || a.FetchFrom == storeAddress)
+			copied := w.Copy(w.now+1000*ms, a.Request)
+			assert.Assert(t, info.Mechanism&Copies == 0 || copied.Attempt == nil)
+		})
+	}
+}
--- a/internal/node/routing/options.go
+++ b/internal/node/routing/options.go
@@ -29,6 +29,8 @@
 	// Index may be nil; then brokers are found by the hash of a prompt's parts alone. One that is an Observer too is told of
 	// the prompts that brokers have begun to answer.
 	Index Index
+	// Disabled names the mechanisms that are switched off.
+	Disabled Mechanism
 }
 
 // Observer is told what ran where: its parts are kept there now.
--- a/internal/node/routing/outcomes.go
+++ b/internal/node/routing/outcomes.go
@@ -38,6 +38,7 @@
 		r.reads.note(now, now, b, SaltID(a.salt), sharedParts(req.Parts))
 	}
 	if req.Route.Kind == config.KindStreaming {
+		r.noteFirst(now, req, a)
 		r.learn(now, req, a) // an event is no quick error
 	}
 }
@@ -56,7 +57,7 @@
 		b.moves.done(now, slow)
 	}
 	if a.salt != "" {
-		p.pace.learn(a.ahead, a.latency*a.scale)
+		p.pace.learn(a.ahead, a.latency*a.scale/p.slowness(b))
 		if p.seen >= predict.Few {
 			r.noteStore(now, a, p.median)
 		}
@@ -94,13 +95,21 @@
 	}
 	req.pool.refresh(now)
 	r.settle(now, req, a, &outcome)
+	decision := r.afterwards(now, req, &outcome, resumable)
+	r.notePauses(now, req, a, outcome.Pauses)
+	decision.StreamSeen = r.learnStream(now, req, a, outcome.Pauses)
+	return decision
+}
+
+// afterwards decides on a further attempt once one has ended.
+func (r *Router) afterwards(now core.Time, req *request, outcome *Outcome, resumable bool) Decision {
 	if outcome.Answered || outcome.Canceled || req.outstanding() {
 		return Decision{}
 	}
 	if req.answering && !resumable && !outcome.failure() {
 		return Decision{}
 	}
-	return r.another(now, req, &outcome)
+	return r.another(now, req, outcome)
 }
 
 // failure reports whether the broker answered that it failed.
--- a/internal/node/routing/placement.go
+++ b/internal/node/routing/placement.go
@@ -25,7 +25,7 @@
 
 // placing is what the costs of all candidates for a request have in common.
 type placing struct {
-	perToken float64 // ms to read a token
+	perToken float64 // ms to read a token at the candidate that is looked at
 	engine   *config.Engine
 	store    *config.Service // nil: none that is well
 	shared   int             // tokens that others may keep
@@ -87,9 +87,11 @@
 	r.place(now, req, found)
 	for i := range found {
 		c := &found[i]
+		r.placing.perToken = req.pool.perToken(c.broker)
 		r.placing.work(c)
-		c.cost += r.placing.perToken * r.waiting(now, req.pool, c.broker)
+		c.cost += r.waiting(now, req.pool, c.broker)
 		c.cost += r.conditions(c)
+		c.cost += r.pauseCost(now, req, c)
 		if now < c.broker.instance.ColdUntil {
 			c.cost *= coldFactor
 		}
@@ -99,12 +101,14 @@
 // place fills in what the candidates have in common.
 func (r *Router) place(now core.Time, req *request, found []candidate) {
 	p := &r.placing
-	p.perToken = req.pool.pace.perToken()
 	p.engine = r.compiled.Services[req.Service].Engine
 	p.store = r.storeFor(now, req)
 	p.shared = sharedTokens(req.Parts)
 	p.own = max(req.TokensIn-p.shared, 0)
-	p.owner = owner(req, found)
+	p.owner = nil
+	if r.uses(Affinity) {
+		p.owner = owner(req, found)
+	}
 	p.versions = p.versions[:0]
 	for i := range found {
 		if p.parts(found[i].version) == nil {
@@ -132,7 +136,7 @@
 		}
 		unseen = 0
 		for i := range reads.places {
-			if place := &reads.places[i]; place.broker != nil && now < place.at+readsBelieved {
+			if place := &reads.places[i]; r.uses(RecentReads) && place.broker != nil && now < place.at+readsBelieved {
 				noteRead(now, found, place, tokens)
 			}
 		}
@@ -189,7 +193,7 @@
 	moved, perMoved := p.move(c, known, missing)
 	anew := missing - moved
 	again := max(anew-known.unseen, 0)
-	c.unread = p.own + anew
+	c.unread, c.anew, c.again = p.own+anew, anew, again
 	c.reading = p.perToken * float64(c.unread)
 	if moved > 0 {
 		c.reading += moveFixed + perMoved*float64(moved)
@@ -207,29 +211,27 @@
 	}
 	had := p.shared - missing
 	if known.kept > had && known.kept >= c.stored {
-		return known.kept - had, p.moveTime(p.engine.LinkMbps, movesZones)
+		return known.kept - had, moveTime(p.engine, p.engine.LinkMbps, movesZones)
 	}
 	if p.store == nil || c.stored <= had {
 		return 0, 0
 	}
-	times := 1.0
-	if p.store.Zone != c.broker.instance.Zone {
-		times = movesZones
-	}
-	return min(c.stored-had, missing), p.moveTime(p.store.LinkMbps, times)
+	return min(c.stored-had, missing), moveTime(p.engine, p.store.LinkMbps, zonesFactor(p.store.Zone, c))
 }
 
-func (p *placing) moveTime(mbps, times float64) float64 {
-	if mbps <= 0 || p.engine.KVTokenBytes <= 0 {
+// moveTime is how long moving a token takes over a link, ms.
+func moveTime(engine *config.Engine, mbps, times float64) float64 {
+	if mbps <= 0 || engine.KVTokenBytes <= 0 {
 		return moveAssumed * times
 	}
-	return times * p.engine.KVTokenBytes * bitsPerByte / (mbps * bitsPerMsMbps)
+	return times * engine.KVTokenBytes * bitsPerByte / (mbps * bitsPerMsMbps)
 }
 
-// waiting is how many tokens a broker has to read before a new request's turn.
+// waiting is how long a broker will read before a new request's turn, ms.
 func (r *Router) waiting(now core.Time, p *pool, b *broker) float64 {
-	b.backlog.advance(now, 1/p.pace.perToken(), b.oldestWaiting())
-	return b.backlog.tokens()
+	perToken := p.perToken(b)
+	b.backlog.advance(now, 1/perToken, b.oldestWaiting())
+	return perToken * b.backlog.tokens()
 }
 
 // conditions is what counts against a broker besides the work, ms.
@@ -256,7 +258,8 @@
 
 // noteSent puts a prompt at the end of what its broker has to read, and returns where it ends there.
 func (r *Router) noteSent(now core.Time, p *pool, b *broker, salt uint64, parts []PromptPart, unread int) (end float64) {
-	perToken := p.pace.perToken()
+	perToken := p.perToken(b)
+	p.noteLongRead(now, b, unread)
 	end = b.backlog.add(now, float64(unread), 1/perToken, b.oldestWaiting())
 	r.reads.note(now, now+fromMilliseconds(perToken*b.backlog.tokens()), b, salt, parts)
 	return end
--- a/internal/node/routing/pool.go
+++ b/internal/node/routing/pool.go
@@ -24,6 +24,10 @@
 	overload overload
 
 	pace      readingPace
+	paced     bool    // brokers have a pace of their own
+	step      float64 // ms between two events that a broker usually takes; 0: not known
+	pauses    pauseModel
+	scratch   []float64
 	weights   predict.Weights
 	submits   predict.Submits
 	latencies *window.Hist // all answers of the service, scaled to the usual work
@@ -58,6 +62,7 @@
 	at := milliseconds(now)
 	p.median, p.seen = p.latencies.Quantile(at, 0.5)
 	p.scarce = p.marksAreMany()
+	p.step = p.usualStep()
 	p.top, _ = p.latencies.Quantile(at, predict.LineShare)
 	if p.seen >= predict.Few && (p.calm == 0 || p.median < p.calm) {
 		p.calm = p.median
@@ -82,11 +87,11 @@
 // usable reports whether new requests may be sent to a broker. A mark that it loads new weights may be left of a holder of that
 // duty that was lost: where brokers are scarce it is believed for a while only, as a broker that does load turns requests away
 // by itself.
-func (p *pool) usable(now core.Time, b *broker) bool {
+func (r *Router) usable(now core.Time, p *pool, b *broker) bool {
 	if b.instance.State != registry.Ready {
 		return false
 	}
-	return !b.instance.Loading || p.scarce && now >= b.markedAt+markTrusted
+	return !r.uses(LoadingMarks) || !b.instance.Loading || p.scarce && now >= b.markedAt+markTrusted
 }
 
 func (p *pool) crowded() bool { return predict.Crowded(p.median, p.calm) }
@@ -109,7 +114,7 @@
 var noLatencies = window.NewHist(1, 1, 1, 2, 1)
 
 // features are what the score looks at for a request that would be sent to the broker now.
-func (p *pool) features(now core.Time, b *broker, load, average float64) predict.Vector {
+func (r *Router) features(now core.Time, p *pool, b *broker, load, average float64) predict.Vector {
 	line := p.lineOf(now, b)
 	features := predict.NewFeatures(line, average, load)
 	// A hang must not read as fast: an attempt out for longer than the line stands for the latest latency.
@@ -117,7 +122,7 @@
 		features.Add(age, loadThen)
 	}
 	for _, past := range b.history {
-		if past.latency > 0 && milliseconds(now-past.at) < predict.HistoryLife {
+		if past.latency > 0 && (!r.uses(HistoryExpiry) || milliseconds(now-past.at) < predict.HistoryLife) {
 			features.Add(past.latency, past.load)
 		}
 	}
--- a/internal/node/routing/request.go
+++ b/internal/node/routing/request.go
@@ -34,6 +34,8 @@
 	broker        *broker
 	sentAt        core.Time
 	load          float64 // there, when it was sent
+	unread        int     // tokens of its prompt that the broker was to read
+	late          bool    // its first event was late
 	queueEnd      float64 // its place in the broker's backlog
 	ahead         float64 // tokens to be read before its first one, its own included, when it was sent
 	scale         float64 // expected latency against the usual of the pool
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"maps"
+
 	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/registry"
@@ -40,6 +42,7 @@
 	reads    recentReads
 	asked    []uint64 // used again by rankHolders
 	counters Counters
+	late     lateRecord
 }
 
 var _ Port = (*Router)(nil)
@@ -64,7 +67,11 @@
 }
 
 // Counters copies what was counted since the start.
-func (r *Router) Counters() Counters { return r.counters.clone() }
+func (r *Router) Counters() Counters {
+	counters := r.counters.clone()
+	counters.Late = maps.Clone(r.late.counts)
+	return counters
+}
 
 // Holding is how many requests are held.
 func (r *Router) Holding() int { return len(r.requests) }
@@ -127,6 +134,7 @@
 	p := r.pools[service]
 	if p == nil {
 		p = newPool(service, newBudget(r.options.BudgetWindow))
+		p.paced = r.uses(BrokerPace)
 		r.pools[service] = p
 	}
 	return p
@@ -165,7 +173,7 @@
 	}
 	chosen, byPrediction := r.pick(now, req, f)
 	req.pool.overload.refresh(now, req.pool)
-	if chance := req.pool.overload.chance(req.Urgency); chance > 0 && r.options.Random.Float64() < chance {
+	if chance := req.pool.overload.chance(req.Urgency); r.uses(Overload) && chance > 0 && r.options.Random.Float64() < chance {
 		return req.id, r.refuse(now, req, RefusedFull, core.Never)
 	}
 	if after, ok := r.postponed(now, req, f, chosen); ok {
@@ -194,6 +202,7 @@
 		req.wall = r.walls.wall(req.Tenant)
 	}
 	req.class.came(req.TokensIn)
+	req.pool.pauses.came(now, req.Route)
 	req.fresh = req.class.fresh(now, &req.Request)
 	req.work = req.class.work(req.TokensIn)
 	req.pool.budget.requests.Add(milliseconds(now), 1)
@@ -263,6 +272,7 @@
 	if req.model != "" {
 		r.describeModel(now, req, chosen, out)
 		a.salt, a.fetchFrom = out.Salt, out.FetchFrom
+		r.countPrompt(req, chosen, out)
 		r.queue(now, req, a, out, chosen.unread)
 	}
 	req.attempts = append(req.attempts, a)
@@ -288,6 +298,7 @@
 	if unread == 0 {
 		unread = req.TokensIn
 	}
+	a.unread = unread
 	salt, parts := SaltID(out.Salt), sharedParts(req.Parts)
 	a.queueEnd = r.noteSent(now, req.pool, a.broker, salt, parts, unread)
 	a.ahead = a.broker.backlog.tokens()
--- a/internal/node/routing/store.go
+++ b/internal/node/routing/store.go
@@ -28,7 +28,7 @@
 // their memory. nil: there is none.
 func (r *Router) storeFor(now core.Time, req *request) *config.Service {
 	part, ok := stickyPart(req.Parts)
-	if !ok || r.compiled == nil {
+	if !ok || r.compiled == nil || !r.uses(KVStore) {
 		return nil
 	}
 	key := affinityKey(part, req.model, req.wall)
--- a/internal/node/routing/store_test.go
+++ b/internal/node/routing/store_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/core"
 )
 
 // Where parts are fetched from and sent to, by what the index knows of the prompt's 1,300 shared tokens.
@@ -196,3 +198,36 @@
 	assert.Assert(t, next.FetchFrom != own && next.FetchFrom != "")
 	assert.Equal(t, next.SaveTo, next.FetchFrom)
 }
+
+// What the index tells of a broker is old at times: where the store's link is about as quick, parts come from the store, unless the broker
+// was sent them lately.
+func TestStoreBeforeBrokersThatMayHaveDroppedParts(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		storeMbps float64
+		sentFor   core.Time // ago
+		fromStore bool
+	}{
+		{"as quick, told by the index", 1e6, time.Minute, true},
+		{"as quick, sent just now", 1e6, time.Second, false},
+		{"far slower, told by the index", 2e4, time.Minute, false},
+		{"not known", 0, time.Minute, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			index := &fixedIndex{}
+			w := newWorldWith(t, instances(6), index)
+			compiled := configOf(nil)
+			engine := compiled.Services[service].Engine
+			engine.LinkMbps, engine.KVTokenBytes, compiled.Stores[0].LinkMbps = 1e6, 2e5, c.storeMbps
+			w.SetConfig(w.now, compiled)
+			first := w.begin(w.prompt(flowRoute, 7))
+			w.read(first)
+			w.now += c.sentFor
+			w.PeerSent(w.now, Sent{Instance: first.Instance.ID, Unread: 90000})
+			index.holders = []Holder{{Instance: storeAddress, Store: true, Tokens: 1300}, {Instance: first.Instance.ID, Tokens: 1300}}
+			a := w.begin(w.prompt(flowRoute, 7))
+			assert.Assert(t, a.Instance.ID != first.Instance.ID)
+			assert.Equal(t, a.FetchFrom == storeAddress, c.fromStore)
+		})
+	}
+}
--- a/internal/rig/scale/node.go
+++ b/internal/rig/scale/node.go
@@ -76,7 +76,7 @@
 	n.router = routing.NewGuarded(routing.New(now, routing.Options{
 		Zone: n.self.Zone, RetryBudgetRatio: retryRatio, BudgetWindow: retryWindow, RetryBudgetSlack: retrySlack,
 		VersionGrace: versionWithin, Index: n.index, Random: n.random,
-	}), nil)
+	}), nil, nil)
 	n.startStore(now)
 	n.startChatter()
 	n.turn(&n.meter.ticks, func(core.Time) {})
