Routing: pauses no longer count in placement; pace by the shorter streams

Cause: keeping long prompts and streams apart helped where few prompts make streams late, and crowded brokers where many do; a broker's pace was drawn up by streams that met reading all along, and brokers that differ by chance counted as slow. Change: the cost of pauses is gone (late answers are still told by cause); a stream that shows a shorter step weighs five times as much as one that shows a longer one, and differences under 0.15 count for nothing.

--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -24,7 +24,7 @@
 		Index:            a.prompts.index,
 		Random:           newRandom(),
 		Disabled:         a.disabled,
-	}), a.tellSent, a.tellStream)
+	}), a.tellSent, a.tellStep)
 	a.startup = forward.NewStartup()
 	a.proxy = forward.New(forward.Options{
 		Port:     a.router,
--- a/internal/node/agent/loadhints.go
+++ b/internal/node/agent/loadhints.go
@@ -19,11 +19,9 @@
 	a.tellHint(hintOf(sent))
 }
 
-// tellStream tells the other proxies of a stream that has ended.
-func (a *Agent) tellStream(seen *routing.StreamSeen) {
-	a.tellHint(&nodepb.LoadHint{Instance: seen.Instance, Stream: &nodepb.StreamSeen{
-		UsualUs: uint32(seen.Usual.Microseconds()), LongestUs: uint32(seen.Longest.Microseconds()), LastedUs: uint32(seen.Lasted.Microseconds()),
-	}})
+// tellStep tells the other proxies what a stream showed of its broker's pace.
+func (a *Agent) tellStep(seen *routing.StepSeen) {
+	a.tellHint(&nodepb.LoadHint{Instance: seen.Instance, PauseUs: uint32(seen.Pause.Microseconds())})
 }
 
 func (a *Agent) tellHint(hint *nodepb.LoadHint) {
@@ -36,11 +34,8 @@
 // learnHints hands the router what other proxies have sent.
 func (a *Agent) learnHints(now core.Time, hints []*nodepb.LoadHint) {
 	for _, hint := range hints {
-		if stream := hint.Stream; stream != nil {
-			a.router.PeerStream(now, routing.StreamSeen{
-				Instance: hint.Instance, Usual: time.Duration(stream.UsualUs) * time.Microsecond,
-				Longest: time.Duration(stream.LongestUs) * time.Microsecond, Lasted: time.Duration(stream.LastedUs) * time.Microsecond,
-			})
+		if hint.PauseUs > 0 {
+			a.router.PeerStep(routing.StepSeen{Instance: hint.Instance, Pause: time.Duration(hint.PauseUs) * time.Microsecond})
 			continue
 		}
 		a.router.PeerSent(now, sentOf(hint))
--- a/internal/node/loadhint/spreader.go
+++ b/internal/node/loadhint/spreader.go
@@ -226,7 +226,7 @@
 	unread := min(float64(hint.Unread)*times, math.MaxUint32)
 	return &nodepb.LoadHint{
 		Instance: hint.Instance, Salt: hint.Salt, PartIds: hint.PartIds, PartTokens: hint.PartTokens, Unread: uint32(unread),
-		Stream: hint.Stream,
+		PauseUs: hint.PauseUs,
 	}
 }
 
--- a/internal/node/routing/api.go
+++ b/internal/node/routing/api.go
@@ -80,8 +80,8 @@
 type Decision struct {
 	Attempt *Attempt
 	Refusal *Refusal
-	// StreamSeen is what the other proxies are to be told, by PeerStream; nil: nothing.
-	StreamSeen *StreamSeen
+	// StepSeen is what the other proxies are to be told, by PeerStep; nil: nothing.
+	StepSeen *StepSeen
 }
 
 // Load is what a broker tells of itself in X-Kestrelspread-Server-Load.
--- a/internal/node/routing/broker.go
+++ b/internal/node/routing/broker.go
@@ -36,7 +36,6 @@
 	step      float64 // ms between two events while it reads no other prompt
 	steps     int     // streams that step was learnt from
 	longReads longReads
-	risks     fadedSum // of prompts sent there that make streams late
 	history   [predict.HistorySize]sample
 	lately    *window.Hist // own latencies, scaled; nil before the first answer
 	line      float64
--- a/internal/node/routing/guarded.go
+++ b/internal/node/routing/guarded.go
@@ -13,16 +13,16 @@
 	mutex  sync.Mutex
 	router *Router
 	// What other proxies are to be told is given to these; they must not wait.
-	tell       func(*Sent)
-	tellStream func(*StreamSeen)
+	tell     func(*Sent)
+	tellStep func(*StepSeen)
 }
 
 var _ Port = (*Guarded)(nil)
 
-// NewGuarded wraps a router, which must not be used directly any more. tell is called with each Attempt.Sent, tellStream with each
-// Decision.StreamSeen; they must not wait. nil: nobody is told.
-func NewGuarded(router *Router, tell func(*Sent), tellStream func(*StreamSeen)) *Guarded {
-	return &Guarded{router: router, tell: tell, tellStream: tellStream}
+// NewGuarded wraps a router, which must not be used directly any more. tell is called with each Attempt.Sent, tellStep with each
+// Decision.StepSeen; they must not wait. nil: nobody is told.
+func NewGuarded(router *Router, tell func(*Sent), tellStep func(*StepSeen)) *Guarded {
+	return &Guarded{router: router, tell: tell, tellStep: tellStep}
 }
 
 // decided passes a decision on, and tells what other proxies are to know of it.
@@ -30,8 +30,8 @@
 	if g.tell != nil && decision.Attempt != nil && decision.Attempt.Sent != nil {
 		g.tell(decision.Attempt.Sent)
 	}
-	if g.tellStream != nil && decision.StreamSeen != nil {
-		g.tellStream(decision.StreamSeen)
+	if g.tellStep != nil && decision.StepSeen != nil {
+		g.tellStep(decision.StepSeen)
 	}
 	return decision
 }
@@ -100,11 +100,11 @@
 	g.router.PeerSent(now, sent)
 }
 
-// PeerStream is Router.PeerStream.
-func (g *Guarded) PeerStream(now core.Time, seen StreamSeen) {
+// PeerStep is Router.PeerStep.
+func (g *Guarded) PeerStep(seen StepSeen) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.router.PeerStream(now, seen)
+	g.router.PeerStep(seen)
 }
 
 // CoreDisturbed is Router.CoreDisturbed.
--- a/internal/node/routing/mechanisms.go
+++ b/internal/node/routing/mechanisms.go
@@ -19,7 +19,6 @@
 	KVStore
 	RecentReads
 	BrokerPace
-	PauseRisk
 	RefusalPause
 	Postponing
 	Overload
@@ -47,7 +46,6 @@
 		{KVStore, "store", "parts are saved in the store and fetched from there"},
 		{RecentReads, "recent-reads", "what was sent to brokers lately counts before the index tells of it"},
 		{BrokerPace, "broker-pace", "a pace for each broker, by the pauses of its streams"},
-		{PauseRisk, "pause-risk", "long prompts and streams keep apart where reading makes streams late"},
 		{RefusalPause, "refusal-pause", "a broker that had no room is left alone for a moment"},
 		{Postponing, "postponing", "first tries that would be late are told when to come again"},
 		{Overload, "overload", "a share of the least urgent is refused while most answers are late"},
--- a/internal/node/routing/outcomes.go
+++ b/internal/node/routing/outcomes.go
@@ -97,7 +97,7 @@
 	r.settle(now, req, a, &outcome)
 	decision := r.afterwards(now, req, &outcome, resumable)
 	r.notePauses(now, req, a, outcome.Pauses)
-	decision.StreamSeen = r.learnStream(now, req, a, outcome.Pauses)
+	decision.StepSeen = r.learnStep(req, a, outcome.Pauses)
 	return decision
 }
 
--- a/internal/node/routing/placement.go
+++ b/internal/node/routing/placement.go
@@ -91,7 +91,6 @@
 		r.placing.work(c)
 		c.cost += r.waiting(now, req.pool, c.broker)
 		c.cost += r.conditions(c)
-		c.cost += r.pauseCost(now, req, c)
 		if now < c.broker.instance.ColdUntil {
 			c.cost *= coldFactor
 		}
@@ -259,7 +258,7 @@
 // noteSent puts a prompt at the end of what its broker has to read, and returns where it ends there.
 func (r *Router) noteSent(now core.Time, p *pool, b *broker, salt uint64, parts []PromptPart, unread int) (end float64) {
 	perToken := p.perToken(b)
-	p.noteLongRead(now, b, unread)
+	b.longReads.note(now, unread)
 	end = b.backlog.add(now, float64(unread), 1/perToken, b.oldestWaiting())
 	r.reads.note(now, now+fromMilliseconds(perToken*b.backlog.tokens()), b, salt, parts)
 	return end
--- a/internal/node/routing/pool.go
+++ b/internal/node/routing/pool.go
@@ -26,7 +26,6 @@
 	pace      readingPace
 	paced     bool    // brokers have a pace of their own
 	step      float64 // ms between two events that a broker usually takes; 0: not known
-	pauses    pauseModel
 	scratch   []float64
 	weights   predict.Weights
 	submits   predict.Submits
--- a/internal/node/routing/router.go
+++ b/internal/node/routing/router.go
@@ -202,7 +202,6 @@
 		req.wall = r.walls.wall(req.Tenant)
 	}
 	req.class.came(req.TokensIn)
-	req.pool.pauses.came(now, req.Route)
 	req.fresh = req.class.fresh(now, &req.Request)
 	req.work = req.class.work(req.TokensIn)
 	req.pool.budget.requests.Add(milliseconds(now), 1)
--- a/internal/node/routing/steps.go
+++ b/internal/node/routing/steps.go
@@ -13,20 +13,39 @@
 	pausesFew    = 6    // pauses of a stream before they tell a broker's step
 	streamsTold  = 0.25 // share of the streams that the other proxies are told of
 	stepsTrusted = 4    // streams before a broker's step counts
-	stepWeight   = 0.15 // of the newest stream in what a broker's step takes
+	stepShorter  = 0.2  // weight of the newest stream in what a broker's step takes, if it shows a shorter one
+	stepLonger   = 0.04 // and if it shows a longer one: its broker may have read prompts all along
 	stepOutlier  = 1.4  // times what is believed, at most, that a single stream counts as
 	stepsFew     = 4    // brokers whose step is known before they are compared
-	stepNoise    = 0.08 // share of the usual step by which brokers differ by chance
+	stepNoise    = 0.15 // share of the usual step by which brokers differ by chance
 	speedLeast   = 0.5  // times the usual step of the service
 	speedMost    = 3.0
 )
 
-// StreamSeen is what other proxies are told of a stream that has ended.
-type StreamSeen struct {
+// StepSeen is what other proxies are told of a stream that has ended.
+type StepSeen struct {
 	Instance string    // instance id
-	Usual    core.Time // pause between two events while the broker reads no other prompt
-	Longest  core.Time // pause between two events
-	Lasted   core.Time // from the send to the end
+	Pause    core.Time // between two events while the broker reads no other prompt
+}
+
+// learnStep takes what a stream of this proxy showed of its broker, and returns what the other proxies are to be told; nil: nothing.
+// Which streams are told of is chance, so that what others hear isn't only what is unusual.
+func (r *Router) learnStep(req *request, a *attempt, pauses Pauses) *StepSeen {
+	if req.model == "" || pauses.Count < pausesFew || pauses.Usual <= 0 || a.sentAt < r.awakeAt {
+		return nil
+	}
+	a.broker.noteStep(milliseconds(pauses.Usual))
+	if r.options.Random.Float64() >= streamsTold {
+		return nil
+	}
+	return &StepSeen{Instance: a.broker.instance.ID, Pause: pauses.Usual}
+}
+
+// PeerStep tells what a stream of another proxy showed of a broker's pace.
+func (r *Router) PeerStep(seen StepSeen) {
+	if b := r.brokers[seen.Instance]; b != nil && seen.Pause > 0 {
+		b.noteStep(milliseconds(seen.Pause))
+	}
 }
 
 // noteStep takes a sample into the average. Beyond the first ones, a single stream moves it little: it may have met reading all along.
@@ -37,7 +56,11 @@
 		return
 	}
 	seen = min(max(seen, b.step/stepOutlier), b.step*stepOutlier)
-	b.step += stepWeight * (seen - b.step)
+	weight := stepLonger
+	if seen < b.step {
+		weight = stepShorter
+	}
+	b.step += weight * (seen - b.step)
 }
 
 // usualStep is the median of what brokers' steps take, 0 where too few are known.
