--- a/cmd/kestrelctl/fleet_test.go
+++ b/cmd/kestrelctl/fleet_test.go
@@ -33,6 +33,12 @@
 		Requests:  nodestatus.Requests{Taken: 10, Answered: 8, Refused: 1, Failed: 1, Attempts: 8},
 		Choices:   nodestatus.Choices{ByPrediction: 2, ByLoad: 6},
 		Refusals:  map[string]uint64{"all brokers full": 1},
+		Prompts:   nodestatus.Prompts{Shared: 2000, Held: 1000, Coming: 100, FromBroker: 300, FromStore: 200, First: 300, Again: 100},
+		Late:      map[string]uint64{"waited for other prompts": 4},
+		LateNewest: []nodestatus.LateRequest{{Ago: "2s", Route: "r-oldest"}, {Ago: "1s", Route: "r1", Instance: "i1",
+			Cause: "waited for other prompts", First: "510ms", Pause: "0s", Unread: 700, Ahead: 21000, Load: 3, Running: 2, Waiting: 1},
+			{Route: "r2"}, {Route: "r3"}},
+		Disabled: []string{"copies", "overload"},
 	}
 }
 
@@ -56,7 +62,10 @@
 		says      []string
 		failure   string
 	}{
-		{"agreement", agreeing, []string{"n1", "n2", "m=2", "head", "2 ready 1 draining", "25.0%", "n1 refused: all brokers full 1"}, ""},
+		{"agreement", agreeing, []string{"n1", "n2", "m=2", "head", "2 ready 1 draining", "25.0%", "n1 refused: all brokers full 1",
+			"n1 switched off: copies, overload", "n1 shared tokens: 50.0% held, 5.0% coming, 15.0% from brokers, 10.0% from the store, 15.0% first, 5.0% again",
+			"n1 late: waited for other prompts 4",
+			"1s ago, r1 at i1: waited for other prompts; first event 510ms, pause 0s, 700 tokens unread, 21000 ahead, longest other 0, load 3 believed, 2+1 reported"}, ""},
 		{"another view", append([]string{ahead}, agreeing...), []string{"n3", "the view differently: epoch 4, chain a b (n3)"}, "disagree on the view"},
 		{"a change on its way", append([]string{nodeAt(t, other)}, agreeing...), []string{"the state in force differently"}, ""},
 		{"nobody there", append([]string{nobody(t)}, agreeing...), []string{"unreachable", "n1"}, "can't be reached"},
@@ -68,6 +77,7 @@
 			} else {
 				assert.ErrorContains(t, err, test.failure)
 			}
+			assert.Assert(t, !strings.Contains(out, "r-oldest"), "only the newest late answers are printed")
 			for _, word := range test.says {
 				assert.Assert(t, strings.Contains(out, word), "%s\nis not in\n%s", word, out)
 			}
--- a/internal/node/loadhint/spreader_test.go
+++ b/internal/node/loadhint/spreader_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/testing/protocmp"
 	"gotest.tools/v3/assert"
 
 	"kestrelspread/internal/node/core"
@@ -199,3 +200,12 @@
 		assert.Equal(t, batches, 10*4*(nodes/4+2))
 	}
 }
+
+// A hint that stands for others too still tells what it is about.
+func TestRaisedHints(t *testing.T) {
+	sent := raised(&nodepb.LoadHint{Instance: "i", Salt: 3, PartIds: []uint64{1}, PartTokens: []uint32{500}, Unread: 400}, 2.5)
+	assert.DeepEqual(t, sent, &nodepb.LoadHint{Instance: "i", Salt: 3, PartIds: []uint64{1}, PartTokens: []uint32{500}, Unread: 1000}, protocmp.Transform())
+	seen := raised(&nodepb.LoadHint{Instance: "i", PauseUs: 20000}, 3)
+	assert.Equal(t, seen.PauseUs, uint32(20000))
+	assert.Equal(t, seen.Unread, uint32(0))
+}
