control: one log line when a node has lost the core, one when it is back

Cause: a node without contact to the core wrote nothing by itself at that moment.

The line names the age and the peers tried.

--- a/internal/node/control/inputs.go
+++ b/internal/node/control/inputs.go
@@ -33,6 +33,7 @@
 	n.propagated.brokersChanged = false
 	n.stepRollout(now, changed)
 	n.propagate(now)
+	n.logCoreContact(now)
 	return n.outbox.Take()
 }
 
--- a/internal/node/control/node.go
+++ b/internal/node/control/node.go
@@ -89,6 +89,7 @@
 
 	propagated       propagatedState
 	confirmedAt      core.Time // of the state held here; 0: never
+	coreContact      coreContact
 	targetVersions   map[string]rollout.Target
 	leaseCommands    map[uint64]bool // pending requests of the rollout's own lease commands
 	lastLeaseRequest uint64          // number of the last of them, without the flag
--- a/internal/node/distribution/upstreams.go
+++ b/internal/node/distribution/upstreams.go
@@ -20,6 +20,24 @@
 	staleUntil      core.Time // until then it counts as detached from the core
 }
 
+// maxListedUpstreams bounds what FailedUpstreams lists.
+const maxListedUpstreams = 5
+
+// FailedUpstreams lists the addresses of upstreams, best first, that owe an answer to a poll or have said
+// that they are detached from the core; maxListedUpstreams at most.
+func (d *Distribution) FailedUpstreams(now core.Time) []string {
+	var addresses []string
+	for _, candidate := range d.candidates {
+		if len(addresses) == maxListedUpstreams {
+			break
+		}
+		if candidate.unanswered || candidate.demoted(now) {
+			addresses = append(addresses, candidate.address)
+		}
+	}
+	return addresses
+}
+
 // demoted reports whether other upstreams are polled first.
 func (u *upstream) demoted(now core.Time) bool { return u.failures > 0 || u.staleUntil > now }
 
