transfer: stalled transfers of equal age give way in one order

Cause: a tie between senders was broken by the order of a map, so that a run under a virtual clock need not repeat.

Change: ties go by id, then by sender.

Result: TestStalledTransfersGiveWayInOneOrder fails on the former file.

--- a/internal/node/transfer/incoming.go
+++ b/internal/node/transfer/incoming.go
@@ -21,6 +21,14 @@
 	id     uint64
 }
 
+// less orders keys by id, and those of several senders alike by sender.
+func (k incomingKey) less(other incomingKey) bool {
+	if k.id != other.id {
+		return k.id < other.id
+	}
+	return k.sender < other.sender
+}
+
 // incoming is a message that is being received, or that has been.
 type incoming struct {
 	total      int            // size of the message in bytes
@@ -119,8 +127,8 @@
 		if in.complete {
 			continue
 		}
-		isTie := in.progressAt == slowestProgressAt && key.id < slowest.id
-		if in.progressAt < slowestProgressAt || isTie {
+		isTie := in.progressAt == slowestProgressAt
+		if in.progressAt < slowestProgressAt || isTie && slowest.sender != "" && key.less(slowest) {
 			slowest, slowestProgressAt = key, in.progressAt
 		}
 	}
--- a/internal/node/transfer/transfer_test.go
+++ b/internal/node/transfer/transfer_test.go
@@ -250,6 +250,23 @@
 
 // TestNewerVersionReplacesTransferOfSameSlot: a message that comes again while it is under way is
 // not sent twice, an entry is replaced by another one, and commands don't wait for each other.
+// TestStalledTransfersGiveWayInOneOrder: of transfers that stand still equally long the one with the lowest id goes, and of
+// equal ids that of the first sender, so that runs under a virtual clock repeat.
+func TestStalledTransfersGiveWayInOneOrder(t *testing.T) {
+	for range 50 {
+		receiver := New(rand.New(rand.NewPCG(1, 1)))
+		for i := range maxIncoming {
+			receiver.incoming[incomingKey{sender: fmt.Sprintf("sender-%02d", i), id: 7}] = &incoming{total: 1 << 20}
+		}
+		assert.Assert(t, receiver.dropStalled(2*stallTimeout))
+		assert.Equal(t, len(receiver.incoming), maxIncoming-1)
+		for i := range maxIncoming {
+			_, kept := receiver.incoming[incomingKey{sender: fmt.Sprintf("sender-%02d", i), id: 7}]
+			assert.Equal(t, kept, i != 0, "sender-%02d", i)
+		}
+	}
+}
+
 func TestNewerVersionReplacesTransferOfSameSlot(t *testing.T) {
 	body := make([]byte, 1<<20)
 	entry := func(epoch, index uint64) *nodepb.Envelope {
