ledger: a buffered sum that would overflow is set aside

Cause: Buffer.merge ignored that Counts.Add kept the former value of a field whose sum does not fit: uses were lost without a sign.

Change: the full sum waits as it is, and another one begins; both are taken together.

Result: TestBufferKeepsSumsThatWouldOverflow fails on the former file.

--- a/internal/ledger/buffer.go
+++ b/internal/ledger/buffer.go
@@ -1,11 +1,16 @@
 package ledger
 
-import "sort"
+import (
+	"slices"
+	"sort"
+)
 
 // Buffer stands between the broker's loop, which must not wait, and the disk, which may be slow: uses of one key and period
-// merge, so that what is pending is bounded by the number of live keys and nothing is ever dropped.
+// merge, so that what is pending is bounded by the number of live keys and nothing is ever dropped. A sum that would no
+// longer fit into its integers is set aside and another one begun.
 type Buffer struct {
 	pending map[bufferKey]*Counts
+	full    []BufferedUse // sums that could take no more
 	uses    int64
 }
 
@@ -33,11 +38,15 @@
 	if mutantMerge {
 		*sum = Counts{} // loses what was pending
 	}
+	if !sum.Fits(*counts) {
+		b.full = append(b.full, BufferedUse{key.period, key.key, *sum})
+		*sum = Counts{}
+	}
 	sum.Add(*counts)
 }
 
-// Keys is the number of pending keys.
-func (b *Buffer) Keys() int { return len(b.pending) }
+// Keys is the number of pending sums: one a key and period, and those set aside.
+func (b *Buffer) Keys() int { return len(b.pending) + len(b.full) }
 
 // Uses is the number of uses that were ever added.
 func (b *Buffer) Uses() int64 { return b.uses }
@@ -51,11 +60,12 @@
 
 // TakeAll takes all that is pending, in order.
 func (b *Buffer) TakeAll() []BufferedUse {
-	list := make([]BufferedUse, 0, len(b.pending))
+	list := slices.Grow(b.full, len(b.pending))
+	b.full = nil
 	for at, counts := range b.pending {
 		list = append(list, BufferedUse{at.period, at.key, *counts})
 	}
-	sort.Slice(list, func(i, j int) bool {
+	sort.SliceStable(list, func(i, j int) bool {
 		if list[i].Period != list[j].Period {
 			return list[i].Period < list[j].Period
 		}
--- a/internal/ledger/counts.go
+++ b/internal/ledger/counts.go
@@ -39,6 +39,9 @@
 	return fits
 }
 
+// Fits tells whether Add(other) would fit in all fields.
+func (c Counts) Fits(other Counts) bool { return c.Add(other) }
+
 // Negated returns the counts with opposite signs.
 func (c Counts) Negated() Counts {
 	for i := range c {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os/exec"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -30,6 +32,31 @@
 
 const hour = int64(3600e3)
 
+// TestBufferKeepsSumsThatWouldOverflow: what does not fit into one sum is a second one, and nothing is lost.
+func TestBufferKeepsSumsThatWouldOverflow(t *testing.T) {
+	const nearly = math.MaxInt64 - 10
+	buffer := NewBuffer()
+	for _, n := range []int64{nearly, 7, 20, 5} {
+		buffer.Add(0, key("a"), Counts{Searches: 1, WorkMicros: n})
+	}
+	if buffer.Keys() != 2 {
+		t.Errorf("%d sums", buffer.Keys())
+	}
+	list := buffer.TakeAll()
+	buffer.PutBack(list)
+	list = buffer.TakeAll()
+	want := []BufferedUse{
+		{Key: key("a"), Counts: Counts{Searches: 2, WorkMicros: nearly + 7}},
+		{Key: key("a"), Counts: Counts{Searches: 2, WorkMicros: 25}},
+	}
+	if !slices.Equal(list, want) {
+		t.Errorf("got %v, want %v", list, want)
+	}
+	if buffer.Keys() != 0 {
+		t.Error("still pending after TakeAll")
+	}
+}
+
 func TestUsesMergeWithoutLoss(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	h, b := NewBuffer(), New("i", 1)
