lease: no panic without voters, no loops left by a failed start

Cause: client.New drew from zero peers; voter.Start had begun the loops of earlier peers when a later address could not be dialled.

Change: ErrNoVoters; peers are all dialled before any loop starts, and closed where one fails.

Result: TestFailedStartLeavesNothingRunning fails on the former files (sendLoop and helloLoop go on).

--- a/internal/fleet/lease/client/client.go
+++ b/internal/fleet/lease/client/client.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -57,9 +58,15 @@
 	leaderTimedOut bool              // as it was logged
 }
 
+// ErrNoVoters says that Options names no voter, so that nobody could grant a lease.
+var ErrNoVoters = errors.New("no voters")
+
 // New returns a client that has not started. Which voter it asks first is left to chance: whichever
-// it is names the leader.
+// it is names the leader. Errors: ErrNoVoters, or what transport.Dial says of an address.
 func New(options Options) (*Client, error) {
+	if len(options.Voters) == 0 {
+		return nil, fmt.Errorf("lease client %s: %w", options.Name, ErrNoVoters)
+	}
 	c := &Client{
 		options:       options,
 		eligibleRoles: []string{},
@@ -75,6 +82,7 @@
 	for _, address := range options.Voters {
 		peer, err := transport.Dial(address.Addr)
 		if err != nil {
+			c.closePeers()
 			return nil, fmt.Errorf("lease client %s: %w", options.Name, err)
 		}
 		c.peers, c.voterNames = append(c.peers, peer), append(c.voterNames, address.Name)
@@ -243,6 +251,10 @@
 	waitFor(released, within)
 	c.eachGrant(func(g *Grant) { g.cancel() })
 	waitFor(c.done, within)
+	c.closePeers()
+}
+
+func (c *Client) closePeers() {
 	for _, peer := range c.peers {
 		peer.Close()
 	}
--- a/internal/fleet/lease/voter/peers.go
+++ b/internal/fleet/lease/voter/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -25,17 +26,33 @@
 	lastDestinationID atomic.Uint64 // the voter id that the latest message was for
 }
 
-// startPeer starts the loops to another voter. They end at Close.
-func (s *Server) startPeer(voter Address) error {
-	conn, err := transport.Dial(voter.Addr)
-	if err != nil {
-		return err
+// dialPeers makes the connections to the other voters; none is left open where one can't be made. Their loops are started
+// only after that.
+func (s *Server) dialPeers() error {
+	for _, voter := range s.options.Voters {
+		if voter.Name == s.options.Name {
+			continue
+		}
+		conn, err := transport.Dial(voter.Addr)
+		if err != nil {
+			s.closePeers()
+			return fmt.Errorf("voter: peer %s: %w", voter.Name, err)
+		}
+		s.peers[voter.Name] = &peer{Peer: conn, queue: make(chan []byte, maxQueuedMessages)}
 	}
-	p := &peer{Peer: conn, queue: make(chan []byte, maxQueuedMessages)}
-	s.peers[voter.Name] = p
+	return nil
+}
+
+func (s *Server) closePeers() {
+	for _, p := range s.peers {
+		p.Close()
+	}
+}
+
+// startPeer starts the loops to another voter. They end at Close.
+func (s *Server) startPeer(p *peer) {
 	go s.sendLoop(p)
 	go s.helloLoop(p)
-	return nil
 }
 
 // send queues a message for its voter. One that finds no place is dropped: raft sends again what
--- a/internal/fleet/lease/voter/server.go
+++ b/internal/fleet/lease/voter/server.go
@@ -144,14 +144,12 @@
 		return fmt.Errorf("voter: listen: %w", err)
 	}
 	s.listenAddr = listener.Addr().String()
-	for _, voter := range s.options.Voters {
-		if voter.Name == s.options.Name {
-			continue
-		}
-		if err := s.startPeer(voter); err != nil {
-			listener.Close()
-			return err
-		}
+	if err := s.dialPeers(); err != nil {
+		listener.Close()
+		return err
+	}
+	for _, p := range s.peers {
+		s.startPeer(p)
 	}
 	s.stopServing = transport.Serve(listener, transport.Handlers{
 		Raft:          s.handleRaft,
@@ -261,9 +259,7 @@
 	s.closeOnce.Do(func() {
 		close(s.quit)
 		s.stopServing()
-		for _, peer := range s.peers {
-			peer.Close()
-		}
+		s.closePeers()
 		select {
 		case <-s.done:
 			s.store.Close()
--- a/internal/fleet/lease/voter/server_test.go
+++ b/internal/fleet/lease/voter/server_test.go
@@ -1,10 +1,12 @@
 package voter
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net"
+	"runtime"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -234,6 +236,29 @@
 	}
 }
 
+// TestFailedStartLeavesNothingRunning: where a later peer's address is unusable, no loop to an earlier one goes on, and the
+// disk can be opened again.
+func TestFailedStartLeavesNothingRunning(t *testing.T) {
+	options := Options{Name: "v0", Listen: "127.0.0.1:0", Dir: "voter", FS: vfs.NewMem(), LeaseConfig: lease.DefaultConfig,
+		Voters: []Address{{"v0", "127.0.0.1:1"}, {"v1", "127.0.0.1:2"}, {"v2", "127.0.0.1\x7f"}}, Log: zerolog.Nop()}
+	if _, err := Start(options); err == nil {
+		t.Fatal("an address that can't be dialled is accepted")
+	}
+	stacks := make([]byte, 1<<20)
+	stacks = stacks[:runtime.Stack(stacks, true)]
+	for _, loop := range []string{"sendLoop", "helloLoop"} {
+		if bytes.Contains(stacks, []byte(loop)) {
+			t.Errorf("%s still runs", loop)
+		}
+	}
+	options.Voters = options.Voters[:2]
+	s, err := Start(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+}
+
 func TestSecondProcessOnDiskIsRejected(t *testing.T) {
 	g := newTestGroup(t, 1)
 	o := g.options(0)
