--- a/internal/harness/scenario/leases.go
+++ b/internal/harness/scenario/leases.go
@@ -65,6 +65,9 @@
 			peers = append(peers, p)
 		}
 	}
+	if len(peers) == 0 {
+		return // nobody to poll: the report has no stages
+	}
 	latest := map[int]ReturnStage{}
 	latestIndex := uint64(0)
 	for n := 0; ctx.Err() == nil; n++ {
