gossip: the broadcast queue is there before memberlist is created

Cause: memberlist.Create starts goroutines that call the delegate; the queue was set after it without a lock, and a report that came before was not passed on.

Change: newGossip makes the queue; the member list is an atomic pointer. The golden test makes its members by newGossip too.

--- a/internal/fleet/zonefailure/gossip/gossip.go
+++ b/internal/fleet/zonefailure/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"io"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -49,7 +50,7 @@
 // Gossip is one broker's membership in the gossip.
 type Gossip struct {
 	options Options
-	members *memberlist.Memberlist
+	members atomic.Pointer[memberlist.Memberlist] // nil until memberlist.Create has returned
 	queue   *memberlist.TransmitLimitedQueue
 
 	lock            sync.Mutex
@@ -69,28 +70,40 @@
 
 // Start joins the other members. That none can be reached yet is no error, as brokers start in any order.
 func Start(options Options) (*Gossip, error) {
-	g := &Gossip{
-		options:         options,
-		ownObservations: map[int]observation{},
-		seenSequences:   map[string]int64{},
-		lastSequence:    time.Now().UnixNano(),
-		stop:            make(chan struct{}),
-	}
-	if options.ResendInterval <= 0 {
-		g.options.ResendInterval = defaultResendInterval
-	}
+	g := newGossip(options)
 	config, err := g.memberlistConfig()
 	if err != nil {
 		return nil, fmt.Errorf("gossip among brokers: %w", err)
 	}
-	if g.members, err = memberlist.Create(config); err != nil {
+	members, err := memberlist.Create(config)
+	if err != nil {
 		return nil, fmt.Errorf("gossip among brokers: %w", err)
 	}
-	g.queue = &memberlist.TransmitLimitedQueue{NumNodes: g.members.NumMembers, RetransmitMult: config.RetransmitMult}
+	g.members.Store(members)
 	go g.run()
 	return g, nil
 }
 
+// newGossip returns a member that has not joined. memberlist calls its delegate from goroutines that Create starts,
+// so the queue and all else that the delegate uses is there before.
+func newGossip(options Options) *Gossip {
+	if options.ResendInterval <= 0 {
+		options.ResendInterval = defaultResendInterval
+	}
+	g := &Gossip{
+		options:         options,
+		ownObservations: map[int]observation{},
+		seenSequences:   map[string]int64{},
+		lastSequence:    time.Now().UnixNano(),
+		stop:            make(chan struct{}),
+	}
+	g.queue = &memberlist.TransmitLimitedQueue{
+		NumNodes:       g.Members,
+		RetransmitMult: memberlist.DefaultLANConfig().RetransmitMult,
+	}
+	return g
+}
+
 func (g *Gossip) memberlistConfig() (*memberlist.Config, error) {
 	config := memberlist.DefaultLANConfig()
 	config.Name = g.options.Name
@@ -115,8 +128,8 @@
 	ticker := time.NewTicker(g.options.ResendInterval)
 	defer ticker.Stop()
 	for {
-		if len(g.options.Join) > 0 && g.members.NumMembers() < 2 {
-			g.members.Join(g.options.Join)
+		if len(g.options.Join) > 0 && g.Members() < 2 {
+			g.members.Load().Join(g.options.Join)
 		}
 		select {
 		case <-g.stop:
@@ -162,16 +175,23 @@
 }
 
 // Addr is the address on which it listens.
-func (g *Gossip) Addr() string { return g.members.LocalNode().Address() }
+func (g *Gossip) Addr() string { return g.members.Load().LocalNode().Address() }
 
 // Members is the number of live members, this broker included.
-func (g *Gossip) Members() int { return g.members.NumMembers() }
+func (g *Gossip) Members() int {
+	members := g.members.Load()
+	if members == nil {
+		return 1
+	}
+	return members.NumMembers()
+}
 
 // Close leaves the gossip.
 func (g *Gossip) Close() error {
 	g.stopOnce.Do(func() { close(g.stop) })
-	g.members.Leave(leaveTimeout)
-	return g.members.Shutdown()
+	members := g.members.Load()
+	members.Leave(leaveTimeout)
+	return members.Shutdown()
 }
 
 // delegate is what memberlist calls.
@@ -188,9 +208,6 @@
 
 // GetBroadcasts implements memberlist.Delegate: queued messages that fit into limit bytes.
 func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
-	if d.queue == nil { // memberlist may call before Start has made it
-		return nil
-	}
 	return d.queue.GetBroadcasts(overhead, limit)
 }
 
@@ -220,9 +237,7 @@
 		return false
 	}
 	d.seenSequences[key] = report.Sequence
-	if d.queue != nil {
-		// memberlist reuses its buffer.
-		d.queue.QueueBroadcast(&broadcast{key, append([]byte(nil), message...)})
-	}
+	// memberlist reuses its buffer.
+	d.queue.QueueBroadcast(&broadcast{key, append([]byte(nil), message...)})
 	return true
 }
--- a/internal/fleet/zonefailure/gossip/wire_golden_test.go
+++ b/internal/fleet/zonefailure/gossip/wire_golden_test.go
@@ -32,7 +32,7 @@
 		t.Errorf("sent %v, not %s", sent, lines)
 	}
 	var got []Report
-	r := &Gossip{options: Options{Name: "b2", OnReport: func(w Report) { got = append(got, w) }}, seenSequences: map[string]int64{}}
+	r := newGossip(Options{Name: "b2", OnReport: func(w Report) { got = append(got, w) }})
 	for _, b := range lines {
 		(*delegate)(r).NotifyMsg(b)
 	}
