statement: parts are known by 64 bits, progress has a version

Cause: two instances whose 32-bit ids collide counted as one: the later one's use was missing from every statement without a sign.

Change: ids of 64 bits. Progress of version 2 has a period's ids as one string, so that an earlier program fails to read it rather than publishing all parts again. Version 1 is read, and an intent fixed by it is published under the same key. More parts than an intent was made of is ErrAmbiguousPart.

--- a/internal/fleet/statement/collection.go
+++ b/internal/fleet/statement/collection.go
@@ -1,6 +1,8 @@
 package statement
 
 import (
+	"encoding/base64"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"slices"
@@ -46,11 +48,23 @@
 	closingCounts ledger.Counts
 }
 
-// id identifies a part within its period. It is short, as progress holds many.
+// id identifies a part within its period: 64 bits of a hash, in 11 characters, as progress holds many.
 func (p *instancePeriod) id() string {
+	hash := binary.BigEndian.AppendUint64(nil, xxhash.Sum64String(streamName(p.instance, p.epoch)))
+	return base64.RawURLEncoding.EncodeToString(hash)
+}
+
+// shortID is the id of the part in progress of version 1: the lower 32 bits of the same hash, in 8 characters. Two parts of
+// a period may share one.
+func (p *instancePeriod) shortID() string {
 	return fmt.Sprintf("%08x", uint32(xxhash.Sum64String(streamName(p.instance, p.epoch))))
 }
 
+// isIn reports whether the part is among ids, which may be of either version.
+func (p *instancePeriod) isIn(ids []string) bool {
+	return slices.Contains(ids, p.id()) || slices.Contains(ids, p.shortID())
+}
+
 func (p *instancePeriod) use() InstanceUse {
 	use := InstanceUse{Instance: p.instance, Epoch: p.epoch, Counts: nonZeroCounts(p.total)}
 	if p.total != p.closingCounts {
--- a/internal/fleet/statement/progress.go
+++ b/internal/fleet/statement/progress.go
@@ -1,7 +1,6 @@
 package statement
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
@@ -17,9 +16,9 @@
 
 // Progress is how far the work has come. It goes from holder to holder of the role.
 type Progress struct {
-	PublishedUpTo  int64              `json:"upto"`  // the latest period that is published
-	PublishedParts map[int64][]string `json:"parts"` // by period, the latest ones: which parts their statements are made of
-	Intent         *Intent            `json:"intent,omitempty"`
+	PublishedUpTo  int64              // the latest period that is published
+	PublishedParts map[int64][]string // by period, the latest ones: which parts their statements are made of
+	Intent         *Intent            // nil: nothing is fixed
 }
 
 // Intent is what is published next.
@@ -38,27 +37,13 @@
 	return fmt.Sprint("statement/", i.Period)
 }
 
-// ParseProgress reads progress; no data is the first holder's.
-func ParseProgress(data []byte) (p Progress, err error) {
-	if len(data) > 0 {
-		err = json.Unmarshal(data, &p)
-	}
-	if p.PublishedParts == nil {
-		p.PublishedParts = map[int64][]string{}
-	}
-	return p, err
-}
-
 // maxProgressBytes is well under what voters keep of a role's progress.
 const maxProgressBytes = 12 << 10
 
 // Marshal writes progress. The oldest periods' parts are forgotten where it would be too long.
 func (p Progress) Marshal() []byte {
 	for {
-		data, err := json.Marshal(p)
-		if err != nil {
-			panic(err) // strings, numbers and booleans can't fail
-		}
+		data := p.encode()
 		if len(data) <= maxProgressBytes || len(p.PublishedParts) <= 1 {
 			return data
 		}
@@ -139,8 +124,8 @@
 			continue
 		}
 		for _, part := range c.closedPeriods[period] {
-			if id := part.id(); !slices.Contains(published, id) {
-				return &Intent{Period: period, Parts: []string{id}, Late: true}
+			if !part.isIn(published) {
+				return &Intent{Period: period, Parts: []string{part.id()}, Late: true}
 			}
 		}
 	}
--- a/internal/fleet/statement/statement.go
+++ b/internal/fleet/statement/statement.go
@@ -64,12 +64,17 @@
 // ErrPartNotRead says that a part of an intent has not been read here yet: it has to be waited for, not left out.
 var ErrPartNotRead = errors.New("a part that was fixed has not been read here")
 
-// Build makes the statement of an intent. Equal intents give equal statements, whatever else was read.
+// ErrAmbiguousPart says that more parts than an intent was made of match its ids. Only short ids, of progress of version 1,
+// can be shared. Which parts were meant nobody can tell, so that no statement is made.
+var ErrAmbiguousPart = errors.New("several parts have an id that was fixed")
+
+// Build makes the statement of an intent. Equal intents give equal statements, whatever else was read. Errors:
+// ErrPartNotRead, ErrAmbiguousPart.
 func (c *Collection) Build(intent *Intent) (*Statement, error) {
 	s := &Statement{Period: intent.Period, Late: intent.Late, MissingInstances: intent.MissingInstances}
 	totals, corrections := map[Key]*ledger.Counts{}, map[Key]*ledger.Counts{}
 	for _, part := range c.closedPeriods[intent.Period] {
-		if !slices.Contains(intent.Parts, part.id()) {
+		if !part.isIn(intent.Parts) {
 			continue
 		}
 		s.Parts = append(s.Parts, part.use())
@@ -80,8 +85,11 @@
 			addCounts(corrections, key, *counts)
 		}
 	}
-	if found := len(s.Parts); found < len(intent.Parts) {
+	switch found := len(s.Parts); {
+	case found < len(intent.Parts):
 		return nil, fmt.Errorf("%w: %d of %d", ErrPartNotRead, found, len(intent.Parts))
+	case found > len(intent.Parts):
+		return nil, fmt.Errorf("%w: %d for %d", ErrAmbiguousPart, found, len(intent.Parts))
 	}
 	sort.Slice(s.Parts, func(a, b int) bool {
 		if s.Parts[a].Instance != s.Parts[b].Instance {
