--- a/internal/node/chain/catchup.go
+++ b/internal/node/chain/catchup.go
@@ -21,19 +21,19 @@
 		return
 	}
 	if !r.applyCatchUp(message) {
-		r.joining.needsSnapshot = true
-		r.joining.nextRequestAt = r.now
+		r.nextJoinRequestAt = r.now
 		return
 	}
-	r.joining.needsSnapshot = false
 	r.adoptPending(message.GetPending())
 	r.caughtUpEpoch = message.GetEpoch()
 	pending := r.pending
 	r.persist(kindCaughtUp, &nodepb.CaughtUpRecord{Epoch: r.caughtUpEpoch}, func() { r.acknowledgeCatchUp(message, pending) })
 }
 
-// applyCatchUp brings the committed state up to the head's; false: this node needs a snapshot for
-// that.
+// applyCatchUp brings the committed state up to the head's; false: the message does not suffice for
+// that, as it was made for a position that this node has lost by a restart, or its snapshot can't be
+// read. The next join request states the position held now, and by that the head decides between
+// entries and a snapshot.
 func (r *Replica) applyCatchUp(message *nodepb.CatchUp) bool {
 	committed := position{index: message.GetCommitted(), epoch: message.GetCommittedEpoch()}
 	if message.GetHasSnapshot() && committed.index > r.committed.index {
--- a/internal/node/chain/install.go
+++ b/internal/node/chain/install.go
@@ -22,7 +22,7 @@
 	r.proposalBackoffUntil = 0
 	r.founders = nil
 	r.stepDown()
-	r.joining = joiningState{nextRequestAt: r.now}
+	r.nextJoinRequestAt = r.now
 	r.updateTargets()
 	r.persist(kindView, decided, func() {
 		if r.view != decided {
--- a/internal/node/chain/join.go
+++ b/internal/node/chain/join.go
@@ -19,12 +19,6 @@
 	durablePosition position  // of the newest entry that it has made durable
 }
 
-// joiningState is what a node outside the chain has under way to join it.
-type joiningState struct {
-	nextRequestAt core.Time
-	needsSnapshot bool // the entries that the head keeps do not suffice
-}
-
 // wantsToJoin reports whether this node is outside the chain and able to join it.
 func (r *Replica) wantsToJoin() bool {
 	return r.view != nil && !r.inChain() && r.diskID() != "" && r.now >= r.leavingUntil && r.records.healthy(r.now)
@@ -42,10 +36,10 @@
 
 // requestJoinIfDue asks the head to add this node to the chain.
 func (r *Replica) requestJoinIfDue() {
-	if !r.wantsToJoin() || r.now < r.joining.nextRequestAt || !r.reachesChain() {
+	if !r.wantsToJoin() || r.now < r.nextJoinRequestAt || !r.reachesChain() {
 		return
 	}
-	r.joining.nextRequestAt = r.now + joinRequestInterval
+	r.nextJoinRequestAt = r.now + joinRequestInterval
 	request := &nodepb.JoinRequest{
 		Self:           r.options.Self,
 		Epoch:          r.view.GetEpoch(),
@@ -53,10 +47,6 @@
 		CommittedEpoch: r.committed.epoch,
 		Reachable:      r.detector.ReachableVoters(),
 	}
-	if r.joining.needsSnapshot {
-		request.Committed = 0
-		request.CommittedEpoch = 0
-	}
 	r.sendToHead(&nodepb.Envelope{Body: &nodepb.Envelope_JoinRequest{JoinRequest: request}})
 }
 
@@ -65,7 +55,7 @@
 	if !r.wantsToJoin() || !r.reachesChain() {
 		return core.Never
 	}
-	return max(r.joining.nextRequestAt, r.now)
+	return max(r.nextJoinRequestAt, r.now)
 }
 
 // receiveJoinRequest sends, at the head, the state to a machine that reaches every member of the
--- a/internal/node/chain/protocol_test.go
+++ b/internal/node/chain/protocol_test.go
@@ -250,11 +250,23 @@
 	assert.Equal(t, len(m.takeSent()), 0, "not from the head")
 }
 
+// TestJoinerRequestsASnapshotWhereEntriesDoNotSuffice: it acknowledges nothing that it could not apply, and asks again at
+// once from the position that it holds, by which the head sees that a snapshot is needed.
 func TestJoinerRequestsASnapshotWhereEntriesDoNotSuffice(t *testing.T) {
 	m := newTestReplicaInView(t, "d", testView(1, "abc", "abc"))
+	m.now += time.Second
+	for _, name := range []string{"a", "b", "c"} {
+		m.receive(name, pingOf(name, 1, 0))
+		m.receive(name, pingOf(name, 2, 1))
+	}
+	m.sent = nil
 	m.receive("a", catchUpOf(1, 5, 1, nil, nil))
 	m.completeWrites()
-	assert.Equal(t, len(m.takeSent()), 0)
+	assert.Equal(t, len(m.takeSent()), 0, "nothing was applied")
+	m.collect(m.replica.Tick(m.now))
+	request := find(m, (*nodepb.Envelope).GetJoinRequest)
+	assert.Equal(t, request.GetCommitted(), uint64(0))
+	m.takeSent()
 	full := newRegister()
 	for index := uint64(1); index <= 5; index++ {
 		full.Apply(entry(index, 1, string(rune('u'+index))))
--- a/internal/node/chain/replica.go
+++ b/internal/node/chain/replica.go
@@ -54,9 +54,10 @@
 	caughtUpEpoch        uint64 // epoch in which the head last caught this node up
 	recent               recentEntries
 
-	head    headState
-	tail    tailConfirmation
-	joining joiningState
+	head headState
+	tail tailConfirmation
+	// nextJoinRequestAt is when a node outside the chain asks to join it again.
+	nextJoinRequestAt core.Time
 }
 
 // New makes a Replica of the records of the journal, and returns the first outputs. random must
--- a/internal/node/submit/client_test.go
+++ b/internal/node/submit/client_test.go
@@ -119,6 +119,23 @@
 	assert.Equal(t, len(c.Receive(0, core.Peer{}, replyOf(message.GetRequest(), nodepb.ResultCode_TAKEN))), 0)
 }
 
+// TestCallNumbersDifferBetweenIncarnations: a process may be replaced at its address any number of times, and an answer to
+// any of its predecessors may still be under way.
+func TestCallNumbersDifferBetweenIncarnations(t *testing.T) {
+	const incarnations, callsEach = 300, 20
+	owners := map[uint64]uint64{}
+	for seed := range uint64(incarnations) {
+		c := newClient(seed)
+		c.SetView(0, viewOf(3, "a"))
+		for range callsEach {
+			_, message := sentTo(t, c.Submit(0, 1, &nodepb.Command{Id: "x"}))
+			owner, taken := owners[message.GetRequest()]
+			assert.Assert(t, !taken, "incarnations %d and %d both number a call %d", owner, seed, message.GetRequest())
+			owners[message.GetRequest()] = seed
+		}
+	}
+}
+
 func TestUnknownResultsAreIgnored(t *testing.T) {
 	c := newClient(8)
 	c.SetView(0, viewOf(3, "a"))
