Fields never read are gone; slow start is checked by the invariants in a test

warmKeys and a shard request's key in the policy, Lost in kvindex.Events. Checker.RecordWarmUp, which nothing called, judges the calls of TestRestartedServerIsWarmedUp, with slow start and without it, where it must find a violation.

--- a/internal/aggregator/policy/configure.go
+++ b/internal/aggregator/policy/configure.go
@@ -33,9 +33,10 @@
 		quota: quota, overQuotaWeight: overQuotaWeight, weight: 1, arrivals: newCounts(quotaSpan)})
 }
 
-// Fleet implements Port; it sets how shards are placed on servers and what a batch costs.
-func (p *Policy) Fleet(positions, replicas, maxBatch int, batchWork float64, warmKeys bool) {
-	p.fleet = fleetShape{max(positions, 1), max(replicas, 1), max(maxBatch, 1), batchWork, warmKeys}
+// Fleet implements Port; it sets how shards are placed on servers and what a batch costs. Whether servers keep warm keys is
+// not used: nothing is decided by a key.
+func (p *Policy) Fleet(positions, replicas, maxBatch int, batchWork float64, _ bool) {
+	p.fleet = fleetShape{max(positions, 1), max(replicas, 1), max(maxBatch, 1), batchWork}
 }
 
 // Limits implements Port; it sets how many attempts a shard request may have and how much may be
--- a/internal/aggregator/policy/state.go
+++ b/internal/aggregator/policy/state.go
@@ -39,7 +39,6 @@
 type shardRequest struct {
 	id, shard, phase          int
 	weight, work              float64
-	key                       uint64
 	search                    *searchState
 	attempts                  []*attemptState
 	rejections                int
@@ -107,7 +106,6 @@
 type fleetShape struct {
 	positions, replicas, maxBatch int
 	batchWork                     float64
-	warmKeys                      bool
 }
 
 type limits struct {
@@ -150,13 +148,13 @@
 }
 
 // ShardRequest implements Port; those of a search that has ended are passed over.
-func (p *Policy) ShardRequest(searchID, id, shard int, weight, work float64, key uint64) {
+func (p *Policy) ShardRequest(searchID, id, shard int, weight, work float64, _ uint64) {
 	p.budget.countRequest(p.now)
 	search := getAt(p.searches, searchID)
 	if search == nil || search.finished {
 		return
 	}
-	req := &shardRequest{id: id, shard: shard, phase: search.phase, weight: weight, work: work, key: key, search: search}
+	req := &shardRequest{id: id, shard: shard, phase: search.phase, weight: weight, work: work, search: search}
 	p.requests = setAt(p.requests, id, req)
 	search.requests = append(search.requests, req)
 	p.limits.pending++
--- a/internal/grpcproxy/servers_test.go
+++ b/internal/grpcproxy/servers_test.go
@@ -1,10 +1,13 @@
 package grpcproxy
 
 import (
+	"fmt"
+	"math"
 	"testing"
 
 	"kestrelspread/internal/aggregator/policy"
 	p "kestrelspread/internal/standin/grpcpeer"
+	"kestrelspread/internal/standin/invariants"
 	"kestrelspread/internal/standin/simnet"
 )
 
@@ -138,14 +141,35 @@
 	const slowStart = `,"cold-from":0.2,"cold-ms":3000,"tip-multiple":1.2,"tip-after-ms":1000`
 	without := callsAfterRestart(t, "")
 	with := callsAfterRestart(t, slowStart)
-	if with == 0 || 2*with > without {
-		t.Errorf("in its first second it got %d calls, without slow start %d", with, without)
+	if len(with) == 0 || 2*len(with) > len(without) {
+		t.Errorf("in its first second it got %d calls, without slow start %d", len(with), len(without))
 	}
-	t.Logf("in its first second: %d calls, without slow start %d", with, without)
+	t.Logf("in its first second: %d calls, without slow start %d", len(with), len(without))
+	if violations := warmUpViolations(with, len(without)/2); len(violations) > 0 {
+		t.Error(violations)
+	}
+	if len(warmUpViolations(without, len(without)/2)) == 0 {
+		t.Error("the check of servers in slow start does not find that there is none")
+	}
+}
+
+// warmUpViolations checks calls, by the times at which a server in slow start received them, against a maximum within a
+// second.
+func warmUpViolations(receivedAtMs []float64, maxCalls int) []string {
+	const server = "restarted"
+	rules := invariants.New()
+	rules.MaxWarmUpRequests, rules.WarmUpWindowMs = maxCalls, 1000
+	rules.RecordWarmUp(server, 0, math.Inf(1))
+	for i, at := range receivedAtMs {
+		id := fmt.Sprint("call ", i)
+		rules.RecordQuery(id, invariants.Idempotent, at, math.Inf(1))
+		rules.RecordAttempt(id, "", server, at)
+	}
+	return rules.Check(0)
 }
 
-// callsAfterRestart returns how many calls a restarted server gets in its first second.
-func callsAfterRestart(t *testing.T, safety string) int {
+// callsAfterRestart returns when a restarted server gets calls in its first second, ms.
+func callsAfterRestart(t *testing.T, safety string) []float64 {
 	t.Helper()
 	s := newHarness(t, 25, 4, safety)
 	c := p.Dial(s.world, 1)
@@ -175,9 +199,10 @@
 	}
 	restartedAt := s.world.NowMs
 	s.world.UpdateInstances(func(list []simnet.Instance) []simnet.Instance { list[1].Started = restartedAt; return list })
-	before := len(restarted.Calls)
+	var calls []float64
+	restarted.OnCall = func(*p.ServerCall) { calls = append(calls, s.world.NowMs) }
 	s.callOften(c, 100)
-	calls := len(restarted.Calls) - before
+	restarted.OnCall = nil
 	s.world.Run(4000)
 	if broken := countBroken(t, long); streams == 0 || broken != streams {
 		t.Errorf("%d streams were on it, %d broke", streams, broken)
--- a/internal/node/kvindex/events.go
+++ b/internal/node/kvindex/events.go
@@ -16,7 +16,6 @@
 type Events struct {
 	Epoch uint64  `json:"epoch"`         // changes with each restart
 	Next  uint64  `json:"nextPageToken"` // cursor of the events that follow
-	Lost  bool    `json:"lost"`          // events before these are missing; the index ignores it
 	List  []Event `json:"events"`
 }
 
