Fault runs: a connected majority with working disks acknowledges; a table by second

Cause: the runs judged waits only while the core had been stable within its tolerance. Whether a healthy majority stood idle after worse was not checked, and nothing showed what a core waits for.

Two comments that a move had split are whole again.

--- a/cmd/kestrelctl/fleetfaults.go
+++ b/cmd/kestrelctl/fleetfaults.go
@@ -13,7 +13,7 @@
 // fleetFaults plays complete fleets under a virtual clock, with faults that follow from seeds.
 func fleetFaults() *cobra.Command {
 	options := faultrun.CampaignOptions{}
-	replay := ""
+	replay, timeline := "", false
 	c := &cobra.Command{
 		Use: "faults", Args: cobra.NoArgs,
 		Short: "Play the control side of whole fleets through troubles from seeds; exit 1 where something that is promised broke",
@@ -22,7 +22,10 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt)
 			defer stop()
-			if replay == "" {
+			switch {
+			case timeline:
+				return faultrun.Timeline(cmd.OutOrStdout(), faultrun.PlanOf(options.First))
+			case replay == "":
 				return faultrun.Campaign(ctx, cmd.OutOrStdout(), options)
 			}
 			text, err := os.ReadFile(replay)
@@ -37,5 +40,6 @@
 	c.Flags().IntVar(&options.Jobs, "jobs", max(1, runtime.NumCPU()/2), "runs at a time")
 	c.Flags().IntVar(&options.ShrinkPlays, "shrink", 200, "how many plays a failing plan may take to be cut down")
 	c.Flags().StringVar(&replay, "replay", "", "file with a plan to play again")
+	c.Flags().BoolVar(&timeline, "timeline", false, "play the first seed alone and print a table of its core by second")
 	return c
 }
--- a/internal/harness/faultrun/campaign.go
+++ b/internal/harness/faultrun/campaign.go
@@ -39,6 +39,7 @@
 	uncheckedHistories int
 	ackedChanges       int
 	maxOrderWait       time.Duration
+	maxOrderWaitSeed   uint64 // the run that it was in
 	violations         []*Result
 	progressReportedAt time.Time
 }
@@ -56,8 +57,8 @@
 		})
 	}
 	running.Wait()
-	fmt.Fprintf(out, "%d runs, %d changes acknowledged, longest wait for an answer %v, %d histories too long, %d broken\n",
-		c.playedRuns, c.ackedChanges, c.maxOrderWait.Round(time.Millisecond), c.uncheckedHistories, len(c.violations))
+	fmt.Fprintf(out, "%d runs, %d changes acknowledged, longest wait for an answer %v (seed %d), %d histories too long, %d broken\n",
+		c.playedRuns, c.ackedChanges, c.maxOrderWait.Round(time.Millisecond), c.maxOrderWaitSeed, c.uncheckedHistories, len(c.violations))
 	for _, r := range c.violations {
 		if err := reportViolation(out, r.Plan, options.ShrinkPlays); err != nil {
 			return err
@@ -86,7 +87,9 @@
 	defer c.mutex.Unlock()
 	c.playedRuns++
 	c.ackedChanges += r.AckedChanges
-	c.maxOrderWait = max(c.maxOrderWait, r.MaxOrderWait)
+	if r.MaxOrderWait > c.maxOrderWait {
+		c.maxOrderWait, c.maxOrderWaitSeed = r.MaxOrderWait, r.Plan.Seed
+	}
 	if r.HistoryUnchecked {
 		c.uncheckedHistories++
 	}
--- a/internal/harness/faultrun/checks.go
+++ b/internal/harness/faultrun/checks.go
@@ -25,6 +25,7 @@
 	ackedByVersion    map[uint64]string // order ID by the version that it made
 	rejectedStatus    map[string]int    // by order ID
 	accepted          map[string]bool   // order IDs that a machine answered 200, whether or not that arrived
+	acceptedAt        time.Duration     // when a machine last answered 200 to an order
 	stateChecksums    map[uint64]uint32 // by index of the state
 	answerLossRate    float64
 	answerLossEndedAt time.Duration    // when answers were last lost
@@ -65,6 +66,7 @@
 	switch {
 	case status == http.StatusOK:
 		c.accepted[sent.id] = true
+		c.acceptedAt = sim.now
 		if earlier, rejected := c.rejectedStatus[sent.id]; rejected {
 			sim.fail("%s acknowledges %s, which was answered %d before", m.name, sent.id, earlier)
 		}
@@ -83,6 +85,18 @@
 	}
 }
 
+// notAcknowledged is called as a machine answers 503 to an order that reached it at a moment. A machine within a set that must
+// acknowledge may do so while the set changes its view; but ackTimeout after the first such answer orders are acknowledged again.
+func (c *checks) notAcknowledged(m *machine, sent *operatorOrder, arrivedAt time.Duration) {
+	if m.unavailableSince <= c.acceptedAt {
+		m.unavailableSince = arrivedAt
+	}
+	if arrivedAt-m.unavailableSince >= ackTimeout && c.sim.health.mustAcknowledge(m, m.unavailableSince) {
+		c.sim.fail("%s answers 503 to %s; it has been in a connected majority with working disks for %v, in which nothing was acknowledged",
+			m.name, sent.id, c.sim.now-m.unavailableSince)
+	}
+}
+
 // acknowledged is called as an acknowledgement reaches its operator. At most one change may be acknowledged on a version, and one as
 // a version.
 func (c *checks) acknowledged(sent *operatorOrder) {
--- a/internal/harness/faultrun/diskfaults.go
+++ b/internal/harness/faultrun/diskfaults.go
@@ -2,10 +2,9 @@
 
 import (
 	"time"
-
-	"kestrelspread/internal/node/nodepb"
 )
 
+// loseDiskWithLaggingReplica isolates a machine, so that it lags. As the partition heals, another one loses its disk, and the rest are
 // down for a while.
 func (sim *simulation) loseDiskWithLaggingReplica(fault Fault) {
 	m := sim.coreMachine(fault.TargetA)
@@ -46,6 +45,7 @@
 	})
 }
 
+// reserveDiskLoss reports whether a disk may be lost, and counts it as lost: no more than the tolerance until the core is complete
 // again.
 func (sim *simulation) reserveDiskLoss() bool {
 	if sim.isComplete() {
@@ -61,17 +61,6 @@
 	return true
 }
 
-// newestView is the view of the highest epoch that a running node knows; nil: none.
-func (sim *simulation) newestView() *nodepb.View {
-	var newest *nodepb.View
-	for _, m := range sim.runningMachines() {
-		if view := m.node.View(); view.GetEpoch() > newest.GetEpoch() {
-			newest = view
-		}
-	}
-	return newest
-}
-
 // loseDisk erases the disk of a machine, if another loss is tolerated; the others may lose power at the same moment.
 func (sim *simulation) loseDisk(m *machine, othersLosePower bool, downtime time.Duration) {
 	if sim.newestView() == nil || !sim.reserveDiskLoss() {
--- a/internal/harness/faultrun/faults.go
+++ b/internal/harness/faultrun/faults.go
@@ -115,10 +115,6 @@
 	}
 }
 
-// loseDiskWithLaggingReplica isolates a machine, so that it lags. As the partition heals, another one loses its disk, and the rest are
-
-// reserveDiskLoss reports whether a disk may be lost, and counts it as lost: no more than the tolerance until the core is complete
-
 // replaceMachine removes a core machine for good and adds an empty one with another address, before or after the removal.
 func (sim *simulation) replaceMachine(fault Fault) {
 	if !sim.isComplete() || sim.lostDisks > 0 || sim.plan.Tolerance == 0 {
@@ -139,6 +135,7 @@
 		old.beingReplaced = true
 		add()
 		sim.after(time.Second, func() {
+			old.recordDisturbance()
 			old.step(func(now core.Time) { old.execute(old.node.HandOver(now)) })
 			sim.after(time.Second, remove)
 		})
@@ -154,6 +151,7 @@
 		return
 	}
 	m.recordFault()
+	m.recordDisturbance()
 	m.step(func(now core.Time) { m.execute(m.node.HandOver(now)) })
 	incarnation := m.incarnation
 	sim.after(1200*time.Millisecond, func() {
--- a/internal/harness/faultrun/health.go
+++ b/internal/harness/faultrun/health.go
@@ -1,6 +1,10 @@
 package faultrun
 
-import "time"
+import (
+	"time"
+
+	"kestrelspread/internal/node/nodepb"
+)
 
 // health determines which machines are in contact, by the definitions of RULES.md: promises with a time bound apply to these alone.
 type health struct {
@@ -8,6 +12,7 @@
 	coreFaultAt     time.Duration // when a fault of the core last started or ended
 	stableSince     time.Duration // -1: the core is not stable
 	maySuspendUntil time.Duration // more machines were lost than tolerated: service may be suspended until then
+	newestView      *nodepb.View  // of the highest epoch that any node has known; nil: none
 }
 
 // recordCoreFault records that a fault of the core starts or ends now.
@@ -64,6 +69,7 @@
 
 // sample updates since when the core is stable, and until when service may be suspended.
 func (h *health) sample() {
+	h.updateNewestView()
 	if h.lostMachines() > h.sim.plan.Tolerance {
 		h.maySuspendUntil = h.sim.now + recoveryTimeout
 	}
--- a/internal/harness/faultrun/machine.go
+++ b/internal/harness/faultrun/machine.go
@@ -52,6 +52,8 @@
 	writeInFlight  *core.Write // nil: none
 
 	faultChangedAt         time.Duration // when a fault last started or ended
+	unavailableSince       time.Duration // when the first order came that it has answered 503 with none acknowledged since
+	disturbedAt            time.Duration // the same of faults of the machine itself, without those of its links
 	activeFaults           int           // how many last
 	lastRequest            uint64
 	pendingReplies         map[uint64]func(core.Reply)
@@ -81,12 +83,14 @@
 func (m *machine) beginFault() (end func()) {
 	m.activeFaults++
 	m.recordFault()
+	m.recordDisturbance()
 	if m.isCore {
 		m.sim.health.recordCoreFault()
 	}
 	return func() {
 		m.activeFaults--
 		m.recordFault()
+		m.recordDisturbance()
 		if m.isCore {
 			m.sim.health.recordCoreFault()
 		}
@@ -104,6 +108,7 @@
 	sim := m.sim
 	m.resetProcess()
 	m.recordFault()
+	m.recordDisturbance()
 	if m.isCore {
 		sim.health.recordCoreFault()
 	}
@@ -309,6 +314,7 @@
 	sim.logf("kill %s power %v", m.name, powerLoss)
 	m.running = false
 	m.recordFault()
+	m.recordDisturbance()
 	if m.isCore {
 		sim.health.recordCoreFault()
 	}
--- a/internal/harness/faultrun/network.go
+++ b/internal/harness/faultrun/network.go
@@ -22,8 +22,10 @@
 	jitter          time.Duration
 	lossRate        float64
 	duplicateRate   float64
-	stragglerRate   float64      // probability that a message takes seconds
-	partitions      map[link]int // how many faults partition the link
+	stragglerRate   float64                // probability that a message takes seconds
+	partitions      map[link]int           // how many faults partition the link
+	linkChangedAt   map[link]time.Duration // when the link last went down or up
+	noiseEndedAt    time.Duration
 	relayedMessages int
 	sentMessages    int
 }
@@ -94,7 +96,11 @@
 func (n *network) changePartitions(links []link, delta int) {
 	sim := n.sim
 	for _, affected := range links {
+		wasDown := n.partitions[affected] > 0
 		n.partitions[affected] += delta
+		if isDown := n.partitions[affected] > 0; isDown != wasDown {
+			n.linkChangedAt[affected] = sim.now
+		}
 		from, to := sim.machinesByAddress[affected.source], sim.machinesByAddress[affected.destination]
 		from.recordFault()
 		to.recordFault()
@@ -103,3 +109,14 @@
 		}
 	}
 }
+
+// endPartitions takes up all links. The ends of the faults that had taken them down, which may still come, do not take down any:
+// counts below zero are no partition.
+func (n *network) endPartitions() {
+	for affected, count := range n.partitions {
+		if count > 0 {
+			n.linkChangedAt[affected] = n.sim.now
+		}
+	}
+	clear(n.partitions)
+}
--- a/internal/harness/faultrun/networkfaults.go
+++ b/internal/harness/faultrun/networkfaults.go
@@ -98,6 +98,7 @@
 func (sim *simulation) endNetworkNoise() {
 	n := &sim.network
 	n.lossRate, n.duplicateRate, n.jitter, n.stragglerRate = 0, 0, 0, 0
+	n.noiseEndedAt = sim.now
 	sim.health.recordCoreFault()
 	for _, m := range sim.machines {
 		m.recordFault()
--- a/internal/harness/faultrun/operator.go
+++ b/internal/harness/faultrun/operator.go
@@ -138,10 +138,14 @@
 	}
 	sim.after(callTimeout, func() { retry(0) })
 	sim.callMachine(m, func() { retry(retryBackoff) }, func(request uint64) func(core.Time) {
+		arrivedAt := sim.now
 		m.pendingReplies[request] = func(reply core.Reply) {
 			status := statusOf(reply.Result)
 			sim.logf("%s answers %d to %s: %s", m.name, status, sent.id, reply.Result.GetText())
 			sim.checks.answered(m, sent, status)
+			if status == http.StatusServiceUnavailable {
+				sim.checks.notAcknowledged(m, sent, arrivedAt)
+			}
 			sim.deliverAnswer(func() {
 				if status == http.StatusServiceUnavailable {
 					retry(retryBackoff)
--- a/internal/harness/faultrun/run.go
+++ b/internal/harness/faultrun/run.go
@@ -24,12 +24,17 @@
 // Play runs a plan. traceEnabled keeps a log of the run in the result.
 func Play(plan *Plan, traceEnabled bool) *Result {
 	sim := newSimulation(plan, traceEnabled)
-	for _, fault := range plan.Faults {
+	sim.play()
+	return sim.result()
+}
+
+// play injects the faults of the plan, and lets the fleet recover after them.
+func (sim *simulation) play() {
+	for _, fault := range sim.plan.Faults {
 		sim.schedule(fault.InjectAt, func() { sim.inject(fault) })
 	}
-	sim.runUntil(plan.FaultPhase+maxFaultDuration, sim.holds)
+	sim.runUntil(sim.plan.FaultPhase+maxFaultDuration, sim.holds)
 	sim.recover()
-	return sim.result()
 }
 
 // recover ends all faults, and checks that the core is complete and acknowledges changes again in time.
@@ -59,7 +64,7 @@
 func (sim *simulation) endFaults() {
 	sim.checks.answerLossRate, sim.checks.onAck = 0, nil
 	sim.endNetworkNoise()
-	clear(sim.network.partitions)
+	sim.network.endPartitions()
 	for _, m := range sim.machines {
 		if m.disk != nil && !m.removed {
 			m.disk.SetFull(false)
--- a/internal/harness/faultrun/simulation.go
+++ b/internal/harness/faultrun/simulation.go
@@ -65,7 +65,7 @@
 		machinesByAddress: map[string]*machine{},
 		traceEnabled:      traceEnabled,
 	}
-	sim.network = network{sim: sim, delay: plan.MessageDelay, partitions: map[link]int{}}
+	sim.network = network{sim: sim, delay: plan.MessageDelay, partitions: map[link]int{}, linkChangedAt: map[link]time.Duration{}, noiseEndedAt: -maxStraggle}
 	sim.checks = newChecks(sim)
 	sim.health = health{sim: sim}
 	for i := range plan.CoreSize {
--- a/internal/node/journal/diskfault/disk.go
+++ b/internal/node/journal/diskfault/disk.go
@@ -87,6 +87,13 @@
 	d.failing = failing
 }
 
+// Refusal returns the error that a write would fail with now: ENOSPC, EIO, or nil.
+func (d *Disk) Refusal() error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.refusal()
+}
+
 // SetSyncsFailing makes syncs fail with EIO, while writes appear to succeed.
 func (d *Disk) SetSyncsFailing(failing bool) {
 	d.mutex.Lock()
