Linearizability of configurations as a package of its own

internal/harness/confighistory holds the model that the fault runs checked by; runs of real processes will use it too.

--- a/internal/harness/faultrun/operator.go
+++ b/internal/harness/faultrun/operator.go
@@ -32,6 +32,7 @@
 	status      int  // of the answer; 0: none
 	endedAt     time.Duration
 	answeredBy  string // the machine that answered
+	recorded    bool   // in the history, with its answer
 }
 
 // operator submits changes and reads, one after another, to machines that it picks at random. One without a definite answer is
@@ -270,7 +271,7 @@
 					o.operationCount++
 					o.knownVersion = read.Version
 					o.readCount++
-					sim.history.recordRead(o.number, sentAt, sim.now, read)
+					sim.history.recordRead(sentAt, sim.now, read)
 					o.scheduleNext()
 				}
 			})
--- a/internal/harness/faultrun/run.go
+++ b/internal/harness/faultrun/run.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/anishathalye/porcupine"
+	"kestrelspread/internal/harness/confighistory"
 )
 
 // Result is the result of a run.
@@ -118,10 +118,10 @@
 		r.Reads += o.readCount
 	}
 	if sim.holds() {
-		switch sim.history.linearizable(sim.now) {
-		case porcupine.Illegal:
+		switch sim.history.check() {
+		case confighistory.NotLinearizable:
 			sim.fail("the history of changes and reads is not linearizable")
-		case porcupine.Unknown:
+		case confighistory.Undecided:
 			r.HistoryUnchecked = true
 		}
 	}
