--- a/cmd/kestrelnode/main.go
+++ b/cmd/kestrelnode/main.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"kestrelspread/internal/node/agent"
+	"kestrelspread/internal/node/netmap"
 	"kestrelspread/internal/node/routing/mechanism"
 	"kestrelspread/internal/node/settings"
 )
@@ -83,7 +84,7 @@
 
 // newRunCommand returns the command that runs a node until it is stopped.
 func newRunCommand() *cobra.Command {
-	var disabledNames string
+	var disabledNames, rule string
 	command := &cobra.Command{
 		Use:   "run",
 		Short: "Run one node until SIGTERM",
@@ -97,11 +98,17 @@
 			if err != nil {
 				return err
 			}
-			return agent.Run(command.Context(), path, disabled, os.Stderr)
+			networkMap, err := netmap.Parse(rule)
+			if err != nil {
+				return usageError{err}
+			}
+			return agent.Run(command.Context(), path, agent.Options{Disabled: disabled, NetworkMap: networkMap}, os.Stderr)
 		},
 	}
 	command.Flags().StringVar(&disabledNames, "disable", "",
 		"mechanisms of the decisions to switch off, separated by commas, see `kestrelnode mechanisms`")
+	command.Flags().StringVar(&rule, "netmap", "",
+		"FROM/BITS=TO: nodes and brokers that announce addresses of the network FROM are reached from here in the network TO")
 	return command
 }
 
--- a/internal/harness/fleet/checks.go
+++ b/internal/harness/fleet/checks.go
@@ -30,6 +30,7 @@
 	drains            []drainedBroker
 	crashedBrokers    []string // IDs
 	nodeFaults        []NodeFault
+	linkFaults        []LinkFault
 	violations        []Violation
 }
 
@@ -60,6 +61,7 @@
 			e.ackedWeights = append(e.ackedWeights, acknowledgement)
 		}
 	}
+	e.linkFaults = f.linkFaults.all()
 	for _, node := range f.Nodes {
 		e.nodeFaults = append(e.nodeFaults, node.Faults()...)
 	}
@@ -137,9 +139,10 @@
 // duplicated reports whether an attempt that may run at most once has run more often.
 func (e *evidence) duplicated(r *Attempt) bool { return !r.idempotent() && len(e.runs(r.ID)) > 1 }
 
-// lost reports whether an attempt that a node had read got no complete answer, though neither the node nor the broker failed.
+// lost reports whether an attempt that a node had read got no complete answer, though neither the node, its links nor the broker
+// failed.
 func (e *evidence) lost(r *Attempt) bool {
-	return r.Outcome == ConnectionClosed && !e.brokerCrashed(r) && !e.nodeFailed(r) && e.wasRead(r)
+	return r.Outcome == ConnectionClosed && !e.brokerCrashed(r) && !e.nodeFailed(r) && !e.linkFailed(r) && e.wasRead(r)
 }
 
 // wasRead reports whether the node read the attempt: it was forwarded to a broker, or its connection lasted longer than the slack.
--- a/internal/harness/fleet/fleet.go
+++ b/internal/harness/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"time"
 
+	"kestrelspread/internal/harness/links"
 	"kestrelspread/internal/node/nodestatus"
 	"kestrelspread/internal/standin/fleetoperator"
 	"kestrelspread/internal/standin/llmbroker"
@@ -27,6 +28,13 @@
 	Binary string // path of kestrelnode
 	Dir    string // for settings, disks and logs; empty: a temporary directory that Close removes
 	Bounds Bounds
+	// Relayed has each node reach each other node and each broker through a link of its own, and brokers the nodes likewise;
+	// faults are injected with Fleet.Network.
+	Relayed bool
+	// Seed determines the random draws of the links.
+	Seed uint64
+	// DiskMB and MemoryMB are the limits in the settings of nodes; 0: diskMB, memoryMB. They are not enforced.
+	DiskMB, MemoryMB int
 }
 
 // Fleet is the nodes with the operator, the brokers and the platform around them.
@@ -37,6 +45,7 @@
 	ArrivalLog *llmbroker.ArrivalLog
 	Store      *llmbroker.Store
 	Brokers    []*llmbroker.Broker
+	Network    *links.Network // nil unless the fleet is relayed
 
 	options        Options
 	dir            string
@@ -49,6 +58,7 @@
 	startedBrokers int // brokers that were ever started
 	drainedBrokers []drainedBroker
 	crashedBrokers []string // IDs of brokers that ended without draining
+	linkFaults     linkFaults
 }
 
 // Start starts the nodes and the brokers. They have no configuration yet, see Bootstrap.
@@ -82,9 +92,14 @@
 	}
 	for i := range nodeCount {
 		f.Nodes = append(f.Nodes, &Node{
-			Name: fmt.Sprintf("node-%d", i+1), Zone: Zones[i%len(Zones)], HasDisk: i < diskCount, ipAddress: f.layout.node(i), fleet: f,
+			Name: fmt.Sprintf("node-%d", i+1), Zone: Zones[i%len(Zones)], HasDisk: i < diskCount, ipAddress: f.layout.node(i), index: i, fleet: f,
 		})
 	}
+	if f.options.Relayed {
+		if err := f.relayNodes(); err != nil {
+			return err
+		}
+	}
 	for _, node := range f.Nodes {
 		if err := node.Start(); err != nil {
 			return err
@@ -117,6 +132,9 @@
 	if f.Operator != nil {
 		f.Operator.Close()
 	}
+	if f.Network != nil {
+		f.Network.Close()
+	}
 	if !f.keepsDir && f.dir != "" {
 		_ = os.RemoveAll(f.dir)
 	}
--- a/internal/harness/fleet/layout.go
+++ b/internal/harness/fleet/layout.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"strings"
 )
 
 var (
@@ -33,7 +34,7 @@
 // newLayout chooses a network of 127.0.0.0/8 and ports that are free on all of its first hosts.
 func newLayout(nodes int) (layout, error) {
 	for range maxLayoutAttempts {
-		l := layout{network: fmt.Sprintf("127.%d.%d", 64+rand.IntN(128), rand.IntN(256))}
+		l := layout{network: fmt.Sprintf("127.%d.%d", 64+rand.IntN(64), rand.IntN(256))}
 		if l.pickPorts() && l.isFree(nodes) {
 			return l, nil
 		}
@@ -82,5 +83,28 @@
 	return fmt.Sprintf("%s.%d", l.network, firstBrokerHost+index%(lastHost-firstBrokerHost))
 }
 
+// Relayed fleets have one more network for each node, in which relays stand at the addresses of the machines: node i reaches
+// NETWORK.h as 127.(a+relayNetworkOffset).(b+i).h.
+const relayNetworkOffset = 64
+
+// relayNetwork is the first three bytes of the addresses under which a node reaches the machines.
+func (l *layout) relayNetwork(index int) string {
+	var second, third int
+	if _, err := fmt.Sscanf(l.network, "127.%d.%d", &second, &third); err != nil {
+		panic(err) // newLayout has made it in this form
+	}
+	return fmt.Sprintf("127.%d.%d", second+relayNetworkOffset, (third+index)%256)
+}
+
+// networkMap is the rule of the node's --netmap.
+func (l *layout) networkMap(index int) string {
+	return fmt.Sprintf("%s.0/24=%s.0", l.network, l.relayNetwork(index))
+}
+
+// relayAddress is the address under which a node reaches another machine's.
+func (l *layout) relayAddress(index int, address string) string {
+	return l.relayNetwork(index) + strings.TrimPrefix(address, l.network)
+}
+
 // hostPort joins an address and a port.
 func hostPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
--- a/internal/harness/fleet/node.go
+++ b/internal/harness/fleet/node.go
@@ -38,6 +38,7 @@
 	Zone         string
 	HasDisk      bool
 	ipAddress    string
+	index        int // in Fleet.Nodes
 	fleet        *Fleet
 	incarnations int
 	log          logBuffer
@@ -65,7 +66,7 @@
 	}
 	n.incarnations++
 	environment := []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "KESTRELSPREAD_SETTINGS=" + path}
-	started, err := n.fleet.spawner.start(n.fleet.options.Binary, []string{"run"}, environment, &n.log)
+	started, err := n.fleet.spawner.start(n.fleet.options.Binary, n.arguments(), environment, &n.log)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrNotStarted, n.Name, err)
 	}
@@ -76,6 +77,24 @@
 	return nil
 }
 
+// arguments are the command line of the node's process.
+func (n *Node) arguments() []string {
+	if !n.fleet.options.Relayed {
+		return []string{"run"}
+	}
+	return []string{"run", "--netmap", n.fleet.layout.networkMap(n.index)}
+}
+
+// DataDir is the directory that stands for the node's disk.
+func (n *Node) DataDir() string { return filepath.Join(n.fleet.dir, n.Name, "data") }
+
+// MemoryBytes is the resident memory of the node's process, and its peak so far.
+func (n *Node) MemoryBytes() (resident, peak int64, err error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.process.memory()
+}
+
 // Log is the newest output of the node, of all its incarnations.
 func (n *Node) Log() string { return n.log.String() }
 
--- a/internal/harness/fleet/process.go
+++ b/internal/harness/fleet/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -103,6 +104,25 @@
 	return strings.HasPrefix(state, "T")
 }
 
+// memory reads the resident memory of the process and its peak, in bytes, from /proc/PID/status.
+func (p *process) memory() (resident, peak int64, err error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	for line := range strings.Lines(string(text)) {
+		name, value, _ := strings.Cut(line, ":")
+		kilobytes, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
+		switch name {
+		case "VmRSS":
+			resident = kilobytes << 10
+		case "VmHWM":
+			peak = kilobytes << 10
+		}
+	}
+	return resident, peak, nil
+}
+
 // kill ends the process at once, even if it is stopped, and waits for its end.
 func (p *process) kill() {
 	_ = p.signal(syscall.SIGKILL)
--- a/internal/harness/fleet/services.go
+++ b/internal/harness/fleet/services.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"kestrelspread/internal/harness/links"
 	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/standin/fleetoperator"
 	"kestrelspread/internal/standin/llmbroker"
@@ -129,6 +130,11 @@
 	if f.Store, err = llmbroker.StartStore(f.layout.broker(lastHost-firstBrokerHost-1)+":0", storeTokens, maxConcurrency); err != nil {
 		return fmt.Errorf("%w: store: %w", ErrNotStarted, err)
 	}
+	if f.options.Relayed {
+		if err := f.relayToAll(links.Endpoint{Name: storeName, Site: Zones[0]}, f.Store.Address()); err != nil {
+			return err
+		}
+	}
 	for i := range modelBrokers {
 		if _, err := f.StartBroker(serviceModel, Zones[i%len(Zones)]); err != nil {
 			return err
@@ -156,10 +162,23 @@
 			Fencing: true, KVCapacityTokens: brokerTokens, MaxConcurrency: maxConcurrency,
 		}
 	}
+	if f.options.Relayed {
+		relayed, err := f.relayControl(brokerName(f.startedBrokers), zone)
+		if err != nil {
+			return nil, err
+		}
+		options.ReachedAt = func(address string) string { return relayed[address] }
+	}
 	broker, err := llmbroker.Start(options)
 	if err != nil {
 		return nil, fmt.Errorf("%w: broker of %s: %w", ErrNotStarted, service, err)
 	}
+	if f.options.Relayed {
+		if err := f.relayToAll(links.Endpoint{Name: brokerName(f.startedBrokers), Site: zone}, broker.Address()); err != nil {
+			broker.Crash()
+			return nil, err
+		}
+	}
 	f.startedBrokers++
 	f.Brokers = append(f.Brokers, broker)
 	return broker, nil
--- a/internal/harness/fleet/settings.go
+++ b/internal/harness/fleet/settings.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -119,7 +120,7 @@
 		Listen:    listenFile{Front: hostPort(n.ipAddress, p.front), Readiness: hostPort(n.ipAddress, p.readiness), Control: hostPort(n.ipAddress, p.control)},
 		PortRange: [2]int{p.internal, p.internal}, Seeds: f.seeds(), Bootstrap: n.incarnations == 0,
 		CountsForQuorum: n.HasDisk,
-		Limits:          limitsFile{CPUShare: cpuShare, Cores: 1, MemoryMB: memoryMB, MaxFDs: descriptors, LinkMbps: linkMbps},
+		Limits:          limitsFile{CPUShare: cpuShare, Cores: 1, MemoryMB: cmp.Or(f.options.MemoryMB, memoryMB), MaxFDs: descriptors, LinkMbps: linkMbps},
 		HeartbeatMs:     float64(f.options.Bounds.Heartbeat.Milliseconds()),
 		Contracts:       []string{"base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants"},
 		FaultTolerance:  toleranceFile{Machines: 1}, Bounds: f.options.Bounds.file(),
@@ -128,7 +129,7 @@
 		file.Zones[zone] = region
 	}
 	if n.HasDisk {
-		file.DataDir, file.Limits.DiskMB = filepath.Join(f.dir, n.Name, "data"), diskMB
+		file.DataDir, file.Limits.DiskMB = n.DataDir(), cmp.Or(f.options.DiskMB, diskMB)
 	}
 	return file
 }
--- a/internal/harness/links/network.go
+++ b/internal/harness/links/network.go
@@ -22,6 +22,11 @@
 
 // Add adds a link from an endpoint to the address of another one. The source connects to the link's Address instead.
 func (n *Network) Add(source, destination Endpoint, target string) (*Link, error) {
+	return n.AddAt(source, destination, "127.0.0.1:0", target)
+}
+
+// AddAt adds a link that listens on an address of the caller's choice, an IPv4 address with a port; port 0: a free one.
+func (n *Network) AddAt(source, destination Endpoint, listen, target string) (*Link, error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	l := &Link{
@@ -29,7 +34,7 @@
 		random: rand.New(rand.NewPCG(n.seed, uint64(len(n.links)+1))),
 	}
 	l.changed = sync.NewCond(&l.mutex)
-	if err := l.listen("127.0.0.1:0"); err != nil {
+	if err := l.listen(listen); err != nil {
 		return nil, err
 	}
 	n.links = append(n.links, l)
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -27,6 +27,7 @@
 	"kestrelspread/internal/node/forward"
 	"kestrelspread/internal/node/journal"
 	"kestrelspread/internal/node/loadhint"
+	"kestrelspread/internal/node/netmap"
 	"kestrelspread/internal/node/nodepb"
 	"kestrelspread/internal/node/rollout/orders"
 	"kestrelspread/internal/node/routing"
@@ -51,7 +52,7 @@
 type Agent struct {
 	log                *slog.Logger
 	settings           *settings.Settings
-	disabledMechanisms mechanism.Set
+	options            Options
 	startedAt          time.Time // core.Time counts from here
 	self               *nodepb.Member
 
@@ -88,19 +89,27 @@
 	leaseExpired bool
 }
 
-// Run runs a node with the settings file at path until SIGTERM, SIGINT or the end of ctx, without the
-// disabled mechanisms of the decisions. It logs to logTo. An error says that the node didn't start.
-func Run(ctx context.Context, path string, disabled mechanism.Set, logTo io.Writer) error {
+// Options are what the command line sets. The zero value is the ordinary node.
+type Options struct {
+	// Disabled are the mechanisms of the decisions that are switched off.
+	Disabled mechanism.Set
+	// NetworkMap rewrites the addresses of nodes and brokers that are connected to.
+	NetworkMap netmap.Map
+}
+
+// Run runs a node with the settings file at path until SIGTERM, SIGINT or the end of ctx. It logs to
+// logTo. An error says that the node didn't start.
+func Run(ctx context.Context, path string, options Options, logTo io.Writer) error {
 	loaded, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
 	log := slog.New(slog.NewTextHandler(logTo, &slog.HandlerOptions{Level: slog.LevelInfo}))
 	limitRuntime(loaded)
-	if disabled != 0 {
-		log.Warn("agent: mechanisms are switched off", "names", disabled.Names())
+	if options.Disabled != 0 {
+		log.Warn("agent: mechanisms are switched off", "names", options.Disabled.Names())
 	}
-	return New(loaded, disabled, log).serve(ctx, path)
+	return New(loaded, options, log).serve(ctx, path)
 }
 
 // limitRuntime sets the Go runtime's limits to those of the machine that the settings describe. Half of
@@ -133,12 +142,12 @@
 }
 
 // New builds a node. It serves nothing yet, but on a core machine already opens the disk.
-func New(loaded *settings.Settings, disabled mechanism.Set, log *slog.Logger) *Agent {
+func New(loaded *settings.Settings, options Options, log *slog.Logger) *Agent {
 	incarnationID := hex.EncodeToString(randomBytes(6))
 	a := &Agent{
 		log:                log.With("node", loaded.NodeName),
 		settings:           loaded,
-		disabledMechanisms: disabled,
+		options:            options,
 		startedAt:          time.Now(),
 		inbox:              make(chan func(core.Time), inboxCapacity),
 		requests:           newPendingRequests(),
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -6,6 +6,7 @@
 	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/forward"
+	"kestrelspread/internal/node/forward/upstream"
 	"kestrelspread/internal/node/routing"
 )
 
@@ -23,7 +24,7 @@
 		Heartbeat:        a.settings.Heartbeat(),
 		Index:            a.prompts.index,
 		Random:           newRandom(),
-		Disabled:         a.disabledMechanisms,
+		Disabled:         a.options.Disabled,
 	}), a.announceSent, a.announceStep)
 	a.startup = forward.NewStartup()
 	a.proxy = forward.New(forward.Options{
@@ -35,6 +36,7 @@
 		ProxyCount:    func() int { return int(a.proxyCount.Load()) },
 		Bounds:        forward.Bounds{MaxBufferedBytes: a.maxBufferedBytes()},
 		Log:           a.log,
+		Upstream:      upstream.Options{NetworkMap: a.options.NetworkMap},
 	})
 }
 
--- a/internal/node/agent/lifecycle.go
+++ b/internal/node/agent/lifecycle.go
@@ -91,6 +91,7 @@
 		SelfID:        a.self.NodeId,
 		SelfAddress:   a.self.Address,
 		Receive:       a.receive,
+		NetworkMap:    a.options.NetworkMap,
 		Log:           a.log,
 	})
 	a.network = network
--- a/internal/node/agent/lifecycle_test.go
+++ b/internal/node/agent/lifecycle_test.go
@@ -35,7 +35,7 @@
 	loaded.Listen.Readiness = freeAddress(t)
 	loaded.Listen.Front = taken.Addr().String()
 
-	_, err = New(loaded, 0, slog.New(slog.DiscardHandler)).startServers()
+	_, err = New(loaded, Options{}, slog.New(slog.DiscardHandler)).startServers()
 	assert.ErrorContains(t, err, "listen for clients")
 	for _, address := range []string{loaded.Listen.Control, loaded.Listen.Readiness} {
 		again, err := listenSoon(address)
--- a/internal/node/agent/promptindex.go
+++ b/internal/node/agent/promptindex.go
@@ -37,7 +37,7 @@
 		storeLastContact: map[string]core.Time{},
 		subscriber:       kvindex.NewSubscriber(index),
 		home:             kvindex.NewHome(kvindex.HomeOptions{Epoch: uint64(time.Now().UnixMilli())}),
-		poller: feed.New(func(token uint64, events *kvindex.Events, err error) {
+		poller: feed.New(a.options.NetworkMap, func(token uint64, events *kvindex.Events, err error) {
 			a.post(func(now core.Time) { a.prompts.home.EventsDone(now, token, events, err) })
 		}),
 	}
--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -41,7 +41,7 @@
 	status.Prompts = promptStatus(&counters.Prompts)
 	status.Late = lateStatus(&counters)
 	status.NewestLate = newestLateRequests(now, a.router.Late())
-	status.DisabledMechanisms = a.disabledMechanisms.Names()
+	status.DisabledMechanisms = a.options.Disabled.Names()
 	if compiled := a.compiled.Load(); compiled != nil {
 		status.ConfigVersion = compiled.Version
 		status.ModelVersions = compiled.ModelVersions
--- a/internal/node/brokercall/client.go
+++ b/internal/node/brokercall/client.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"kestrelspread/internal/node/netmap"
 	"kestrelspread/internal/node/sockopt"
 )
 
@@ -32,6 +33,8 @@
 	// IdleTimeout is how long an idle connection is kept for the next call to the same address. New
 	// connections have a price.
 	IdleTimeout time.Duration
+	// NetworkMap rewrites the addresses that are dialed; the zero value rewrites none.
+	NetworkMap netmap.Map
 }
 
 // NewClient returns a client that follows no redirects and keeps one idle connection for each
@@ -40,7 +43,7 @@
 	dialer := &net.Dialer{Timeout: options.ConnectTimeout, Control: withUserTimeout(options.ConnectTimeout)}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialDiscardingOnClose(dialer),
+			DialContext:         dialDiscardingOnClose(dialer, options.NetworkMap),
 			IdleConnTimeout:     options.IdleTimeout,
 			MaxIdleConnsPerHost: 1,
 			DisableCompression:  true,
@@ -94,9 +97,9 @@
 }
 
 // dialDiscardingOnClose dials connections that discard unsent data on close.
-func dialDiscardingOnClose(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+func dialDiscardingOnClose(dialer *net.Dialer, networkMap netmap.Map) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		connection, err := dialer.DialContext(ctx, network, address)
+		connection, err := dialer.DialContext(ctx, network, networkMap.Rewrite(address))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/node/forward/upstream/pool.go
+++ b/internal/node/forward/upstream/pool.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"kestrelspread/internal/node/netmap"
 	"kestrelspread/internal/node/sockopt"
 )
 
@@ -39,6 +40,8 @@
 	SendTimeout time.Duration
 	// MaxHeadBytes bounds the head of an answer.
 	MaxHeadBytes int
+	// NetworkMap rewrites the addresses that are dialed; the zero value rewrites none.
+	NetworkMap netmap.Map
 }
 
 // Defaults of Options.
@@ -146,7 +149,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
 	pool.connect = func(ctx context.Context, address string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp4", address)
+		return dialer.DialContext(ctx, "tcp4", options.NetworkMap.Rewrite(address))
 	}
 	return pool
 }
--- a/internal/node/kvindex/feed/poller.go
+++ b/internal/node/kvindex/feed/poller.go
@@ -16,6 +16,7 @@
 	"kestrelspread/internal/node/brokercall"
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/kvindex"
+	"kestrelspread/internal/node/netmap"
 )
 
 const (
@@ -40,9 +41,9 @@
 	client *http.Client
 }
 
-// New returns a Poller. It calls done once for each call, on a goroutine of its own.
-func New(done func(token uint64, events *kvindex.Events, err error)) *Poller {
-	client := brokercall.NewClient(brokercall.Options{ConnectTimeout: connectTimeout, IdleTimeout: idleTimeout})
+// New returns a Poller, which reaches brokers under the addresses that networkMap rewrites theirs to. It calls done once for each call, on a goroutine of its own.
+func New(networkMap netmap.Map, done func(token uint64, events *kvindex.Events, err error)) *Poller {
+	client := brokercall.NewClient(brokercall.Options{ConnectTimeout: connectTimeout, IdleTimeout: idleTimeout, NetworkMap: networkMap})
 	return &Poller{done: done, client: client}
 }
 
--- a/internal/node/kvindex/feed/poller_test.go
+++ b/internal/node/kvindex/feed/poller_test.go
@@ -11,6 +11,7 @@
 
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/kvindex"
+	"kestrelspread/internal/node/netmap"
 )
 
 // outcome is the result of a call.
@@ -25,7 +26,7 @@
 	server := httptest.NewServer(handler)
 	defer server.Close()
 	done := make(chan outcome, 1)
-	poller := New(func(token uint64, events *kvindex.Events, err error) { done <- outcome{token, events, err} })
+	poller := New(netmap.Map{}, func(token uint64, events *kvindex.Events, err error) { done <- outcome{token, events, err} })
 	defer poller.Close()
 	call.Address = strings.TrimPrefix(server.URL, "http://")
 	poller.Fetch(call)
--- a/internal/node/rollout/orders/sender.go
+++ b/internal/node/rollout/orders/sender.go
@@ -17,6 +17,7 @@
 
 	"kestrelspread/internal/node/brokercall"
 	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/netmap"
 	"kestrelspread/internal/node/rollout"
 )
 
@@ -42,6 +43,8 @@
 type Options struct {
 	// Clock is the steady clock that core.SendOrder.ValidUntil is compared with.
 	Clock func() core.Time
+	// NetworkMap rewrites the addresses of brokers; the zero value rewrites none.
+	NetworkMap netmap.Map
 	// OrderDone takes the HTTP status of an order. A rollout.ErrNotSent says that
 	// the broker can't have taken it; after any other error it may have.
 	OrderDone func(token uint64, status int, err error)
@@ -57,7 +60,7 @@
 
 // New returns a Sender. Close closes its idle connections.
 func New(options Options) *Sender {
-	client := brokercall.NewClient(brokercall.Options{ConnectTimeout: callTimeout, IdleTimeout: idleTimeout})
+	client := brokercall.NewClient(brokercall.Options{ConnectTimeout: callTimeout, IdleTimeout: idleTimeout, NetworkMap: options.NetworkMap})
 	return &Sender{options: options, client: client}
 }
 
--- a/internal/node/wireproto/link/options.go
+++ b/internal/node/wireproto/link/options.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/netmap"
 	"kestrelspread/internal/node/nodepb"
 )
 
@@ -43,6 +44,8 @@
 	// Receive handles each message that arrives. It is called from several goroutines; while it blocks,
 	// the connection of the message is not read.
 	Receive func(from core.Peer, envelope *nodepb.Envelope)
+	// NetworkMap rewrites the addresses that are dialed; the zero value rewrites none.
+	NetworkMap netmap.Map
 	// Log defaults to no logging.
 	Log *slog.Logger
 
--- a/internal/node/wireproto/link/peer.go
+++ b/internal/node/wireproto/link/peer.go
@@ -130,7 +130,7 @@
 	n.mutex.Unlock()
 	defer cancel()
 	n.counters.dials.Add(1)
-	connection, err := n.dialer.DialContext(ctx, "tcp4", p.address)
+	connection, err := n.dialer.DialContext(ctx, "tcp4", n.options.NetworkMap.Rewrite(p.address))
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if err != nil {
--- a/internal/standin/fleetoperator/readback.go
+++ b/internal/standin/fleetoperator/readback.go
@@ -11,16 +11,9 @@
 // CheckReadBack fetches the newest configuration, and returns ErrLost if it is older than the newest acknowledged one, or differs from
 // what was submitted as its version. Source: RULES.md, CONFIG.
 func (o *Operator) CheckReadBack(ctx context.Context) error {
-	given, err := o.sender.send(ctx, call{method: http.MethodGet, path: pathFetch})
+	read, err := o.Fetch(ctx)
 	if err != nil {
-		return fmt.Errorf("%w: no configuration can be fetched: %w", ErrLost, err)
-	}
-	if given.status != http.StatusOK {
-		return fmt.Errorf("%w: reading back: status %d: %s", ErrLost, given.status, given.body)
-	}
-	var read Configuration
-	if err := json.Unmarshal(given.body, &read); err != nil {
-		return fmt.Errorf("%w: decoding the configuration that was fetched: %w", ErrLost, err)
+		return err
 	}
 	newest := o.Current().Version
 	if read.Version < newest {
@@ -34,6 +27,22 @@
 	return fmt.Errorf("%w: version %d as it was fetched was never submitted", ErrLost, read.Version)
 }
 
+// Fetch reads the configuration in force, from one node after another until one answers. The error is of type ErrLost.
+func (o *Operator) Fetch(ctx context.Context) (Configuration, error) {
+	given, err := o.sender.send(ctx, call{method: http.MethodGet, path: pathFetch})
+	if err != nil {
+		return Configuration{}, fmt.Errorf("%w: no configuration can be fetched: %w", ErrLost, err)
+	}
+	if given.status != http.StatusOK {
+		return Configuration{}, fmt.Errorf("%w: reading back: status %d: %s", ErrLost, given.status, given.body)
+	}
+	var read Configuration
+	if err := json.Unmarshal(given.body, &read); err != nil {
+		return Configuration{}, fmt.Errorf("%w: decoding the configuration that was fetched: %w", ErrLost, err)
+	}
+	return read, nil
+}
+
 // submittedAs returns the configurations that changes with a version have put in force, or would have.
 func (o *Operator) submittedAs(version uint64) []Configuration {
 	o.mutex.Lock()
--- a/internal/standin/llmbroker/heartbeat.go
+++ b/internal/standin/llmbroker/heartbeat.go
@@ -143,7 +143,7 @@
 
 // call calls one node, and returns the body of its acknowledgement.
 func (a *announcer) call(ctx context.Context, address, verb string, body []byte) ([]byte, error) {
-	url := fmt.Sprintf("http://%s/kestrelspread/instances/%s/%s", address, a.broker.id, verb)
+	url := fmt.Sprintf("http://%s/kestrelspread/instances/%s/%s", a.broker.options.ReachedAt(address), a.broker.id, verb)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
--- a/internal/standin/llmbroker/options.go
+++ b/internal/standin/llmbroker/options.go
@@ -19,6 +19,8 @@
 	HeartbeatInterval time.Duration // between two heartbeats; default 1.2 s
 	// ControlAddresses returns the control addresses of the nodes.
 	ControlAddresses func() []string
+	// ReachedAt returns the address at which a node's control address is reached from the broker; nil: that address itself.
+	ReachedAt func(address string) string
 	// DrainTime is how long the broker serves after its drain was acknowledged; default 2 s.
 	DrainTime time.Duration
 	Log       *ArrivalLog
@@ -65,6 +67,9 @@
 	if o.Log == nil {
 		o.Log = NewArrivalLog()
 	}
+	if o.ReachedAt == nil {
+		o.ReachedAt = func(address string) string { return address }
+	}
 	if o.ControlAddresses == nil {
 		o.ControlAddresses = func() []string { return nil }
 	}
