--- a/internal/harness/fleet/agreement.go
+++ b/internal/harness/fleet/agreement.go
@@ -12,16 +12,19 @@
 // AwaitAgreement waits until all running nodes agree on view, members and state and are ready, each knows the current
 // incarnations of the others and no more, and all running nodes with a disk are in the chain.
 func (f *Fleet) AwaitAgreement(ctx context.Context) error {
-	return f.Await(ctx, "agreement of all running nodes", func(ctx context.Context) error {
-		statuses, err := f.Statuses(ctx)
-		if err != nil {
-			return err
-		}
-		if different := nodestatus.Disagreements(statuses); len(different) > 0 {
-			return errors.New(string(different[0].Subject) + ": " + different[0].Text)
-		}
-		return f.checkComplete(statuses)
-	})
+	return f.Await(ctx, "agreement of all running nodes", f.Agrees)
+}
+
+// Agrees returns what AwaitAgreement waits for at present, nil for nothing.
+func (f *Fleet) Agrees(ctx context.Context) error {
+	statuses, err := f.Statuses(ctx)
+	if err != nil {
+		return err
+	}
+	if different := nodestatus.Disagreements(statuses); len(different) > 0 {
+		return errors.New(string(different[0].Subject) + ": " + different[0].Text)
+	}
+	return f.checkComplete(statuses)
 }
 
 // checkComplete returns what is missing: nodes that agree may still lack a member.
--- a/internal/harness/fleet/faults_test.go
+++ b/internal/harness/fleet/faults_test.go
@@ -176,7 +176,7 @@
 // TestOneOfTwoConflictingChangesIsAcknowledged: two changes that build on the same version are not both acknowledged.
 func TestOneOfTwoConflictingChangesIsAcknowledged(t *testing.T) {
 	s := newScenario(t, nil)
-	other := fleetoperator.New(s.controlAddresses, nil)
+	other := fleetoperator.New(s.ControlAddresses, nil)
 	t.Cleanup(other.Close)
 	for range 3 * rounds() {
 		before := s.Operator.Current()
--- a/internal/harness/fleet/fleet.go
+++ b/internal/harness/fleet/fleet.go
@@ -105,7 +105,7 @@
 			return err
 		}
 	}
-	f.Operator = fleetoperator.New(f.controlAddresses, f.Weights)
+	f.Operator = fleetoperator.New(f.ControlAddresses, f.Weights)
 	f.platform = newPlatform(f.Nodes)
 	go f.platform.run(f.lifetime)
 	return f.startServices()
@@ -152,8 +152,8 @@
 	return seeds
 }
 
-// controlAddresses are those of all nodes.
-func (f *Fleet) controlAddresses() []string {
+// ControlAddresses are the addresses of all nodes for brokers and operators.
+func (f *Fleet) ControlAddresses() []string {
 	var addresses []string
 	for _, node := range f.Nodes {
 		addresses = append(addresses, node.Control())
--- a/internal/harness/fleet/load.go
+++ b/internal/harness/fleet/load.go
@@ -148,5 +148,8 @@
 	return attempt.Status
 }
 
+// ProbeKey sends one request with an API key to one node, as Probe does, on a route that all configurations have.
+func (l *Load) ProbeKey(node *Node, key string) int { return l.Probe(node, prefixLookup, key) }
+
 // probePhase marks requests that are not part of the load.
 const probePhase = -1
--- a/internal/harness/fleet/services.go
+++ b/internal/harness/fleet/services.go
@@ -20,6 +20,16 @@
 	modelName    = "assistant-8b"
 )
 
+// Names that callers of other packages need.
+const (
+	ModelName    = modelName
+	PlainService = servicePlain
+	SharedTenant = tenantShared
+)
+
+// SharedKeys are the API keys of SharedTenant in the first configuration.
+func SharedKeys() []string { return []string{keyShared, keyRevoked} }
+
 // routeHost is the host of all routes.
 const routeHost = "demo.example"
 
@@ -153,7 +163,7 @@
 	options := llmbroker.Options{
 		Service: service, Zone: zone, Listen: f.layout.broker(f.startedBrokers) + ":0", Slots: plainSlots, QueueLength: queueLength,
 		MaxConnections: connections, ReportsLoad: true, ServiceTime: plainServiceTime, HeartbeatInterval: f.options.Bounds.Heartbeat,
-		ControlAddresses: f.controlAddresses, DrainTime: f.options.Bounds.Drain, Log: f.ArrivalLog,
+		ControlAddresses: f.ControlAddresses, DrainTime: f.options.Bounds.Drain, Log: f.ArrivalLog,
 	}
 	if service == serviceModel {
 		options.Slots = modelSlots
--- a/internal/harness/fleet/settings.go
+++ b/internal/harness/fleet/settings.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"time"
@@ -141,9 +143,14 @@
 		return "", err
 	}
 	directory := filepath.Join(f.dir, n.Name)
-	if err := os.MkdirAll(filepath.Join(directory, "data"), 0o700); err != nil {
+	if err := os.MkdirAll(directory, 0o700); err != nil {
 		return "", err
 	}
+	if _, err := os.Stat(n.DataDir()); errors.Is(err, fs.ErrNotExist) {
+		if err := os.Mkdir(n.DataDir(), 0o700); err != nil {
+			return "", err
+		}
+	}
 	path := filepath.Join(directory, "settings.json")
 	return path, os.WriteFile(path, text, 0o600)
 }
--- /dev/null
+++ b/internal/harness/processfaults/plan.go
@@ -0,0 +1,115 @@
+package processfaults
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// ErrPlan says that a plan can't be decoded, or names what the fleet doesn't have.
+var ErrPlan = errors.New("processfaults: plan")
+
+// Plan is the input of a run. Its JSON is printed for a run that violates something.
+type Plan struct {
+	Seed   uint64  `json:"seed"`
+	Faults []Fault `json:"faults"`
+}
+
+// Fault is one injected fault. Node and Peer select endpoints, modulo the number of those that can have it.
+type Fault struct {
+	StartMs    int       `json:"start_ms"` // from the start of the fault phase
+	DurationMs int       `json:"duration_ms"`
+	Kind       FaultKind `json:"kind"`
+	Node       int       `json:"node"`
+	Peer       int       `json:"peer"`
+}
+
+// Start is when the fault begins, from the start of the fault phase.
+func (f Fault) Start() time.Duration { return time.Duration(f.StartMs) * time.Millisecond }
+
+// Duration is how long the fault lasts.
+func (f Fault) Duration() time.Duration { return time.Duration(f.DurationMs) * time.Millisecond }
+
+// String describes the fault in one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s node %d peer %d at %v for %v", f.Kind, f.Node, f.Peer, f.Start(), f.Duration())
+}
+
+// FaultKind is a kind of fault.
+type FaultKind string
+
+// The kinds of faults. Those of links hold in both directions unless they say otherwise.
+const (
+	NodeCut       FaultKind = "cut"             // a node from all others and from all brokers
+	PairCut       FaultKind = "pair_cut"        // a node from one other
+	OneWayCut     FaultKind = "one_way"         // what a node sends to the others is lost; what they send arrives
+	CoreHalvesCut FaultKind = "halves"          // one core node from the other core nodes; proxies reach all
+	BrokerCut     FaultKind = "broker_cut"      // a node from one broker
+	LinkDelay     FaultKind = "delay"           // of a node's links
+	LinkLoss      FaultKind = "loss"            // half of what passes a node's links is retransmitted
+	LinkReset     FaultKind = "reset"           // all connections of a node, in the middle of their calls
+	SlowLink      FaultKind = "slow_link"       // a node's links pass few bytes
+	ProcessFreeze FaultKind = "freeze"          // SIGSTOP, then SIGCONT
+	KillKeepDisk  FaultKind = "kill"            // SIGKILL, and a start on the same disk
+	KillWipeDisk  FaultKind = "kill_wiped"      // SIGKILL, and a start on an empty disk
+	KillFullDisk  FaultKind = "kill_full"       // SIGKILL, and a start on a disk that takes nothing; later on the same disk
+	CoreKill      FaultKind = "kill_core"       // SIGKILL of all core nodes, and a start on their disks
+	WeightsUpdate FaultKind = "weights"         // a new version of the weights is named
+	BrokerReplace FaultKind = "broker_replaced" // a broker starts, another drains and leaves
+)
+
+// weightedKinds are the kinds that plans draw from; those that stand twice come twice as often.
+var weightedKinds = []FaultKind{
+	NodeCut, NodeCut, PairCut, OneWayCut, CoreHalvesCut, CoreHalvesCut, BrokerCut, LinkDelay, LinkLoss, LinkReset, LinkReset, SlowLink,
+	ProcessFreeze, ProcessFreeze, KillKeepDisk, KillKeepDisk, KillWipeDisk, KillFullDisk, CoreKill, WeightsUpdate, BrokerReplace,
+}
+
+const (
+	// FaultPhase is within which faults start.
+	FaultPhase       = 7 * time.Second
+	minFaultDuration = 100 * time.Millisecond
+	maxFaultDuration = 3 * time.Second
+	minFaultGap      = 300 * time.Millisecond
+	maxFaultGap      = 2200 * time.Millisecond
+	selectors        = 1000 // values of Fault.Node and Fault.Peer
+)
+
+// planStream tells the random source of a plan from that of its run, which has the same seed.
+const planStream = 0x70726f63
+
+// PlanOf draws the plan of a seed. The order of draws is fixed.
+func PlanOf(seed uint64) *Plan {
+	random := rand.New(rand.NewPCG(seed, planStream))
+	plan := &Plan{Seed: seed}
+	between := func(least, most time.Duration) int {
+		return int((least + time.Duration(random.Int64N(int64(most-least)))).Milliseconds())
+	}
+	phaseMs := int(FaultPhase.Milliseconds())
+	for startMs := 0; startMs < phaseMs; startMs += between(minFaultGap, maxFaultGap) {
+		plan.Faults = append(plan.Faults, Fault{
+			StartMs: startMs, DurationMs: between(minFaultDuration, maxFaultDuration), Kind: weightedKinds[random.IntN(len(weightedKinds))],
+			Node: random.IntN(selectors), Peer: random.IntN(selectors),
+		})
+	}
+	return plan
+}
+
+// Validate returns what is wrong with a plan that was read; the error is of type ErrPlan.
+func (p *Plan) Validate() error {
+	for i, fault := range p.Faults {
+		if injectors[fault.Kind] == nil {
+			return fmt.Errorf("%w: faults[%d]: unknown kind %q", ErrPlan, i, fault.Kind)
+		}
+		if fault.StartMs < 0 || fault.DurationMs < 0 || fault.Node < 0 || fault.Peer < 0 {
+			return fmt.Errorf("%w: faults[%d]: a negative value", ErrPlan, i)
+		}
+		if fault.Start()+fault.Duration() > maxPlanLength {
+			return fmt.Errorf("%w: faults[%d]: ends after %v", ErrPlan, i, maxPlanLength)
+		}
+	}
+	return nil
+}
+
+// maxPlanLength bounds when the last fault of a plan ends.
+const maxPlanLength = 10 * time.Minute
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -50,11 +50,11 @@
 
 // Agent is one node.
 type Agent struct {
-	log                *slog.Logger
-	settings           *settings.Settings
-	options            Options
-	startedAt          time.Time // core.Time counts from here
-	self               *nodepb.Member
+	log       *slog.Logger
+	settings  *settings.Settings
+	options   Options
+	startedAt time.Time // core.Time counts from here
+	self      *nodepb.Member
 
 	inbox    chan func(now core.Time)
 	requests *pendingRequests
@@ -145,12 +145,12 @@
 func New(loaded *settings.Settings, options Options, log *slog.Logger) *Agent {
 	incarnationID := hex.EncodeToString(randomBytes(6))
 	a := &Agent{
-		log:                log.With("node", loaded.NodeName),
-		settings:           loaded,
-		options:            options,
-		startedAt:          time.Now(),
-		inbox:              make(chan func(core.Time), inboxCapacity),
-		requests:           newPendingRequests(),
+		log:       log.With("node", loaded.NodeName),
+		settings:  loaded,
+		options:   options,
+		startedAt: time.Now(),
+		inbox:     make(chan func(core.Time), inboxCapacity),
+		requests:  newPendingRequests(),
 	}
 	a.self = &nodepb.Member{
 		NodeId:          loaded.NodeName + "/" + incarnationID,
--- a/internal/node/agent/orders.go
+++ b/internal/node/agent/orders.go
@@ -10,7 +10,7 @@
 func (a *Agent) buildOrderSender() {
 	a.orders = orders.New(orders.Options{
 		NetworkMap: a.options.NetworkMap,
-		Clock: a.now,
+		Clock:      a.now,
 		OrderDone: func(token uint64, status int, err error) {
 			a.post(func(now core.Time) { a.execute(now, a.control.OrderDone(now, token, status, err)) })
 		},
