registry: a drain is acknowledged once a majority of the voters hold it

Change: Registry.SetVoters; an update that brokers' calls wait for is accepted only if a majority of the voters of the newest view hold it.

TestDrainingNeedsAMajorityOfTheVoters.

--- a/internal/node/control/propagate.go
+++ b/internal/node/control/propagate.go
@@ -60,6 +60,16 @@
 	n.outbox.Add(core.Log{Message: "control: view changed", Fields: []any{"epoch", newest.Epoch, "chain", newest.Chain, "voters", len(newest.Voters)}})
 	n.execute(now, n.distribution.SetView(now, newest))
 	n.execute(now, n.submit.SetView(now, newest))
+	n.registry.SetVoters(addressesOfVoters(newest))
+}
+
+// addressesOfVoters lists the internal addresses of the voters of a view.
+func addressesOfVoters(agreed *nodepb.View) []string {
+	var addresses []string
+	for _, voter := range agreed.GetVoters() {
+		addresses = append(addresses, voter.GetAddress())
+	}
+	return addresses
 }
 
 // propagateConfirmation hands the tail's own barriers to distribution, and records how fresh the state
--- a/internal/node/registry/broadcast.go
+++ b/internal/node/registry/broadcast.go
@@ -12,13 +12,16 @@
 //
 // It is answered once: when every available node has acknowledged it, or at answerDeadline. The
 // calls that wait for it are accepted only if another node holds the update or this node is alone,
-// so that an acknowledged state survives the loss of this node. Retries go on after the answer.
+// so that an acknowledged state survives the loss of this node, and if a majority of the voters hold
+// it. Without the latter a part of the fleet that is cut off would acknowledge what the part that
+// serves on never hears of. Retries go on after the answer.
 type broadcast struct {
 	nonce          uint64
 	message        *nodepb.Envelope
 	instanceIDs    []string
 	unacknowledged []string // ids of the nodes that have not acknowledged it
 	ackCount       int      // nodes that have
+	ackedAddresses []string // of these
 
 	retryAt        core.Time
 	answerDeadline core.Time
@@ -139,7 +142,7 @@
 // acknowledged it, and another node holds it; at the deadline in any case.
 func (r *Registry) tryAnswer(now core.Time, b *broadcast) {
 	awaited := slices.ContainsFunc(b.unacknowledged, func(id string) bool { return r.mustAwait(now, id) })
-	replicated := b.ackCount > 0 || r.alone(now)
+	replicated := (b.ackCount > 0 || r.alone(now)) && r.heldByVoters(b)
 	overdue := b.answerDeadline <= now || len(b.unacknowledged) == 0
 	if !overdue && (awaited || !replicated) {
 		return
@@ -152,6 +155,24 @@
 	}
 }
 
+// heldByVoters reports whether a majority of the voters of the control state hold the update, this node
+// included if it is one; true while no view is known.
+func (r *Registry) heldByVoters(b *broadcast) bool {
+	if len(r.voterAddresses) == 0 {
+		return true
+	}
+	held := 0
+	for _, address := range r.voterAddresses {
+		if address == r.options.SelfAddress || slices.Contains(b.ackedAddresses, address) {
+			held++
+		}
+	}
+	return held >= len(r.voterAddresses)/2+1
+}
+
+// SetVoters sets the internal addresses of the voters of the newest view known.
+func (r *Registry) SetVoters(addresses []string) { r.voterAddresses = addresses }
+
 // mustAwait reports whether an answer waits for a node's acknowledgement: it is a member, is not
 // suspected, and did not fail to answer lately.
 func (r *Registry) mustAwait(now core.Time, id string) bool {
@@ -256,5 +277,8 @@
 	}
 	b.unacknowledged = slices.Delete(b.unacknowledged, index, index+1)
 	b.ackCount++
+	if known := r.peers[id]; known != nil {
+		b.ackedAddresses = append(b.ackedAddresses, known.address)
+	}
 	r.advanceBroadcast(now, b)
 }
--- a/internal/node/registry/heartbeat_test.go
+++ b/internal/node/registry/heartbeat_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -132,6 +133,42 @@
 	assert.Assert(t, !home.answers[request].Accepted)
 }
 
+// TestDrainingNeedsAMajorityOfTheVoters: a part of the fleet with one of three voters acknowledges no draining, though another
+// node of that part holds it: the part that serves on would use the broker for longer than drainMs. The other part does.
+func TestDrainingNeedsAMajorityOfTheVoters(t *testing.T) {
+	c := newCluster(t, 9, 6, "a")
+	b := c.broker("1", "llm", "a")
+	b.heartbeat(c.nodes[0])
+	c.network.Run(time.Second)
+	home := c.home("llm", "a")
+	others := slices.DeleteFunc(slices.Clone(c.nodes), func(n *clusterNode) bool { return n == home })
+	voters := []string{home.Address, others[0].Address, others[1].Address}
+	minority, majority := []*clusterNode{home, others[2]}, []*clusterNode{others[0], others[1], others[3], others[4]}
+	for _, n := range c.nodes {
+		n.registry.SetVoters(voters)
+	}
+	for _, one := range minority {
+		for _, other := range majority {
+			c.network.Partition(one.Address, other.Address)
+		}
+	}
+	b.instance.State = nodepb.InstanceState_DRAINING
+	request := b.heartbeat(home)
+	c.within(time.Second, "an answer", func() bool { return home.answers[request].at > 0 })
+	assert.Assert(t, !home.answers[request].Accepted)
+
+	var members []*nodepb.Member
+	for _, n := range majority {
+		members = append(members, n.member)
+	}
+	for _, n := range majority {
+		n.setMembers(members)
+	}
+	request = b.heartbeat(majority[0])
+	c.within(time.Second, "an answer", func() bool { return majority[0].answers[request].at > 0 })
+	assert.Assert(t, majority[0].answers[request].Accepted)
+}
+
 func TestSoleNodeAcknowledgesByItself(t *testing.T) {
 	c := newCluster(t, 7, 1, "a")
 	b := c.broker("1", "llm", "a")
--- a/internal/node/registry/registry.go
+++ b/internal/node/registry/registry.go
@@ -12,10 +12,12 @@
 	options Options
 	random  *rand.Rand
 
-	self         *peer
-	peers        map[string]*peer // other nodes by node id
-	others       []*peer          // the same, in order of node id
-	othersSeenAt core.Time        // when another node was last a member
+	self   *peer
+	peers  map[string]*peer // other nodes by node id
+	others []*peer          // the same, in order of node id
+	// voterAddresses are the internal addresses of the voters of the newest view known; none: no view is.
+	voterAddresses []string
+	othersSeenAt   core.Time // when another node was last a member
 
 	records        map[string]*record // by instance id
 	topics         map[topicKey]*topic
