--- a/internal/harness/fleet/services.go
+++ b/internal/harness/fleet/services.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"kestrelspread/internal/harness/links"
@@ -91,8 +92,20 @@
 	keyIsolated    = "key-south-1"
 )
 
-// tenantOf is the tenant by API key.
-var tenantOf = map[string]string{keyShared: tenantShared, keyRevoked: tenantShared, keyIsolated: tenantIsolated}
+// SharedKeyPrefix begins API keys that changes give to SharedTenant.
+const SharedKeyPrefix = "order-"
+
+// tenantOf is the tenant of an API key; empty: no configuration has it.
+func tenantOf(key string) string {
+	switch {
+	case key == keyShared, key == keyRevoked, strings.HasPrefix(key, SharedKeyPrefix):
+		return tenantShared
+	case key == keyIsolated:
+		return tenantIsolated
+	default:
+		return ""
+	}
+}
 
 // FirstConfiguration is the configuration that the operator sends first.
 func (f *Fleet) FirstConfiguration() fleetoperator.Configuration {
--- a/internal/harness/processfaults/operator.go
+++ b/internal/harness/processfaults/operator.go
@@ -21,7 +21,7 @@
 	// firstOrder names the order of the first configuration, which carries no key of an order.
 	firstOrder = "first"
 	// orderKeyPrefix begins the API key that each order adds; what follows is the order's id.
-	orderKeyPrefix = "order-"
+	orderKeyPrefix = fleet.SharedKeyPrefix
 	// maxOperatorPause bounds the pause between two calls.
 	maxOperatorPause = 250 * time.Millisecond
 	readsPerChange   = 3 // one call in so many is a read
@@ -120,7 +120,7 @@
 	case err == nil:
 		o.acknowledged++
 		o.known = acknowledged.Configuration
-		o.run.keys.revoke(orderKey(before), acknowledged.ReceivedAt)
+		o.run.keys.replaced(orderKey(before), orderKeyPrefix+id, acknowledged.ReceivedAt)
 	case errors.Is(err, fleetoperator.ErrConflict), errors.Is(err, fleetoperator.ErrUnclear):
 		o.read(o.ctx)
 	default:
