--- a/internal/harness/faultrun/diskfaults.go
+++ b/internal/harness/faultrun/diskfaults.go
@@ -33,14 +33,14 @@
 	case DiskHanging:
 		m.diskHangsUntil = max(m.diskHangsUntil, sim.now+fault.Duration)
 	case DiskSlow:
-		m.syncDuration = 25 * sim.plan.SyncDuration
+		m.syncDuration = 25 * m.soundSyncDuration()
 	}
 	sim.after(fault.Duration, func() {
 		end()
 		if m.disk == disk {
 			disk.SetFull(false)
 			disk.SetFailing(false)
-			m.syncDuration = sim.plan.SyncDuration
+			m.syncDuration = m.soundSyncDuration()
 		}
 	})
 }
--- a/internal/harness/faultrun/health.go
+++ b/internal/harness/faultrun/health.go
@@ -44,7 +44,7 @@
 
 // diskImpaired reports whether the disk hangs or is slow.
 func (m *machine) diskImpaired() bool {
-	return m.diskHangsUntil > m.sim.now || m.syncDuration > m.sim.plan.SyncDuration
+	return m.diskHangsUntil > m.sim.now || m.syncDuration > m.soundSyncDuration()
 }
 
 // connected reports whether the links between two machines are up in both directions.
--- a/internal/harness/faultrun/machine.go
+++ b/internal/harness/faultrun/machine.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	diskBytes         = 4 << 20
 	diskRetryInterval = 500 * time.Millisecond
 	maxTimerLateness  = 3 * time.Millisecond
 	maxStepsOfKill    = 5 // steps that a write in flight may still take at a disk as its process is killed
@@ -45,6 +44,7 @@
 	timerGeneration int // timers of older generations do nothing
 	wakeAt          core.Time
 
+	diskModel      DiskModel
 	disk           *diskfault.Disk
 	journal        *journal.Journal
 	syncDuration   time.Duration
@@ -67,11 +67,16 @@
 // controlAddress is the address that brokers send heartbeats to.
 func (m *machine) controlAddress() string { return m.name + ":2" }
 
+// soundSyncDuration is the mean time of a write while the disk has no fault.
+func (m *machine) soundSyncDuration() time.Duration {
+	return m.sim.plan.SyncDuration + m.diskModel.Slowness
+}
+
 // newDisk gives the machine an empty disk.
 func (m *machine) newDisk() {
 	sim := m.sim
 	m.disk = diskfault.New(rand.New(rand.NewPCG(sim.random.Uint64(), diskStream)))
-	m.syncDuration = sim.plan.SyncDuration
+	m.syncDuration = m.soundSyncDuration()
 	m.diskHangsUntil = 0
 	sim.diskCount++
 }
@@ -147,7 +152,7 @@
 		Seeds:                 slices.Clone(sim.seeds),
 		Bootstrap:             m.bootstrap,
 		FaultTolerance:        sim.plan.Tolerance,
-		MaxConfigurationBytes: int(journal.LargestState(diskBytes)),
+		MaxConfigurationBytes: int(journal.LargestState(m.diskModel.Bytes)),
 		Checker:               acceptAllChecker{},
 		HeartbeatInterval:     heartbeatInterval,
 		Bounds: control.Bounds{
@@ -165,7 +170,7 @@
 			return
 		}
 		opened, records, err := journal.Open(journal.Options{
-			Dir: "/data", MaxBytes: diskBytes, FileSystem: m.disk, Random: randomReader{sim.random},
+			Dir: "/data", MaxBytes: m.diskModel.Bytes, FileSystem: m.disk, Random: randomReader{sim.random},
 		})
 		if err == nil && !opened.Healthy() {
 			err = opened.Append(nil)
--- a/internal/harness/faultrun/plan.go
+++ b/internal/harness/faultrun/plan.go
@@ -21,6 +21,26 @@
 	CallLossRate     float64       `json:"CallLoss"` // share of calls that are reset in transit
 	FaultPhase       time.Duration `json:"Length"`   // faults start within it
 	Faults           []Fault       `json:"Troubles"`
+	// Disks differ between core machines: machine i has Disks[i modulo their number]. None: all have defaultDisk. Plans of seeds
+	// below firstMixedSeed have none.
+	Disks []DiskModel `json:"Disks,omitempty"`
+}
+
+// DiskModel is the disk of a core machine.
+type DiskModel struct {
+	Bytes    int64         // of its journal
+	Slowness time.Duration // that a write takes beside Plan.SyncDuration, in the mean
+}
+
+// defaultDisk is the disk of all machines where a plan names none.
+var defaultDisk = DiskModel{Bytes: 4 << 20}
+
+// disk is the disk of the core machine that was added as the index-th.
+func (p *Plan) disk(index int) DiskModel {
+	if len(p.Disks) == 0 {
+		return defaultDisk
+	}
+	return p.Disks[index%len(p.Disks)]
 }
 
 // Fault is one injected fault. TargetA and TargetB select machines, modulo the number of those that can have it.
@@ -89,9 +109,33 @@
 // firstFaultAt is after the first view has been agreed, as on the operators' bench.
 const firstFaultAt = 2 * time.Second
 
+// firstMixedSeed is from which seed on plans have nine core machines and different disks among them.
+const firstMixedSeed = 100_000
+
+// diversify gives a third of the plans nine core machines, and half of them different disks. The smallest one holds what the
+// operators of a run may write: machines of different limits are not part of the plans.
+func (p *Plan) diversify(random *rand.Rand) {
+	const mebibyte = 1 << 20
+	if random.IntN(3) == 0 {
+		p.CoreSize, p.ProxyCount, p.Tolerance = 9, 3, 1+random.IntN(4)
+	}
+	if random.IntN(2) == 0 {
+		return
+	}
+	for range p.CoreSize {
+		p.Disks = append(p.Disks, DiskModel{
+			Bytes:    []int64{4, 4, 6, 8, 16, 64}[random.IntN(6)] * mebibyte,
+			Slowness: time.Duration(random.Int64N(int64(30 * time.Millisecond))),
+		})
+	}
+}
+
 // planStream tells the random source of a plan from that of its run, which has the same seed.
 const planStream = 0x706c616e
 
+// mixedStream tells apart the random source of what mixed plans have beside others.
+const mixedStream = 0x6d69786564
+
 // PlanOf draws the plan of a seed. The order of draws is fixed, as seeds are named in issues and tests.
 func PlanOf(seed uint64) *Plan {
 	random := rand.New(rand.NewPCG(seed, planStream))
@@ -113,6 +157,9 @@
 	if plan.MaxPadding > 100_000 {
 		plan.OperatorInterval *= 4
 	}
+	if seed >= firstMixedSeed {
+		plan.diversify(rand.New(rand.NewPCG(seed, mixedStream)))
+	}
 	meanGap := 300*time.Millisecond + time.Duration(random.Int64N(int64(3500*time.Millisecond)))
 	if random.IntN(3) == 0 {
 		plan.scheduleSequentialFaults(random)
--- a/internal/harness/faultrun/run.go
+++ b/internal/harness/faultrun/run.go
@@ -69,7 +69,7 @@
 		if m.disk != nil && !m.removed {
 			m.disk.SetFull(false)
 			m.disk.SetFailing(false)
-			m.syncDuration, m.diskHangsUntil = sim.plan.SyncDuration, min(m.diskHangsUntil, sim.now)
+			m.syncDuration, m.diskHangsUntil = m.soundSyncDuration(), min(m.diskHangsUntil, sim.now)
 		}
 		m.start()
 	}
--- a/internal/harness/faultrun/simulation.go
+++ b/internal/harness/faultrun/simulation.go
@@ -97,6 +97,7 @@
 // addMachine adds a machine to the fleet, with an empty disk if it is a core machine.
 func (sim *simulation) addMachine(name, zone string, isCore bool) *machine {
 	m := &machine{sim: sim, name: name, address: name + ":1", zone: zone, isCore: isCore}
+	m.diskModel = sim.plan.disk(len(sim.machines))
 	if isCore {
 		m.newDisk()
 	}
--- a/internal/harness/faultrun/timeline.go
+++ b/internal/harness/faultrun/timeline.go
@@ -67,7 +67,7 @@
 	switch {
 	case m.diskHangsUntil > m.sim.now:
 		return "hangs"
-	case m.syncDuration > m.sim.plan.SyncDuration:
+	case m.syncDuration > m.soundSyncDuration():
 		return "slow"
 	case m.disk.Refusal() != nil:
 		return "refuses"
