kestrelnode: google/subcommands for its command line

Change: run, check and mechanisms are subcommands; flags with one dash or two, exit statuses 0, 1 and 2 as before; an argument that no command takes is an error now.

--- a/cmd/kestrelnode/main_test.go
+++ b/cmd/kestrelnode/main_test.go
@@ -2,30 +2,27 @@
 
 import (
 	"bytes"
-	"errors"
+	"context"
 	"strings"
 	"testing"
 
+	"github.com/google/subcommands"
 	"gotest.tools/v3/assert"
 
 	"kestrelspread/internal/node/routing/mechanism"
 	"kestrelspread/internal/node/settings"
 )
 
-// execute runs a command line and returns what it printed.
-func execute(t *testing.T, arguments ...string) (string, error) {
-	t.Helper()
-	var output bytes.Buffer
-	root := newRootCommand()
-	root.SetArgs(doubleDashes(arguments))
-	root.SetOut(&output)
-	err := root.Execute()
-	return output.String(), err
+// runLine runs a command line and returns its exit status and what it printed.
+func runLine(arguments ...string) (status subcommands.ExitStatus, output, errorOutput string) {
+	var out, failures bytes.Buffer
+	status = execute(context.Background(), arguments, &out, &failures)
+	return status, out.String(), failures.String()
 }
 
 func TestMechanismsAreListedALineEach(t *testing.T) {
-	output, err := execute(t, "mechanisms")
-	assert.NilError(t, err)
+	status, output, _ := runLine("mechanisms")
+	assert.Equal(t, status, subcommands.ExitSuccess)
 	assert.Equal(t, strings.Count(output, "\n"), len(mechanism.All()))
 	for _, info := range mechanism.All() {
 		assert.Assert(t, strings.Contains(output, info.Name+" "), "%s", info.Name)
@@ -34,20 +31,22 @@
 
 func TestCommandLineErrorsHaveTheirExitStatus(t *testing.T) {
 	t.Setenv(settings.EnvironmentVariable, "")
-	cases := []struct {
+	for _, c := range []struct {
 		name      string
 		arguments []string
-		status    int
+		status    subcommands.ExitStatus
 	}{
-		{"unknown command", []string{"walk"}, exitUsageError},
-		{"unknown flag", []string{"run", "--fast"}, exitUsageError},
-		{"no settings file to run", []string{"run"}, exitFailure},
-		{"no settings file to check", []string{"check"}, exitFailure},
-	}
-	for _, c := range cases {
+		{"no command", nil, subcommands.ExitUsageError},
+		{"unknown command", []string{"walk"}, subcommands.ExitUsageError},
+		{"unknown flag", []string{"run", "--fast"}, subcommands.ExitUsageError},
+		{"an argument", []string{"check", "file"}, subcommands.ExitUsageError},
+		{"no settings file to run", []string{"run"}, subcommands.ExitFailure},
+		{"no settings file to check", []string{"check"}, subcommands.ExitFailure},
+	} {
 		t.Run(c.name, func(t *testing.T) {
-			_, err := execute(t, c.arguments...)
-			assert.Equal(t, exitStatus(err), c.status)
+			status, _, failures := runLine(c.arguments...)
+			assert.Equal(t, status, c.status)
+			assert.Assert(t, failures != "", "nothing is said")
 		})
 	}
 }
@@ -55,9 +54,23 @@
 func TestFlagsAreAcceptedWithOneDashAndWithTwo(t *testing.T) {
 	t.Setenv(settings.EnvironmentVariable, "no-such-file")
 	for _, flag := range []string{"-disable", "--disable"} {
-		_, err := execute(t, "run", flag, "no-such-mechanism")
-		var usage usageError
-		assert.Assert(t, !errors.As(err, &usage))
-		assert.ErrorContains(t, err, "no-such-mechanism")
+		status, _, failures := runLine("run", flag, "no-such-mechanism")
+		assert.Equal(t, status, subcommands.ExitFailure)
+		assert.Assert(t, strings.Contains(failures, "no-such-mechanism"), failures)
+	}
+}
+
+func TestInvalidNetworkMapIsAUsageError(t *testing.T) {
+	t.Setenv(settings.EnvironmentVariable, "no-such-file")
+	status, _, failures := runLine("run", "-netmap", "somewhere")
+	assert.Equal(t, status, subcommands.ExitUsageError)
+	assert.Assert(t, strings.Contains(failures, "netmap"), failures)
+}
+
+func TestHelpNamesAllCommands(t *testing.T) {
+	status, output, _ := runLine("help")
+	assert.Equal(t, status, subcommands.ExitSuccess)
+	for _, name := range []string{"run", "check", "mechanisms"} {
+		assert.Assert(t, strings.Contains(output, name), output)
 	}
 }
