--- a/internal/harness/processfaults/inject.go
+++ b/internal/harness/processfaults/inject.go
@@ -17,22 +17,22 @@
 
 func init() { // not in the declaration, as Validate refers to the table and injectors to plans
 	injectors = map[FaultKind]injector{
-		NodeCut:       (*run).cutNode,
-		PairCut:       (*run).cutPair,
-		OneWayCut:     (*run).cutOneWay,
-		CoreHalvesCut: (*run).cutCore,
-		BrokerCut:     (*run).cutBroker,
-		LinkDelay:     (*run).delayLinks,
-		LinkLoss:      (*run).loseHalf,
-		LinkReset:     (*run).resetLinks,
-		SlowLink:      (*run).slowLinks,
-		ProcessFreeze: (*run).freeze,
-		KillKeepDisk:  (*run).kill,
-		KillWipeDisk:  (*run).killAndWipe,
-		KillFullDisk:  (*run).killAndFill,
-		CoreKill:      (*run).killCore,
-		WeightsUpdate: (*run).updateWeights,
-		BrokerReplace: (*run).replaceBroker,
+		NodePartition:   (*run).partitionNode,
+		PairPartition:   (*run).partitionPair,
+		OneWayPartition: (*run).partitionOneWay,
+		CorePartition:   (*run).partitionCore,
+		BrokerPartition: (*run).partitionFromBroker,
+		LinkDelay:       (*run).delayLinks,
+		LinkLoss:        (*run).loseHalf,
+		LinkReset:       (*run).resetLinks,
+		SlowLink:        (*run).slowLinks,
+		ProcessFreeze:   (*run).freeze,
+		KillKeepDisk:    (*run).kill,
+		KillWipeDisk:    (*run).killAndWipe,
+		KillFullDisk:    (*run).killAndFill,
+		CoreKill:        (*run).killCore,
+		WeightsUpdate:   (*run).updateWeights,
+		BrokerReplace:   (*run).replaceBroker,
 	}
 }
 
@@ -70,9 +70,9 @@
 	return r.injectLinks(links.Fault{Source: node.Name, Destination: "*", Forward: conditions, Reverse: conditions}, r.fleet.Nodes...)
 }
 
-func (r *run) cutNode(fault Fault) func() { return r.onAllLinks(r.node(fault.Node), partitioned) }
+func (r *run) partitionNode(fault Fault) func() { return r.onAllLinks(r.node(fault.Node), partitioned) }
 
-func (r *run) cutPair(fault Fault) func() {
+func (r *run) partitionPair(fault Fault) func() {
 	one, other := r.node(fault.Node), r.node(fault.Peer)
 	if one == other {
 		other = r.node(fault.Peer + 1)
@@ -80,12 +80,12 @@
 	return r.injectLinks(links.Fault{Source: one.Name, Destination: other.Name, Forward: partitioned, Reverse: partitioned}, one, other)
 }
 
-func (r *run) cutOneWay(fault Fault) func() {
+func (r *run) partitionOneWay(fault Fault) func() {
 	node := r.node(fault.Node)
 	return r.injectLinks(links.Fault{Source: node.Name, Destination: "*", Forward: partitioned}, r.fleet.Nodes...)
 }
 
-func (r *run) cutCore(fault Fault) func() {
+func (r *run) partitionCore(fault Fault) func() {
 	node := r.coreNode(fault.Node)
 	var ends []func()
 	for _, other := range r.fleet.Core() {
@@ -101,7 +101,7 @@
 	}
 }
 
-func (r *run) cutBroker(fault Fault) func() {
+func (r *run) partitionFromBroker(fault Fault) func() {
 	node, brokers := r.node(fault.Node), r.fleet.BrokerNames()
 	broker := brokers[fault.Peer%len(brokers)]
 	return r.injectLinks(links.Fault{Source: node.Name, Destination: broker, Forward: partitioned, Reverse: partitioned}, node)
--- a/internal/harness/processfaults/operator.go
+++ b/internal/harness/processfaults/operator.go
@@ -22,9 +22,9 @@
 	firstOrder = "first"
 	// orderKeyPrefix begins the API key that each order adds; what follows is the order's id.
 	orderKeyPrefix = fleet.SharedKeyPrefix
-	// maxOperatorPause bounds the pause between two calls.
-	maxOperatorPause = 250 * time.Millisecond
-	readsPerChange   = 3 // one call in so many is a read
+	// maxOperatorInterval bounds the pause between two calls.
+	maxOperatorInterval = 250 * time.Millisecond
+	readsPerChange      = 3 // one call in so many is a read
 )
 
 // operator submits changes and reads, one after another, and records them. Each change replaces the API key of the order that it
@@ -62,7 +62,7 @@
 		} else {
 			o.change()
 		}
-		timer := time.NewTimer(time.Duration(o.random.Int64N(int64(maxOperatorPause))))
+		timer := time.NewTimer(time.Duration(o.random.Int64N(int64(maxOperatorInterval))))
 		select {
 		case <-o.ctx.Done():
 			timer.Stop()
--- a/internal/harness/processfaults/plan.go
+++ b/internal/harness/processfaults/plan.go
@@ -41,27 +41,27 @@
 
 // The kinds of faults. Those of links hold in both directions unless they say otherwise.
 const (
-	NodeCut       FaultKind = "cut"             // a node from all others and from all brokers
-	PairCut       FaultKind = "pair_cut"        // a node from one other
-	OneWayCut     FaultKind = "one_way"         // what a node sends to the others is lost; what they send arrives
-	CoreHalvesCut FaultKind = "halves"          // one core node from the other core nodes; proxies reach all
-	BrokerCut     FaultKind = "broker_cut"      // a node from one broker
-	LinkDelay     FaultKind = "delay"           // of a node's links
-	LinkLoss      FaultKind = "loss"            // half of what passes a node's links is retransmitted
-	LinkReset     FaultKind = "reset"           // all connections of a node, in the middle of their calls
-	SlowLink      FaultKind = "slow_link"       // a node's links pass few bytes
-	ProcessFreeze FaultKind = "freeze"          // SIGSTOP, then SIGCONT
-	KillKeepDisk  FaultKind = "kill"            // SIGKILL, and a start on the same disk
-	KillWipeDisk  FaultKind = "kill_wiped"      // SIGKILL, and a start on an empty disk
-	KillFullDisk  FaultKind = "kill_full"       // SIGKILL, and a start on a disk that takes nothing; later on the same disk
-	CoreKill      FaultKind = "kill_core"       // SIGKILL of all core nodes, and a start on their disks
-	WeightsUpdate FaultKind = "weights"         // a new version of the weights is named
-	BrokerReplace FaultKind = "broker_replaced" // a broker starts, another drains and leaves
+	NodePartition   FaultKind = "cut"             // a node from all others and from all brokers
+	PairPartition   FaultKind = "pair_cut"        // a node from one other
+	OneWayPartition FaultKind = "one_way"         // what a node sends to the others is lost; what they send arrives
+	CorePartition   FaultKind = "halves"          // one core node from the other core nodes; proxies reach all
+	BrokerPartition FaultKind = "broker_cut"      // a node from one broker
+	LinkDelay       FaultKind = "delay"           // of a node's links
+	LinkLoss        FaultKind = "loss"            // half of what passes a node's links is retransmitted
+	LinkReset       FaultKind = "reset"           // all connections of a node, in the middle of their calls
+	SlowLink        FaultKind = "slow_link"       // a node's links pass few bytes
+	ProcessFreeze   FaultKind = "freeze"          // SIGSTOP, then SIGCONT
+	KillKeepDisk    FaultKind = "kill"            // SIGKILL, and a start on the same disk
+	KillWipeDisk    FaultKind = "kill_wiped"      // SIGKILL, and a start on an empty disk
+	KillFullDisk    FaultKind = "kill_full"       // SIGKILL, and a start on a disk that takes nothing; later on the same disk
+	CoreKill        FaultKind = "kill_core"       // SIGKILL of all core nodes, and a start on their disks
+	WeightsUpdate   FaultKind = "weights"         // a new version of the weights is named
+	BrokerReplace   FaultKind = "broker_replaced" // a broker starts, another drains and leaves
 )
 
 // weightedKinds are the kinds that plans draw from; those that stand twice come twice as often.
 var weightedKinds = []FaultKind{
-	NodeCut, NodeCut, PairCut, OneWayCut, CoreHalvesCut, CoreHalvesCut, BrokerCut, LinkDelay, LinkLoss, LinkReset, LinkReset, SlowLink,
+	NodePartition, NodePartition, PairPartition, OneWayPartition, CorePartition, CorePartition, BrokerPartition, LinkDelay, LinkLoss, LinkReset, LinkReset, SlowLink,
 	ProcessFreeze, ProcessFreeze, KillKeepDisk, KillKeepDisk, KillWipeDisk, KillFullDisk, CoreKill, WeightsUpdate, BrokerReplace,
 }
 
@@ -82,8 +82,8 @@
 func PlanOf(seed uint64) *Plan {
 	random := rand.New(rand.NewPCG(seed, planStream))
 	plan := &Plan{Seed: seed}
-	between := func(least, most time.Duration) int {
-		return int((least + time.Duration(random.Int64N(int64(most-least)))).Milliseconds())
+	between := func(minimum, maximum time.Duration) int {
+		return int((minimum + time.Duration(random.Int64N(int64(maximum-minimum)))).Milliseconds())
 	}
 	phaseMs := int(FaultPhase.Milliseconds())
 	for startMs := 0; startMs < phaseMs; startMs += between(minFaultGap, maxFaultGap) {
--- a/internal/harness/processfaults/processfaults_test.go
+++ b/internal/harness/processfaults/processfaults_test.go
@@ -77,7 +77,7 @@
 // TestShortPlanHolds injects one fault of a process, of a disk and of links each.
 func TestShortPlanHolds(t *testing.T) {
 	plan := &Plan{Seed: 1, Faults: []Fault{
-		{StartMs: 0, DurationMs: 1500, Kind: NodeCut, Node: 1},
+		{StartMs: 0, DurationMs: 1500, Kind: NodePartition, Node: 1},
 		{StartMs: 600, DurationMs: 0, Kind: LinkReset, Node: 3},
 		{StartMs: 900, DurationMs: 700, Kind: KillKeepDisk, Node: 4},
 		{StartMs: 2200, DurationMs: 300, Kind: KillWipeDisk, Node: 2},
@@ -130,12 +130,12 @@
 	violation          string // part of one that must be reported
 }
 
-// cutFromNodes cuts a node from each other node, but not from the brokers.
-func cutFromNodes(node, startMs, durationMs int) []Fault {
+// partitionFromNodes cuts a node from each other node, but not from the brokers.
+func partitionFromNodes(node, startMs, durationMs int) []Fault {
 	var faults []Fault
 	for peer := range 5 {
 		if peer != node {
-			faults = append(faults, Fault{StartMs: startMs, DurationMs: durationMs, Kind: PairCut, Node: node, Peer: peer})
+			faults = append(faults, Fault{StartMs: startMs, DurationMs: durationMs, Kind: PairPartition, Node: node, Peer: peer})
 		}
 	}
 	return faults
@@ -154,7 +154,7 @@
 	{
 		name: "keys are served whatever the age of the confirmation", file: "control/configlease.go",
 		original: "confirmed != 0 && now-confirmed < b.Revoke-revocationMargin", mutation: "confirmed != 0",
-		plan:      Plan{Seed: 1, Faults: cutFromNodes(3, 500, 9000)},
+		plan:      Plan{Seed: 1, Faults: partitionFromNodes(3, 500, 9000)},
 		violation: "serves key",
 	},
 	{
@@ -168,7 +168,7 @@
 		original: "		r.startBarrier(headBarrier{origin: origin, wantsState: true, knownIndex: message.GetKnownIndex()})\n",
 		mutation: "		r.reply(origin, nil, r.snapshot())\n",
 		plan: Plan{Seed: 1, Faults: []Fault{
-			{StartMs: 300, DurationMs: 6000, Kind: CoreHalvesCut, Node: 0}, {StartMs: 300, DurationMs: 6000, Kind: NodeCut, Node: 0},
+			{StartMs: 300, DurationMs: 6000, Kind: CorePartition, Node: 0}, {StartMs: 300, DurationMs: 6000, Kind: NodePartition, Node: 0},
 		}},
 		violation: "not linearizable",
 	},
--- a/internal/harness/processfaults/run.go
+++ b/internal/harness/processfaults/run.go
@@ -120,25 +120,25 @@
 
 // event is the begin or the end of a fault.
 type event struct {
-	at  time.Duration // from the start of the fault phase
-	run func()
+	runAt time.Duration // from the start of the fault phase
+	run   func()
 }
 
 // injectAll injects the plan's faults at their times, in one goroutine, and ends them.
 func (r *run) injectAll() error {
 	var events []event
 	for _, fault := range r.plan.Faults {
-		events = append(events, event{at: fault.Start(), run: func() {
+		events = append(events, event{runAt: fault.Start(), run: func() {
 			r.logf("begin %v", fault)
 			end := injectors[fault.Kind](r, fault)
 			if end == nil {
 				return
 			}
-			ended := event{at: fault.Start() + fault.Duration(), run: func() {
+			ended := event{runAt: fault.Start() + fault.Duration(), run: func() {
 				r.logf("end   %v", fault)
 				end()
 			}}
-			position, _ := slices.BinarySearchFunc(events, ended, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+			position, _ := slices.BinarySearchFunc(events, ended, func(a, b event) int { return cmp.Compare(a.runAt, b.runAt) })
 			events = slices.Insert(events, position, ended)
 		}})
 	}
@@ -146,7 +146,7 @@
 	for len(events) > 0 {
 		next := events[0]
 		events = events[1:]
-		if err := r.sleep(next.at - time.Since(begunAt)); err != nil {
+		if err := r.sleep(next.runAt - time.Since(begunAt)); err != nil {
 			return err
 		}
 		next.run()
--- a/internal/node/netmap/netmap.go
+++ b/internal/node/netmap/netmap.go
@@ -18,8 +18,8 @@
 
 // Map is one rule. The zero value rewrites nothing.
 type Map struct {
-	from netip.Prefix
-	to   netip.Addr
+	announced netip.Prefix
+	reached   netip.Addr // the network of the same size
 }
 
 // Parse reads a rule, as "10.1.2.0/24=10.9.2.0": addresses of the first network are reached in the
@@ -46,22 +46,22 @@
 	if target := netip.PrefixFrom(to, from.Bits()); target != target.Masked() {
 		return Map{}, fmt.Errorf("%w: %s is no network of %d bits", ErrRule, to, from.Bits())
 	}
-	return Map{from: from, to: to}, nil
+	return Map{announced: from, reached: to}, nil
 }
 
 // Rewrite returns the address under which "IP:port" is reached from here. An address outside the rule's
 // network, or one that is no IP and port, is returned as it is.
 func (m Map) Rewrite(address string) string {
-	if !m.from.IsValid() {
+	if !m.announced.IsValid() {
 		return address
 	}
 	parsed, err := netip.ParseAddrPort(address)
-	if err != nil || !m.from.Contains(parsed.Addr()) {
+	if err != nil || !m.announced.Contains(parsed.Addr()) {
 		return address
 	}
-	host, network := parsed.Addr().As4(), m.to.As4()
+	host, network := parsed.Addr().As4(), m.reached.As4()
 	for i := range host {
-		hostBits := hostMask(m.from.Bits(), i)
+		hostBits := hostMask(m.announced.Bits(), i)
 		host[i] = network[i]&^hostBits | host[i]&hostBits
 	}
 	return netip.AddrPortFrom(netip.AddrFrom4(host), parsed.Port()).String()
--- a/internal/node/registry/broadcast.go
+++ b/internal/node/registry/broadcast.go
@@ -142,7 +142,7 @@
 // acknowledged it, and another node holds it; at the deadline in any case.
 func (r *Registry) tryAnswer(now core.Time, b *broadcast) {
 	awaited := slices.ContainsFunc(b.unacknowledged, func(id string) bool { return r.mustAwait(now, id) })
-	replicated := (b.ackCount > 0 || r.alone(now)) && r.heldByVoters(b)
+	replicated := (b.ackCount > 0 || r.alone(now)) && r.votersHave(b)
 	overdue := b.answerDeadline <= now || len(b.unacknowledged) == 0
 	if !overdue && (awaited || !replicated) {
 		return
@@ -155,19 +155,19 @@
 	}
 }
 
-// heldByVoters reports whether a majority of the voters of the control state hold the update, this node
+// votersHave reports whether a majority of the voters of the control state hold the update, this node
 // included if it is one; true while no view is known.
-func (r *Registry) heldByVoters(b *broadcast) bool {
+func (r *Registry) votersHave(b *broadcast) bool {
 	if len(r.voterAddresses) == 0 {
 		return true
 	}
-	held := 0
+	count := 0
 	for _, address := range r.voterAddresses {
 		if address == r.options.SelfAddress || slices.Contains(b.ackedAddresses, address) {
-			held++
+			count++
 		}
 	}
-	return held >= len(r.voterAddresses)/2+1
+	return count >= len(r.voterAddresses)/2+1
 }
 
 // SetVoters sets the internal addresses of the voters of the newest view known.
