One event queue, defaults of options written once, names in tests of routing

Cause: the same heap stood in fleetsim, simnet, coretest and faultrun, setDuration and setInt in two packages, and a table of 109 lines in harness/fleet.

Change: packages eventqueue and defaults; the table is three, with three cases of link faults more; 31 names in tests of routing.

--- a/internal/harness/fleet/checks_test.go
+++ b/internal/harness/fleet/checks_test.go
@@ -46,103 +46,129 @@
 	return llmbroker.OrderArrival{Instance: "i-2", Order: llmbroker.Order{LeaseHolder: holder, FencingToken: &fence}, ReceivedAt: after(at)}
 }
 
+// violationCase is evidence that violates a rule, or just doesn't.
+type violationCase struct {
+	name  string
+	plant func(*evidence)
+	rule  string // empty: none is broken
+}
+
+// lostCases are of requests without an answer, or with one that they must not have.
+var lostCases = []violationCase{
+	{"none", func(*evidence) {}, ""},
+	{"an unsafe request runs twice", func(e *evidence) {
+		e.repeatArrival(0, func(a *llmbroker.Arrival) { a.Instance = "i-3" })
+	}, "TWICE"},
+	{"a stream that may not be resumed runs twice", func(e *evidence) {
+		e.repeatArrival(1, func(a *llmbroker.Arrival) { a.Instance = "i-3" })
+	}, "TWICE"},
+	{"a second broker rejected it", func(e *evidence) {
+		e.repeatArrival(0, func(a *llmbroker.Arrival) { a.Disposition, a.StartedAt = llmbroker.Rejected, time.Time{} })
+	}, ""},
+	{"rejected, and has run", func(e *evidence) { e.attempts[0].Outcome, e.attempts[0].Status = Rejected, 503 }, "REFUSED"},
+	{"no answer", func(e *evidence) { e.attempts[0].Outcome = ConnectionClosed }, "LOST"},
+	{"no answer from a node that was killed", func(e *evidence) {
+		e.attempts[0].Outcome = ConnectionClosed
+		e.nodeFaults = []NodeFault{{Node: "node-1", Kind: Killed, StartedAt: after(20), EndedAt: after(100)}}
+	}, ""},
+	{"no answer while the node's links failed", func(e *evidence) {
+		e.attempts[0].Outcome = ConnectionClosed
+		e.linkFaults = []LinkFault{{Node: "node-1", StartedAt: after(20), EndedAt: after(100)}}
+	}, ""},
+	{"no answer while another node's links failed", func(e *evidence) {
+		e.attempts[0].Outcome = ConnectionClosed
+		e.linkFaults = []LinkFault{{Node: "node-2", StartedAt: after(20), EndedAt: after(100)}}
+	}, "LOST"},
+	{"no answer long after the node's links failed", func(e *evidence) {
+		e.attempts[0].Outcome = ConnectionClosed
+		e.linkFaults = []LinkFault{{Node: "node-1", StartedAt: after(-9000), EndedAt: after(-8000)}}
+	}, "LOST"},
+	{"no answer from a node that was stopped", func(e *evidence) {
+		e.attempts[0].Outcome = ConnectionClosed
+		e.nodeFaults = []NodeFault{{Node: "node-1", Kind: Stopped, StartedAt: after(20), EndedAt: after(100)}}
+	}, "LOST"},
+	{"no answer as another node was killed", func(e *evidence) {
+		e.attempts[0].Outcome = ConnectionClosed
+		e.nodeFaults = []NodeFault{{Node: "node-2", Kind: Killed, StartedAt: after(20)}}
+	}, "LOST"},
+	{"no answer from a node that was killed before", func(e *evidence) {
+		e.attempts[0].Outcome = ConnectionClosed
+		e.nodeFaults = []NodeFault{{Node: "node-1", Kind: Killed, StartedAt: after(-200), EndedAt: after(-100)}}
+	}, "LOST"},
+	{"the broker crashed", func(e *evidence) {
+		e.attempts[0].Outcome = ConnectionClosed
+		e.arrivals[0].Disposition = llmbroker.Aborted
+		e.crashedBrokers = []string{"i-1"}
+	}, ""},
+	{"closed before it was read", func(e *evidence) {
+		e.attempts[0].Outcome = ConnectionClosed
+		e.arrivals = e.arrivals[1:]
+	}, ""},
+	{"pending and then closed", func(e *evidence) {
+		e.attempts[0].Outcome, e.attempts[0].EndedAt = ConnectionClosed, after(400)
+		e.arrivals = e.arrivals[1:]
+	}, "LOST"},
+	{"a crash in a log", func(e *evidence) { e.checkLog("node-1", "well\npanic: planted") }, "LOG"},
+	{"a plain log", func(e *evidence) { e.checkLog("node-1", "level=INFO msg=view epoch=1") }, ""},
+	{"what the client saw", func(e *evidence) { e.attempts[0].Defect = "MIXED: planted" }, "ANSWER"},
+}
+
+// runCases are of requests that ran where they must not.
+var runCases = []violationCase{
+	{"more brokers than allowed", func(e *evidence) {
+		e.attempts[0].Prefix, e.attempts[0].Kind = prefixLookup, Safe
+		for range 3 {
+			e.repeatArrival(0, func(*llmbroker.Arrival) {})
+		}
+	}, "BUDGET"},
+	{"another path", func(e *evidence) { e.arrivals[0].URI = "/print/b" }, "UNASKED"},
+	{"another method", func(e *evidence) { e.arrivals[0].Method = "GET" }, "UNASKED"},
+	{"another tenant", func(e *evidence) { e.arrivals[0].Tenant = tenantIsolated }, "UNASKED"},
+	{"an ID that no client sent", func(e *evidence) {
+		e.repeatArrival(0, func(a *llmbroker.Arrival) { a.Request = "x" })
+	}, "UNASKED"},
+	{"another service", func(e *evidence) { e.arrivals[0].Service = serviceModel }, "ROUTE"},
+}
+
+// brokerCases are of drains, weights, salts, orders and the retry budget.
+var brokerCases = []violationCase{
+	{"late at a draining broker", func(e *evidence) { e.drains = []drainedBroker{{"i-1", after(-2000)}} }, "DRAIN"},
+	{"in time at a draining broker", func(e *evidence) { e.drains = []drainedBroker{{"i-1", after(-1900)}} }, ""},
+	{"older weights", func(e *evidence) {
+		e.ackedWeights = []fleetoperator.Acknowledgement{{Model: modelName, ModelVersion: 2, ReceivedAt: after(-8000)}}
+	}, "VERSION"},
+	{"older weights in time", func(e *evidence) {
+		e.ackedWeights = []fleetoperator.Acknowledgement{{Model: modelName, ModelVersion: 2, ReceivedAt: after(-7900)}}
+	}, ""},
+	{"a salt for two versions", func(e *evidence) {
+		e.attempts = append(e.attempts, e.attempts[1])
+		e.attempts[2].ID = "s2"
+		e.repeatArrival(1, func(a *llmbroker.Arrival) { a.Request, a.Version = "s2", 2 })
+	}, "STALE"},
+	{"a salt for two tenants", func(e *evidence) {
+		e.attempts = append(e.attempts, e.attempts[1])
+		e.attempts[2].ID, e.attempts[2].Key = "s2", keyShared
+		e.repeatArrival(1, func(a *llmbroker.Arrival) { a.Request, a.Tenant = "s2", tenantShared })
+	}, "WALL"},
+	{"a fencing token for two holders", func(e *evidence) {
+		e.modelOrders = []llmbroker.OrderArrival{orderOf("a", 4, 0), orderOf("b", 4, 4000)}
+	}, "ONE"},
+	{"two holders within the lease", func(e *evidence) {
+		e.modelOrders = []llmbroker.OrderArrival{orderOf("a", 4, 0), orderOf("b", 5, 2900)}
+	}, "ONE"},
+	{"two holders after the lease", func(e *evidence) {
+		e.modelOrders = []llmbroker.OrderArrival{orderOf("a", 4, 0), orderOf("b", 5, 3100)}
+	}, ""},
+	{"arrivals beyond the budget", func(e *evidence) {
+		e.bounds.RetryBudgetSlack = 0
+		e.attempts[0].Prefix, e.attempts[0].Kind = prefixLookup, Safe
+		e.repeatArrival(0, func(a *llmbroker.Arrival) { a.Disposition, a.StartedAt = llmbroker.Rejected, time.Time{} })
+	}, "BUDGET"},
+}
+
 // TestViolationsAreDetected constructs evidence of each violation of RULES.md.
 func TestViolationsAreDetected(t *testing.T) {
-	for _, test := range []struct {
-		name  string
-		plant func(*evidence)
-		rule  string // empty: none is broken
-	}{
-		{"none", func(*evidence) {}, ""},
-		{"an unsafe request runs twice", func(e *evidence) {
-			e.repeatArrival(0, func(a *llmbroker.Arrival) { a.Instance = "i-3" })
-		}, "TWICE"},
-		{"a stream that may not be resumed runs twice", func(e *evidence) {
-			e.repeatArrival(1, func(a *llmbroker.Arrival) { a.Instance = "i-3" })
-		}, "TWICE"},
-		{"a second broker rejected it", func(e *evidence) {
-			e.repeatArrival(0, func(a *llmbroker.Arrival) { a.Disposition, a.StartedAt = llmbroker.Rejected, time.Time{} })
-		}, ""},
-		{"rejected, and has run", func(e *evidence) { e.attempts[0].Outcome, e.attempts[0].Status = Rejected, 503 }, "REFUSED"},
-		{"no answer", func(e *evidence) { e.attempts[0].Outcome = ConnectionClosed }, "LOST"},
-		{"no answer from a node that was killed", func(e *evidence) {
-			e.attempts[0].Outcome = ConnectionClosed
-			e.nodeFaults = []NodeFault{{Node: "node-1", Kind: Killed, StartedAt: after(20), EndedAt: after(100)}}
-		}, ""},
-		{"no answer from a node that was stopped", func(e *evidence) {
-			e.attempts[0].Outcome = ConnectionClosed
-			e.nodeFaults = []NodeFault{{Node: "node-1", Kind: Stopped, StartedAt: after(20), EndedAt: after(100)}}
-		}, "LOST"},
-		{"no answer as another node was killed", func(e *evidence) {
-			e.attempts[0].Outcome = ConnectionClosed
-			e.nodeFaults = []NodeFault{{Node: "node-2", Kind: Killed, StartedAt: after(20)}}
-		}, "LOST"},
-		{"no answer from a node that was killed before", func(e *evidence) {
-			e.attempts[0].Outcome = ConnectionClosed
-			e.nodeFaults = []NodeFault{{Node: "node-1", Kind: Killed, StartedAt: after(-200), EndedAt: after(-100)}}
-		}, "LOST"},
-		{"the broker crashed", func(e *evidence) {
-			e.attempts[0].Outcome = ConnectionClosed
-			e.arrivals[0].Disposition = llmbroker.Aborted
-			e.crashedBrokers = []string{"i-1"}
-		}, ""},
-		{"closed before it was read", func(e *evidence) {
-			e.attempts[0].Outcome = ConnectionClosed
-			e.arrivals = e.arrivals[1:]
-		}, ""},
-		{"pending and then closed", func(e *evidence) {
-			e.attempts[0].Outcome, e.attempts[0].EndedAt = ConnectionClosed, after(400)
-			e.arrivals = e.arrivals[1:]
-		}, "LOST"},
-		{"a crash in a log", func(e *evidence) { e.checkLog("node-1", "well\npanic: planted") }, "LOG"},
-		{"a plain log", func(e *evidence) { e.checkLog("node-1", "level=INFO msg=view epoch=1") }, ""},
-		{"what the client saw", func(e *evidence) { e.attempts[0].Defect = "MIXED: planted" }, "ANSWER"},
-		{"more brokers than allowed", func(e *evidence) {
-			e.attempts[0].Prefix, e.attempts[0].Kind = prefixLookup, Safe
-			for range 3 {
-				e.repeatArrival(0, func(*llmbroker.Arrival) {})
-			}
-		}, "BUDGET"},
-		{"another path", func(e *evidence) { e.arrivals[0].URI = "/print/b" }, "UNASKED"},
-		{"another method", func(e *evidence) { e.arrivals[0].Method = "GET" }, "UNASKED"},
-		{"another tenant", func(e *evidence) { e.arrivals[0].Tenant = tenantIsolated }, "UNASKED"},
-		{"an ID that no client sent", func(e *evidence) {
-			e.repeatArrival(0, func(a *llmbroker.Arrival) { a.Request = "x" })
-		}, "UNASKED"},
-		{"another service", func(e *evidence) { e.arrivals[0].Service = serviceModel }, "ROUTE"},
-		{"late at a draining broker", func(e *evidence) { e.drains = []drainedBroker{{"i-1", after(-2000)}} }, "DRAIN"},
-		{"in time at a draining broker", func(e *evidence) { e.drains = []drainedBroker{{"i-1", after(-1900)}} }, ""},
-		{"older weights", func(e *evidence) {
-			e.ackedWeights = []fleetoperator.Acknowledgement{{Model: modelName, ModelVersion: 2, ReceivedAt: after(-8000)}}
-		}, "VERSION"},
-		{"older weights in time", func(e *evidence) {
-			e.ackedWeights = []fleetoperator.Acknowledgement{{Model: modelName, ModelVersion: 2, ReceivedAt: after(-7900)}}
-		}, ""},
-		{"a salt for two versions", func(e *evidence) {
-			e.attempts = append(e.attempts, e.attempts[1])
-			e.attempts[2].ID = "s2"
-			e.repeatArrival(1, func(a *llmbroker.Arrival) { a.Request, a.Version = "s2", 2 })
-		}, "STALE"},
-		{"a salt for two tenants", func(e *evidence) {
-			e.attempts = append(e.attempts, e.attempts[1])
-			e.attempts[2].ID, e.attempts[2].Key = "s2", keyShared
-			e.repeatArrival(1, func(a *llmbroker.Arrival) { a.Request, a.Tenant = "s2", tenantShared })
-		}, "WALL"},
-		{"a fencing token for two holders", func(e *evidence) {
-			e.modelOrders = []llmbroker.OrderArrival{orderOf("a", 4, 0), orderOf("b", 4, 4000)}
-		}, "ONE"},
-		{"two holders within the lease", func(e *evidence) {
-			e.modelOrders = []llmbroker.OrderArrival{orderOf("a", 4, 0), orderOf("b", 5, 2900)}
-		}, "ONE"},
-		{"two holders after the lease", func(e *evidence) {
-			e.modelOrders = []llmbroker.OrderArrival{orderOf("a", 4, 0), orderOf("b", 5, 3100)}
-		}, ""},
-		{"arrivals beyond the budget", func(e *evidence) {
-			e.bounds.RetryBudgetSlack = 0
-			e.attempts[0].Prefix, e.attempts[0].Kind = prefixLookup, Safe
-			e.repeatArrival(0, func(a *llmbroker.Arrival) { a.Disposition, a.StartedAt = llmbroker.Rejected, time.Time{} })
-		}, "BUDGET"},
-	} {
+	for _, test := range slices.Concat(lostCases, runCases, brokerCases) {
 		t.Run(test.name, func(t *testing.T) {
 			e := validEvidence()
 			test.plant(e)
--- a/internal/node/membership/options.go
+++ b/internal/node/membership/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kestrelspread/internal/node/defaults"
 	"kestrelspread/internal/node/nodepb"
 )
 
@@ -44,26 +45,12 @@
 
 // withDefaults returns the options with the defaults in place of zero values.
 func (o Options) withDefaults() Options {
-	setDuration(&o.Period, DefaultPeriod)
-	setDuration(&o.ProbeTimeout, DefaultProbeTimeout)
-	setInt(&o.IndirectProbes, DefaultIndirectProbes)
-	setDuration(&o.MinSuspicion, DefaultMinSuspicion)
-	setDuration(&o.DeadRetention, DefaultDeadRetention)
-	setInt(&o.UpdatesPerMessage, DefaultUpdatesPerMessage)
-	setDuration(&o.SyncInterval, DefaultSyncInterval)
+	defaults.Duration(&o.Period, DefaultPeriod)
+	defaults.Duration(&o.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Int(&o.IndirectProbes, DefaultIndirectProbes)
+	defaults.Duration(&o.MinSuspicion, DefaultMinSuspicion)
+	defaults.Duration(&o.DeadRetention, DefaultDeadRetention)
+	defaults.Int(&o.UpdatesPerMessage, DefaultUpdatesPerMessage)
+	defaults.Duration(&o.SyncInterval, DefaultSyncInterval)
 	return o
 }
-
-// setDuration sets a field without a value to its default.
-func setDuration(field *time.Duration, value time.Duration) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
-// setInt sets a field without a value to its default.
-func setInt(field *int, value int) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/internal/node/routing/admission/admission_test.go
+++ b/internal/node/routing/admission/admission_test.go
@@ -30,11 +30,11 @@
 	const now = 20 * time.Second
 	g := New(0, mechanism.NewSwitches(0), rand.New(rand.NewPCG(1, 2)))
 	for _, c := range []struct {
-		name        string
-		left        core.Time
-		reason      Reason
-		capacityAt  core.Time
-		least, most core.Time
+		name             string
+		left             core.Time
+		reason           Reason
+		capacityAt       core.Time
+		minimum, maximum core.Time
 	}{
 		{"plenty of time", 9 * time.Second, Full, core.Never, MinAdvice, maxAdvice},
 		{"little time", 300 * time.Millisecond, Full, core.Never, MinAdvice, 100 * time.Millisecond},
@@ -47,21 +47,21 @@
 			for range 100 {
 				req := &inflight.Request{ClientRequest: inflight.ClientRequest{Deadline: now + c.left}}
 				advice := g.Advice(now, req, c.reason, c.capacityAt)
-				assert.Assert(t, advice >= c.least && advice <= c.most, "%v", advice)
+				assert.Assert(t, advice >= c.minimum && advice <= c.maximum, "%v", advice)
 			}
 		})
 	}
 }
 
 // Of the most urgent requests none is shed before half of the least urgent are.
-func TestMostUrgentAreShedLast(t *testing.T) {
-	for _, c := range []struct{ shed, most, least float64 }{{0, 0, 0}, {0.3, 0, 0.3}, {0.5, 0, 0.5}, {0.75, 0.5, 0.75}} {
+func TestUrgentRequestsAreShedLast(t *testing.T) {
+	for _, c := range []struct{ shed, urgentShed, otherShed float64 }{{0, 0, 0}, {0.3, 0, 0.3}, {0.5, 0, 0.5}, {0.75, 0.5, 0.75}} {
 		o := NewOverload()
 		o.Received(time.Second, 0)
 		o.Received(time.Second, 2)
 		o.shed = c.shed
-		assert.Equal(t, o.ShedProbability(0), c.most)
-		assert.Equal(t, o.ShedProbability(1), c.least)
-		assert.Equal(t, o.ShedProbability(2), c.least)
+		assert.Equal(t, o.ShedProbability(0), c.urgentShed)
+		assert.Equal(t, o.ShedProbability(1), c.otherShed)
+		assert.Equal(t, o.ShedProbability(2), c.otherShed)
 	}
 }
--- a/internal/node/routing/admission_test.go
+++ b/internal/node/routing/admission_test.go
@@ -15,7 +15,7 @@
 // third of its time.
 func TestRefusedWhenAllAreFull(t *testing.T) {
 	w := newWorld(t, instances(2))
-	turnAway := func() Decision {
+	rejectFirst := func() Decision {
 		q := w.request(onceRoute)
 		q.Urgency = 1
 		a := w.begin(q)
@@ -23,7 +23,7 @@
 		w.End(w.now, a.Request)
 		return d
 	}
-	assert.Assert(t, turnAway().Attempt != nil)
+	assert.Assert(t, rejectFirst().Attempt != nil)
 	q := w.request(onceRoute)
 	q.Urgency = 1
 	a := w.begin(q)
--- a/internal/node/routing/brokerstate/backlog_test.go
+++ b/internal/node/routing/brokerstate/backlog_test.go
@@ -41,7 +41,7 @@
 
 // The pace is the slope of latencies over the tokens before them, whatever else each answer takes.
 func TestPrefillPace(t *testing.T) {
-	chance := rand.New(rand.NewPCG(3, 8))
+	random := rand.New(rand.NewPCG(3, 8))
 	for _, c := range []struct{ perToken, fixed, noise, want float64 }{
 		{0.018, 30, 20, 0.018},
 		{0.031, 80, 40, 0.031},
@@ -51,8 +51,8 @@
 		var p prefillPace
 		assert.Equal(t, p.perToken(), assumedPace)
 		for range 400 {
-			tokens := 200 + 9000*chance.Float64()
-			p.learn(tokens, c.fixed+c.perToken*tokens+c.noise*chance.Float64())
+			tokens := 200 + 9000*random.Float64()
+			p.learn(tokens, c.fixed+c.perToken*tokens+c.noise*random.Float64())
 		}
 		assert.Assert(t, math.Abs(p.perToken()-c.want) <= 0.1*c.want, "%v for %v", p.perToken(), c.want)
 	}
@@ -65,11 +65,11 @@
 
 // After some ten answers the pace is about right.
 func TestPrefillPaceIsLearntSoon(t *testing.T) {
-	chance := rand.New(rand.NewPCG(3, 8))
+	random := rand.New(rand.NewPCG(3, 8))
 	var p prefillPace
 	for range 12 {
-		tokens := 200 + 9000*chance.Float64()
-		p.learn(tokens, 60+0.05*tokens+60*chance.Float64())
+		tokens := 200 + 9000*random.Float64()
+		p.learn(tokens, 60+0.05*tokens+60*random.Float64())
 	}
 	assert.Assert(t, p.known())
 	assert.Assert(t, math.Abs(p.perToken()-0.05) < 0.01, "%v", p.perToken())
@@ -77,14 +77,14 @@
 
 // The pace follows a change within some hundred answers.
 func TestPrefillPaceFades(t *testing.T) {
-	chance := rand.New(rand.NewPCG(3, 8))
+	random := rand.New(rand.NewPCG(3, 8))
 	var p prefillPace
 	for i := range 3000 {
 		perToken := 0.02
 		if i >= 1500 {
 			perToken = 0.06
 		}
-		tokens := 200 + 9000*chance.Float64()
+		tokens := 200 + 9000*random.Float64()
 		p.learn(tokens, 20+perToken*tokens)
 	}
 	assert.Assert(t, math.Abs(p.perToken()-0.06) < 0.003)
--- a/internal/node/routing/decisions_golden_test.go
+++ b/internal/node/routing/decisions_golden_test.go
@@ -97,7 +97,7 @@
 type randomCalls struct {
 	*world
 	trace    *decisionTrace
-	chance   *rand.Rand
+	random   *rand.Rand
 	list     []*registry.Instance
 	versions map[string]uint64
 	open     []*openRequest
@@ -111,17 +111,17 @@
 
 func traceRandomCalls(t *testing.T, seed uint64, disabled mechanism.Set, name string) string {
 	t.Helper()
-	c := &randomCalls{trace: newDecisionTrace(), chance: rand.New(rand.NewPCG(seed, 17)), list: instances(7),
+	c := &randomCalls{trace: newDecisionTrace(), random: rand.New(rand.NewPCG(seed, 17)), list: instances(7),
 		versions: map[string]uint64{}}
 	router := New(0, Options{Zone: "z0", RetryBudgetRatio: 0.2, RetryBudgetSlack: 60, BudgetWindow: 10 * time.Second,
 		VersionGrace: 8 * time.Second, VersionGraceAll: 30 * time.Second, UnstableFor: 2 * time.Second, Heartbeat: 500 * time.Millisecond,
-		Random: rand.New(rand.NewPCG(seed, 9)), Index: &randomIndex{chance: c.chance, list: c.list}, Disabled: disabled})
+		Random: rand.New(rand.NewPCG(seed, 9)), Index: &randomIndex{random: c.random, list: c.list}, Disabled: disabled})
 	c.world = &world{t: t, now: 2 * time.Second, Router: router}
 	c.SetPeers(0, 3)
 	c.SetConfig(0, c.config())
 	c.SetTable(0, tableOf(c.list...))
 	for range goldenSteps {
-		c.now += core.Time(c.chance.ExpFloat64() * float64(12*ms))
+		c.now += core.Time(c.random.ExpFloat64() * float64(12*ms))
 		c.step()
 	}
 	c.trace.end(router)
@@ -146,19 +146,19 @@
 }
 
 func (c *randomCalls) step() {
-	switch n := c.chance.IntN(100); {
+	switch n := c.random.IntN(100); {
 	case n < 38:
 		c.receive()
 	case n < 90 && len(c.open) > 0:
-		c.proceed(c.chance.IntN(len(c.open)))
+		c.proceed(c.random.IntN(len(c.open)))
 	case n < 92:
-		c.PeerSentPrompt(c.now, SentPrompt{Instance: c.some().ID, Salt: 7, Parts: []prompt.Part{{ID: 3, Tokens: 900}}, PrefillTokens: c.chance.IntN(6000)})
+		c.PeerSentPrompt(c.now, SentPrompt{Instance: c.some().ID, Salt: 7, Parts: []prompt.Part{{ID: 3, Tokens: 900}}, PrefillTokens: c.random.IntN(6000)})
 	case n < 94:
-		c.PeerStepReport(StepReport{Instance: c.some().ID, EventInterval: core.Time(8+c.chance.IntN(20)) * ms})
+		c.PeerStepReport(StepReport{Instance: c.some().ID, EventInterval: core.Time(8+c.random.IntN(20)) * ms})
 	case n < 95:
 		c.ObserveLoad(c.now, c.some().ID, *c.load())
 	case n < 96:
-		c.StoreSeen(c.now, fmt.Sprintf("10.9.0.%d:9000", c.chance.IntN(3)), c.chance.IntN(4) > 0, false)
+		c.StoreSeen(c.now, fmt.Sprintf("10.9.0.%d:9000", c.random.IntN(3)), c.random.IntN(4) > 0, false)
 	case n < 99:
 		c.changeTable()
 	default:
@@ -166,24 +166,24 @@
 	}
 }
 
-func (c *randomCalls) some() *registry.Instance { return c.list[c.chance.IntN(len(c.list))] }
+func (c *randomCalls) some() *registry.Instance { return c.list[c.random.IntN(len(c.list))] }
 
 func (c *randomCalls) load() *Load {
-	return &Load{Running: c.chance.IntN(70), Waiting: max(c.chance.IntN(12)-6, 0), Slots: 64}
+	return &Load{Running: c.random.IntN(70), Waiting: max(c.random.IntN(12)-6, 0), Slots: 64}
 }
 
 func (c *randomCalls) receive() {
-	q := c.request([]*config.Route{safeRoute, onceRoute, flowRoute, againRoute, gapRoute}[c.chance.IntN(5)])
-	if c.chance.IntN(3) > 0 {
-		q = c.prompt(q.Route, uint64(10+c.chance.IntN(30)))
-		q.Parts[1].Tokens = 100 + c.chance.IntN(2500)
-		q.TokensIn = sumTokens(q.Parts) + c.chance.IntN(500)
+	q := c.request([]*config.Route{safeRoute, onceRoute, flowRoute, againRoute, gapRoute}[c.random.IntN(5)])
+	if c.random.IntN(3) > 0 {
+		q = c.prompt(q.Route, uint64(10+c.random.IntN(30)))
+		q.Parts[1].Tokens = 100 + c.random.IntN(2500)
+		q.TokensIn = sumTokens(q.Parts) + c.random.IntN(500)
 	}
-	q.TokensOut = c.chance.IntN(6000)
-	q.Urgency = c.chance.IntN(4)
-	q.Deadline = c.now + core.Time(5+c.chance.IntN(4000))*ms
-	if c.chance.IntN(2) == 0 {
-		q.Tenant = &config.Tenant{Name: fmt.Sprintf("t%d", c.chance.IntN(3))}
+	q.TokensOut = c.random.IntN(6000)
+	q.Urgency = c.random.IntN(4)
+	q.Deadline = c.now + core.Time(5+c.random.IntN(4000))*ms
+	if c.random.IntN(2) == 0 {
+		q.Tenant = &config.Tenant{Name: fmt.Sprintf("t%d", c.random.IntN(3))}
 	}
 	id, d := c.Begin(c.now, q)
 	c.trace.add(c.now, d)
@@ -203,12 +203,12 @@
 	open := c.open[i]
 	var out *Attempt
 	for _, a := range open.attempts {
-		if !open.ended[a.Number] && (out == nil || c.chance.IntN(2) == 0) {
+		if !open.ended[a.Number] && (out == nil || c.random.IntN(2) == 0) {
 			out = a
 		}
 	}
-	switch n := c.chance.IntN(10); {
-	case out == nil || n == 0 && c.chance.IntN(4) == 0:
+	switch n := c.random.IntN(10); {
+	case out == nil || n == 0 && c.random.IntN(4) == 0:
 		c.End(c.now, open.id)
 		c.open = append(c.open[:i], c.open[i+1:]...)
 	case n < 2:
@@ -219,34 +219,34 @@
 		c.Started(c.now, open.id, out.Number, c.load())
 	default:
 		open.ended[out.Number] = true
-		d := c.Finished(c.now, open.id, out.Number, c.outcome(), c.chance.IntN(2) == 0)
+		d := c.Finished(c.now, open.id, out.Number, c.outcome(), c.random.IntN(2) == 0)
 		c.trace.add(c.now, d)
 		c.sent(open, d)
 	}
 }
 
 func (c *randomCalls) outcome() Outcome {
-	if c.chance.IntN(3) > 0 {
+	if c.random.IntN(3) > 0 {
 		o := Outcome{Verdict: verdict.Ran, Answered: true, Status: 200, Load: c.load()}
-		o.Gaps = EventGaps{Count: c.chance.IntN(20), Usual: core.Time(8+c.chance.IntN(12)) * ms, Max: core.Time(c.chance.IntN(300)) * ms}
+		o.Gaps = EventGaps{Count: c.random.IntN(20), Usual: core.Time(8+c.random.IntN(12)) * ms, Max: core.Time(c.random.IntN(300)) * ms}
 		return o
 	}
 	full := outcomeFull
 	full.Load = c.load()
-	full.RetryAfter = core.Time(c.chance.IntN(3)*200) * ms
+	full.RetryAfter = core.Time(c.random.IntN(3)*200) * ms
 	outcomes := []Outcome{full, full, outcomeUnreachable, outcomeMisdirected, outcomeReset, outcomeFailure,
 		{Verdict: verdict.MayHaveRun, TimedOut: true}, {Verdict: verdict.MayHaveRun, Canceled: true},
 		{Verdict: verdict.Ran, Answered: true, Status: 504}, {Verdict: verdict.NotRun, NotExecuted: true}}
-	return outcomes[c.chance.IntN(len(outcomes))]
+	return outcomes[c.random.IntN(len(outcomes))]
 }
 
 // changeTable replaces one broker's entry.
 func (c *randomCalls) changeTable() {
-	i := c.chance.IntN(len(c.list))
+	i := c.random.IntN(len(c.list))
 	changed := *c.list[i]
 	changed.Loading, changed.Unresponsive, changed.WarmingUpUntil = false, false, 0
 	changed.State = registry.Ready
-	switch c.chance.IntN(7) {
+	switch c.random.IntN(7) {
 	case 0:
 		changed.Loading = true
 	case 1:
@@ -267,35 +267,35 @@
 }
 
 func (c *randomCalls) disturb() {
-	switch c.chance.IntN(4) {
+	switch c.random.IntN(4) {
 	case 0:
 		c.versions[model] = max(c.versions[model], 1) + 1
 		c.SetConfig(c.now, c.config())
 	case 1:
-		c.CoreDisturbed(c.now, c.now-core.Time(c.chance.IntN(900))*ms)
+		c.CoreDisturbed(c.now, c.now-core.Time(c.random.IntN(900))*ms)
 	case 2:
 		c.Resumed(c.now)
 	default:
-		c.SetPeers(c.now, 1+c.chance.IntN(9))
+		c.SetPeers(c.now, 1+c.random.IntN(9))
 	}
 }
 
-// randomIndex names holders that are drawn by chance.
+// randomIndex names holders that are drawn by random.
 type randomIndex struct {
-	chance *rand.Rand
+	random *rand.Rand
 	list   []*registry.Instance
 }
 
 func (x *randomIndex) Holders(_ uint64, parts []prompt.Part) []prefixcache.Holder {
 	var found []prefixcache.Holder
 	for _, instance := range x.list {
-		if x.chance.IntN(4) == 0 {
-			found = append(found, prefixcache.Holder{Instance: instance.ID, Tokens: sumTokens(parts[:x.chance.IntN(len(parts))])})
+		if x.random.IntN(4) == 0 {
+			found = append(found, prefixcache.Holder{Instance: instance.ID, Tokens: sumTokens(parts[:x.random.IntN(len(parts))])})
 		}
 	}
 	for i := range 3 {
 		found = append(found, prefixcache.Holder{Instance: fmt.Sprintf("10.9.0.%d:9000", i), Store: true,
-			Tokens: sumTokens(parts[:x.chance.IntN(len(parts))])})
+			Tokens: sumTokens(parts[:x.random.IntN(len(parts))])})
 	}
 	return found
 }
--- a/internal/node/routing/engine_test.go
+++ b/internal/node/routing/engine_test.go
@@ -159,7 +159,7 @@
 		return
 	}
 	s.index.holders = map[kvKeyID][]prefixcache.Holder{}
-	note := func(e *engine, h prefixcache.Holder) {
+	addHolders := func(e *engine, h prefixcache.Holder) {
 		for key, part := range e.parts {
 			id := kvKeyID{cachesalt.ID(key.salt), key.part}
 			h.Tokens = part.tokens
@@ -167,9 +167,9 @@
 		}
 	}
 	for id, e := range s.engines {
-		note(e, prefixcache.Holder{Instance: id})
+		addHolders(e, prefixcache.Holder{Instance: id})
 	}
-	note(s.store, prefixcache.Holder{Instance: storeAddress, Store: true})
+	addHolders(s.store, prefixcache.Holder{Instance: storeAddress, Store: true})
 }
 
 // heartbeat gives the store's signs of life, and brings the index up to date.
@@ -340,7 +340,7 @@
 	for _, p := range q.Parts[:kept] {
 		e.parts[kvKey{g.attempt.Salt, p.ID}].users++
 	}
-	if !e.makeRoom(need, engineMemory) {
+	if !e.freeTokens(need, engineMemory) {
 		for _, p := range q.Parts[:kept] {
 			e.parts[kvKey{g.attempt.Salt, p.ID}].users--
 		}
@@ -413,26 +413,26 @@
 			kept.used = e.sim.now
 			continue
 		}
-		store.makeRoom(p.Tokens, storeMemory)
+		store.freeTokens(p.Tokens, storeMemory)
 		store.parts[key] = &kvPart{tokens: p.Tokens, used: e.sim.now}
 		store.held += p.Tokens
 		e.sim.saved += p.Tokens
 	}
 }
 
-func (e *engine) makeRoom(need, memory int) bool {
+func (e *engine) freeTokens(need, memory int) bool {
 	for e.held+need > memory {
 		var oldest kvKey
-		var least *kvPart
+		var unused *kvPart
 		for k, p := range e.parts {
-			if p.users == 0 && (least == nil || p.used < least.used || p.used == least.used && k.part < oldest.part) {
-				oldest, least = k, p
+			if p.users == 0 && (unused == nil || p.used < unused.used || p.used == unused.used && k.part < oldest.part) {
+				oldest, unused = k, p
 			}
 		}
-		if least == nil {
+		if unused == nil {
 			return false
 		}
-		e.held -= least.tokens
+		e.held -= unused.tokens
 		delete(e.parts, oldest)
 	}
 	return true
--- a/internal/node/routing/engineload_test.go
+++ b/internal/node/routing/engineload_test.go
@@ -10,8 +10,8 @@
 	"kestrelspread/internal/node/routing/prompt"
 )
 
-func lognormal(r *rand.Rand, mean, spread, most float64) int {
-	return int(min(mean*math.Exp(spread*r.NormFloat64()-spread*spread/2), most)) + 1
+func lognormal(r *rand.Rand, mean, spread, maximum float64) int {
+	return int(min(mean*math.Exp(spread*r.NormFloat64()-spread*spread/2), maximum)) + 1
 }
 
 var (
--- a/internal/node/routing/faults_test.go
+++ b/internal/node/routing/faults_test.go
@@ -71,7 +71,7 @@
 	for _, c := range []struct {
 		name      string
 		condition condition
-		most      float64 // of the arrivals, at the one
+		maxShare  float64 // of the arrivals, at the one
 		served    float64 // of the requests
 	}{
 		{"sluggish", sluggish, 0.06, 1},
@@ -97,7 +97,7 @@
 			share := float64(counts["i02"]) / float64(total)
 			good := float64(s.served-served) / float64(s.requests-requests)
 			t.Logf("share %.3f served %.4f counters %+v", share, good, s.proxies[0].Counters())
-			assert.Assert(t, share <= c.most, "%.3f of the arrivals went to it", share)
+			assert.Assert(t, share <= c.maxShare, "%.3f of the arrivals went to it", share)
 			assert.Assert(t, good >= c.served-0.002, "%.4f served", good)
 			s.checkBudget()
 		})
--- a/internal/node/routing/gaps_test.go
+++ b/internal/node/routing/gaps_test.go
@@ -11,13 +11,13 @@
 	"kestrelspread/internal/node/verdict"
 )
 
-// exactRoute is a route of streams whose events may pause for 400 ms.
+// exactRoute is a route of streams whose events may lie apart by 400 ms.
 var exactRoute = &config.Route{Name: "exact", Kind: config.KindStreaming, TimeoutMs: 15000, TargetLatencyMs: 400, MaxAttempts: 1,
 	Sticky: true, GapTargetMs: 400}
 
 func TestOwnStreamsAreLearntAndSomeAreNotified(t *testing.T) {
 	w := newWorld(t, instances(1))
-	told := 0
+	notified := 0
 	const streams = 200
 	for range streams {
 		q := w.prompt(exactRoute, 7)
@@ -29,21 +29,21 @@
 		decision := w.Finished(w.now, a.Request, a.Number, outcome, false)
 		w.End(w.now, a.Request)
 		if seen := decision.StepReport; seen != nil {
-			told++
+			notified++
 			assert.DeepEqual(t, *seen, StepReport{Instance: "i00", EventInterval: 25 * ms})
 		}
 	}
-	assert.Assert(t, told > streams/8 && told < streams/2, "%d", told)
+	assert.Assert(t, notified > streams/8 && notified < streams/2, "%d", notified)
 	assert.Equal(t, w.Router.brokers["i00"].StepTime(), 25.0)
 }
 
-// A pause that is too long is counted with the longest prompt that its broker was sent meanwhile.
-func TestLongPausesByCause(t *testing.T) {
+// A gap that is too long is counted with the longest prompt that its broker was sent meanwhile.
+func TestLongGapsByCause(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		sent   int
 		before time.Duration
-		pause  time.Duration
+		gap    time.Duration
 		cause  LateCause
 	}{
 		{"in time", 9000, 0, 390 * ms, ""},
@@ -64,7 +64,7 @@
 			w.Started(w.now, a.Request, a.Number, nil)
 			w.now += time.Second
 			w.Finished(w.now, a.Request, a.Number, Outcome{Verdict: verdict.Ran, Answered: true, Status: 200,
-				Gaps: EventGaps{Count: 20, Usual: 20 * ms, Max: c.pause}}, false)
+				Gaps: EventGaps{Count: 20, Usual: 20 * ms, Max: c.gap}}, false)
 			w.End(w.now, a.Request)
 			if c.cause == "" {
 				assert.Equal(t, len(w.Late()), 0)
@@ -73,14 +73,14 @@
 			late := w.Late()
 			assert.Equal(t, len(late), 1)
 			assert.Equal(t, late[0].Cause, c.cause)
-			assert.Equal(t, late[0].MaxGap, c.pause)
+			assert.Equal(t, late[0].MaxGap, c.gap)
 			assert.Equal(t, late[0].LongestOtherPrompt > 0, c.cause == LateByLongPrefill)
 			assert.Equal(t, w.Counters().Late[c.cause], uint64(1))
 		})
 	}
 }
 
-// The first event's lateness is told by what was foreseen at the send, and only the newest late
+// The first event's lateness is notified by what was foreseen at the send, and only the newest late
 // answers are kept.
 func TestLateFirstEvents(t *testing.T) {
 	w := newWorld(t, instances(1))
--- a/internal/node/routing/hedge_test.go
+++ b/internal/node/routing/hedge_test.go
@@ -67,7 +67,7 @@
 
 // Where all are slow, a hedged request takes from another what it gives to its own; a timeout is
 // hedged all the same.
-func TestNoHedgeInACrowd(t *testing.T) {
+func TestNoHedgeWhereAllAreSlow(t *testing.T) {
 	w := newWorld(t, instances(4))
 	w.warm(safeRoute, 60, 10*ms)
 	w.warm(safeRoute, 200, 60*ms)
--- a/internal/node/routing/notify_test.go
+++ b/internal/node/routing/notify_test.go
@@ -11,9 +11,9 @@
 // Proxies that tell one another at once what they send serve far above the usual load in time, and
 // read less again.
 func TestProxiesThatNotifyOneAnother(t *testing.T) {
-	play := func(told bool, load float64) *engineSim {
+	play := func(notifies bool, load float64) *engineSim {
 		s := newEngineSim(t, 10, 18, true)
-		s.notifies = told
+		s.notifies = notifies
 		s.run(12 * time.Second)
 		s.generate(125*load, 42*time.Second, s.prompts())
 		s.run(57 * time.Second)
--- a/internal/node/routing/overload_test.go
+++ b/internal/node/routing/overload_test.go
@@ -34,7 +34,7 @@
 
 // Requests are refused only where most answers are late and the brokers' places are taken
 // (RULES.md, "Prices").
-func TestOverloadShedsLeastUrgentFirst(t *testing.T) {
+func TestOverloadShedsByUrgency(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		times float64
@@ -74,17 +74,17 @@
 	s.generate(125*3, 32*time.Second, s.prompts())
 	s.run(47 * time.Second)
 	t.Log(s.summary())
-	verdicts, letters := s.kinds["verdict"], s.kinds["letter"]
+	verdicts, drafts := s.kinds["verdict"], s.kinds["letter"]
 	assert.Assert(t, verdicts.value() > 0.45)
-	assert.Assert(t, letters.value() > 0.5)
-	assert.Assert(t, letters.served() > verdicts.served(), "the more urgent are served more often")
+	assert.Assert(t, drafts.value() > 0.5)
+	assert.Assert(t, drafts.served() > verdicts.served(), "the more urgent are served more often")
 }
 
 // The same over several courses of such a crowd, in the mean.
 func TestOverloadedEnginesInTheMean(t *testing.T) {
 	const courses = 4
-	verdicts, letters := 0.0, 0.0
-	verdictsServed, lettersServed := 0.0, 0.0
+	verdicts, drafts := 0.0, 0.0
+	verdictsServed, draftsServed := 0.0, 0.0
 	for seed := range uint64(courses) {
 		s := newEngineSim(t, 10, 18, true)
 		s.random = rand.New(rand.NewPCG(seed, 5))
@@ -93,11 +93,11 @@
 		s.run(47 * time.Second)
 		t.Log(s.summary())
 		verdictsServed += s.kinds["verdict"].served()
-		lettersServed += s.kinds["letter"].served()
+		draftsServed += s.kinds["letter"].served()
 		verdicts += s.kinds["verdict"].value() / courses
-		letters += s.kinds["letter"].value() / courses
+		drafts += s.kinds["letter"].value() / courses
 	}
 	assert.Assert(t, verdicts > 0.45)
-	assert.Assert(t, letters > 0.5)
-	assert.Assert(t, lettersServed > verdictsServed, "the more urgent are served more often")
+	assert.Assert(t, drafts > 0.5)
+	assert.Assert(t, draftsServed > verdictsServed, "the more urgent are served more often")
 }
--- a/internal/node/routing/postpone_test.go
+++ b/internal/node/routing/postpone_test.go
@@ -30,13 +30,13 @@
 // First tries that would be answered too late because of what waits are sent back (target: 300 ms).
 func TestLateFirstAttemptsArePostponed(t *testing.T) {
 	for _, c := range []struct {
-		name       string
-		tokens     int // that wait at each broker; 10,000 take 200 ms
-		waiting    int // requests, by their word
-		size       int
-		left       time.Duration // of the client's 4 s
-		postponed  bool
-		least, top time.Duration // to come again after
+		name             string
+		tokens           int // that wait at each broker; 10,000 take 200 ms
+		waiting          int // requests, by their word
+		size             int
+		left             time.Duration // of the client's 4 s
+		postponed        bool
+		minimum, maximum time.Duration // to come again after
 	}{
 		{"in time", 10000, 5, 1000, 4 * time.Second, false, 0, 0},
 		{"late by what waits", 30000, 5, 1000, 4 * time.Second, true, 470 * ms, 630 * ms},
@@ -55,7 +55,7 @@
 			assert.Equal(t, d.Refusal != nil, c.postponed)
 			if c.postponed {
 				assert.Equal(t, d.Refusal.Reason, admission.Late)
-				assert.Assert(t, d.Refusal.RetryAfter > c.least && d.Refusal.RetryAfter < c.top, "%v", d.Refusal.RetryAfter)
+				assert.Assert(t, d.Refusal.RetryAfter > c.minimum && d.Refusal.RetryAfter < c.maximum, "%v", d.Refusal.RetryAfter)
 			}
 		})
 	}
--- a/internal/node/routing/prefixcache/recent_test.go
+++ b/internal/node/routing/prefixcache/recent_test.go
@@ -45,20 +45,20 @@
 	}
 	var r recentPrefills
 	part := prompt.Part{ID: 1, Tokens: 500}
-	note := func(id string, readyAt time.Duration) {
+	record := func(id string, readyAt time.Duration) {
 		r.record(now, now+readyAt, brokers[id], 7, []prompt.Part{part})
 	}
-	note("i00", 100*time.Millisecond)
-	note("i01", 200*time.Millisecond)
-	note("i00", 900*time.Millisecond)
+	record("i00", 100*time.Millisecond)
+	record("i01", 200*time.Millisecond)
+	record("i00", 900*time.Millisecond)
 	prefills := r.of(now, 7, part)
 	assert.Equal(t, prefills.brokers[0].broker.Instance.ID, "i00")
 	assert.Equal(t, prefills.brokers[0].readyAt, now+100*time.Millisecond)
 	assert.Equal(t, prefills.brokers[1].broker.Instance.ID, "i01")
-	note("i00", 0)
+	record("i00", 0)
 	assert.Equal(t, prefills.brokers[0].readyAt, now, "its answer has begun")
 	for _, id := range []string{"i02", "i03", "i04", "i05"} {
-		note(id, 0)
+		record(id, 0)
 	}
 	assert.Equal(t, prefills.brokers[0].broker.Instance.ID, "i05")
 	assert.Equal(t, prefills.brokers[maxBrokersKept-1].broker.Instance.ID, "i02")
--- a/internal/node/routing/rollout_test.go
+++ b/internal/node/routing/rollout_test.go
@@ -121,14 +121,14 @@
 // node may do better at once.
 func TestAdviceWithoutBrokers(t *testing.T) {
 	for _, c := range []struct {
-		since, least, most core.Time
+		since, minimum, maximum core.Time
 	}{{time.Second, admission.MinStartingAdvice, admission.MaxStartingAdvice}, {admission.StartingSpan, admission.MinAdvice, admission.ShortAdvice}} {
 		w := newWorld(t, nil)
 		w.gate = admission.New(w.now-c.since, w.switches, w.options.Random)
 		for range 30 {
 			_, d := w.Begin(w.now, w.request(safeRoute))
 			assert.Equal(t, d.Refusal.Reason, admission.NoBroker)
-			assert.Assert(t, d.Refusal.RetryAfter >= c.least && d.Refusal.RetryAfter <= c.most, "%v", d.Refusal.RetryAfter)
+			assert.Assert(t, d.Refusal.RetryAfter >= c.minimum && d.Refusal.RetryAfter <= c.maximum, "%v", d.Refusal.RetryAfter)
 		}
 		short := w.request(safeRoute)
 		short.Deadline = w.now + 900*ms
--- a/internal/node/routing/routeclass/routeclass_test.go
+++ b/internal/node/routing/routeclass/routeclass_test.go
@@ -10,7 +10,7 @@
 )
 
 // What counts as the time of a first try follows the clients, also downwards after a while.
-func TestFirstTriesFollowTheClientsWaits(t *testing.T) {
+func TestFirstAttemptsFollowTheClientsWaits(t *testing.T) {
 	c := New()
 	at := core.Time(0)
 	fresh := func(wait time.Duration) bool {
--- a/internal/node/routing/simulation_test.go
+++ b/internal/node/routing/simulation_test.go
@@ -355,8 +355,8 @@
 	c := call.client
 	c.ran++
 	c.mayHaveRun = true
-	if most := c.request.Route.MaxAttempts; c.ran > most {
-		s.t.Fatalf("%s ran %d times, %d are allowed", c.request.Route.Name, c.ran, most)
+	if allowed := c.request.Route.MaxAttempts; c.ran > allowed {
+		s.t.Fatalf("%s ran %d times, %d are allowed", c.request.Route.Name, c.ran, allowed)
 	}
 	if !c.request.Route.Idempotent() && c.ran > 1 {
 		s.t.Fatalf("%s ran twice", c.request.Route.Name)
@@ -456,9 +456,9 @@
 		for requestFrom < len(s.requestTimes) && s.requestTimes[requestFrom] <= at-o.BudgetWindow {
 			requestFrom++
 		}
-		further := float64(i - from + 1)
-		if most := o.RetryBudgetRatio*float64(requests-requestFrom) + o.RetryBudgetSlack; further > most {
-			s.t.Fatalf("%v further arrivals in the window up to %v, %v are allowed", further, at, most)
+		retries := float64(i - from + 1)
+		if allowed := o.RetryBudgetRatio*float64(requests-requestFrom) + o.RetryBudgetSlack; retries > allowed {
+			s.t.Fatalf("%v further arrivals in the window up to %v, %v are allowed", retries, at, allowed)
 		}
 	}
 }
--- a/internal/node/wireproto/link/options.go
+++ b/internal/node/wireproto/link/options.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/defaults"
 	"kestrelspread/internal/node/netmap"
 	"kestrelspread/internal/node/nodepb"
 )
@@ -80,32 +81,18 @@
 
 // withDefaults replaces values that aren't set.
 func (o Options) withDefaults() Options {
-	setDuration(&o.DialTimeout, DefaultDialTimeout)
-	setDuration(&o.SendTimeout, DefaultSendTimeout)
-	setDuration(&o.IdleTimeout, DefaultIdleTimeout)
-	setDuration(&o.AcceptedIdleTimeout, DefaultAcceptedIdleTimeout)
-	setDuration(&o.KeepAliveIdle, DefaultKeepAliveIdle)
-	setDuration(&o.MinBackoff, DefaultMinBackoff)
-	setDuration(&o.MaxBackoff, DefaultMaxBackoff)
-	setInt(&o.MaxQueueBytes, DefaultMaxQueueBytes)
-	setInt(&o.MaxTotalBytes, DefaultMaxTotalBytes)
-	setInt(&o.MaxAccepted, DefaultMaxAccepted)
+	defaults.Duration(&o.DialTimeout, DefaultDialTimeout)
+	defaults.Duration(&o.SendTimeout, DefaultSendTimeout)
+	defaults.Duration(&o.IdleTimeout, DefaultIdleTimeout)
+	defaults.Duration(&o.AcceptedIdleTimeout, DefaultAcceptedIdleTimeout)
+	defaults.Duration(&o.KeepAliveIdle, DefaultKeepAliveIdle)
+	defaults.Duration(&o.MinBackoff, DefaultMinBackoff)
+	defaults.Duration(&o.MaxBackoff, DefaultMaxBackoff)
+	defaults.Int(&o.MaxQueueBytes, DefaultMaxQueueBytes)
+	defaults.Int(&o.MaxTotalBytes, DefaultMaxTotalBytes)
+	defaults.Int(&o.MaxAccepted, DefaultMaxAccepted)
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
 	return o
 }
-
-// setDuration sets the field to value unless it is positive.
-func setDuration(field *time.Duration, value time.Duration) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
-// setInt sets the field to value unless it is positive.
-func setInt(field *int, value int) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/internal/standin/fleetsim/fleetsim.go
+++ b/internal/standin/fleetsim/fleetsim.go
@@ -4,19 +4,18 @@
 package fleetsim
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 
 	"kestrelspread/internal/aggregator/policy"
+	"kestrelspread/internal/eventqueue"
 )
 
 // simulation is one run.
 type simulation struct {
 	Config
 	now             float64
-	lastSequence    int
-	events          eventQueue
+	events          eventqueue.Queue[float64] // by time, ms
 	random          *rand.Rand
 	brokers         []*broker
 	servers         []*server
@@ -70,16 +69,22 @@
 	sim.scheduleFaults()
 	sim.scheduleArrival()
 	end := firstMs + config.DurationMs
-	for len(sim.events) > 0 {
-		next := heap.Pop(&sim.events).(event)
-		if sim.now = next.runAtMs; sim.now > end+config.TimeoutMs+100 {
+	for {
+		if _, ok := sim.events.Next(); !ok {
 			break
 		}
-		next.run()
+		runAtMs, run := sim.events.Take()
+		if sim.now = runAtMs; sim.now > end+config.TimeoutMs+100 {
+			break
+		}
+		run()
 	}
 	return sim.result
 }
 
+// after schedules a function after a delay.
+func (sim *simulation) after(delayMs float64, run func()) { sim.events.Add(sim.now+delayMs, run) }
+
 const (
 	simulationStream = 9    // tells the random source of a run from those of its brokers
 	firstMs          = 1000 // time of the start
--- a/internal/standin/simnet/simnet.go
+++ b/internal/standin/simnet/simnet.go
@@ -5,7 +5,6 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"io"
 	"math"
 	"math/rand/v2"
@@ -15,6 +14,7 @@
 
 	"kestrelspread/internal/aggregator/engine"
 	"kestrelspread/internal/aggregator/settings"
+	"kestrelspread/internal/eventqueue"
 	"kestrelspread/internal/transport"
 )
 
@@ -34,8 +34,7 @@
 	freeIDs             []transport.Conn
 	releasedIDs         []transport.Conn
 	listeners           map[netip.AddrPort]func(*PeerConn) Peer
-	events              eventQueue
-	lastSequence        int
+	events              eventqueue.Queue[float64] // by time, ms
 	wakeAtMs            float64
 	written             []*PeerConn
 	Stopped             bool
@@ -113,8 +112,9 @@
 	n.hasMoreWork = false
 	n.Engine.Begin(n.NowMs)
 	n.reportWritten()
-	for len(n.events) > 0 && n.events[0].runAtMs <= n.NowMs {
-		heap.Pop(&n.events).(event).run()
+	for runAtMs, ok := n.events.Next(); ok && runAtMs <= n.NowMs; runAtMs, ok = n.events.Next() {
+		_, run := n.events.Take()
+		run()
 	}
 	n.hasMoreWork = n.Engine.End()
 	n.transmitAll()
@@ -126,14 +126,17 @@
 	return true
 }
 
+// After schedules a function after a delay.
+func (n *Network) After(delayMs float64, run func()) { n.events.Add(n.NowMs+max(delayMs, 0), run) }
+
 // nextTurnMs is the time of the next turn; positive infinity: there is nothing to do.
 func (n *Network) nextTurnMs() float64 {
 	if len(n.written)+len(n.pendingWrites) > 0 || n.hasMoreWork {
 		return n.NowMs
 	}
 	next := n.wakeAtMs
-	if len(n.events) > 0 {
-		next = min(next, n.events[0].runAtMs)
+	if runAtMs, ok := n.events.Next(); ok {
+		next = min(next, runAtMs)
 	}
 	return next
 }
