--- a/internal/harness/faultrun/mutants_test.go
+++ b/internal/harness/faultrun/mutants_test.go
@@ -1,16 +1,15 @@
 package faultrun
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
-	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	mutation "kestrelspread/internal/harness/mutant"
 )
 
 var (
@@ -134,8 +133,7 @@
 func TestMutantsMatchTheSource(t *testing.T) {
 	for _, m := range mutants {
 		t.Run(m.name, func(t *testing.T) {
-			_, text := m.source(t)
-			assert.Assert(t, strings.Contains(text, m.original), "%s lacks: %s", m.file, m.original)
+			m.mutated().RequireInSource(t)
 		})
 	}
 }
@@ -170,31 +168,16 @@
 	return m.test
 }
 
-// source is the path and the text of the file with the guard.
-func (m *mutant) source(t *testing.T) (path, text string) {
-	t.Helper()
-	path, err := filepath.Abs(filepath.Join("../../node", m.file))
-	assert.NilError(t, err)
-	content, err := os.ReadFile(path)
-	assert.NilError(t, err)
-	return path, string(content)
+// mutated is the change of the source.
+func (m *mutant) mutated() *mutation.Mutation {
+	return &mutation.Mutation{File: m.file, Original: m.original, Mutated: m.mutation}
 }
 
 // runMutant runs the test on the program without the guard. It fails t if the mutant does not build; failed reports that the test
 // detected it.
 func runMutant(t *testing.T, m mutant) (output string, failed bool) {
 	t.Helper()
-	path, text := m.source(t)
-	assert.Assert(t, strings.Contains(text, m.original), "%s: the guard has moved", m.name)
-	dir := t.TempDir()
-	without := filepath.Join(dir, filepath.Base(path))
-	assert.NilError(t, os.WriteFile(without, []byte(strings.ReplaceAll(text, m.original, m.mutation)), 0o600))
-	overlay, err := json.Marshal(map[string]map[string]string{"Replace": {path: without}})
-	assert.NilError(t, err)
-	overlayPath := filepath.Join(dir, "overlay.json")
-	assert.NilError(t, os.WriteFile(overlayPath, overlay, 0o600))
-
-	arguments := []string{"test", "-vet=off", "-overlay", overlayPath}
+	arguments := []string{"test", "-vet=off", "-overlay", m.mutated().Overlay(t)}
 	name, run, _ := strings.Cut(m.test, " ")
 	if m.test == "" {
 		arguments = append(arguments, "kestrelspread/internal/harness/faultrun", "-run", "TestSeeds", "-args", "-seeds", "400", "-only-first")
--- a/internal/harness/fleet/fleet_test.go
+++ b/internal/harness/fleet/fleet_test.go
@@ -2,38 +2,23 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/harness/nodeprogram"
 )
 
 // binary is kestrelnode, built once for all tests.
 var binary string
 
 func TestMain(m *testing.M) {
-	os.Exit(withBinary(m.Run))
-}
-
-func withBinary(run func() int) int {
-	dir, err := os.MkdirTemp("", "kestrelnode")
-	if err != nil {
-		fmt.Println(err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	binary = filepath.Join(dir, "kestrelnode")
-	arguments := append([]string{"build", "-o", binary}, raceFlags...)
-	build := exec.Command("go", append(arguments, "kestrelspread/cmd/kestrelnode")...)
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Printf("go build: %v\n%s", err, output)
-		return 1
-	}
-	return run()
+	os.Exit(nodeprogram.WithBuilt(func(path string) int {
+		binary = path
+		return m.Run()
+	}, raceFlags...))
 }
 
 // testTimeout bounds a test; one that passes does not reach it.
@@ -71,7 +56,7 @@
 	if alter != nil {
 		alter(&bounds)
 	}
-	started, err := Start(Options{Binary: binary, Dir: diskDir(t), Bounds: bounds})
+	started, err := Start(Options{Binary: binary, Dir: nodeprogram.DiskDir(t), Bounds: bounds})
 	assert.NilError(t, err)
 	s := &scenario{Fleet: started, t: t, ctx: ctx}
 	t.Cleanup(s.end)
@@ -80,21 +65,6 @@
 	return s
 }
 
-// memoryDir is a file system in memory, if the machine has one.
-const memoryDir = "/dev/shm"
-
-// diskDir creates a directory for the nodes' disks, in memory if possible: a busy machine takes seconds for a sync now and then, and the
-// core tolerates one fault at a time, which is the test's. Faulty disks have tests of their own in package journal.
-func diskDir(t *testing.T) string {
-	t.Helper()
-	dir, err := os.MkdirTemp(memoryDir, "kestrelfleet")
-	if err != nil {
-		return t.TempDir()
-	}
-	t.Cleanup(func() { _ = os.RemoveAll(dir) })
-	return dir
-}
-
 // must ends the test on an error.
 func (s *scenario) must(err error) {
 	s.t.Helper()
--- a/internal/harness/processfaults/processfaults_test.go
+++ b/internal/harness/processfaults/processfaults_test.go
@@ -5,15 +5,16 @@
 	"encoding/json"
 	"errors"
 	"flag"
-	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/harness/mutant"
+	"kestrelspread/internal/harness/nodeprogram"
 )
 
 var runMutants = flag.Bool("planted", false, "build kestrelnode without a guard and require that a run detects it, a minute each")
@@ -23,28 +24,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(withBinary(m.Run))
-}
-
-func withBinary(run func() int) int {
-	dir, err := os.MkdirTemp("", "kestrelnode")
-	if err != nil {
-		fmt.Println(err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	binary = filepath.Join(dir, "kestrelnode")
-	if output, err := buildNode(binary); err != nil {
-		fmt.Printf("go build: %v\n%s", err, output)
-		return 1
-	}
-	return run()
-}
-
-// buildNode builds kestrelnode with further flags.
-func buildNode(path string, flags ...string) (output []byte, err error) {
-	arguments := append([]string{"build", "-o", path}, flags...)
-	return exec.Command("go", append(arguments, "kestrelspread/cmd/kestrelnode")...).CombinedOutput()
+	os.Exit(nodeprogram.WithBuilt(func(path string) int {
+		binary = path
+		return m.Run()
+	}))
 }
 
 // play plays a plan and returns its result and trace.
@@ -54,26 +37,11 @@
 	var trace strings.Builder
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
 	defer cancel()
-	result, err := Play(ctx, plan, Options{Binary: program, Dir: diskDir(t), Trace: &trace})
+	result, err := Play(ctx, plan, Options{Binary: program, Dir: nodeprogram.DiskDir(t), Trace: &trace})
 	assert.NilError(t, err)
 	return result, trace.String()
 }
 
-// memoryDir is a file system in memory, if the machine has one.
-const memoryDir = "/dev/shm"
-
-// diskDir creates a directory for the nodes' disks, in memory if possible: a busy machine takes seconds for a sync now and then, which
-// would be a fault that the plan does not have.
-func diskDir(t *testing.T) string {
-	t.Helper()
-	dir, err := os.MkdirTemp(memoryDir, "kestrelfleet")
-	if err != nil {
-		return t.TempDir()
-	}
-	t.Cleanup(func() { _ = os.RemoveAll(dir) })
-	return dir
-}
-
 // TestShortPlanHolds injects one fault of a process, of a disk and of links each.
 func TestShortPlanHolds(t *testing.T) {
 	plan := &Plan{Seed: 1, Faults: []Fault{
@@ -121,13 +89,12 @@
 	assert.Assert(t, strings.HasPrefix(out.String(), "0 runs"), out.String())
 }
 
-// mutant is kestrelnode without one of its guards, and a plan whose run must detect that.
-type mutant struct {
-	name               string
-	file               string // below internal/node
-	original, mutation string
-	plan               Plan
-	violation          string // part of one that must be reported
+// planted is kestrelnode without one of its guards, and a plan whose run must detect that.
+type planted struct {
+	mutant.Mutation
+	name      string
+	plan      Plan
+	violation string // part of one that must be reported
 }
 
 // partitionFromNodes cuts a node from each other node, but not from the brokers.
@@ -150,23 +117,22 @@
 	return faults
 }
 
-var mutants = []mutant{
+var mutants = []planted{
 	{
-		name: "keys are served whatever the age of the confirmation", file: "control/configlease.go",
-		original: "confirmed != 0 && now-confirmed < b.Revoke-revocationMargin", mutation: "confirmed != 0",
+		name:      "keys are served whatever the age of the confirmation",
+		Mutation:  mutant.Mutation{File: "control/configlease.go", Original: "confirmed != 0 && now-confirmed < b.Revoke-revocationMargin", Mutated: "confirmed != 0"},
 		plan:      Plan{Seed: 1, Faults: partitionFromNodes(3, 500, 9000)},
 		violation: "serves key",
 	},
 	{
-		name: "a broken connection proves that a request has not run", file: "forward/upstream/errors.go",
-		original: "	return verdict.MayHaveRun\n", mutation: "	return verdict.NotRun\n",
+		name:      "a broken connection proves that a request has not run",
+		Mutation:  mutant.Mutation{File: "forward/upstream/errors.go", Original: "	return verdict.MayHaveRun\n", Mutated: "	return verdict.NotRun\n"},
 		plan:      Plan{Seed: 1, Faults: resets(100, 60)},
 		violation: "TWICE",
 	},
 	{
-		name: "a head answers reads by itself", file: "chain/commands.go",
-		original: "		r.startBarrier(headBarrier{origin: origin, wantsState: true, knownIndex: message.GetKnownIndex()})\n",
-		mutation: "		r.reply(origin, nil, r.snapshot())\n",
+		name:     "a head answers reads by itself",
+		Mutation: mutant.Mutation{File: "chain/commands.go", Original: "		r.startBarrier(headBarrier{origin: origin, wantsState: true, knownIndex: message.GetKnownIndex()})\n", Mutated: "		r.reply(origin, nil, r.snapshot())\n"},
 		plan: Plan{Seed: 1, Faults: []Fault{
 			{StartMs: 300, DurationMs: 6000, Kind: CorePartition, Node: 0}, {StartMs: 300, DurationMs: 6000, Kind: NodePartition, Node: 0},
 		}},
@@ -177,9 +143,7 @@
 // TestMutantsMatchTheSource checks that each guard is found where the list says.
 func TestMutantsMatchTheSource(t *testing.T) {
 	for _, m := range mutants {
-		text, err := os.ReadFile(filepath.Join("../../node", m.file))
-		assert.NilError(t, err)
-		assert.Assert(t, strings.Contains(string(text), m.original), "%s: %s lacks: %s", m.name, m.file, m.original)
+		m.RequireInSource(t)
 		assert.NilError(t, m.plan.Validate())
 	}
 }
@@ -199,21 +163,9 @@
 }
 
 // build builds kestrelnode without the guard and returns its path.
-func (m *mutant) build(t *testing.T) string {
+func (m *planted) build(t *testing.T) string {
 	t.Helper()
-	dir := t.TempDir()
-	path, err := filepath.Abs(filepath.Join("../../node", m.file))
-	assert.NilError(t, err)
-	text, err := os.ReadFile(path)
-	assert.NilError(t, err)
-	without := filepath.Join(dir, filepath.Base(path))
-	assert.NilError(t, os.WriteFile(without, []byte(strings.ReplaceAll(string(text), m.original, m.mutation)), 0o600))
-	overlay, err := json.Marshal(map[string]map[string]string{"Replace": {path: without}})
-	assert.NilError(t, err)
-	overlayPath := filepath.Join(dir, "overlay.json")
-	assert.NilError(t, os.WriteFile(overlayPath, overlay, 0o600))
-	program := filepath.Join(dir, "kestrelnode")
-	output, err := buildNode(program, "-overlay", overlayPath)
-	assert.NilError(t, err, "%s", output)
+	program := filepath.Join(t.TempDir(), "kestrelnode")
+	assert.NilError(t, nodeprogram.Build(program, "-overlay", m.Overlay(t)))
 	return program
 }
