--- a/internal/harness/load.go
+++ b/internal/harness/load.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -21,6 +20,7 @@
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
+	"kestrelspread/internal/harness/searchclient"
 	"kestrelspread/internal/standin/fakeservers"
 	"kestrelspread/internal/standin/invariants"
 )
@@ -203,17 +203,12 @@
 	if once {
 		kind = "once"
 	}
-	second := (first + 1) % l.cluster.ShardCount
+	search := &searchclient.Search{ID: id, Type: kind, Shards: searchclient.Adjacent(first, 2, l.cluster.ShardCount)}
 	sentAt := time.Now()
 	l.recordQuery(id, once, l.now()+queryTimeout.Seconds()*1000)
-	body := fmt.Sprintf(`{"segments":[{"segment":%d,"boost":0.5},{"segment":%d,"boost":0.5}],"text":%q}`, first, second, id)
-	req, _ := http.NewRequest("POST", "http://"+l.Broker.HTTPAddress+"/api", strings.NewReader(body))
-	req.Header.Set("X-Call-Id", id)
-	req.Header.Set("X-Call-Class", kind)
-	req.Header.Set("X-Budget-Ms", strconv.Itoa(int(queryTimeout.Milliseconds())))
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout+500*time.Millisecond)
 	defer cancel()
-	resp, err := l.client.Do(req.WithContext(ctx))
+	resp, err := l.client.Do(search.Request(ctx, l.Broker.HTTPAddress, int(queryTimeout.Milliseconds()), false))
 	if err != nil {
 		l.recordAnswer(id, false, "", "", false)
 		l.HTTP.add(failed, 0)
@@ -223,20 +218,8 @@
 	resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
-		var answer struct {
-			AllIn   bool `json:"all_in"`
-			Matches []struct {
-				Segment int
-				Payload string
-			}
-		}
-		json.Unmarshal(text, &answer)
-		got := ""
-		for _, m := range answer.Matches {
-			got += fmt.Sprint(m.Segment, "=", m.Payload, " ")
-		}
-		want := fmt.Sprintf("%d=%s %d=%s ", first, fakeservers.ShardResult(first, id), second, fakeservers.ShardResult(second, id))
-		l.recordAnswer(id, answer.AllIn, got, want, false)
+		answer := searchclient.ParseAnswer(text)
+		l.recordAnswer(id, answer.Complete, answer.Result(), search.Expected(), false)
 		l.HTTP.add(answered, time.Since(sentAt))
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		l.recordAnswer(id, false, "", "", true)
--- a/internal/harness/scenario/frontend.go
+++ b/internal/harness/scenario/frontend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,7 +15,7 @@
 	"time"
 
 	"kestrelspread/internal/harness/links"
-	"kestrelspread/internal/standin/fakeservers"
+	"kestrelspread/internal/harness/searchclient"
 	"kestrelspread/internal/standin/invariants"
 )
 
@@ -237,7 +236,7 @@
 		}
 	}
 	if q.recorded {
-		run.abandon(q.id)
+		run.abandon(q.ID)
 	}
 	return noBroker, 0
 }
@@ -250,10 +249,8 @@
 
 // query is one attempt of a client.
 type query struct {
-	id         string
+	searchclient.Search
 	kind       int
-	body       string
-	expected   string // the complete result, as the invariants compare it
 	deadlineMs float64
 	isRetry    bool
 	recorded   bool // the invariants know of it
@@ -263,18 +260,8 @@
 func (f *frontEnd) newQuery(kind, firstShard int, deadlineMs float64, isRetry bool) *query {
 	run, t := f.run, f.run.Types[kind]
 	id := fmt.Sprintf("%s%d", run.Sites[f.site].Name[:1], int64(f.site)*1_000_000_000+f.lastQueryID.Add(1))
-	var body, expected strings.Builder
-	body.WriteString(`{"segments":[`)
-	for n := range t.ShardsPerQuery {
-		if n > 0 {
-			body.WriteByte(',')
-		}
-		shard := (firstShard + n) % run.ShardCount
-		fmt.Fprintf(&body, `{"segment":%d,"boost":%.9f}`, shard, 1/float64(t.ShardsPerQuery))
-		fmt.Fprintf(&expected, "%d=%s ", shard, fakeservers.ShardResult(shard, id))
-	}
-	fmt.Fprintf(&body, `],"text":%q}`, id)
-	return &query{id: id, kind: kind, body: body.String(), expected: expected.String(), deadlineMs: deadlineMs, isRetry: isRetry}
+	search := searchclient.Search{ID: id, Type: t.Name, Shards: searchclient.Adjacent(firstShard, t.ShardsPerQuery, run.ShardCount)}
+	return &query{Search: search, kind: kind, deadlineMs: deadlineMs, isRetry: isRetry}
 }
 
 // send sends a query to one broker. sent is false if no connection was established.
@@ -283,7 +270,7 @@
 	leftMs := q.deadlineMs - run.now()
 	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(leftMs+answerGraceMs))
 	defer cancel()
-	request := f.newRequest(ctx, q, index, leftMs)
+	request := q.Request(ctx, f.links[index].Address(), int(leftMs), q.isRetry)
 	f.recordQuery(q)
 	sentAt := time.Now()
 	response, err := f.client.Do(request)
@@ -294,37 +281,25 @@
 			return noBroker, 0, false
 		}
 		// The connection was lost, or nothing arrived in time: the broker may have ended, and no answer is required of it.
-		run.abandon(q.id)
+		run.abandon(q.ID)
 		return failed, 0, true
 	}
 	text, err := io.ReadAll(response.Body)
 	response.Body.Close()
 	if err != nil {
-		run.abandon(q.id)
+		run.abandon(q.ID)
 		return failed, 0, true
 	}
 	// An answer that a stopped process or a partition delayed beyond the deadline is not the broker's late answer: it may have been
 	// in time when it was sent. The client has left by then.
 	if run.now() > q.deadlineMs && (run.brokers[index].wasStoppedSince(sentAt) || f.links[index].PartitionedSince(sentAt)) {
-		run.abandon(q.id)
+		run.abandon(q.ID)
 		return failed, 0, true
 	}
 	outcome, backoffMs = f.recordAnswer(q, response, text)
 	return outcome, backoffMs, true
 }
 
-// newRequest is the HTTP request of a query.
-func (f *frontEnd) newRequest(ctx context.Context, q *query, index int, leftMs float64) *http.Request {
-	request, _ := http.NewRequestWithContext(ctx, "POST", "http://"+f.links[index].Address()+"/api", strings.NewReader(q.body))
-	request.Header.Set("X-Call-Id", q.id)
-	request.Header.Set("X-Call-Class", f.run.Types[q.kind].Name)
-	request.Header.Set("X-Budget-Ms", strconv.Itoa(int(leftMs)))
-	if q.isRetry {
-		request.Header.Set("X-Again", "1")
-	}
-	return request
-}
-
 // recordQuery records a query with the invariants, once.
 func (f *frontEnd) recordQuery(q *query) {
 	if q.recorded {
@@ -337,7 +312,7 @@
 	}
 	f.run.mutex.Lock()
 	defer f.run.mutex.Unlock()
-	f.run.invariants.RecordQuery(q.id, effect, f.run.now(), q.deadlineMs)
+	f.run.invariants.RecordQuery(q.ID, effect, f.run.now(), q.deadlineMs)
 }
 
 // abandon records that the client of a query no longer waits for an answer.
@@ -356,42 +331,32 @@
 	case http.StatusOK:
 		return run.recordResult(q, text), 0
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		run.invariants.RecordFinalAnswer(q.id, run.now(), false, nil, true)
+		run.invariants.RecordFinalAnswer(q.ID, run.now(), false, nil, true)
 		backoffS, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 		return shed, backoffS * 1000
 	default:
-		run.invariants.RecordFinalAnswer(q.id, run.now(), false, nil, false)
+		run.invariants.RecordFinalAnswer(q.ID, run.now(), false, nil, false)
 		return failed, 0
 	}
 }
 
 // recordResult checks the result of a query, and records it with the invariants. run.mutex must be held.
 func (run *runner) recordResult(q *query, text []byte) attemptOutcome {
-	var result struct {
-		AllIn   bool `json:"all_in"`
-		Matches []struct {
-			Segment int
-			Payload string
-		}
-	}
-	json.Unmarshal(text, &result)
-	received := ""
-	for _, match := range result.Matches {
-		part := fmt.Sprintf("%d=%s ", match.Segment, match.Payload)
-		if !strings.Contains(q.expected, part) {
-			run.invariants.Report("rule 1: %s has a value that no server made: %q", q.id, part)
+	answer, expected := searchclient.ParseAnswer(text), q.Expected()
+	for _, part := range answer.Parts {
+		if !strings.Contains(expected, part) {
+			run.invariants.Report("rule 1: %s has a value that no server made: %q", q.ID, part)
 		}
-		received += part
 	}
-	if result.AllIn {
-		run.invariants.RecordServerAnswer(q.id, []byte(q.expected))
+	if answer.Complete {
+		run.invariants.RecordServerAnswer(q.ID, []byte(expected))
 	}
 	t := run.Types[q.kind]
-	if share := float64(len(result.Matches)) / float64(t.ShardsPerQuery); share < *t.MinCompleteness-1e-9 {
-		run.invariants.Report("rule 5: %s is answered with %.2f of it, under the floor", q.id, share)
+	if share := float64(len(answer.Parts)) / float64(t.ShardsPerQuery); share < *t.MinCompleteness-1e-9 {
+		run.invariants.Report("rule 5: %s is answered with %.2f of it, under the floor", q.ID, share)
 	}
-	run.invariants.RecordFinalAnswer(q.id, run.now(), result.AllIn, []byte(received), false)
-	if result.AllIn {
+	run.invariants.RecordFinalAnswer(q.ID, run.now(), answer.Complete, []byte(answer.Result()), false)
+	if answer.Complete {
 		return answered
 	}
 	return incomplete
