--- a/internal/harness/processfaults/revokedkeys.go
+++ b/internal/harness/processfaults/revokedkeys.go
@@ -13,8 +13,9 @@
 // probeInterval is the time between two requests of a prober.
 const probeInterval = 60 * time.Millisecond
 
-// revokedKeys sends requests with keys that were revoked longer ago than the bound. A node that misses changes is known by a key
-// that it has served while it was in force, so each node is also sent the newest key, and later the one that it served last.
+// revokedKeys sends requests with keys that were revoked longer ago than the bound. A node that misses changes would serve the key
+// that was in force when it last heard of one. So each node is also sent the newest key, and the one that it served last as soon as
+// that must not be served any more.
 type revokedKeys struct {
 	run    *run
 	bound  time.Duration
@@ -25,6 +26,7 @@
 	mutex     sync.Mutex
 	newest    string               // key in force, as far as operators know; empty: none yet
 	revokedAt map[string]time.Time // when the change without the key was acknowledged
+	revoked   []string             // the keys of revokedAt, in their order
 	served    map[string]string    // by node, the key that it served last
 	probes    int                  // requests with revoked keys
 }
@@ -53,6 +55,7 @@
 	defer k.mutex.Unlock()
 	if key != "" {
 		k.revokedAt[key] = acknowledgedAt
+		k.revoked = append(k.revoked, key)
 	}
 	k.newest = successor
 }
@@ -92,15 +95,35 @@
 	k.served[node.Name] = key
 }
 
+// newestDue is how many of the keys that must not be served any more are sent, the newest ones.
+const newestDue = 10
+
 // pick returns the key to send to a node, and how long ago it was revoked; 0: it was not.
 func (k *revokedKeys) pick(node string) (key string, revokedFor time.Duration) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	key = k.served[node]
-	if at, revoked := k.revokedAt[key]; revoked && time.Since(at) > k.bound {
-		k.probes++
-		delete(k.served, node) // if it is refused, the newest is tried next
-		return key, time.Since(at)
+	if key := k.served[node]; k.due(key) {
+		delete(k.served, node) // if it is refused, others are tried next
+		return k.countProbe(key)
+	}
+	due := len(k.revoked)
+	for due > 0 && !k.due(k.revoked[due-1]) {
+		due--
 	}
-	return k.newest, 0
+	if due == 0 || rand.IntN(2) == 0 {
+		return k.newest, 0
+	}
+	return k.countProbe(k.revoked[due-1-rand.IntN(min(due, newestDue))])
+}
+
+// due reports whether the key must not be served any more. The mutex is held.
+func (k *revokedKeys) due(key string) bool {
+	at, revoked := k.revokedAt[key]
+	return revoked && time.Since(at) > k.bound
+}
+
+// countProbe counts a request with a key that must not be served, and returns the key and how long ago it was revoked.
+func (k *revokedKeys) countProbe(key string) (string, time.Duration) {
+	k.probes++
+	return key, time.Since(k.revokedAt[key])
 }
