--- a/internal/harness/fleet/fleet_test.go
+++ b/internal/harness/fleet/fleet_test.go
@@ -56,7 +56,7 @@
 	if alter != nil {
 		alter(&bounds)
 	}
-	started, err := Start(Options{Binary: binary, Dir: nodeprogram.DiskDir(t), Bounds: bounds})
+	started, err := Start(Options{Binary: binary, Dir: diskDir(t), Bounds: bounds})
 	assert.NilError(t, err)
 	s := &scenario{Fleet: started, t: t, ctx: ctx}
 	t.Cleanup(s.end)
@@ -65,6 +65,21 @@
 	return s
 }
 
+// memoryDir is a file system in memory, if the machine has one.
+const memoryDir = "/dev/shm"
+
+// diskDir creates a directory for the nodes' disks, in memory if possible: a busy machine takes seconds for a sync now and then, which
+// would be a fault that the test does not inject. Faulty disks have tests of their own in package journal.
+func diskDir(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp(memoryDir, "kestrelfleet")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	return dir
+}
+
 // must ends the test on an error.
 func (s *scenario) must(err error) {
 	s.t.Helper()
--- a/internal/harness/nodeprogram/nodeprogram.go
+++ b/internal/harness/nodeprogram/nodeprogram.go
@@ -1,4 +1,4 @@
-// Package nodeprogram builds kestrelnode for tests that start real processes, and gives them directories for disks.
+// Package nodeprogram builds kestrelnode for tests that start real processes.
 package nodeprogram
 
 import (
@@ -6,7 +6,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"testing"
 )
 
 // Build builds kestrelnode at the path, with further flags of go build. The error has the compiler's output.
@@ -34,18 +33,3 @@
 	}
 	return run(path)
 }
-
-// memoryDir is a file system in memory, if the machine has one.
-const memoryDir = "/dev/shm"
-
-// DiskDir creates a directory for the nodes' disks, in memory if possible: a busy machine takes seconds for a sync now and then, which
-// would be a fault that the test does not inject. Faulty disks have tests of their own in package journal.
-func DiskDir(t *testing.T) string {
-	t.Helper()
-	dir, err := os.MkdirTemp(memoryDir, "kestrelfleet")
-	if err != nil {
-		return t.TempDir()
-	}
-	t.Cleanup(func() { _ = os.RemoveAll(dir) })
-	return dir
-}
