--- a/internal/harness/faultrun/checks.go
+++ b/internal/harness/faultrun/checks.go
@@ -168,7 +168,7 @@
 		inContact := sim.health.inContact(m)
 		compiled := m.node.Compiled()
 		confirmed, _ := m.node.ConfirmedAt()
-		serves := controlBounds(sim).MayServe(m.now(), compiled, confirmed, false)
+		serves := !m.node.CoreUnableToConfirm(m.now()) && controlBounds(sim).MayServe(m.now(), compiled, confirmed, false)
 		if sim.plan.GlobalRevocation && serves && compiled.Version < minServedVersion {
 			sim.fail("%s serves keys of version %d, %d was acknowledged over %v ago",
 				m.name, compiled.Version, minServedVersion, revokeTimeout)
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -73,8 +73,10 @@
 
 	compiled    atomic.Pointer[config.Compiled]
 	confirmedAt atomic.Int64 // core.Time of the confirmation of the published state; 0: never
-	stopping    atomic.Bool
-	proxyCount  atomic.Int64 // nodes that serve clients, at least 1
+	// coreUnable: the core is reached but can't confirm the published state, which is not served then.
+	coreUnable atomic.Bool
+	stopping   atomic.Bool
+	proxyCount atomic.Int64 // nodes that serve clients, at least 1
 
 	progress     nodeProgress
 	savedBrokers savedBrokers
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -52,7 +52,7 @@
 
 // mayServe reports whether a request may be forwarded now. Source: RULES.md, "API keys".
 func (a *Agent) mayServe(now core.Time, public bool) bool {
-	return a.bounds().MayServe(now, a.compiled.Load(), core.Time(a.confirmedAt.Load()), public)
+	return !a.coreUnable.Load() && a.bounds().MayServe(now, a.compiled.Load(), core.Time(a.confirmedAt.Load()), public)
 }
 
 // configurationLeaseValid reports whether the published configuration was confirmed recently enough for
--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -158,6 +158,9 @@
 
 // publishConfirmation publishes how fresh the control state is.
 func (a *Agent) publishConfirmation(now core.Time) {
+	if unable := a.control.CoreUnableToConfirm(now); a.coreUnable.Swap(unable) != unable {
+		a.log.Warn("agent: core can't confirm the control state", "holds", unable)
+	}
 	confirmedAt, ok := a.control.ConfirmedAt()
 	if !ok {
 		return
--- a/internal/node/control/configlease.go
+++ b/internal/node/control/configlease.go
@@ -29,6 +29,11 @@
 	}
 }
 
+// maxConfirmationAge is the age of the newest confirmation from which on a node that reaches more than
+// half of the core no longer serves, as that can't tell whether a newer state was acknowledged. While no
+// more machines are lost than is tolerated, a confirmation never gets so old there.
+func (b Bounds) maxConfirmationAge() core.Time { return b.Contact + time.Second }
+
 // maxUnconfirmed is how long after its start a process may serve a configuration that was never
 // confirmed.
 func (b Bounds) maxUnconfirmed() core.Time { return b.Contact * 2 / 3 }
--- a/internal/node/control/node.go
+++ b/internal/node/control/node.go
@@ -202,6 +202,12 @@
 	return n.store.Status(), true
 }
 
+// CoreUnableToConfirm reports whether this node reaches more than half of the core, and the core can't
+// confirm the state held here. Nothing may be served on it then.
+func (n *Node) CoreUnableToConfirm(now core.Time) bool {
+	return n.distribution.CoreUnableToConfirm(now, n.options.Bounds.maxConfirmationAge())
+}
+
 // ConfirmedAt returns a time at which no state newer than the one held here was acknowledged anywhere.
 // It reports false where none is known.
 func (n *Node) ConfirmedAt() (core.Time, bool) { return n.confirmedAt, n.confirmedAt != 0 }
--- a/internal/node/distribution/distribution.go
+++ b/internal/node/distribution/distribution.go
@@ -22,6 +22,7 @@
 
 	confirmedAt   core.Time // valid if confirmed
 	confirmed     bool      // the state has been confirmed at some time
+	reach         coreReach
 	attachedUntil core.Time // by the last answer of an upstream that was attached to the core
 
 	round      pollRound // the current one
@@ -128,6 +129,7 @@
 
 // Tick does the work that is due at now. It is to be called at Deadline.
 func (d *Distribution) Tick(now core.Time) []core.Output {
+	d.updateCoreReach(now)
 	d.expireSubscribers(now)
 	d.snapshot.expire(now)
 	if d.nextPoll <= now {
--- a/internal/node/distribution/poll.go
+++ b/internal/node/distribution/poll.go
@@ -178,6 +178,8 @@
 		return
 	}
 	poll.upstream.nodeID = from.NodeID
+	poll.upstream.replied = true
+	poll.upstream.repliedAt = now
 	poll.upstream.unanswered = false
 	poll.upstream.failures = 0
 	// The reply confirms its own index: a state that this node doesn't hold yet is not confirmed by it.
--- a/internal/node/distribution/upstreams.go
+++ b/internal/node/distribution/upstreams.go
@@ -18,6 +18,8 @@
 	failures        int       // demotions in a row for a missing answer
 	probeAt         core.Time // if failures > 0: when it is probed
 	staleUntil      core.Time // until then it counts as detached from the core
+	replied         bool      // to any poll,
+	repliedAt       core.Time // last then
 }
 
 // maxListedUpstreams bounds what FailedUpstreams lists.
