--- a/internal/harness/faultrun/majority_test.go
+++ b/internal/harness/faultrun/majority_test.go
@@ -44,7 +44,7 @@
 // TestNoMajorityNeedNotAcknowledge: a machine alone, one that is partitioned, one with a hanging disk, and one among noise.
 func TestNoMajorityNeedNotAcknowledge(t *testing.T) {
 	for name, disturb := range map[string]func(sim *simulation, m *machine){
-		"alone": func(sim *simulation, m *machine) {
+		"alone": func(sim *simulation, _ *machine) {
 			for _, other := range sim.coreMachines()[:2] {
 				other.kill(false)
 			}
@@ -52,8 +52,8 @@
 		"partitioned": func(sim *simulation, m *machine) {
 			sim.network.partition([]*machine{m}, sim.coreMachines(), true, time.Minute)
 		},
-		"hanging disk": func(sim *simulation, m *machine) { m.diskHangsUntil = time.Minute },
-		"noise":        func(sim *simulation, m *machine) { sim.network.lossRate = 0.1 },
+		"hanging disk": func(_ *simulation, m *machine) { m.diskHangsUntil = time.Minute },
+		"noise":        func(sim *simulation, _ *machine) { sim.network.lossRate = 0.1 },
 	} {
 		sim := calmSimulation(t)
 		m := sim.coreMachines()[2]
