--- a/internal/node/control/configlease.go
+++ b/internal/node/control/configlease.go
@@ -5,6 +5,7 @@
 
 	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/view"
 )
 
 // revocationMargin lies between the bound of a key's revocation and the last moment at which a request
@@ -29,10 +30,15 @@
 	}
 }
 
+// longestToleratedStall is the longest time without an acknowledgement that a single loss was seen to
+// bring: the next view may name a member that has just been lost, and that one is left out only after
+// view.RemovalTimeout.
+const longestToleratedStall = view.RemovalTimeout
+
 // maxConfirmationAge is the age of the newest confirmation from which on a node that reaches more than
 // half of the core no longer serves, as that can't tell whether a newer state was acknowledged. While no
 // more machines are lost than is tolerated, a confirmation never gets so old there.
-func (b Bounds) maxConfirmationAge() core.Time { return b.Contact + time.Second }
+func (b Bounds) maxConfirmationAge() core.Time { return b.Contact + longestToleratedStall }
 
 // maxUnconfirmed is how long after its start a process may serve a configuration that was never
 // confirmed.
