--- a/internal/standin/fleetoperator/sender.go
+++ b/internal/standin/fleetoperator/sender.go
@@ -49,8 +49,9 @@
 // newSender finds nodes at the addresses that control returns.
 func newSender(control func() []string) sender {
 	return sender{control: control, client: &http.Client{
-		Timeout:   callTimeout,
-		Transport: &http.Transport{IdleConnTimeout: 5 * time.Second},
+		Timeout: callTimeout,
+		// On a kept connection the transport may send a call a second time by itself.
+		Transport: &http.Transport{DisableKeepAlives: true},
 		CheckRedirect: func(_ *http.Request, via []*http.Request) error {
 			if len(via) > maxRedirects {
 				return errors.New("redirected too often")
