--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -28,7 +28,9 @@
 }
 
 var cases = map[string]func(*scene) int{
-	"deregistered": deregistered,
+	"deregistered":   deregistered,
+	"uploads":        uploads,
+	"uploads-length": uploadsWithLength,
 }
 
 // limit ends a case that takes too long.
