--- a/review/drive/client.go
+++ b/review/drive/client.go
@@ -19,6 +19,7 @@
 	sentAt time.Time
 	status int    // 0: no answer
 	failed string // why there is none
+	leaves bool   // the client closes its connection after leaveAfter
 }
 
 // clients sends requests at a steady rate, each on a new connection to a machine that the platform picks.
@@ -27,8 +28,9 @@
 	platform *platform
 	path     string
 	deadline time.Duration
-	// leaveAfter is when clients give up; 0: they don't.
-	leaveAfter time.Duration
+	// leavingShare of the clients close their connection after leaveAfter; 0: none.
+	leavingShare float64
+	leaveAfter   time.Duration
 
 	mutex sync.Mutex
 	list  []*sending
@@ -54,12 +56,12 @@
 // send makes one request.
 func (c *clients) send(n *node) {
 	defer c.wait.Done()
-	s := &sending{id: fmt.Sprintf("%016x", rand.Uint64()), node: n.name, sentAt: time.Now()}
+	s := &sending{id: fmt.Sprintf("%016x", rand.Uint64()), node: n.name, sentAt: time.Now(), leaves: rand.Float64() < c.leavingShare}
 	c.mutex.Lock()
 	c.list = append(c.list, s)
 	c.mutex.Unlock()
 	limit := c.deadline
-	if c.leaveAfter > 0 {
+	if s.leaves {
 		limit = c.leaveAfter
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -29,6 +29,7 @@
 
 var cases = map[string]func(*scene) int{
 	"deregistered":   deregistered,
+	"gone":           gone,
 	"uploads":        uploads,
 	"uploads-length": uploadsWithLength,
 }
