registry: an acknowledged draining or deregistration is on the voters' disks

Cause: the state was held by a majority of the voters in memory alone.

Change: each node with a disk writes every draining or gone broker that it learns of to a log (saved.LeavingLog) and acknowledges the broadcast a second time after that write; a call is acknowledged once a majority of the voters have written. A restarted node merges its log before the copy and tells the nodes that it learns of. Without a known view nothing is acknowledged, unless the node is alone. InstanceUpdateAck has a second field; an older version never sets it, and so does not count.

--- a/internal/harness/fleet/checks.go
+++ b/internal/harness/fleet/checks.go
@@ -52,6 +52,8 @@
 
 // evidence collects what has been observed so far.
 func (f *Fleet) evidence(load *Load) *evidence {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	e := &evidence{
 		bounds: f.options.Bounds, attempts: load.Attempts.All(), arrivals: f.ArrivalLog.Arrivals(), modelOrders: f.ArrivalLog.Orders(),
 		drains: f.drainedBrokers, crashedBrokers: f.crashedBrokers,
--- a/internal/harness/fleet/fleet.go
+++ b/internal/harness/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"kestrelspread/internal/harness/links"
@@ -56,9 +57,11 @@
 	lifetime       context.Context
 	cancel         context.CancelFunc
 	startedBrokers int // brokers that were ever started
+	linkFaults     linkFaults
+
+	mutex          sync.Mutex // guards Brokers and what follows
 	drainedBrokers []drainedBroker
 	crashedBrokers []string // IDs of brokers that ended without draining
-	linkFaults     linkFaults
 }
 
 // Start starts the nodes and the brokers. They have no configuration yet, see Bootstrap.
--- a/internal/harness/fleet/services.go
+++ b/internal/harness/fleet/services.go
@@ -203,11 +203,13 @@
 		}
 	}
 	f.startedBrokers++
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	f.Brokers = append(f.Brokers, broker)
 	return broker, nil
 }
 
-// drainedBroker is a broker whose drain was acknowledged.
+// drainedBroker is a broker whose drain or deregistration was acknowledged.
 type drainedBroker struct {
 	instance string
 	ackedAt  time.Time
@@ -217,19 +219,40 @@
 func (f *Fleet) Drain(ctx context.Context, broker *llmbroker.Broker) (time.Time, error) {
 	ackedAt, err := broker.Drain(ctx)
 	if err == nil {
-		f.drainedBrokers = append(f.drainedBrokers, drainedBroker{instance: broker.ID(), ackedAt: ackedAt})
+		f.recordLeaving(broker, ackedAt)
 	}
 	return ackedAt, err
 }
 
+// Deregister has a broker deregister that has not drained, and returns the time of the acknowledgement. It still runs; see
+// llmbroker.End.
+func (f *Fleet) Deregister(ctx context.Context, broker *llmbroker.Broker) (time.Time, error) {
+	ackedAt, err := broker.Deregister(ctx)
+	if err == nil {
+		f.recordLeaving(broker, ackedAt)
+	}
+	return ackedAt, err
+}
+
+// recordLeaving records that a drain or deregistration was acknowledged.
+func (f *Fleet) recordLeaving(broker *llmbroker.Broker, ackedAt time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.drainedBrokers = append(f.drainedBrokers, drainedBroker{instance: broker.ID(), ackedAt: ackedAt})
+}
+
 // Crash ends a broker without draining.
 func (f *Fleet) Crash(broker *llmbroker.Broker) {
+	f.mutex.Lock()
 	f.crashedBrokers = append(f.crashedBrokers, broker.ID())
+	f.mutex.Unlock()
 	broker.Crash()
 }
 
 // Serving returns the brokers of a service that neither drain nor have ended.
 func (f *Fleet) Serving(service string) []*llmbroker.Broker {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	return slices.DeleteFunc(slices.Clone(f.Brokers), func(b *llmbroker.Broker) bool {
 		drains := slices.ContainsFunc(f.drainedBrokers, func(d drainedBroker) bool { return d.instance == b.ID() })
 		return b.Service() != service || drains || slices.Contains(f.crashedBrokers, b.ID())
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -193,6 +193,7 @@
 		FaultTolerance:        a.settings.FaultTolerance.Machines,
 		MaxConfigurationBytes: a.maxConfigurationBytes(),
 		HeartbeatInterval:     a.settings.Heartbeat(),
+		PersistsLeaving:       a.settings.DataDir != "",
 		Bounds:                a.bounds(),
 	}, newRandom())
 	a.buildOrderSender()
--- a/internal/node/agent/loop.go
+++ b/internal/node/agent/loop.go
@@ -121,6 +121,8 @@
 		a.requests.answerCommand(output)
 	case core.RegistryReply:
 		a.requests.answerRegistry(output)
+	case core.SaveLeaving:
+		a.savedBrokers.leavingWrites <- output // has room: the control side has one write under way at most
 	case core.MessageReassembled:
 		a.receiveNonControl(now, output.From, output.Message)
 	case core.StateChanged:
--- a/internal/node/agent/savedbrokers.go
+++ b/internal/node/agent/savedbrokers.go
@@ -14,12 +14,14 @@
 // saveInterval is the least time between two writes of the brokers.
 const saveInterval = time.Second
 
-// savedBrokers keeps a copy of the registered brokers on the disk, where there is one, so that a
-// restarted node can route before it has heard of them again. The file is written by a goroutine of
-// its own; the other fields belong to the control loop.
+// savedBrokers keeps brokers on the disk, where there is one. A copy of the registered ones lets a
+// restarted node route before it has heard of them again; a log of those that are draining or gone
+// keeps what was acknowledged to them. Both are written by goroutines of their own; the other fields
+// belong to the control loop.
 type savedBrokers struct {
 	file          *saved.File
 	writes        chan []*nodepb.Instance // to be written next; one may wait
+	leavingWrites chan core.SaveLeaving   // at most one is under way
 	saveDeadline  core.Time               // core.Never: nothing changed since the last write
 	savedChecksum uint64                  // of what was written or scheduled last
 	// restored: brokers were restored from the copy of an earlier process.
@@ -34,10 +36,42 @@
 	}
 	a.savedBrokers.file = saved.Open(a.settings.DataDir)
 	a.savedBrokers.writes = make(chan []*nodepb.Instance, 1)
-	go a.writeBrokers()
+	a.savedBrokers.leavingWrites = make(chan core.SaveLeaving, 1)
+	go func() {
+		log, leaving := a.openLeavingLog()
+		a.post(func(now core.Time) { a.execute(now, a.control.RestoreLeavingBrokers(now, leaving)) })
+		a.log.Info("savedbrokers: leaving brokers restored", "count", len(leaving), "after", a.now())
+		go a.writeLeaving(log)
+		a.writeBrokers()
+	}()
 }
 
-// writeBrokers restores the saved brokers, and then writes each copy that it is handed. It has a
+// openLeavingLog opens the log of leaving brokers, and retries while the disk can't be read: without
+// the log a broker that has left might be used again.
+func (a *Agent) openLeavingLog() (*saved.LeavingLog, []*nodepb.Instance) {
+	for {
+		log, leaving, err := saved.OpenLeaving(a.settings.DataDir, time.Now)
+		if err == nil {
+			return log, leaving
+		}
+		a.log.Error("savedbrokers: open of leaving brokers failed", "error", err)
+		time.Sleep(diskRetryInterval)
+	}
+}
+
+// writeLeaving makes leaving brokers durable as the control side asks for it. It has a goroutine of its
+// own, as calls of brokers wait for these writes, and the disk may hang in those of the copy.
+func (a *Agent) writeLeaving(log *saved.LeavingLog) {
+	for write := range a.savedBrokers.leavingWrites {
+		err := log.Append(write.Instances)
+		if err != nil {
+			a.log.Warn("savedbrokers: write of leaving brokers failed", "error", err)
+		}
+		a.post(func(now core.Time) { a.execute(now, a.control.LeavingBrokersSaved(now, write.Token, err)) })
+	}
+}
+
+// writeBrokers restores the saved brokers, and then writes each copy that it is handed. It runs on a
 // goroutine of its own, as the disk may hang; the goroutine lives as long as the process.
 func (a *Agent) writeBrokers() {
 	instances, err := a.savedBrokers.file.Load(time.Now())
--- a/internal/node/control/inputs.go
+++ b/internal/node/control/inputs.go
@@ -112,6 +112,18 @@
 	return n.outbox.Take()
 }
 
+// RestoreLeavingBrokers registers the draining and gone brokers that this node's disk names.
+func (n *Node) RestoreLeavingBrokers(now core.Time, instances []*nodepb.Instance) []core.Output {
+	n.execute(now, n.registry.RestoreLeaving(now, instances))
+	return n.outbox.Take()
+}
+
+// LeavingBrokersSaved handles the end of the write that core.SaveLeaving asked for.
+func (n *Node) LeavingBrokersSaved(now core.Time, token uint64, err error) []core.Output {
+	n.execute(now, n.registry.LeavingSaved(now, token, err))
+	return n.outbox.Take()
+}
+
 // OrderDone handles the completion of an order to a broker. status is the HTTP status, 0 where no
 // answer came.
 func (n *Node) OrderDone(now core.Time, token uint64, status int, err error) []core.Output {
--- a/internal/node/control/node.go
+++ b/internal/node/control/node.go
@@ -48,6 +48,8 @@
 	Checker config.Checker
 	// HeartbeatInterval is the interval of brokers' heartbeats.
 	HeartbeatInterval time.Duration
+	// PersistsLeaving: this node has a disk, and its shell carries out core.SaveLeaving.
+	PersistsLeaving bool
 	// Bounds are the time limits of the rules.
 	Bounds Bounds
 }
@@ -131,7 +133,7 @@
 	}, random)
 	n.registry = registry.New(now, registry.Options{
 		SelfID: self.NodeId, SelfAddress: self.Address, ControlAddress: self.ControlAddress, Zone: self.Zone,
-		HeartbeatInterval: options.HeartbeatInterval,
+		HeartbeatInterval: options.HeartbeatInterval, PersistsLeaving: options.PersistsLeaving,
 	}, random)
 	n.rollout = rollout.New(rollout.Options{
 		Lease: options.Bounds.Lease, ThawGrace: options.Bounds.Thaw, VersionBound: options.Bounds.Version,
--- a/internal/node/core/registry.go
+++ b/internal/node/core/registry.go
@@ -1,5 +1,7 @@
 package core
 
+import "kestrelspread/internal/node/nodepb"
+
 // Outputs of the registry of model brokers.
 
 // RegistryReply answers a heartbeat or a deregistration that came to this node's own API.
@@ -22,9 +24,17 @@
 	Everywhere bool
 }
 
+// SaveLeaving asks for draining and gone brokers to be made durable beside those saved before. The
+// shell reports the end by registry.LeavingSaved with the same token.
+type SaveLeaving struct {
+	Token     uint64
+	Instances []*nodepb.Instance
+}
+
 // TableChanged reports that the registry has a new table of brokers.
 type TableChanged struct{}
 
 func (RegistryReply) isOutput()    {}
 func (LoadingConfirmed) isOutput() {}
+func (SaveLeaving) isOutput()      {}
 func (TableChanged) isOutput()     {}
--- a/internal/node/registry/broadcast.go
+++ b/internal/node/registry/broadcast.go
@@ -12,9 +12,10 @@
 //
 // It is answered once: when every available node has acknowledged it, or at answerDeadline. The
 // calls that wait for it are accepted only if another node holds the update or this node is alone,
-// so that an acknowledged state survives the loss of this node, and if a majority of the voters hold
-// it. Without the latter a part of the fleet that is cut off would acknowledge what the part that
-// serves on never hears of. Retries go on after the answer.
+// so that an acknowledged state survives the loss of this node, and if a majority of the voters have
+// it on their disks (persistence.go). Without a majority a part of the fleet that is cut off would
+// acknowledge what the part that serves on never hears of; without the disks the state would be lost
+// where all processes are killed. Retries go on after the answer.
 type broadcast struct {
 	nonce          uint64
 	message        *nodepb.Envelope
@@ -22,6 +23,9 @@
 	unacknowledged []string // ids of the nodes that have not acknowledged it
 	ackCount       int      // nodes that have
 	ackedAddresses []string // of these
+	// persistedAddresses are those of the nodes that have its leaving brokers on their disks.
+	persistedAddresses []string
+	leaving            bool // it carries a draining or gone broker
 
 	retryAt        core.Time
 	answerDeadline core.Time
@@ -74,6 +78,7 @@
 		nonce:          update.Nonce,
 		message:        &nodepb.Envelope{Body: &nodepb.Envelope_InstanceUpdate{InstanceUpdate: update}},
 		instanceIDs:    ids,
+		leaving:        leavingIn(update.Instances),
 		retryAt:        now + broadcastRetryInterval,
 		answerDeadline: answerDeadline,
 		giveUpAt:       now + broadcastTimeout,
@@ -142,8 +147,9 @@
 // acknowledged it, and another node holds it; at the deadline in any case.
 func (r *Registry) tryAnswer(now core.Time, b *broadcast) {
 	awaited := slices.ContainsFunc(b.unacknowledged, func(id string) bool { return r.mustAwait(now, id) })
-	replicated := (b.ackCount > 0 || r.alone(now)) && r.votersHave(b)
-	overdue := b.answerDeadline <= now || len(b.unacknowledged) == 0
+	replicated := (b.ackCount > 0 || r.alone(now)) && r.votersHave(now, b)
+	// Disks may still be awaited where all nodes have acknowledged a leaving broker.
+	overdue := b.answerDeadline <= now || len(b.unacknowledged) == 0 && !b.leaving
 	if !overdue && (awaited || !replicated) {
 		return
 	}
@@ -156,20 +162,32 @@
 }
 
 // votersHave reports whether a majority of the voters of the control state hold the update, this node
-// included if it is one; true while no view is known.
-func (r *Registry) votersHave(b *broadcast) bool {
+// included if it is one; a leaving broker on their disks. While no view is known, a node that isn't
+// alone can't tell that of a leaving broker.
+func (r *Registry) votersHave(now core.Time, b *broadcast) bool {
+	selfHas, addresses := true, b.ackedAddresses
+	if b.leaving {
+		selfHas, addresses = r.persisted(b.message.GetInstanceUpdate().Instances), b.persistedAddresses
+	}
 	if len(r.voterAddresses) == 0 {
-		return true
+		return !b.leaving || selfHas && r.alone(now)
 	}
 	count := 0
 	for _, address := range r.voterAddresses {
-		if address == r.options.SelfAddress || slices.Contains(b.ackedAddresses, address) {
+		if address == r.options.SelfAddress && selfHas || slices.Contains(addresses, address) {
 			count++
 		}
 	}
 	return count >= len(r.voterAddresses)/2+1
 }
 
+// awaitsDisk reports whether the answer waits for a node's disk: for that of a voter which has not
+// said that a leaving broker is there.
+func (r *Registry) awaitsDisk(b *broadcast, address string) bool {
+	return b.leaving && !b.answered && slices.Contains(r.voterAddresses, address) &&
+		!slices.Contains(b.persistedAddresses, address)
+}
+
 // SetVoters sets the internal addresses of the voters of the newest view known.
 func (r *Registry) SetVoters(addresses []string) { r.voterAddresses = addresses }
 
@@ -219,9 +237,9 @@
 
 func (r *Registry) resendBroadcast(now core.Time, b *broadcast) {
 	b.retryAt = now + broadcastRetryInterval
-	for _, id := range b.unacknowledged {
-		if known := r.peers[id]; known != nil {
-			r.outbox.Send(known.address, b.message)
+	for _, other := range r.others {
+		if slices.Contains(b.unacknowledged, other.id) || r.awaitsDisk(b, other.address) {
+			r.outbox.Send(other.address, b.message)
 		}
 	}
 }
@@ -234,7 +252,8 @@
 	}
 }
 
-// receiveUpdate merges another node's broadcast and acknowledges it.
+// receiveUpdate merges another node's broadcast and acknowledges it, a second time once the leaving
+// brokers in it are on the disk.
 func (r *Registry) receiveUpdate(now core.Time, from core.Peer, update *nodepb.InstanceUpdate) {
 	for _, instance := range update.Instances {
 		r.mergeUpdate(now, instance)
@@ -242,8 +261,15 @@
 	if !update.AckWanted {
 		return
 	}
-	ack := &nodepb.InstanceUpdateAck{Nonce: update.Nonce}
-	r.outbox.Send(from.Address, &nodepb.Envelope{Body: &nodepb.Envelope_InstanceUpdateAck{InstanceUpdateAck: ack}})
+	persisted := r.persisted(update.Instances)
+	r.sendAck(from.Address, &nodepb.InstanceUpdateAck{Nonce: update.Nonce, Persisted: persisted})
+	if !persisted {
+		r.ackWhenPersisted(now, from.Address, update)
+	}
+}
+
+func (r *Registry) sendAck(address string, ack *nodepb.InstanceUpdateAck) {
+	r.outbox.Send(address, &nodepb.Envelope{Body: &nodepb.Envelope_InstanceUpdateAck{InstanceUpdateAck: ack}})
 }
 
 // mergeUpdate merges one broker of a broadcast. If this node knows that the broker responds, it
@@ -264,21 +290,24 @@
 		if b.nonce != ack.Nonce {
 			continue
 		}
-		r.acknowledge(now, b, from.NodeID)
+		r.acknowledge(now, b, from, ack.Persisted)
 		return
 	}
 }
 
-// acknowledge records a node's acknowledgement; further ones of the same node count for nothing.
-func (r *Registry) acknowledge(now core.Time, b *broadcast, id string) {
-	index := slices.Index(b.unacknowledged, id)
-	if index < 0 {
-		return
+// acknowledge records a node's acknowledgement. Of further ones of the same node only the first that
+// says persisted counts.
+func (r *Registry) acknowledge(now core.Time, b *broadcast, from core.Peer, persisted bool) {
+	known := r.peers[from.NodeID]
+	if index := slices.Index(b.unacknowledged, from.NodeID); index >= 0 {
+		b.unacknowledged = slices.Delete(b.unacknowledged, index, index+1)
+		b.ackCount++
+		if known != nil {
+			b.ackedAddresses = append(b.ackedAddresses, known.address)
+		}
 	}
-	b.unacknowledged = slices.Delete(b.unacknowledged, index, index+1)
-	b.ackCount++
-	if known := r.peers[id]; known != nil {
-		b.ackedAddresses = append(b.ackedAddresses, known.address)
+	if persisted && known != nil && !slices.Contains(b.persistedAddresses, known.address) {
+		b.persistedAddresses = append(b.persistedAddresses, known.address)
 	}
 	r.advanceBroadcast(now, b)
 }
--- a/internal/node/registry/cluster_test.go
+++ b/internal/node/registry/cluster_test.go
@@ -21,6 +21,8 @@
 	zones   []string
 	started int
 	request uint64
+	voters  []string // addresses of the first three nodes
+	disks   bool     // the voters have disks
 }
 
 type clusterNode struct {
@@ -34,6 +36,7 @@
 
 	lastFaultAt time.Duration
 	leaving     map[uint64]string // calls of brokers that leave, by request
+	disk        *leavingDisk      // of a voter; nil: it has none
 }
 
 type timedAnswer struct {
@@ -45,18 +48,37 @@
 
 func newCluster(t *testing.T, seed uint64, nodes int, zones ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, network: coretest.NewNetwork(seed), zones: zones}
+	c := &cluster{t: t, network: coretest.NewNetwork(seed), zones: zones, disks: nodes >= testVoters}
 	for range nodes {
 		c.start()
 	}
+	for _, node := range c.nodes {
+		node.registry.SetVoters(c.voters)
+	}
 	c.publishMembers()
 	return c
 }
 
+// testVoters is how many nodes of a cluster vote and have a disk, the first ones.
+const testVoters = 3
+
 // start adds a node that the others do not know yet.
 func (c *cluster) start() *clusterNode {
 	number := c.started
 	c.started++
+	node := c.startAt(number)
+	if number < testVoters {
+		if c.disks {
+			node.disk = newLeavingDisk()
+		}
+		c.voters = append(c.voters, node.Address)
+	}
+	node.registry.SetVoters(c.voters)
+	return node
+}
+
+// startAt adds a process at the address of that number.
+func (c *cluster) startAt(number int) *clusterNode {
 	zone := c.zones[number%len(c.zones)]
 	member := &nodepb.Member{
 		NodeId: fmt.Sprintf("node-%d", number), Address: fmt.Sprintf("10.0.0.%d:7000", number),
@@ -64,7 +86,7 @@
 	}
 	registry := New(0, Options{
 		SelfID: member.NodeId, SelfAddress: member.Address, ControlAddress: member.ControlAddress, Zone: zone,
-		HeartbeatInterval: testHeartbeat,
+		HeartbeatInterval: testHeartbeat, PersistsLeaving: c.disks && number < testVoters,
 	}, rand.New(rand.NewPCG(c.network.Random.Uint64(), 0)))
 	node := &clusterNode{registry: registry, member: member, answers: map[uint64]timedAnswer{}, leaving: map[uint64]string{}}
 	node.cluster = c
@@ -85,6 +107,8 @@
 		n.marks = append(n.marks, output)
 	case core.TableChanged:
 		n.tableChanges++
+	case core.SaveLeaving:
+		n.disk.save(n, output)
 	}
 }
 
--- a/internal/node/registry/doc.go
+++ b/internal/node/registry/doc.go
@@ -15,7 +15,7 @@
 //     sequence wins; of what nodes add to it the highest revision.
 //   - A gone broker stays as a tombstone for tombstoneRetention, so that no late message revives it.
 //   - A draining or gone broker is acknowledged only after another node holds that state, unless
-//     this node is alone.
+//     this node is alone, and after a majority of the voters have it on their disks.
 //   - Only the home node of a topic, or a node that received the broker's heartbeat, decides whether
 //     the broker is unresponsive.
 //   - A Table is immutable.
--- a/internal/node/registry/home.go
+++ b/internal/node/registry/home.go
@@ -50,6 +50,8 @@
 		if previous := known[member.NodeId]; previous != nil {
 			updated.backoffUntil = previous.backoffUntil
 			updated.pollBackoffUntil = previous.pollBackoffUntil
+		} else {
+			r.sendRestored(now, updated)
 		}
 		r.peers[member.NodeId] = updated
 		r.others = append(r.others, updated)
--- a/internal/node/registry/merge.go
+++ b/internal/node/registry/merge.go
@@ -21,6 +21,7 @@
 	rec.mergeRevision(now, incoming)
 	rec.mergeLiveness(now, incoming, trust)
 	changed := r.updateTopic(now, rec, previous)
+	r.watchPersistence(rec)
 	if !wasGone && rec.gone() {
 		r.countTombstone(rec)
 		changed = true
@@ -60,6 +61,7 @@
 	}
 	r.records[incoming.Id] = rec
 	r.updateTopic(now, rec, nil)
+	r.watchPersistence(rec)
 	if rec.gone() {
 		r.countTombstone(rec)
 	}
--- a/internal/node/registry/options.go
+++ b/internal/node/registry/options.go
@@ -17,6 +17,9 @@
 	// HeartbeatInterval is the expected time between two heartbeats of a broker; 0 or less:
 	// defaultHeartbeatInterval.
 	HeartbeatInterval time.Duration
+	// PersistsLeaving: this node has a disk, and its shell carries out core.SaveLeaving. Without it
+	// the node can't outlive its process, and acknowledges updates as they arrive.
+	PersistsLeaving bool
 }
 
 const (
@@ -43,6 +46,11 @@
 	// peerBackoff is how long a node that left an update or a call without an answer is neither
 	// waited for nor chosen as a home.
 	peerBackoff = 2 * time.Second
+	// saveRetryInterval is the time until a failed write of leaving brokers is repeated.
+	saveRetryInterval = 200 * time.Millisecond
+	// restoredSendPeriod is how long after its start a node tells the nodes that it learns of which
+	// brokers its disk names as leaving.
+	restoredSendPeriod = 10 * time.Second
 	// batchDelay collects changes that no answer waits for into one broadcast.
 	batchDelay = 50 * time.Millisecond
 	// aloneAfter is when a node that lost sight of all others acknowledges by itself.
--- /dev/null
+++ b/internal/node/registry/persistence_test.go
@@ -0,0 +1,265 @@
+package registry
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/nodepb"
+)
+
+// leavingDisk is the disk of a node, as far as it keeps leaving brokers. It outlives the processes.
+type leavingDisk struct {
+	saved   map[string]*nodepb.Instance
+	delay   time.Duration // of a write
+	refuses bool          // writes fail
+	hangs   bool          // writes never end
+	writes  int
+}
+
+func newLeavingDisk() *leavingDisk {
+	return &leavingDisk{saved: map[string]*nodepb.Instance{}, delay: 2 * time.Millisecond}
+}
+
+// save performs a write of the node after the disk's delay, unless the node is killed before.
+func (d *leavingDisk) save(n *clusterNode, write core.SaveLeaving) {
+	d.writes++
+	if d.hangs {
+		return
+	}
+	n.cluster.network.After(d.delay, func() {
+		if !n.Running() {
+			return
+		}
+		var err error
+		if d.refuses {
+			err = errors.New("no space left on device")
+		} else {
+			for _, instance := range write.Instances {
+				d.saved[instance.Id] = instance
+			}
+		}
+		n.Do(func(now core.Time) []core.Output { return n.registry.LeavingSaved(now, write.Token, err) })
+	})
+}
+
+// restartAll kills all processes at one moment and starts them again at their addresses. Each then has
+// the copy that it saved earlier, and what its disk has of leaving brokers.
+func (c *cluster) restartAll(copies []*nodepb.Instance) {
+	c.t.Helper()
+	former := c.nodes
+	for _, node := range former {
+		node.Kill()
+	}
+	c.nodes = nil
+	for number := range former {
+		node := c.startAt(number)
+		node.disk = former[number].disk
+		node.registry.SetVoters(c.voters)
+		if disk := node.disk; disk != nil {
+			node.Do(func(now core.Time) []core.Output {
+				return append(node.registry.RestoreLeaving(now, disk.list()), node.registry.Restore(now, copies)...)
+			})
+		}
+	}
+	c.publishMembers()
+}
+
+func (d *leavingDisk) list() []*nodepb.Instance {
+	var list []*nodepb.Instance
+	for _, instance := range d.saved {
+		list = append(list, instance)
+	}
+	sortByID(list)
+	return list
+}
+
+// leavingCalls are the two ways in which a broker leaves.
+var leavingCalls = map[string]func(b *broker, node *clusterNode) uint64{
+	"draining": func(b *broker, node *clusterNode) uint64 {
+		b.instance.State = nodepb.InstanceState_DRAINING
+		return b.heartbeat(node)
+	},
+	"deregistration": func(b *broker, node *clusterNode) uint64 { return b.deregister(node) },
+}
+
+// TestAcknowledgedLeavingSurvivesAllProcesses guards against DRAIN: all processes are killed as soon as a draining or
+// deregistration is acknowledged, and their disks still hold an older copy that shows the broker as ready.
+func TestAcknowledgedLeavingSurvivesAllProcesses(t *testing.T) {
+	for name, leave := range leavingCalls {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				c := newCluster(t, seed, 6, "a", "b")
+				b := c.broker("1", "llm", "a")
+				b.heartbeat(c.nodes[0])
+				c.network.Run(time.Second)
+				copies := c.nodes[0].registry.Instances()
+				assert.Equal(t, len(copies), 1)
+				node := c.nodes[int(seed)%len(c.nodes)]
+				request := leave(b, node)
+				c.within(time.Second, "an answer", func() bool { return node.answers[request].Accepted })
+				c.restartAll(copies)
+				c.within(time.Second, "nobody uses it", func() bool {
+					return c.all(func(n *clusterNode) bool {
+						known := n.registry.Table().ByID["1"]
+						return known == nil || !known.Usable()
+					})
+				})
+				c.network.Run(2 * pollInterval)
+				assert.Assert(t, c.all(func(n *clusterNode) bool {
+					rec := n.registry.records["1"]
+					return rec != nil && rec.state() != nodepb.InstanceState_READY
+				}), "seed %d", seed)
+			}
+		})
+	}
+}
+
+// TestLeavingIsAcknowledgedOnceAMajorityHasWritten: disks that refuse or hang delay the answer until a majority of the
+// voters has written, and without a majority it is none.
+func TestLeavingIsAcknowledgedOnceAMajorityHasWritten(t *testing.T) {
+	const slow = 80 * time.Millisecond
+	for name, test := range map[string]struct {
+		spoil    func(disks []*leavingDisk)
+		accepted bool
+	}{
+		"one hangs":    {func(disks []*leavingDisk) { disks[0].hangs = true }, true},
+		"one refuses":  {func(disks []*leavingDisk) { disks[1].refuses = true }, true},
+		"two hang":     {func(disks []*leavingDisk) { disks[0].hangs, disks[2].hangs = true, true }, false},
+		"two refuse":   {func(disks []*leavingDisk) { disks[1].refuses, disks[2].refuses = true, true }, false},
+		"all are slow": {func([]*leavingDisk) {}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 11, 5, "a")
+			var disks []*leavingDisk
+			for _, node := range c.nodes[:testVoters] {
+				node.disk.delay = slow
+				disks = append(disks, node.disk)
+			}
+			b := c.broker("1", "llm", "a")
+			b.heartbeat(c.nodes[0])
+			c.network.Run(time.Second)
+			test.spoil(disks)
+			node := c.notHome("llm", "a")
+			askedAt := c.network.Now()
+			request := b.deregister(node)
+			c.within(time.Second, "an answer", func() bool { return node.answers[request].at > 0 })
+			assert.Equal(t, node.answers[request].Accepted, test.accepted)
+			if test.accepted {
+				assert.Assert(t, c.network.Now()-askedAt >= slow, "acknowledged before a disk has it")
+			}
+			// All nodes know it in either case: nothing is sent to the broker.
+			assert.Assert(t, c.nobodyHas("1"))
+		})
+	}
+}
+
+// TestFailedSaveIsRepeated until the disk takes it; the call is then acknowledged when it is repeated.
+func TestFailedSaveIsRepeated(t *testing.T) {
+	c := newCluster(t, 12, 5, "a")
+	b := c.broker("1", "llm", "a")
+	b.heartbeat(c.nodes[0])
+	c.network.Run(time.Second)
+	for _, node := range c.nodes[:testVoters] {
+		node.disk.refuses = true
+	}
+	node := c.notHome("llm", "a")
+	request := b.deregister(node)
+	c.network.Run(3 * time.Second)
+	assert.Assert(t, !node.answers[request].Accepted)
+	for _, voter := range c.nodes[:testVoters] {
+		assert.Assert(t, voter.disk.writes <= 2+int(3*time.Second/saveRetryInterval), "%d writes to a disk that refuses", voter.disk.writes)
+		voter.disk.refuses = false
+	}
+	request = b.deregister(node)
+	c.within(time.Second, "an answer", func() bool { return node.answers[request].Accepted })
+}
+
+// TestVotersOfAnOlderVersionDontCountAsPersisted: they acknowledge, but keep nothing that outlives them.
+func TestVotersOfAnOlderVersionDontCountAsPersisted(t *testing.T) {
+	r := New(0, Options{SelfID: "self", SelfAddress: "10.0.0.1:7000", Zone: "a"}, seededRandom())
+	r.SetVoters([]string{"10.0.0.2:7000", "10.0.0.3:7000", "10.0.0.4:7000"})
+	var members []*nodepb.Member
+	for _, host := range []string{"2", "3", "4"} {
+		members = append(members, &nodepb.Member{NodeId: host, Address: "10.0.0." + host + ":7000", Zone: "b"})
+	}
+	r.SetMembers(0, members)
+	outputs := r.Heartbeat(time.Second, 1, &nodepb.Instance{Id: "1", Service: "llm", Zone: "a", Sequence: 1, State: nodepb.InstanceState_DRAINING})
+	nonce := nonceOfUpdate(outputs)
+	answered := func(persisted bool, from ...string) bool {
+		var answer bool
+		for _, host := range from {
+			ack := &nodepb.InstanceUpdateAck{Nonce: nonce, Persisted: persisted}
+			outputs := r.Receive(time.Second, core.Peer{NodeID: host, Address: "10.0.0." + host + ":7000"},
+				&nodepb.Envelope{Body: &nodepb.Envelope_InstanceUpdateAck{InstanceUpdateAck: ack}})
+			answer = answer || slices.ContainsFunc(outputs, func(output core.Output) bool {
+				reply, ok := output.(core.RegistryReply)
+				return ok && reply.Accepted
+			})
+		}
+		return answer
+	}
+	assert.Assert(t, !answered(false, "2", "3", "4"))
+	assert.Assert(t, !answered(true, "2"))
+	assert.Assert(t, answered(true, "3"))
+}
+
+// nonceOfUpdate returns the nonce of the broadcast among the outputs.
+func nonceOfUpdate(outputs []core.Output) uint64 {
+	for _, output := range outputs {
+		if send, ok := output.(core.Send); ok && send.Message.GetInstanceUpdate() != nil {
+			return send.Message.GetInstanceUpdate().Nonce
+		}
+	}
+	return 0
+}
+
+// TestOneWriteTakesWhatWasLearnedDuringTheLast: a burst costs a disk few writes.
+func TestOneWriteTakesWhatWasLearnedDuringTheLast(t *testing.T) {
+	c := newCluster(t, 13, 3, "a")
+	var brokers []*broker
+	for i := range 200 {
+		b := c.broker(string(rune('A'+i/26))+string(rune('a'+i%26)), "llm", "a")
+		b.heartbeat(c.nodes[0])
+		brokers = append(brokers, b)
+	}
+	c.network.Run(time.Second)
+	for _, node := range c.nodes {
+		node.disk.delay = 50 * time.Millisecond
+	}
+	for _, b := range brokers {
+		b.deregister(c.nodes[0])
+	}
+	c.network.Run(400 * time.Millisecond)
+	for _, node := range c.nodes {
+		assert.Equal(t, len(node.disk.saved), len(brokers))
+		assert.Assert(t, node.disk.writes <= 5, "%d writes", node.disk.writes)
+	}
+}
+
+// TestSoleNodeAcknowledgesOnceItsDiskHasIt, also before it knows a view.
+func TestSoleNodeAcknowledgesOnceItsDiskHasIt(t *testing.T) {
+	r := New(0, Options{SelfID: "self", SelfAddress: "10.0.0.1:7000", Zone: "a", PersistsLeaving: true}, seededRandom())
+	outputs := r.Deregister(time.Second, 1, "1")
+	assert.Equal(t, len(outputs), 1)
+	write := outputs[0].(core.SaveLeaving)
+	assert.DeepEqual(t, r.LeavingSaved(time.Second, write.Token, nil), []core.Output{core.RegistryReply{Request: 1, Accepted: true}})
+}
+
+// TestNodeWithoutAViewAcknowledgesNoLeaving, as it can't tell whether enough disks have it.
+func TestNodeWithoutAViewAcknowledgesNoLeaving(t *testing.T) {
+	c := newCluster(t, 14, 5, "a")
+	b := c.broker("1", "llm", "a")
+	b.heartbeat(c.nodes[0])
+	c.network.Run(time.Second)
+	for _, node := range c.nodes {
+		node.registry.SetVoters(nil)
+	}
+	request := b.deregister(c.nodes[0])
+	c.within(time.Second, "an answer", func() bool { return c.nodes[0].answers[request].at > 0 })
+	assert.Assert(t, !c.nodes[0].answers[request].Accepted)
+}
--- a/internal/node/registry/record.go
+++ b/internal/node/registry/record.go
@@ -32,7 +32,10 @@
 	unresponsiveSince core.Time // time of the last contact, if unresponsive
 	warmingUpUntil    core.Time // end of its slow start
 
-	// leaveConfirmed: all available nodes hold that it is draining or gone.
+	// savedState is the highest state on this node's disk; READY, the lowest, also stands for none.
+	savedState nodepb.InstanceState
+	// leaveConfirmed: all available nodes hold that it is draining or gone, and a majority of the
+	// voters have it on their disks.
 	leaveConfirmed bool
 
 	digest     uint64    // contribution to the digest of its topic; 0 if gone
--- a/internal/node/registry/registry.go
+++ b/internal/node/registry/registry.go
@@ -35,6 +35,10 @@
 	batchIDs      []string  // brokers whose records are scheduled for the next broadcast
 	batchDeadline core.Time // of that broadcast; core.Never: none is scheduled
 
+	persistence   persistence
+	restoredIDs   []string  // brokers that RestoreLeaving has merged
+	restoredUntil core.Time // until then they are sent to nodes that are learned of
+
 	nextLivenessCheck core.Time
 	nextExpiry        core.Time
 	nextPoll          core.Time
@@ -68,6 +72,7 @@
 		nextLivenessCheck: core.Never,
 		nextExpiry:        core.Never,
 		nextPoll:          now,
+		persistence:       persistence{unsaved: map[string]bool{}},
 	}
 }
 
@@ -124,7 +129,7 @@
 
 // Deadline is when Tick is next due.
 func (r *Registry) Deadline() core.Time {
-	next := min(r.batchDeadline, r.nextLivenessCheck, r.nextExpiry)
+	next := min(r.batchDeadline, r.nextLivenessCheck, r.nextExpiry, r.saveDeadline())
 	if len(r.others) > 0 {
 		next = min(next, r.nextPoll)
 	}
@@ -152,6 +157,7 @@
 
 // takeOutputs returns the outputs since the last call.
 func (r *Registry) takeOutputs() []core.Output {
+	r.startSave(r.lastInputAt)
 	if r.tableChanged {
 		r.tableChanged = false
 		r.outbox.Add(core.TableChanged{})
--- a/internal/node/registry/saved/saved_golden_test.go
+++ b/internal/node/registry/saved/saved_golden_test.go
@@ -107,3 +107,37 @@
 		assert.Assert(t, bytes.Equal(gotBytes, wantBytes))
 	}
 }
+
+const goldenLeaving = "golden/leaving.txt"
+
+// TestLeavingFilesKeepTheirBytes freezes the bytes and the names of the files of leaving brokers.
+func TestLeavingFilesKeepTheirBytes(t *testing.T) {
+	dir := t.TempDir()
+	log, _, err := saved.OpenLeaving(dir, func() time.Time { return goldenTime })
+	assert.NilError(t, err)
+	assert.NilError(t, log.Append(goldenInstances(t)[:1]))
+	assert.NilError(t, log.Append(goldenInstances(t)[1:]))
+	entries, err := os.ReadDir(dir)
+	assert.NilError(t, err)
+	var text strings.Builder
+	for _, entry := range entries {
+		content, err := os.ReadFile(filepath.Join(dir, entry.Name()))
+		assert.NilError(t, err)
+		fmt.Fprintln(&text, entry.Name(), hex.EncodeToString(content))
+	}
+	golden.Assert(t, text.String(), goldenLeaving)
+}
+
+// TestLeavingFilesOfGoldenFileAreRead reads what was written once.
+func TestLeavingFilesOfGoldenFileAreRead(t *testing.T) {
+	dir := t.TempDir()
+	for line := range strings.Lines(string(golden.Get(t, goldenLeaving))) {
+		name, digits, _ := strings.Cut(strings.TrimSpace(line), " ")
+		content, err := hex.DecodeString(digits)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, name), content, 0o644))
+	}
+	_, read, err := saved.OpenLeaving(dir, time.Now)
+	assert.NilError(t, err)
+	assertInstances(t, read, goldenInstances(t))
+}
--- a/internal/node/wireproto/frames_golden_test.go
+++ b/internal/node/wireproto/frames_golden_test.go
@@ -176,3 +176,16 @@
 		panic("the schema has a field of another kind: " + field.Kind().String())
 	}
 }
+
+// acknowledgementOfAnOlderVersion is a frame of kind 73 as it was written before that kind had a second field.
+const acknowledgementOfAnOlderVersion = "00000022b7010801120974657874203120c3a91a0974657874203220c3a9ca040708838080808020"
+
+// TestAcknowledgementOfAnOlderVersionIsReadAsNotPersisted: versions without the field keep nothing on a disk.
+func TestAcknowledgementOfAnOlderVersionIsReadAsNotPersisted(t *testing.T) {
+	encoded, err := hex.DecodeString(acknowledgementOfAnOlderVersion)
+	assert.NilError(t, err)
+	got, err := wireproto.NewReader(bytes.NewReader(encoded)).Next()
+	assert.NilError(t, err)
+	ack := got.GetInstanceUpdateAck()
+	assert.Assert(t, ack.GetNonce() != 0 && !ack.GetPersisted(), "%v", got)
+}
--- a/internal/standin/llmbroker/broker.go
+++ b/internal/standin/llmbroker/broker.go
@@ -107,12 +107,27 @@
 	if !sleep(ctx, b.options.DrainTime+serveAfterDrain) {
 		return ctx.Err()
 	}
-	if err := b.announcer.deregister(ctx); err != nil {
+	if _, err := b.announcer.deregister(ctx); err != nil {
 		return err
 	}
 	return b.server.Shutdown(ctx)
 }
 
+// Deregister announces that the broker is gone until that is acknowledged, and returns the time of the acknowledgement. The broker
+// serves on; it needs no Drain before. Source: PROTOCOL.md, "Service discovery".
+func (b *Broker) Deregister(ctx context.Context) (time.Time, error) {
+	return b.announcer.deregister(ctx)
+}
+
+// End serves for a while, finishes the running requests and ends the broker. It is called after Deregister.
+func (b *Broker) End(ctx context.Context, serves time.Duration) error {
+	defer b.Crash()
+	if !sleep(ctx, serves) {
+		return ctx.Err()
+	}
+	return b.server.Shutdown(ctx)
+}
+
 // connectionChanged resets connections beyond the limit.
 func (b *Broker) connectionChanged(connection net.Conn, state http.ConnState) {
 	switch state {
--- a/internal/standin/llmbroker/heartbeat.go
+++ b/internal/standin/llmbroker/heartbeat.go
@@ -48,6 +48,7 @@
 	sequence      uint64
 	preferredNode string // address named by the last acknowledgement; empty: none
 	announceOnce  sync.Once
+	deregistering bool // no heartbeat follows
 }
 
 // newAnnouncer has not sent anything yet.
@@ -81,6 +82,9 @@
 func (a *announcer) announce(ctx context.Context) (time.Time, error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	if a.deregistering {
+		return time.Time{}, errDeregistered
+	}
 	a.sequence++
 	body, err := json.Marshal(a.body())
 	if err != nil {
@@ -179,17 +183,21 @@
 	}
 }
 
-// deregister deregisters the broker, with retries until that is acknowledged.
-func (a *announcer) deregister(ctx context.Context) error {
+// errDeregistered says that a broker sends no heartbeat any more.
+var errDeregistered = errors.New("llmbroker: the broker deregisters")
+
+// deregister deregisters the broker, with retries until that is acknowledged, and returns the time of that.
+func (a *announcer) deregister(ctx context.Context) (time.Time, error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.deregistering = true
 	for {
 		_, err := a.callAny(ctx, "deregister", []byte("{}"))
 		if err == nil {
-			return nil
+			return time.Now(), nil
 		}
 		if !sleep(ctx, retryBackoff) {
-			return errors.Join(err, ctx.Err())
+			return time.Time{}, errors.Join(err, ctx.Err())
 		}
 	}
 }
