forward: brokers are called off 0.2 s after an idempotent request's client has left

Cause: any answer but a stream's was awaited for DisconnectGrace, 2 s.

Change: idempotent requests have a grace of their own, 0.2 s; requests that must not be repeated keep theirs. The package comment says which ways were weighed.

--- a/internal/node/forward/attempt.go
+++ b/internal/node/forward/attempt.go
@@ -145,7 +145,7 @@
 }
 
 // handleDisconnect ends the attempt of a client that has disconnected: a stream at once, any other
-// answer after DisconnectGrace. The mutex of the call must be held.
+// answer after a grace. The mutex of the call must be held.
 func (a *attempt) handleDisconnect() {
 	if a.conn == nil {
 		return
@@ -154,7 +154,7 @@
 		a.conn.Interrupt()
 		return
 	}
-	a.conn.SetWaitLimit(time.Now().Add(a.call.proxy.bounds.DisconnectGrace))
+	a.conn.SetWaitLimit(time.Now().Add(a.call.disconnectGrace()))
 }
 
 // interrupt cancels the attempt. What was sent of it may have run.
--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -264,6 +264,14 @@
 	}
 }
 
+// disconnectGrace is how long an answer is awaited that no client waits for.
+func (c *call) disconnectGrace() time.Duration {
+	if c.intake.route.Idempotent() {
+		return c.proxy.bounds.IdempotentDisconnectGrace
+	}
+	return c.proxy.bounds.DisconnectGrace
+}
+
 // clientGone reports whether the client has disconnected.
 func (c *call) clientGone() bool { return c.request.Context().Err() != nil }
 
--- a/internal/node/forward/doc.go
+++ b/internal/node/forward/doc.go
@@ -23,8 +23,18 @@
 // During the start of the process, requests wait a little for what it still lacks (Startup); none
 // is denied before the configuration is known to be the one in force.
 //
-// When a client disconnects, nothing more is sent for it. A stream in progress is closed, since its
-// broker would generate for nobody. Any other answer that is awaited gets a short time
-// (Bounds.DisconnectGrace) and is discarded: aborting work that can't be repeated is priced, and so
-// is the new connection that would replace the closed one.
+// When a client disconnects, nothing more is sent for it, and no attempt outlives a bound:
+//
+//   - A stream in progress is closed at once, since its broker would generate for nobody.
+//   - The answer to an idempotent request is awaited for Bounds.IdempotentDisconnectGrace, and then its
+//     connection is closed, so that the broker stops within the half second of GONE.
+//   - Any other answer is awaited for Bounds.DisconnectGrace: aborting work that can't be repeated
+//     is priced.
+//
+// Two other ways were weighed for idempotent requests. Closing at once frees the broker's slot a
+// little sooner, but costs a new connection, and the price of broken off work, also where the answer
+// was about to come. Awaiting the answer, as for other requests, saves the connection but lets brokers
+// work for nobody, who hold slots that other clients wait for. None of them writes or sends anything
+// more than a closed connection, and nodes of older versions are not concerned: each node handles its
+// own clients.
 package forward
--- a/internal/node/forward/lifecycle_test.go
+++ b/internal/node/forward/lifecycle_test.go
@@ -93,6 +93,72 @@
 	assert.Assert(t, outcome.Canceled)
 }
 
+// goneBound is when a broker must have stopped working for a client that has left. Source: RULES.md, GONE.
+const goneBound = 500 * time.Millisecond
+
+// TestIdempotentRequestIsCalledOffWithinGoneBound guards against GONE: brokers worked on for two seconds for clients of safe routes
+// that had left (docs/incidents/gone.md). It holds for each attempt, hedges and later ones included, whatever the grace of requests
+// that must not be repeated.
+func TestIdempotentRequestIsCalledOffWithinGoneBound(t *testing.T) {
+	const transit = 120 * time.Millisecond // of the close, to the node and to the broker
+	assert.Assert(t, DefaultIdempotentDisconnectGrace+transit < goneBound)
+	for _, name := range []string{"first attempt", "hedge", "retry"} {
+		t.Run(name, func(t *testing.T) {
+			first, firstClosed := silent(t, "i-1")
+			second, secondClosed := silent(t, "i-2")
+			failing := newBroker(t, "i-3", func(e *exchange) { e.answer(500, "failed") })
+			port, newest, closed := newScriptedRouter(first.instance), first, []chan struct{}{firstClosed}
+			switch name {
+			case "hedge":
+				port, newest, closed = copying(first, second), second, append(closed, secondClosed)
+			case "retry":
+				port, newest, closed = newScriptedRouter(failing.instance, second.instance), second, []chan struct{}{secondClosed}
+			}
+			w := newWorld(t, port, func(_ *world, options *Options) { options.Bounds.DisconnectGrace = 2 * testTimeout })
+			c := w.client()
+			c.send(get("/safe/a", "r1"))
+			newest.next()
+			c.socket.Close()
+			for _, atBroker := range closed {
+				awaitClosed(t, atBroker)
+			}
+			w.port.awaitEnds(t, 1)
+		})
+	}
+}
+
+// callOffTimeout bounds the wait for a closed connection. It is far below the deadline of the tests' requests, at which each ends.
+const callOffTimeout = 5 * time.Second
+
+// awaitClosed waits until a broker's connection was closed.
+func awaitClosed(t *testing.T, closed chan struct{}) {
+	t.Helper()
+	select {
+	case <-closed:
+	case <-time.After(callOffTimeout):
+		t.Fatal("the broker works on")
+	}
+}
+
+// TestIdempotentAnswerThatIsDueKeepsItsConnection: an answer that comes soon after its client has left costs no connection.
+func TestIdempotentAnswerThatIsDueKeepsItsConnection(t *testing.T) {
+	left := make(chan struct{})
+	only := newBroker(t, "i-1", func(e *exchange) {
+		<-left
+		e.answer(200, "for nobody")
+	})
+	w := newWorld(t, newScriptedRouter(only.instance), func(_ *world, options *Options) {
+		options.Bounds.IdempotentDisconnectGrace = testTimeout
+	})
+	c := w.client()
+	c.send(get("/safe/a", "r1"))
+	only.next()
+	c.socket.Close()
+	close(left)
+	w.port.awaitEnds(t, 1)
+	assert.Equal(t, w.proxy.Metrics().ConnectionsIdle, 1)
+}
+
 // TestNothingIsSentForAClientThatHasLeft while its request was decided on.
 func TestNothingIsSentForAClientThatHasLeft(t *testing.T) {
 	only := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
--- a/internal/node/forward/options.go
+++ b/internal/node/forward/options.go
@@ -47,8 +47,12 @@
 	// AnswerGrace is how long after the deadline an answer is still awaited: brokers answer 504
 	// themselves at the deadline.
 	AnswerGrace time.Duration
-	// DisconnectGrace is how long an answer is awaited whose client has disconnected.
+	// DisconnectGrace is how long an answer is awaited whose client has disconnected, where the request
+	// must not be repeated.
 	DisconnectGrace time.Duration
+	// IdempotentDisconnectGrace is the same for idempotent requests. Brokers must have stopped working
+	// on these half a second after the disconnect (RULES.md, GONE).
+	IdempotentDisconnectGrace time.Duration
 	// IdleTimeout and HeaderTimeout apply to clients' connections until a configuration has others.
 	IdleTimeout   time.Duration
 	HeaderTimeout time.Duration
@@ -67,17 +71,18 @@
 
 // Defaults of Bounds.
 const (
-	DefaultMaxBufferedBytes       = 96 << 20
-	DefaultMaxBufferedAnswerBytes = 256 << 10
-	DefaultAnswerGrace            = 150 * time.Millisecond
-	DefaultDisconnectGrace        = 2 * time.Second
-	DefaultIdleTimeout            = 60 * time.Second
-	DefaultHeaderTimeout          = 10 * time.Second
-	DefaultBodyTimeout            = 30 * time.Second
-	DefaultUnreadyRetryAfter      = 200 * time.Millisecond
-	DefaultStartupWait            = time.Second
-	DefaultStartupRetryAfter      = 600 * time.Millisecond
-	DefaultConnectionShareFactor  = 3
+	DefaultMaxBufferedBytes          = 96 << 20
+	DefaultMaxBufferedAnswerBytes    = 256 << 10
+	DefaultAnswerGrace               = 150 * time.Millisecond
+	DefaultDisconnectGrace           = 2 * time.Second
+	DefaultIdempotentDisconnectGrace = 200 * time.Millisecond
+	DefaultIdleTimeout               = 60 * time.Second
+	DefaultHeaderTimeout             = 10 * time.Second
+	DefaultBodyTimeout               = 30 * time.Second
+	DefaultUnreadyRetryAfter         = 200 * time.Millisecond
+	DefaultStartupWait               = time.Second
+	DefaultStartupRetryAfter         = 600 * time.Millisecond
+	DefaultConnectionShareFactor     = 3
 )
 
 // withDefaults replaces zero values.
@@ -86,6 +91,7 @@
 	b.MaxBufferedAnswerBytes = cmp.Or(b.MaxBufferedAnswerBytes, DefaultMaxBufferedAnswerBytes)
 	b.AnswerGrace = cmp.Or(b.AnswerGrace, DefaultAnswerGrace)
 	b.DisconnectGrace = cmp.Or(b.DisconnectGrace, DefaultDisconnectGrace)
+	b.IdempotentDisconnectGrace = cmp.Or(b.IdempotentDisconnectGrace, DefaultIdempotentDisconnectGrace)
 	b.IdleTimeout = cmp.Or(b.IdleTimeout, DefaultIdleTimeout)
 	b.HeaderTimeout = cmp.Or(b.HeaderTimeout, DefaultHeaderTimeout)
 	b.BodyTimeout = cmp.Or(b.BodyTimeout, DefaultBodyTimeout)
