harness/fleet: clients that leave, and GONE checked at brokers

Cause: no client of the real fleets ever left before its answer, so that GONE could not be broken there (docs/incidents/gone.md).

Change: Options.LeavingClients adds a safe route to brokers that take 1.2 s, and clients that close their connections after 50 to 400 ms. Brokers record when a run ended. checkCallsOff judges by the bounds of the rule, but for nodes that were disturbed.

--- a/internal/harness/fleet/attempts.go
+++ b/internal/harness/fleet/attempts.go
@@ -31,6 +31,7 @@
 	ServerError                     // another 5xx
 	ConnectionClosed                // the connection ended, or the deadline passed, without a complete answer
 	Unsent                          // no connection, or it ended before the request was written
+	Left                            // the client closed its connection before it had an answer
 )
 
 // Attempt is one attempt of a client to get a request answered.
--- a/internal/harness/fleet/checks.go
+++ b/internal/harness/fleet/checks.go
@@ -121,6 +121,7 @@
 	}
 	e.checkUnrequested()
 	e.checkDraining()
+	e.checkCallsOff()
 	e.checkWeights()
 	e.checkSalts()
 	e.checkOrders()
@@ -308,7 +309,7 @@
 // checkBudget checks that the retries of each service, that is arrivals beyond the first of each request, stay within the retry budget
 // in any window.
 func (e *evidence) checkBudget() {
-	for _, service := range []string{serviceModel, servicePlain} {
+	for _, service := range []string{serviceModel, servicePlain, serviceSlow} {
 		e.checkBudgetOf(service)
 	}
 }
--- a/internal/harness/fleet/fleet.go
+++ b/internal/harness/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -20,8 +21,10 @@
 
 // The size of the fleet.
 const (
-	nodeCount = 5
+	nodeCount = 5 // unless Options.Nodes says otherwise
 	diskCount = 3 // nodes with a disk: the core
+	// MaxNodes is the largest Options.Nodes: addresses up to the first broker's.
+	MaxNodes = firstBrokerHost - 1
 )
 
 // Options describe a fleet.
@@ -29,6 +32,10 @@
 	Binary string // path of kestrelnode
 	Dir    string // for settings, disks and logs; empty: a temporary directory that Close removes
 	Bounds Bounds
+	// Nodes is the number of nodes, from 5 to MaxNodes; 0: 5.
+	Nodes int
+	// LeavingClients: a few clients leave before brokers have answered, on a route to brokers that take long.
+	LeavingClients bool
 	// Relayed has each node reach each other node and each broker through a link of its own, and brokers the nodes likewise;
 	// faults are injected with Fleet.Network.
 	Relayed bool
@@ -56,7 +63,8 @@
 	platform       *platform
 	lifetime       context.Context
 	cancel         context.CancelFunc
-	startedBrokers int // brokers that were ever started
+	startingBroker sync.Mutex // held while a broker is started
+	startedBrokers int        // brokers that were ever started
 	linkFaults     linkFaults
 
 	mutex          sync.Mutex // guards Brokers and what follows
@@ -90,10 +98,14 @@
 	if f.dir, err = filepath.Abs(f.dir); err != nil {
 		return fmt.Errorf("%w: create directory: %w", ErrNotStarted, err)
 	}
-	if f.layout, err = newLayout(nodeCount); err != nil {
+	count := cmp.Or(f.options.Nodes, nodeCount)
+	if count < nodeCount || count > MaxNodes {
+		return fmt.Errorf("%w: %d nodes, from %d to %d are possible", ErrNotStarted, count, nodeCount, MaxNodes)
+	}
+	if f.layout, err = newLayout(count); err != nil {
 		return err
 	}
-	for i := range nodeCount {
+	for i := range count {
 		f.Nodes = append(f.Nodes, &Node{
 			Name: fmt.Sprintf("node-%d", i+1), Zone: Zones[i%len(Zones)], HasDisk: i < diskCount, ipAddress: f.layout.node(i), index: i, fleet: f,
 		})
--- a/internal/harness/fleet/fleet_test.go
+++ b/internal/harness/fleet/fleet_test.go
@@ -46,6 +46,12 @@
 
 // newScenario starts a fleet with the first configuration and load. alter changes its bounds; it may be nil.
 func newScenario(t *testing.T, alter func(*Bounds)) *scenario {
+	t.Helper()
+	return newScenarioOf(t, Options{}, alter)
+}
+
+// newScenarioOf is newScenario with options, of which it sets the program, the directory and the bounds.
+func newScenarioOf(t *testing.T, options Options, alter func(*Bounds)) *scenario {
 	t.Helper()
 	t.Parallel()
 	fleetSlots <- struct{}{}
@@ -56,7 +62,8 @@
 	if alter != nil {
 		alter(&bounds)
 	}
-	started, err := Start(Options{Binary: binary, Dir: diskDir(t), Bounds: bounds})
+	options.Binary, options.Dir, options.Bounds = binary, diskDir(t), bounds
+	started, err := Start(options)
 	assert.NilError(t, err)
 	s := &scenario{Fleet: started, t: t, ctx: ctx}
 	t.Cleanup(s.end)
--- a/internal/harness/fleet/load.go
+++ b/internal/harness/fleet/load.go
@@ -39,6 +39,12 @@
 		}
 		load.clients.Go(func() { c.run(ctx) })
 	}
+	if f.options.LeavingClients {
+		for i := range leavingClientCount {
+			c := &leavingClient{load: load, number: i, random: rand.New(rand.NewPCG(uint64(i), leavingStream))}
+			load.clients.Go(func() { c.run(ctx) })
+		}
+	}
 	return load
 }
 
--- a/internal/harness/fleet/node.go
+++ b/internal/harness/fleet/node.go
@@ -123,6 +123,13 @@
 	}
 }
 
+// HangUp sends SIGHUP: the settings file may have changed.
+func (n *Node) HangUp() error {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.process.signal(syscall.SIGHUP)
+}
+
 // Freeze suspends the process, and returns once it is suspended.
 func (n *Node) Freeze() error {
 	p := n.beginFault(Frozen, false)
--- a/internal/harness/fleet/relays.go
+++ b/internal/harness/fleet/relays.go
@@ -16,6 +16,8 @@
 
 // BrokerNames are the endpoints of the brokers that were started.
 func (f *Fleet) BrokerNames() []string {
+	f.startingBroker.Lock()
+	defer f.startingBroker.Unlock()
 	var names []string
 	for i := range f.startedBrokers {
 		names = append(names, brokerName(i))
--- a/internal/harness/fleet/services.go
+++ b/internal/harness/fleet/services.go
@@ -18,6 +18,7 @@
 	serviceModel = "assistant" // model brokers
 	servicePlain = "printer"   // plain brokers
 	serviceStore = "prompts"   // the store of cached prefixes
+	serviceSlow  = "reports"   // plain brokers that take long; only where the fleet has clients that leave
 	modelName    = "assistant-8b"
 )
 
@@ -38,6 +39,7 @@
 const (
 	modelBrokers     = 4
 	plainBrokers     = 3
+	slowBrokers      = 2
 	modelSlots       = 16
 	plainSlots       = 6
 	queueLength      = 8
@@ -48,6 +50,7 @@
 	kvTokenBytes     = 18_432
 	brokerLinkMbps   = 550_000 // Mbit/s
 	plainServiceTime = 25 * time.Millisecond
+	slowServiceTime  = 1200 * time.Millisecond
 	firstEventDelay  = 40 * time.Millisecond
 	eventInterval    = 20 * time.Millisecond
 	weightsLoadTime  = 300 * time.Millisecond
@@ -61,6 +64,7 @@
 	prefixVerdict = "/verdict/" // a stream that may not be resumed
 	prefixOld     = "/old/"     // safe; a later configuration removes it
 	prefixNew     = "/new/"     // safe; a later configuration adds it
+	prefixReport  = "/report/"  // safe, to the slow brokers, without hedges or retries
 )
 
 // FirstVersion is the version of the first configuration.
@@ -73,6 +77,8 @@
 		TargetLatencyMs: 300, Priority: 1, Service: servicePlain, MaxAttempts: 3,
 	}
 	switch prefix {
+	case prefixReport:
+		r.Service, r.TimeoutMs, r.MaxAttempts = serviceSlow, 4000, 1
 	case prefixPrint:
 		r.Kind, r.MaxAttempts, r.Priority = config.KindUnsafe, 2, 0
 	case prefixDraft, prefixVerdict:
@@ -129,6 +135,10 @@
 		{Name: serviceStore, KVStoreAddr: f.Store.Address(), Zone: Zones[0], KVCapacityTokens: storeTokens,
 			LinkMbps: brokerLinkMbps, MaxConcurrency: maxConcurrency},
 	}
+	if f.options.LeavingClients {
+		c.Routes = append(c.Routes, route(prefixReport))
+		c.Services = append(c.Services, config.Service{Name: serviceSlow, HealthCheck: "/healthz", MaxConnections: connections, Protocol: "h1"})
+	}
 	return c
 }
 
@@ -168,16 +178,36 @@
 			return err
 		}
 	}
+	if f.options.LeavingClients {
+		for i := range slowBrokers {
+			if _, err := f.StartBroker(serviceSlow, Zones[i%len(Zones)]); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
 
+// initialBrokers is how many brokers are started with the fleet.
+func (f *Fleet) initialBrokers() int {
+	if f.options.LeavingClients {
+		return modelBrokers + plainBrokers + slowBrokers
+	}
+	return modelBrokers + plainBrokers
+}
+
 // StartBroker starts one more broker of a service.
 func (f *Fleet) StartBroker(service, zone string) (*llmbroker.Broker, error) {
+	f.startingBroker.Lock()
+	defer f.startingBroker.Unlock()
 	options := llmbroker.Options{
 		Service: service, Zone: zone, Listen: f.layout.broker(f.startedBrokers) + ":0", Slots: plainSlots, QueueLength: queueLength,
 		MaxConnections: connections, ReportsLoad: true, ServiceTime: plainServiceTime, HeartbeatInterval: f.options.Bounds.Heartbeat,
 		ControlAddresses: f.ControlAddresses, DrainTime: f.options.Bounds.Drain, Log: f.ArrivalLog,
 	}
+	if service == serviceSlow {
+		options.ServiceTime = slowServiceTime
+	}
 	if service == serviceModel {
 		options.Slots = modelSlots
 		options.Engine = &llmbroker.Engine{
@@ -301,7 +331,7 @@
 	if err := f.AwaitAgreement(ctx); err != nil {
 		return err
 	}
-	if err := f.AwaitBrokers(ctx, modelBrokers+plainBrokers); err != nil {
+	if err := f.AwaitBrokers(ctx, f.initialBrokers()); err != nil {
 		return err
 	}
 	return f.Await(ctx, "the platform sending clients to all nodes", func(context.Context) error {
--- a/internal/harness/fleet/tally.go
+++ b/internal/harness/fleet/tally.go
@@ -17,6 +17,7 @@
 	NotRead     int // the connection ended before the node had read the request
 	Duplicated  int // ran more than once, but must not
 	Lost        int // read by the node, but got no final answer
+	Left        int // the client closed its connection
 }
 
 // add counts an attempt.
@@ -37,6 +38,8 @@
 		t.Failed++
 	case Unsent:
 		t.NotRead++
+	case Left:
+		t.Left++
 	case ConnectionClosed:
 		switch {
 		case e.lost(r):
@@ -103,6 +106,7 @@
 		sum.NotRead += t.NotRead
 		sum.Duplicated += t.Duplicated
 		sum.Lost += t.Lost
+		sum.Left += t.Left
 	}
 	return sum
 }
--- a/internal/standin/llmbroker/arrivallog.go
+++ b/internal/standin/llmbroker/arrivallog.go
@@ -34,6 +34,7 @@
 	LastEventID int
 	ReceivedAt  time.Time
 	StartedAt   time.Time // zero: not started
+	EndedAt     time.Time // when its run ended; zero: it did not
 	Version     uint64    // of the weights at its start; 0 at plain brokers
 	Disposition Disposition
 	Status      int // of the answer; 0: none
--- a/internal/standin/llmbroker/requests.go
+++ b/internal/standin/llmbroker/requests.go
@@ -199,7 +199,8 @@
 	if err != nil {
 		disposition = Aborted
 	}
-	c.updateArrival(func(a *Arrival) { a.Disposition, a.Status = disposition, status })
+	now := time.Now()
+	c.updateArrival(func(a *Arrival) { a.Disposition, a.Status, a.EndedAt = disposition, status, now })
 }
 
 // Seal is the seal of an answer: the instance, its run, and a check of the complete body: its Hash, or for a stream the number of its
