forward: bodies in chunks count against the memory for bodies as they arrive

Cause: a body with a length is counted before it is read, one in chunks only once it had been read whole, so that the bound did not hold for bodies that were arriving; buffers doubled as they grew.

Change: a buffer of unknown length reserves memory before it grows, by half of what it has, and also what it is copied from; without room the request is refused with 503.

--- /dev/null
+++ b/internal/node/forward/bodymemory_test.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/registry"
+)
+
+// countedMemory is an account that records its peak.
+type countedMemory struct{ used, peak, limit int64 }
+
+func (m *countedMemory) reserveBuffer(count int64) bool {
+	if m.used+count > m.limit {
+		return false
+	}
+	m.used += count
+	m.peak = max(m.peak, m.used)
+	return true
+}
+
+func (m *countedMemory) releaseBuffer(count int64) { m.used -= count }
+
+// TestChunkedBodyIsCountedAsItGrows: no more is allocated than was counted before.
+func TestChunkedBodyIsCountedAsItGrows(t *testing.T) {
+	const length = 100_000
+	body := strings.Repeat("0123456789", length/10)
+	for limit := int64(1000); limit < 4*length; limit += 7001 {
+		memory := &countedMemory{limit: limit}
+		b := new(buffer)
+		err := b.readChunked(iotest.OneByteReader(strings.NewReader(body)), length, memory)
+		assert.Equal(t, memory.used, int64(cap(b.bytes)))
+		if err != nil {
+			assert.Assert(t, errors.Is(err, errNoBuffer))
+			assert.Assert(t, limit < 3*length, "refused with room for %d bytes", limit)
+			continue
+		}
+		assert.Equal(t, string(b.bytes), body)
+	}
+	assert.Assert(t, errors.Is(new(buffer).readChunked(strings.NewReader(body), length-1, &countedMemory{limit: 1 << 30}), errTooLarge))
+}
+
+// TestBurstOfChunkedBodiesIsBounded guards against processes over their memory limit: bodies in chunks were counted once they had
+// been read whole, however many were arriving (docs/incidents/chunked.md).
+func TestBurstOfChunkedBodiesIsBounded(t *testing.T) {
+	const limit, clients, part = 300_000, 20, 50_000
+	only := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
+	var instances []*registry.Instance
+	for range clients {
+		instances = append(instances, only.instance)
+	}
+	w := newWorld(t, newScriptedRouter(instances...), func(_ *world, options *Options) { options.Bounds.MaxBufferedBytes = limit })
+	var arriving []*client
+	for i := range clients {
+		c := w.client()
+		c.send(requestText("POST", "/unsafe/a", fmt.Sprint("r", i), "", "Transfer-Encoding: chunked"))
+		c.send(fmt.Sprintf("%x\r\n%s\r\n", part, strings.Repeat("a", part)))
+		arriving = append(arriving, c)
+	}
+	deadline := time.Now().Add(testTimeout)
+	for w.proxy.buffered.Load() < limit/2 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, w.proxy.buffered.Load() >= limit/2, "bodies that arrive aren't counted")
+	statuses := map[int]int{}
+	for _, c := range arriving {
+		_, _ = c.socket.Write([]byte("0\r\n\r\n")) // fails where the proxy has refused and closed
+		statuses[c.read("POST").StatusCode]++
+	}
+	assert.Assert(t, statuses[200] > 0 && statuses[503] > 0 && statuses[200]+statuses[503] == clients, "%v", statuses)
+	for w.proxy.buffered.Load() != 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, w.proxy.buffered.Load(), int64(0))
+}
--- a/internal/node/forward/buffer.go
+++ b/internal/node/forward/buffer.go
@@ -42,6 +42,57 @@
 // errTooLarge says that what is read exceeds its bound.
 var errTooLarge = errors.New("larger than its bound")
 
+// errNoBuffer says that the memory for buffers is in use.
+var errNoBuffer = errors.New("no memory for a buffer")
+
+// bufferAccount counts the memory of buffers that grow.
+type bufferAccount interface {
+	// reserveBuffer reports false where the bytes exceed the bound; then none are counted.
+	reserveBuffer(count int64) bool
+	releaseBuffer(count int64)
+}
+
+// readChunked reads a body of unknown length to io.EOF into an empty buffer, at most maxBytes:
+// errTooLarge where there is more. All the memory that the buffer has at any time, also while it is
+// copied to a larger one, is counted in the account before it is allocated: errNoBuffer where the
+// account has no room. What the buffer has in the end stays counted.
+func (b *buffer) readChunked(source io.Reader, maxBytes int64, account bufferAccount) error {
+	for {
+		if err := b.growCounted(account); err != nil {
+			return err
+		}
+		count, err := source.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes = b.bytes[:len(b.bytes)+count]
+		if int64(len(b.bytes)) > maxBytes {
+			return errTooLarge
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// growCounted makes room for a read, half as much again as there is. The larger buffer is counted while
+// the smaller one still is.
+func (b *buffer) growCounted(account bufferAccount) error {
+	if cap(b.bytes) > len(b.bytes) {
+		return nil
+	}
+	former := cap(b.bytes)
+	capacity := former + max(former/2, minReadSize)
+	if !account.reserveBuffer(int64(capacity)) {
+		return errNoBuffer
+	}
+	larger := make([]byte, len(b.bytes), capacity)
+	copy(larger, b.bytes)
+	b.bytes = larger
+	account.releaseBuffer(int64(former))
+	return nil
+}
+
 // minReadSize is the least capacity that a read of unknown length is offered, in bytes.
 const minReadSize = 2 << 10
 
--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -121,12 +121,13 @@
 		return c.reject(c.proxy.bounds.UnreadyRetryAfter)
 	}
 	c.setBodyDeadline()
-	c.body = takeBuffer()
-	err := c.body.readAll(c.request.Body, c.request.ContentLength, maxBytes)
+	err := c.readBodyBytes(maxBytes)
 	c.clearBodyDeadline()
 	switch {
 	case err == nil:
-		return c.reserveChunkedBody()
+		return true
+	case errors.Is(err, errNoBuffer):
+		return c.reject(c.proxy.bounds.UnreadyRetryAfter)
 	case errors.Is(err, errTooLarge):
 		return c.deny(deniedBodySize)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -136,6 +137,17 @@
 	}
 }
 
+// readBodyBytes reads the body into a buffer that is counted in proxy.buffered: at once where its
+// length is known, else as the buffer grows.
+func (c *call) readBodyBytes(maxBytes int64) error {
+	if c.request.ContentLength >= 0 {
+		c.body = takeBuffer()
+		return c.body.readAll(c.request.Body, c.request.ContentLength, maxBytes)
+	}
+	c.body = new(buffer) // its size is counted from the first byte on, unlike that of a pooled one
+	return c.body.readChunked(c.request.Body, maxBytes, c)
+}
+
 // reserveBuffer counts bytes of a body against MaxBufferedBytes. It reports false where they exceed
 // it.
 func (c *call) reserveBuffer(count int64) bool {
@@ -147,12 +159,10 @@
 	return true
 }
 
-// reserveChunkedBody counts a body whose length was unknown before it was read.
-func (c *call) reserveChunkedBody() bool {
-	if c.request.ContentLength >= 0 || c.reserveBuffer(int64(len(c.body.bytes))) {
-		return true
-	}
-	return c.reject(c.proxy.bounds.UnreadyRetryAfter)
+// releaseBuffer ends the counting of bytes that reserveBuffer has counted.
+func (c *call) releaseBuffer(count int64) {
+	c.proxy.buffered.Add(-count)
+	c.bufferedBytes -= count
 }
 
 // setBodyDeadline bounds the time that the body may take to arrive, also by how long its client
