earlysignal: SIGHUP is caught from the initialization of the process on

Cause: the handler was installed after all packages were initialized and the planes built; until then Go ends the process.

Change: a package that imports little installs it as it is initialized. What comes before Go code runs still ends the process; that is the kernel's default.

--- a/internal/node/agent/lifecycle.go
+++ b/internal/node/agent/lifecycle.go
@@ -12,6 +12,7 @@
 
 	"kestrelspread/internal/node/controlapi"
 	"kestrelspread/internal/node/core"
+	"kestrelspread/internal/node/earlysignal"
 	"kestrelspread/internal/node/settings"
 	"kestrelspread/internal/node/wireproto/link"
 )
@@ -54,7 +55,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 
 	if err := a.openNetwork(); err != nil {
@@ -73,11 +74,9 @@
 		case <-ctx.Done():
 			servers.close()
 			return nil
-		case received := <-signals:
-			if received == syscall.SIGHUP {
-				watcher.RequestReload()
-				continue
-			}
+		case <-earlysignal.HangUps():
+			watcher.RequestReload()
+		case <-signals:
 			a.stop(servers)
 			return nil
 		}
