membership: a claim of a taken address is settled by a probe at once

Cause: the former process had a higher incarnation than the present one, and the node, which had missed its leaving, rejected the claims of the present one that came by gossip until its ring of probes reached the address, after up to a second for each member.

Change: a node that rejects such a claim probes the address, once a second at most; the process there raises its incarnation and answers.

Test: TestClaimOfATakenAddressIsSettledAtOnce failed before (no probe) and passes now.

--- a/internal/node/membership/merge.go
+++ b/internal/node/membership/merge.go
@@ -137,23 +137,36 @@
 // resolveAddress reports whether the node of the claim may be a member at its address. Of two
 // processes at one address the one with the higher incarnation wins, and the other is recorded as
 // dead. A new process that doesn't know of the previous one is notified of it, and raises its
-// incarnation.
+// incarnation: by the reply where it sent the claim itself, else by a probe of the address.
 func (m *Membership) resolveAddress(from core.Peer, claim *nodepb.Member) bool {
 	holderID, taken := m.table.idByAddress[claim.Address]
 	if !taken || holderID == claim.NodeId {
 		return true
 	}
-	holder := m.table.entries[holderID].member
-	if claim.Incarnation > holder.Incarnation {
-		m.recordDown(withState(holder, nodepb.MemberState_DEAD)).replaced = true
+	holder := m.table.entries[holderID]
+	if claim.Incarnation > holder.member.Incarnation {
+		m.recordDown(withState(holder.member, nodepb.MemberState_DEAD)).replaced = true
 		return true
 	}
 	if from.NodeID == claim.NodeId {
-		m.addReplyClaim(holder)
+		m.addReplyClaim(holder.member)
+	} else {
+		m.probeHolder(holder)
 	}
 	return false
 }
 
+// probeHolder probes the member at an address that another process claims. Whichever of the two runs
+// answers, with an incarnation above the other's, so that it needn't wait until the ring of probes
+// comes to the address.
+func (m *Membership) probeHolder(holder *entry) {
+	if holder.claimedAt > 0 && m.now < holder.claimedAt+requestInterval {
+		return
+	}
+	holder.claimedAt = m.now
+	m.probeOnce(holder.member)
+}
+
 // recordLive records a member that is alive or suspected.
 func (m *Membership) recordLive(member *nodepb.Member) {
 	if previous := m.table.get(member.NodeId); previous == nil || !isLive(previous.State) {
--- a/internal/node/membership/merge_test.go
+++ b/internal/node/membership/merge_test.go
@@ -193,3 +193,34 @@
 	assert.Equal(t, len(m.table.entries), 0)
 	assert.Equal(t, len(m.table.down), 0)
 }
+
+// TestClaimOfATakenAddressIsSettledAtOnce: a node that missed that a process has left, and heard of its successor from others, held the
+// former one until its probes came to the address: for as many seconds as there are members.
+func TestClaimOfATakenAddressIsSettledAtOnce(t *testing.T) {
+	m := newNode()
+	former := claimOf(alive, 3)
+	m.receiveClaims(time.Second, former)
+	successor := member("b/2", former.Address, alive, 2)
+	outputs := m.receiveClaims(2*time.Second, successor)
+	outputs = append(outputs, m.receiveClaims(2*time.Second, successor)...)
+	var probes []core.Send
+	for _, output := range outputs {
+		if send, ok := output.(core.Send); ok && send.Destination == former.Address && send.Message.GetProbe() != nil {
+			probes = append(probes, send)
+		}
+	}
+	assert.Equal(t, len(probes), 1, "one probe a second at most")
+
+	// The process at the address answers it, and is then known.
+	running := New(0, Options{Self: successor}, rand.New(rand.NewPCG(2, 2)))
+	asker := core.Peer{NodeID: "a/1", Address: "10.0.0.1:7560"}
+	for _, output := range running.Receive(time.Second, asker, probes[0].Message) {
+		if send, ok := output.(core.Send); ok && send.Destination == asker.Address {
+			m.Receive(3*time.Second, core.Peer{NodeID: "b/2", Address: former.Address}, send.Message)
+		}
+	}
+	state, _ := m.stateOf("b/2")
+	assert.Equal(t, state, alive)
+	state, _ = m.stateOf("b/1")
+	assert.Equal(t, state, dead)
+}
--- a/internal/node/membership/table.go
+++ b/internal/node/membership/table.go
@@ -22,6 +22,8 @@
 	finalProbeAt core.Time
 	// replaced: a later process has taken the address.
 	replaced bool
+	// claimedAt is when a claim of the address by another process was last followed up; 0: never.
+	claimedAt core.Time
 }
 
 // table holds the entries and indexes over them. All changes go through set and remove, which keep
