forward: an answer that is broken off is logged; LOST says what brokers did

Change: a line with request and reason where a client that has not left loses an answer it had begun to receive; LOST names status, reuse and arrivals; "panic serving" in a log is a violation.

--- a/internal/harness/fleet/checks.go
+++ b/internal/harness/fleet/checks.go
@@ -100,7 +100,7 @@
 }
 
 // crashMarkers in a node's log indicate a crash or a data race.
-var crashMarkers = []string{"DATA RACE", "panic:", "fatal error:"}
+var crashMarkers = []string{"DATA RACE", "panic:", "panic serving", "fatal error:"}
 
 // checkLog searches a node's log for crashes.
 func (e *evidence) checkLog(node, log string) {
@@ -184,11 +184,25 @@
 		e.report("ANSWER", "%s (request %s on %s at %s)", r.Defect, r.ID, r.Prefix, r.Node)
 	}
 	if e.lost(r) {
-		e.report("LOST", "request %s on %s at %s, sent %s, closed %v later without a complete answer",
-			r.ID, r.Prefix, r.Node, formatTime(r.SentAt), r.EndedAt.Sub(r.SentAt).Round(time.Millisecond))
+		e.report("LOST", "request %s on %s at %s, sent %s, closed %v later without a complete answer (status %d, connection reused %v, at brokers: %s)",
+			r.ID, r.Prefix, r.Node, formatTime(r.SentAt), r.EndedAt.Sub(r.SentAt).Round(time.Millisecond), r.Status, r.KeptAlive, e.describeArrivals(r.ID))
 	}
 }
 
+// describeArrivals says what brokers did with an attempt.
+func (e *evidence) describeArrivals(id string) string {
+	var described []string
+	for _, index := range e.arrivalsByRequest[id] {
+		arrival := &e.arrivals[index]
+		described = append(described, fmt.Sprintf("%s received it at %s, disposition %d, status %d, ended at %s",
+			arrival.Instance, formatTime(arrival.ReceivedAt), arrival.Disposition, arrival.Status, formatTime(arrival.EndedAt)))
+	}
+	if len(described) == 0 {
+		return "none received it"
+	}
+	return strings.Join(described, "; ")
+}
+
 // checkRuns checks how often an attempt ran, and each run.
 func (e *evidence) checkRuns(r *Attempt) {
 	runs := e.runs(r.ID)
--- a/internal/node/forward/delivery.go
+++ b/internal/node/forward/delivery.go
@@ -65,7 +65,7 @@
 	result.attempt.closeConn()
 	result.outcome.Canceled = errors.Is(err, errClient) || c.clientGone()
 	c.reportResult(result, false)
-	c.abort()
+	c.abort(err)
 }
 
 // copyChunks forwards what the chunk holds, and then the rest of the body through it.
@@ -112,8 +112,9 @@
 	c.forwardHead(result.answer)
 	c.writer.WriteHeader(result.answer.Status)
 	s := &stream{call: c, flush: flusher(c.writer), resumable: c.intake.route.Idempotent()}
+	var err error
 	for result != nil {
-		err := s.forwardEvents(result)
+		err = s.forwardEvents(result)
 		result.outcome.Gaps = s.gaps.summary()
 		if err == nil {
 			result.attempt.releaseConn()
@@ -123,7 +124,7 @@
 		}
 		result = s.resume(result, err)
 	}
-	c.abort()
+	c.abort(err)
 }
 
 // flusher returns the function that sends written bytes to the client at once.
--- a/internal/node/forward/reply.go
+++ b/internal/node/forward/reply.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -101,9 +102,13 @@
 	return c.body == nil && c.client != nil && !c.client.requestComplete
 }
 
-// abort closes the client's connection, so that an answer that was begun never looks complete.
-func (c *call) abort() {
+// abort closes the client's connection, so that an answer that was begun never looks complete. It
+// logs why, unless the client has left.
+func (c *call) abort(reason error) {
 	c.proxy.counters.aborted.Add(1)
+	if !errors.Is(reason, errClient) && !c.clientGone() {
+		c.proxy.options.Log.Warn("forward: answer broken off", "request", c.intake.id, "error", reason)
+	}
 	panic(http.ErrAbortHandler)
 }
 
