--- a/internal/harness/fleet/client.go
+++ b/internal/harness/fleet/client.go
@@ -34,6 +34,11 @@
 // run sends requests until ctx ends.
 func (c *client) run(ctx context.Context) {
 	defer c.closeKept()
+	repeat(ctx, c.random, c.load.Interval, func() { c.send(c.load.drawRequest(c.random)) })
+}
+
+// repeat calls send at once and again after random pauses, until ctx ends. interval is their mean.
+func repeat(ctx context.Context, random *mathrand.Rand, interval time.Duration, send func()) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -42,8 +47,8 @@
 			return
 		case <-timer.C:
 		}
-		c.send(c.load.drawRequest(c.random))
-		timer.Reset(time.Duration(c.random.Float64() * 2 * float64(c.load.Interval)))
+		send()
+		timer.Reset(time.Duration(random.Float64() * 2 * float64(interval)))
 	}
 }
 
--- a/internal/harness/fleet/leavingclient.go
+++ b/internal/harness/fleet/leavingclient.go
@@ -31,21 +31,15 @@
 
 // run sends requests until ctx ends.
 func (c *leavingClient) run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		stay := minStay + time.Duration(c.random.Int64N(int64(maxStay-minStay)))
-		if c.random.IntN(stayShare) == 0 {
-			stay = 0
-		}
-		c.send(stay)
-		timer.Reset(time.Duration(c.random.Float64() * 2 * float64(leavingInterval)))
+	repeat(ctx, c.random, leavingInterval, func() { c.send(c.drawStay()) })
+}
+
+// drawStay draws how long the client waits for an answer; 0: until it comes.
+func (c *leavingClient) drawStay() time.Duration {
+	if c.random.IntN(stayShare) == 0 {
+		return 0
 	}
+	return minStay + time.Duration(c.random.Int64N(int64(maxStay-minStay)))
 }
 
 // send sends one request, and closes the connection after stay; 0: after the answer.
--- a/internal/node/forward/buffer.go
+++ b/internal/node/forward/buffer.go
@@ -57,22 +57,7 @@
 // copied to a larger one, is counted in the account before it is allocated: errNoBuffer where the
 // account has no room. What the buffer has in the end stays counted.
 func (b *buffer) readChunked(source io.Reader, maxBytes int64, account bufferAccount) error {
-	for {
-		if err := b.growCounted(account); err != nil {
-			return err
-		}
-		count, err := source.Read(b.bytes[len(b.bytes):cap(b.bytes)])
-		b.bytes = b.bytes[:len(b.bytes)+count]
-		if int64(len(b.bytes)) > maxBytes {
-			return errTooLarge
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
+	return b.readToEnd(source, maxBytes, func() error { return b.growCounted(account) })
 }
 
 // growCounted makes room for a read, half as much again as there is. The larger buffer is counted while
@@ -105,11 +90,22 @@
 	if length > 0 {
 		b.grow(int(length) + 1)
 	}
-	for {
+	return b.readToEnd(source, maxBytes, func() error {
 		b.grow(1)
 		if length < 0 {
 			b.grow(minReadSize)
 		}
+		return nil
+	})
+}
+
+// readToEnd reads to io.EOF, at most maxBytes: errTooLarge where there is more. makeRoom is called
+// before each read; its error ends the reading.
+func (b *buffer) readToEnd(source io.Reader, maxBytes int64, makeRoom func() error) error {
+	for {
+		if err := makeRoom(); err != nil {
+			return err
+		}
 		count, err := source.Read(b.bytes[len(b.bytes):cap(b.bytes)])
 		b.bytes = b.bytes[:len(b.bytes)+count]
 		if int64(len(b.bytes)) > maxBytes {
--- a/internal/node/registry/saved/saved_golden_test.go
+++ b/internal/node/registry/saved/saved_golden_test.go
@@ -59,6 +59,12 @@
 	file := saved.Open(dir)
 	assert.NilError(t, file.Save(goldenInstances(t), goldenTime))
 	assert.NilError(t, file.Save(goldenInstances(t)[:1], goldenTime.Add(1500*time.Millisecond)))
+	golden.Assert(t, describeFiles(t, dir), goldenSnapshots)
+}
+
+// describeFiles returns a line for each file of a directory: its name, and its bytes in hexadecimal digits.
+func describeFiles(t *testing.T, dir string) string {
+	t.Helper()
 	entries, err := os.ReadDir(dir)
 	assert.NilError(t, err)
 	var text strings.Builder
@@ -67,7 +73,7 @@
 		assert.NilError(t, err)
 		fmt.Fprintln(&text, entry.Name(), hex.EncodeToString(content))
 	}
-	golden.Assert(t, text.String(), goldenSnapshots)
+	return text.String()
 }
 
 // TestSnapshotFilesOfGoldenFileAreLoaded loads the newest snapshot as it was
@@ -117,15 +123,7 @@
 	assert.NilError(t, err)
 	assert.NilError(t, log.Append(goldenInstances(t)[:1]))
 	assert.NilError(t, log.Append(goldenInstances(t)[1:]))
-	entries, err := os.ReadDir(dir)
-	assert.NilError(t, err)
-	var text strings.Builder
-	for _, entry := range entries {
-		content, err := os.ReadFile(filepath.Join(dir, entry.Name()))
-		assert.NilError(t, err)
-		fmt.Fprintln(&text, entry.Name(), hex.EncodeToString(content))
-	}
-	golden.Assert(t, text.String(), goldenLeaving)
+	golden.Assert(t, describeFiles(t, dir), goldenLeaving)
 }
 
 // TestLeavingFilesOfGoldenFileAreRead reads what was written once.
