--- a/internal/harness/fleet/stability_test.go
+++ b/internal/harness/fleet/stability_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/standin/llmbroker"
 )
 
 // TestVersionIsJudgedByStableStretches: a stretch ends with a fault of the core or of a link; what a proxy suffers doesn't count.
@@ -39,3 +41,33 @@
 		})
 	}
 }
+
+// TestDrainIsJudgedForMachinesInTouch: what a machine sends that was disturbed in the last bound on contact is held up.
+func TestDrainIsJudgedForMachinesInTouch(t *testing.T) {
+	ackedAt := time.Now()
+	bounds := DefaultBounds()
+	receivedAt := ackedAt.Add(bounds.Drain + 100*time.Millisecond)
+	for name, test := range map[string]struct {
+		node    []NodeFault
+		links   []LinkFault
+		violate bool
+	}{
+		"undisturbed":             {violate: true},
+		"another is disturbed":    {node: []NodeFault{{Node: "node-2", StartedAt: ackedAt}}, violate: true},
+		"its link is cut":         {links: []LinkFault{{Node: "node-1", StartedAt: ackedAt}}},
+		"its link was just cut":   {links: []LinkFault{{Node: "node-1", StartedAt: ackedAt, EndedAt: receivedAt.Add(-bounds.Contact + time.Second)}}},
+		"it was killed long ago":  {node: []NodeFault{{Node: "node-1", StartedAt: ackedAt.Add(-time.Hour), EndedAt: receivedAt.Add(-bounds.Contact - time.Second)}}, violate: true},
+		"it was killed just then": {node: []NodeFault{{Node: "node-1", StartedAt: ackedAt, EndedAt: receivedAt.Add(-time.Second)}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &evidence{
+				bounds: bounds, nodeFaults: test.node, linkFaults: test.links,
+				attempts: []Attempt{{ID: "r", Node: "node-1"}},
+				arrivals: []llmbroker.Arrival{{Request: "r", Instance: "i", ReceivedAt: receivedAt}},
+				drains:   []drainedBroker{{instance: "i", ackedAt: ackedAt}},
+			}
+			e.checkDraining()
+			assert.Equal(t, len(e.violations) > 0, test.violate, "%v", e.violations)
+		})
+	}
+}
