faultrun: disks keep brokers, and some brokers deregister without draining

Change: a core machine's disk has the copy, up to a second old, and the log of leaving brokers, written at the pace and with the faults of the disk, and both are restored at the start. Half of the drains are deregistrations.

--- a/internal/harness/faultrun/broker.go
+++ b/internal/harness/faultrun/broker.go
@@ -30,9 +30,10 @@
 	zone            string
 	sequence        uint64
 	draining        bool
+	deregistered    bool // it sends no heartbeats any more
 	terminated      bool
 	controlAddress  string        // for the next heartbeat; empty: any machine
-	drainAckedAt    time.Duration // -1: its drain was not acknowledged
+	drainAckedAt    time.Duration // of its drain or deregistration; -1: neither was acknowledged
 	weightsVersion  uint64
 	loading         bool
 	orderCount      uint64
@@ -71,7 +72,7 @@
 	sim.brokers = append(sim.brokers, b)
 	b.heartbeat()
 	sim.every(heartbeatInterval, func() bool {
-		if !b.terminated {
+		if !b.terminated && !b.deregistered {
 			b.heartbeat()
 		}
 		return !b.terminated
@@ -121,19 +122,22 @@
 				}
 				finished = true
 				b.controlAddress = answer.HeartbeatURL
-				if instance.State == nodepb.InstanceState_DRAINING && b.drainAckedAt < 0 {
+				if instance.State != nodepb.InstanceState_READY && b.drainAckedAt < 0 {
 					b.drainAckedAt = sim.now
-					sim.logf("%s: drain of %s acknowledged", m.name, b.id)
+					sim.logf("%s: %v of %s acknowledged", m.name, instance.State, b.id)
 				}
 			})
 		}
+		if instance.State == nodepb.InstanceState_GONE {
+			return func(now core.Time) { m.execute(m.node.Deregister(now, request, b.id)) }
+		}
 		return func(now core.Time) { m.execute(m.node.Heartbeat(now, request, instance)) }
 	})
 }
 
-// drain has the broker announce that it drains, and end 8 s later, with a new broker in its zone.
+// drain has the broker announce that it drains, or deregister without that, and end 8 s later, with a new broker in its zone.
 // firstNotified is the machine that the first announcement goes to; nil: as for any heartbeat.
-func (b *broker) drain(firstNotified *machine) {
+func (b *broker) drain(firstNotified *machine, deregisters bool) {
 	sim := b.sim
 	if b.draining || b.terminated {
 		return
@@ -142,8 +146,14 @@
 	if firstNotified != nil {
 		b.controlAddress = firstNotified.controlAddress()
 	}
-	sim.logf("%s drains", b.id)
-	b.heartbeat()
+	if deregisters {
+		sim.logf("%s deregisters", b.id)
+		b.deregistered = true
+		b.announce(&nodepb.Instance{Id: b.id, State: nodepb.InstanceState_GONE}, 4)
+	} else {
+		sim.logf("%s drains", b.id)
+		b.heartbeat()
+	}
 	sim.after(8*time.Second, func() {
 		b.terminated = true
 		sim.addBroker(b.zone)
--- a/internal/harness/faultrun/machine.go
+++ b/internal/harness/faultrun/machine.go
@@ -50,6 +50,7 @@
 	syncDuration   time.Duration
 	diskHangsUntil time.Duration
 	writeInFlight  *core.Write // nil: none
+	brokersOnDisk  savedBrokers
 
 	faultChangedAt         time.Duration // when a fault last started or ended
 	unavailableSince       time.Duration // when the first order came that it has answered 503 with none acknowledged since
@@ -78,6 +79,7 @@
 	m.disk = diskfault.New(rand.New(rand.NewPCG(sim.random.Uint64(), diskStream)))
 	m.syncDuration = m.soundSyncDuration()
 	m.diskHangsUntil = 0
+	m.brokersOnDisk = newSavedBrokers()
 	sim.diskCount++
 }
 
@@ -155,6 +157,7 @@
 		MaxConfigurationBytes: int(journal.LargestState(m.diskModel.Bytes)),
 		Checker:               acceptAllChecker{},
 		HeartbeatInterval:     heartbeatInterval,
+		PersistsLeaving:       m.isCore,
 		Bounds: control.Bounds{
 			Contact: contactTimeout, GlobalRevocation: sim.plan.GlobalRevocation, Revoke: revokeTimeout, Lease: leaseDuration,
 			Thaw: thawGrace, Version: versionTimeout,
@@ -202,6 +205,8 @@
 		return
 	}
 	m.journal = opened
+	m.restoreBrokers(now)
+	m.copyBrokers(m.incarnation)
 	m.sim.logf("%s: disk attached, %d records", m.name, len(records))
 	m.execute(outputs)
 }
@@ -264,6 +269,8 @@
 				delete(m.pendingRegistryReplies, output.Request)
 				answer(output)
 			}
+		case core.SaveLeaving:
+			m.saveLeaving(output)
 		case core.StateChanged:
 			sim.checks.stateChanged(m)
 		case core.SendOrder:
--- a/internal/harness/faultrun/networkfaults.go
+++ b/internal/harness/faultrun/networkfaults.go
@@ -16,7 +16,7 @@
 	}
 	sim.network.partition([]*machine{m}, unreachable, fault.Variant%4 == 0, fault.Duration)
 	if fault.Variant%5 == 0 {
-		sim.drainBrokerVia(m)
+		sim.drainBrokerVia(m, false)
 	}
 }
 
--- a/internal/harness/faultrun/workloadfaults.go
+++ b/internal/harness/faultrun/workloadfaults.go
@@ -9,21 +9,22 @@
 	"kestrelspread/internal/node/nodepb"
 )
 
-// drainBrokerVia drains a random broker, which notifies this machine first. The last ready one stays.
-func (sim *simulation) drainBrokerVia(m *machine) {
+// drainBrokerVia drains or deregisters a random broker, which notifies this machine first. The last ready one stays.
+func (sim *simulation) drainBrokerVia(m *machine, deregisters bool) {
 	ready := slices.DeleteFunc(slices.Clone(sim.brokers), func(b *broker) bool { return b.draining || b.terminated })
 	if len(ready) > 1 {
-		ready[sim.random.IntN(len(ready))].drain(m)
+		ready[sim.random.IntN(len(ready))].drain(m, deregisters)
 	}
 }
 
 // drainBroker drains a broker, which notifies a core machine or any machine first.
 func (sim *simulation) drainBroker(fault Fault) {
+	deregisters := fault.TargetB%2 == 0
 	if fault.Variant%2 == 0 {
-		sim.drainBrokerVia(sim.coreMachine(fault.TargetA))
+		sim.drainBrokerVia(sim.coreMachine(fault.TargetA), deregisters)
 		return
 	}
-	sim.drainBrokerVia(sim.machines[fault.TargetA%len(sim.machines)])
+	sim.drainBrokerVia(sim.machines[fault.TargetA%len(sim.machines)], deregisters)
 }
 
 // updateWeights submits a version of the model weights after a delay, and retries until it is acknowledged.
