--- a/internal/node/registry/persistence_test.go
+++ b/internal/node/registry/persistence_test.go
@@ -263,3 +263,30 @@
 	c.within(time.Second, "an answer", func() bool { return c.nodes[0].answers[request].at > 0 })
 	assert.Assert(t, !c.nodes[0].answers[request].Accepted)
 }
+
+// TestRestoredLeavingIsSentToNodesThatJoin: the copies of others may still show the broker as ready, and a comparison of digests
+// takes a second.
+func TestRestoredLeavingIsSentToNodesThatJoin(t *testing.T) {
+	r := New(0, Options{SelfID: "self", SelfAddress: "10.0.0.1:7000", Zone: "a", PersistsLeaving: true}, seededRandom())
+	leaving := &nodepb.Instance{Id: "1", Service: "llm", Zone: "a", Sequence: 7, State: nodepb.InstanceState_GONE, SinceHeartbeatMs: 55_000}
+	assert.Equal(t, len(r.RestoreLeaving(time.Second, []*nodepb.Instance{leaving})), 0, "it is on the disk, and nobody is known")
+	join := func(now core.Time, hosts ...string) []string {
+		var members []*nodepb.Member
+		for _, host := range hosts {
+			members = append(members, &nodepb.Member{NodeId: host, Address: "10.0.0." + host + ":7000", Zone: "b"})
+		}
+		var told []string
+		for _, output := range r.SetMembers(now, members) {
+			if send, ok := output.(core.Send); ok && send.Message.GetInstanceUpdate() != nil {
+				instance := send.Message.GetInstanceUpdate().Instances[0]
+				assert.Equal(t, instance.State, nodepb.InstanceState_GONE)
+				assert.Assert(t, instance.SinceHeartbeatMs < 55_000, "its retention starts again")
+				told = append(told, send.Destination)
+			}
+		}
+		return told
+	}
+	assert.DeepEqual(t, join(2*time.Second, "2"), []string{"10.0.0.2:7000"})
+	assert.DeepEqual(t, join(3*time.Second, "2", "3"), []string{"10.0.0.3:7000"})
+	assert.Equal(t, len(join(time.Second+restoredSendPeriod, "2", "3", "4")), 0)
+}
