harness/fleet: GONE is judged once brokers must have been called off

Cause: the checks run as soon as the load has ended. A client that left less than half a second before is then counted as one whose broker works on, since the broker has not been called off yet.

Change: Load.Stop returns half a second after the last client, where some leave. All requests are judged as before.

Measured: TestStopOfTheLoadWaitsForBrokersToBeCalledOff and the other tests of GONE pass.

--- a/internal/harness/fleet/calledoff_test.go
+++ b/internal/harness/fleet/calledoff_test.go
@@ -31,6 +31,15 @@
 	s.finish()
 }
 
+// TestStopOfTheLoadWaitsForBrokersToBeCalledOff: a client that leaves as the load ends is judged by what its broker did half a second
+// later, not by what it does at that moment.
+func TestStopOfTheLoadWaitsForBrokersToBeCalledOff(t *testing.T) {
+	load := &Load{Attempts: &AttemptLog{}, fleet: &Fleet{options: Options{LeavingClients: true}}, cancel: func() {}}
+	leftAt := time.Now()
+	load.Stop()
+	assert.Assert(t, time.Since(leftAt) >= calledOffBound)
+}
+
 // TestCheckOfCallsOff: what brokers did after clients had left is judged by the bounds of the rule.
 func TestCheckOfCallsOff(t *testing.T) {
 	at := time.Now()
--- a/internal/harness/fleet/load.go
+++ b/internal/harness/fleet/load.go
@@ -22,6 +22,7 @@
 	apiKeys  []string
 	clients  sync.WaitGroup
 	cancel   context.CancelFunc
+	stopOnce sync.Once
 }
 
 // clientCount is the number of concurrent clients.
@@ -48,10 +49,14 @@
 	return load
 }
 
-// Stop ends the clients, after their requests in flight.
+// Stop ends the clients, after their requests in flight. Where some of them leave, it returns once brokers must have been called off,
+// so that the last ones are judged by what brokers did then.
 func (l *Load) Stop() {
 	l.cancel()
 	l.clients.Wait()
+	if l.fleet.options.LeavingClients {
+		l.stopOnce.Do(func() { time.Sleep(calledOffBound) })
+	}
 }
 
 // AwaitAnswers waits until count more requests of each kind were answered.
