--- a/internal/harness/fleet/calledoff_test.go
+++ b/internal/harness/fleet/calledoff_test.go
@@ -27,7 +27,6 @@
 		}
 		return nil
 	}))
-	time.Sleep(2 * slowServiceTime) // what is not called off ends meanwhile
 	s.finish()
 }
 
--- a/internal/harness/fleet/leaving_test.go
+++ b/internal/harness/fleet/leaving_test.go
@@ -1,7 +1,12 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,6 +33,26 @@
 	}
 }
 
+// awaitCopies waits until the disk of each core node has a copy of the brokers with that one, which shows it as ready.
+func (s *scenario) awaitCopies(instance string) {
+	s.t.Helper()
+	s.must(s.Await(s.ctx, "copies of the brokers on the disks", func(context.Context) error {
+		for _, node := range s.Core() {
+			copied, err := filepath.Glob(filepath.Join(node.DataDir(), "brokers-*"))
+			if err != nil {
+				return err
+			}
+			if !slices.ContainsFunc(copied, func(path string) bool {
+				content, err := os.ReadFile(path)
+				return err == nil && bytes.Contains(content, []byte(instance))
+			}) {
+				return fmt.Errorf("%s has no copy", node.Name)
+			}
+		}
+		return nil
+	}))
+}
+
 // TestAcknowledgedLeavingSurvivesAllProcesses guards against DRAIN: nodes sent requests to a broker whose deregistration was
 // acknowledged, as all processes were killed right after and their disks showed it as ready (docs/incidents/leaving.md).
 func TestAcknowledgedLeavingSurvivesAllProcesses(t *testing.T) {
@@ -37,8 +62,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newScenario(t, nil)
-			time.Sleep(2 * time.Second) // the disks have their copies of the brokers
 			leaving := s.Serving(servicePlain)[0]
+			s.awaitCopies(leaving.ID())
 			ackedAt, err := leave(s.Fleet, s.ctx, leaving)
 			s.must(err)
 			time.Sleep(time.Until(ackedAt.Add(killAfterAck)))
--- a/internal/node/forward/bodymemory_test.go
+++ b/internal/node/forward/bodymemory_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"kestrelspread/internal/node/registry"
 )
@@ -63,19 +64,47 @@
 		c.send(fmt.Sprintf("%x\r\n%s\r\n", part, strings.Repeat("a", part)))
 		arriving = append(arriving, c)
 	}
-	deadline := time.Now().Add(testTimeout)
-	for w.proxy.buffered.Load() < limit/2 && time.Now().Before(deadline) {
-		time.Sleep(time.Millisecond)
-	}
-	assert.Assert(t, w.proxy.buffered.Load() >= limit/2, "bodies that arrive aren't counted")
+	w.awaitBuffered(func(count int64) bool { return count >= limit/2 }, "bodies that arrive aren't counted")
 	statuses := map[int]int{}
 	for _, c := range arriving {
 		_, _ = c.socket.Write([]byte("0\r\n\r\n")) // fails where the proxy has refused and closed
 		statuses[c.read("POST").StatusCode]++
 	}
 	assert.Assert(t, statuses[200] > 0 && statuses[503] > 0 && statuses[200]+statuses[503] == clients, "%v", statuses)
-	for w.proxy.buffered.Load() != 0 && time.Now().Before(deadline) {
-		time.Sleep(time.Millisecond)
-	}
+	w.awaitBuffered(func(count int64) bool { return count == 0 }, "memory of requests that have ended is counted")
+}
+
+// awaitBuffered waits until the memory that is counted for bodies fulfils a condition; otherwise says what is wrong.
+func (w *world) awaitBuffered(condition func(count int64) bool, otherwise string) {
+	w.t.Helper()
+	poll.WaitOn(w.t, func(poll.LogT) poll.Result {
+		if count := w.proxy.buffered.Load(); !condition(count) {
+			return poll.Continue("%s: %d bytes", otherwise, count)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(testTimeout), poll.WithDelay(time.Millisecond))
+}
+
+// TestBufferedBodiesAreBounded: beyond the bound requests are refused, not taken into memory.
+func TestBufferedBodiesAreBounded(t *testing.T) {
+	proceed := make(chan struct{})
+	only := newBroker(t, "i-1", func(e *exchange) {
+		<-proceed
+		e.answer(200, "ok")
+	})
+	w := newWorld(t, newScriptedRouter(only.instance, only.instance, only.instance), func(_ *world, options *Options) {
+		options.Bounds.MaxBufferedBytes = 1000
+	})
+	c := w.client()
+	c.send(post("/unsafe/a", "r1", strings.Repeat("a", 600)))
+	only.next()
+	got := w.do(post("/unsafe/a", "r2", strings.Repeat("a", 600)))
+	assert.Equal(t, got.StatusCode, 503)
+	assert.Assert(t, got.Header.Get(headerRetryAfter) != "")
+	close(proceed)
+	assert.Equal(t, c.read("POST").StatusCode, 200)
+	w.port.awaitEnds(t, 1)
+	assert.Equal(t, w.do(post("/unsafe/a", "r3", strings.Repeat("a", 600))).StatusCode, 200)
+	w.port.awaitEnds(t, 1)
 	assert.Equal(t, w.proxy.buffered.Load(), int64(0))
 }
--- a/internal/node/forward/buffer.go
+++ b/internal/node/forward/buffer.go
@@ -99,11 +99,11 @@
 	})
 }
 
-// readToEnd reads to io.EOF, at most maxBytes: errTooLarge where there is more. makeRoom is called
+// readToEnd reads to io.EOF, at most maxBytes: errTooLarge where there is more. ensureCapacity is called
 // before each read; its error ends the reading.
-func (b *buffer) readToEnd(source io.Reader, maxBytes int64, makeRoom func() error) error {
+func (b *buffer) readToEnd(source io.Reader, maxBytes int64, ensureCapacity func() error) error {
 	for {
-		if err := makeRoom(); err != nil {
+		if err := ensureCapacity(); err != nil {
 			return err
 		}
 		count, err := source.Read(b.bytes[len(b.bytes):cap(b.bytes)])
--- a/internal/node/forward/lifecycle_test.go
+++ b/internal/node/forward/lifecycle_test.go
@@ -484,27 +484,3 @@
 	close(proceed)
 	assert.Equal(t, c.read("POST").StatusCode, 200)
 }
-
-// TestBufferedBodiesAreBounded: beyond the bound requests are refused, not taken into memory.
-func TestBufferedBodiesAreBounded(t *testing.T) {
-	proceed := make(chan struct{})
-	only := newBroker(t, "i-1", func(e *exchange) {
-		<-proceed
-		e.answer(200, "ok")
-	})
-	w := newWorld(t, newScriptedRouter(only.instance, only.instance, only.instance), func(_ *world, options *Options) {
-		options.Bounds.MaxBufferedBytes = 1000
-	})
-	c := w.client()
-	c.send(post("/unsafe/a", "r1", strings.Repeat("a", 600)))
-	only.next()
-	got := w.do(post("/unsafe/a", "r2", strings.Repeat("a", 600)))
-	assert.Equal(t, got.StatusCode, 503)
-	assert.Assert(t, got.Header.Get(headerRetryAfter) != "")
-	close(proceed)
-	assert.Equal(t, c.read("POST").StatusCode, 200)
-	w.port.awaitEnds(t, 1)
-	assert.Equal(t, w.do(post("/unsafe/a", "r3", strings.Repeat("a", 600))).StatusCode, 200)
-	w.port.awaitEnds(t, 1)
-	assert.Equal(t, w.proxy.buffered.Load(), int64(0))
-}
--- a/internal/node/membership/merge_test.go
+++ b/internal/node/membership/merge_test.go
@@ -194,9 +194,9 @@
 	assert.Equal(t, len(m.table.down), 0)
 }
 
-// TestClaimOfATakenAddressIsSettledAtOnce: a node that missed that a process has left, and heard of its successor from others, held the
+// TestClaimOfATakenAddressIsFollowedUpAtOnce: a node that missed that a process has left, and heard of its successor from others, held the
 // former one until its probes came to the address: for as many seconds as there are members.
-func TestClaimOfATakenAddressIsSettledAtOnce(t *testing.T) {
+func TestClaimOfATakenAddressIsFollowedUpAtOnce(t *testing.T) {
 	m := newNode()
 	former := claimOf(alive, 3)
 	m.receiveClaims(time.Second, former)
--- a/internal/node/registry/persistence.go
+++ b/internal/node/registry/persistence.go
@@ -26,7 +26,7 @@
 
 // pendingAck is an acknowledgement that waits for a write.
 type pendingAck struct {
-	to        string // internal address
+	requester string // internal address
 	nonce     uint64
 	instances []*nodepb.Instance
 	giveUpAt  core.Time
@@ -122,14 +122,14 @@
 }
 
 // ackWhenPersisted has a second acknowledgement of an update sent once its brokers are on the disk.
-func (r *Registry) ackWhenPersisted(now core.Time, to string, update *nodepb.InstanceUpdate) {
+func (r *Registry) ackWhenPersisted(now core.Time, requester string, update *nodepb.InstanceUpdate) {
 	p := &r.persistence
-	known := slices.ContainsFunc(p.pending, func(ack pendingAck) bool { return ack.nonce == update.Nonce && ack.to == to })
+	known := slices.ContainsFunc(p.pending, func(ack pendingAck) bool { return ack.nonce == update.Nonce && ack.requester == requester })
 	if known {
 		return
 	}
 	p.pending = append(p.pending, pendingAck{
-		to: to, nonce: update.Nonce, instances: update.Instances, giveUpAt: now + broadcastTimeout,
+		requester: requester, nonce: update.Nonce, instances: update.Instances, giveUpAt: now + broadcastTimeout,
 	})
 }
 
@@ -139,7 +139,7 @@
 	p := &r.persistence
 	p.pending = slices.DeleteFunc(p.pending, func(ack pendingAck) bool {
 		if r.persisted(ack.instances) {
-			r.sendAck(ack.to, &nodepb.InstanceUpdateAck{Nonce: ack.nonce, Persisted: true})
+			r.sendAck(ack.requester, &nodepb.InstanceUpdateAck{Nonce: ack.nonce, Persisted: true})
 			return true
 		}
 		return ack.giveUpAt <= now
--- a/internal/node/registry/persistence_test.go
+++ b/internal/node/registry/persistence_test.go
@@ -275,16 +275,16 @@
 		for _, host := range hosts {
 			members = append(members, &nodepb.Member{NodeId: host, Address: "10.0.0." + host + ":7000", Zone: "b"})
 		}
-		var told []string
+		var notified []string
 		for _, output := range r.SetMembers(now, members) {
 			if send, ok := output.(core.Send); ok && send.Message.GetInstanceUpdate() != nil {
 				instance := send.Message.GetInstanceUpdate().Instances[0]
 				assert.Equal(t, instance.State, nodepb.InstanceState_GONE)
 				assert.Assert(t, instance.SinceHeartbeatMs < 55_000, "its retention starts again")
-				told = append(told, send.Destination)
+				notified = append(notified, send.Destination)
 			}
 		}
-		return told
+		return notified
 	}
 	assert.DeepEqual(t, join(2*time.Second, "2"), []string{"10.0.0.2:7000"})
 	assert.DeepEqual(t, join(3*time.Second, "2", "3"), []string{"10.0.0.3:7000"})
