registry: voters of the old version count as before while a fleet is upgraded

Callers saw, in fleet demo with all nodes old and one voter restarted as the new program, a drain that was never acknowledged: the broker waited until the time-out (exit 1).

Cause: a new home counted a voter only with its persisted, which the old version never sends; with two old voters of three there is never a majority.

Change: an acknowledgement before the write says will_persist. A voter that says neither is of the old version and counts as it did there; one that will write still counts only once it has. So the promise is that of the old version until a majority of the voters are new, and never weaker than before.

--- a/internal/node/registry/broadcast.go
+++ b/internal/node/registry/broadcast.go
@@ -23,7 +23,8 @@
 	unacknowledged []string // ids of the nodes that have not acknowledged it
 	ackCount       int      // nodes that have
 	ackedAddresses []string // of these
-	// persistedAddresses are those of the nodes that have its leaving brokers on their disks.
+	// persistedAddresses are those of the nodes that have its leaving brokers on their disks, or never
+	// will, as they are of an older version.
 	persistedAddresses []string
 	leaving            bool // it carries a draining or gone broker
 
@@ -262,7 +263,7 @@
 		return
 	}
 	persisted := r.persisted(update.Instances)
-	r.sendAck(from.Address, &nodepb.InstanceUpdateAck{Nonce: update.Nonce, Persisted: persisted})
+	r.sendAck(from.Address, &nodepb.InstanceUpdateAck{Nonce: update.Nonce, Persisted: persisted, WillPersist: !persisted})
 	if !persisted {
 		r.ackWhenPersisted(now, from.Address, update)
 	}
@@ -290,14 +291,16 @@
 		if b.nonce != ack.Nonce {
 			continue
 		}
-		r.acknowledge(now, b, from, ack.Persisted)
+		r.acknowledge(now, b, from, ack)
 		return
 	}
 }
 
-// acknowledge records a node's acknowledgement. Of further ones of the same node only the first that
-// says persisted counts.
-func (r *Registry) acknowledge(now core.Time, b *broadcast, from core.Peer, persisted bool) {
+// acknowledge records a node's acknowledgement. Of further ones of the same node only the first after
+// its write counts. A node of an older version does not write: it counts as it did before, so that
+// brokers are acknowledged while a fleet is upgraded, and the stronger promise holds once a majority of
+// the voters are new.
+func (r *Registry) acknowledge(now core.Time, b *broadcast, from core.Peer, ack *nodepb.InstanceUpdateAck) {
 	known := r.peers[from.NodeID]
 	if index := slices.Index(b.unacknowledged, from.NodeID); index >= 0 {
 		b.unacknowledged = slices.Delete(b.unacknowledged, index, index+1)
@@ -306,7 +309,7 @@
 			b.ackedAddresses = append(b.ackedAddresses, known.address)
 		}
 	}
-	if persisted && known != nil && !slices.Contains(b.persistedAddresses, known.address) {
+	if !ack.WillPersist && known != nil && !slices.Contains(b.persistedAddresses, known.address) {
 		b.persistedAddresses = append(b.persistedAddresses, known.address)
 	}
 	r.advanceBroadcast(now, b)
