--- a/internal/harness/fleet/fleet.go
+++ b/internal/harness/fleet/fleet.go
@@ -42,8 +42,9 @@
 	Relayed bool
 	// Seed determines the random draws of the links.
 	Seed uint64
-	// DiskMB and MemoryMB are the limits in the settings of nodes; 0: diskMB, memoryMB. They are not enforced.
-	DiskMB, MemoryMB int
+	// DiskMB, MemoryMB and Descriptors are the limits in the settings of nodes; 0: diskMB, memoryMB, descriptors. They are not
+	// enforced.
+	DiskMB, MemoryMB, Descriptors int
 }
 
 // Fleet is the nodes with the operator, the brokers and the platform around them.
--- a/internal/harness/fleet/node.go
+++ b/internal/harness/fleet/node.go
@@ -55,8 +55,8 @@
 // Control is the address for brokers and the operator.
 func (n *Node) Control() string { return hostPort(n.ipAddress, n.fleet.layout.ports.control) }
 
-// readiness is the address for the platform's checks.
-func (n *Node) readiness() string { return hostPort(n.ipAddress, n.fleet.layout.ports.readiness) }
+// Readiness is the address for the platform's checks.
+func (n *Node) Readiness() string { return hostPort(n.ipAddress, n.fleet.layout.ports.readiness) }
 
 // Start starts the node's process, on the disk of the previous one.
 func (n *Node) Start() error {
@@ -95,6 +95,16 @@
 	return n.process.memory()
 }
 
+// Process is the identifier of the node's process.
+func (n *Node) Process() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.process.command.Process.Pid
+}
+
+// LoggedBytes is how much the node has logged, in all its incarnations.
+func (n *Node) LoggedBytes() int64 { return n.log.writtenBytes() }
+
 // Log is the newest output of the node, of all its incarnations.
 func (n *Node) Log() string { return n.log.String() }
 
--- a/internal/harness/fleet/platform.go
+++ b/internal/harness/fleet/platform.go
@@ -64,7 +64,7 @@
 
 // isReady reports whether the readiness check succeeds.
 func (p *platform) isReady(ctx context.Context, node *Node) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.readiness()+"/kestrelspread/readyz", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.Readiness()+"/kestrelspread/readyz", nil)
 	if err != nil {
 		return false
 	}
--- a/internal/harness/fleet/settings.go
+++ b/internal/harness/fleet/settings.go
@@ -125,7 +125,7 @@
 		Listen:    listenFile{Front: hostPort(n.ipAddress, p.front), Readiness: hostPort(n.ipAddress, p.readiness), Control: hostPort(n.ipAddress, p.control)},
 		PortRange: [2]int{p.internal, p.internal}, Seeds: f.seeds(), Bootstrap: n.incarnations == 0,
 		CountsForQuorum: n.HasDisk,
-		Limits:          limitsFile{CPUShare: cpuShare, Cores: 1, MemoryMB: cmp.Or(f.options.MemoryMB, memoryMB), MaxFDs: descriptors, LinkMbps: linkMbps},
+		Limits:          limitsFile{CPUShare: cpuShare, Cores: 1, MemoryMB: cmp.Or(f.options.MemoryMB, memoryMB), MaxFDs: cmp.Or(f.options.Descriptors, descriptors), LinkMbps: linkMbps},
 		HeartbeatMs:     float64(f.options.Bounds.Heartbeat.Milliseconds()),
 		Contracts:       []string{"base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants"},
 		FaultTolerance:  toleranceFile{Machines: 1}, Bounds: f.options.Bounds.file(),
--- a/internal/harness/nodeprogram/nodeprogram.go
+++ b/internal/harness/nodeprogram/nodeprogram.go
@@ -1,4 +1,4 @@
-// Package nodeprogram builds kestrelnode for tests that start real processes.
+// Package nodeprogram builds the programs of this repository for tests that start real processes.
 package nodeprogram
 
 import (
@@ -8,10 +8,20 @@
 	"path/filepath"
 )
 
+// The programs.
+const (
+	Node           = "kestrelnode"
+	Aggregator     = "kestrelspread"
+	LeanAggregator = "kestrellean"
+)
+
 // Build builds kestrelnode at the path, with further flags of go build. The error has the compiler's output.
-func Build(path string, flags ...string) error {
+func Build(path string, flags ...string) error { return BuildProgram(Node, path, flags...) }
+
+// BuildProgram builds a program at the path, with further flags of go build. The error has the compiler's output.
+func BuildProgram(name, path string, flags ...string) error {
 	arguments := append([]string{"build", "-o", path}, flags...)
-	output, err := exec.Command("go", append(arguments, "kestrelspread/cmd/kestrelnode")...).CombinedOutput()
+	output, err := exec.Command("go", append(arguments, "kestrelspread/cmd/"+name)...).CombinedOutput()
 	if err != nil {
 		return fmt.Errorf("go build: %w\n%s", err, output)
 	}
