node: connections of clients and to brokers are bounded by the descriptors

Callers saw: a node with 300 silent clients held 326 descriptors of the 200 that its settings left it, and with clients that connect again at once up to 881; past the limit it accepts nobody and reaches no broker.

Cause: limits.maxFds was checked and used by nothing. Neither the connections that the front accepts nor those to brokers, of which more are opened for requests whose clients have left, had a bound.

Change: package connlimit admits a quarter of the descriptors beside the reserved ones, or what a quarter of the memory bears. At the bound the one that wastes its place for longest gives way: silent ones, heads that don't end, idle ones that were never served, bodies that don't end. A request that is being served never does, nor a connection that a served client may still reuse. The pool of connections to brokers has a bound of two quarters, of which one may be idle; at the bound an idle one makes room.

--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -34,9 +34,11 @@
 		MayServe:      a.mayServe,
 		Startup:       a.startup,
 		ProxyCount:    func() int { return int(a.proxyCount.Load()) },
-		Bounds:        forward.Bounds{MaxBufferedBytes: a.maxBufferedBytes()},
-		Log:           a.log,
-		Upstream:      upstream.Options{NetworkMap: a.options.NetworkMap},
+		Bounds: forward.Bounds{
+			MaxBufferedBytes: a.maxBufferedBytes(), MaxClientConnections: a.maxClientConnections(),
+		},
+		Log:      a.log,
+		Upstream: upstream.Options{NetworkMap: a.options.NetworkMap, MaxIdle: a.maxIdleUpstream(), MaxOpen: a.maxOpenUpstream()},
 	})
 }
 
@@ -50,6 +52,51 @@
 	return int64(a.settings.Limits.MemoryMB) << 20 / bufferMemoryDivisor
 }
 
+const (
+	// reservedDescriptors of the limit are for files outside the disk folder (DEPLOY.md, "Memory and descriptors").
+	reservedDescriptors = 200
+	// descriptorShares: of the other descriptors clients may have one part in descriptorShares, and connections to brokers two, half of
+	// which may be idle. The rest is for peers, callers of the control API and the disk.
+	descriptorShares = 4
+	// clientMemoryDivisor: their connections may take one part in clientMemoryDivisor of the memory limit, of clientConnectionBytes
+	// each without heads and bodies.
+	clientMemoryDivisor   = 4
+	clientConnectionBytes = 32 << 10
+)
+
+// maxClientConnections bounds the connections of clients; 0, the proxy's own default, where no limit is known.
+func (a *Agent) maxClientConnections() int {
+	limits := a.settings.Limits
+	byMemory, byDescriptors := limits.MemoryMB<<20/clientMemoryDivisor/clientConnectionBytes, a.descriptorShare()
+	switch {
+	case byDescriptors <= 0:
+		return byMemory
+	case byMemory <= 0:
+		return byDescriptors
+	default:
+		return min(byMemory, byDescriptors)
+	}
+}
+
+// maxIdleUpstream bounds the idle connections to brokers; 0, the pool's own default, where no limit is known.
+func (a *Agent) maxIdleUpstream() int {
+	if share := a.descriptorShare(); share > 0 {
+		return min(share, upstream.DefaultMaxIdle)
+	}
+	return 0
+}
+
+// maxOpenUpstream bounds all connections to brokers; 0, the pool's own default, where no limit is known.
+func (a *Agent) maxOpenUpstream() int { return 2 * a.descriptorShare() }
+
+// descriptorShare is one share of the descriptors; 0: their limit isn't known.
+func (a *Agent) descriptorShare() int {
+	if a.settings.Limits.MaxFDs <= 0 {
+		return 0
+	}
+	return max(a.settings.Limits.MaxFDs-reservedDescriptors, descriptorShares) / descriptorShares
+}
+
 // mayServe reports whether a request may be forwarded now. Source: RULES.md, "API keys".
 func (a *Agent) mayServe(now core.Time, public bool) bool {
 	return !a.coreUnable.Load() && a.bounds().MayServe(now, a.compiled.Load(), core.Time(a.confirmedAt.Load()), public)
--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"kestrelspread/internal/node/connlimit"
 	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/routing"
 	"kestrelspread/internal/node/verdict"
@@ -66,7 +67,18 @@
 	if why := checkLimits(c.request, c.framing(), &compiled.Limits); why != nil {
 		return c.deny(why)
 	}
-	return c.readBody(compiled.Limits.MaxBodyBytes) && c.admit()
+	if !c.readBody(compiled.Limits.MaxBodyBytes) {
+		return false
+	}
+	c.setClientState(connlimit.Serving)
+	return c.admit()
+}
+
+// setClientState records what the client's connection does.
+func (c *call) setClientState(state connlimit.State) {
+	if c.client != nil {
+		c.client.place.SetState(state)
+	}
 }
 
 // framing returns the framing of the request, as far as it is known.
@@ -200,6 +212,9 @@
 		c.reject(c.proxy.bounds.UnreadyRetryAfter)
 		return
 	}
+	if c.client != nil {
+		c.client.place.MarkServed()
+	}
 	c.connLimit = c.proxy.connectionShare(c.intake.compiled.Services[c.intake.service])
 	c.setAnswerDeadline()
 	c.stopWatchingClient = context.AfterFunc(c.request.Context(), c.handleDisconnect)
--- a/internal/node/forward/clientconn.go
+++ b/internal/node/forward/clientconn.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"kestrelspread/internal/node/connlimit"
 )
 
 // clientConn is a client's connection as net/http reads it. It follows the framing of requests, and
@@ -13,7 +15,8 @@
 // may change while the connection is open, and so can't be given to http.Server.
 type clientConn struct {
 	*net.TCPConn
-	timeouts func() clientTimeouts
+	limits *clientLimits
+	place  *connlimit.Conn
 
 	scanner   requestScanner
 	pipelined []byte // read from the socket; belongs to requests after the current one
@@ -29,6 +32,11 @@
 	requestComplete bool
 }
 
+// clientLimits are what the connections of all clients share.
+type clientLimits struct {
+	timeouts func() clientTimeouts
+}
+
 // clientTimeouts are how long a client may be idle between requests, and how long the head of a
 // request may take to arrive.
 type clientTimeouts struct{ idle, header time.Duration }
@@ -49,12 +57,20 @@
 	}
 	taken, scanErr := c.scanner.scan(into[:count])
 	c.unread(into[taken:count])
+	c.checkScan(scanErr)
+	if !c.requestActive && !c.scanner.betweenRequests() {
+		c.place.SetState(connlimit.ReceivingHead)
+	}
+	return taken, nil
+}
+
+// checkScan ends the connection after what was read, where it can't be parsed further.
+func (c *clientConn) checkScan(scanErr error) {
 	if scanErr != nil {
 		c.readErr = scanErr
 	} else if c.scanner.state == scanRejected {
 		c.readErr = io.EOF
 	}
-	return taken, nil
 }
 
 // fetch returns bytes that were read before, or reads the socket.
@@ -82,10 +98,10 @@
 	case c.requestActive || len(c.pipelined) > 0:
 	case c.scanner.betweenRequests():
 		c.headDeadline = time.Time{}
-		c.TCPConn.SetReadDeadline(time.Now().Add(c.timeouts().idle))
+		c.TCPConn.SetReadDeadline(time.Now().Add(c.limits.timeouts().idle))
 	default:
 		if c.headDeadline.IsZero() {
-			c.headDeadline = time.Now().Add(c.timeouts().header)
+			c.headDeadline = time.Now().Add(c.limits.timeouts().header)
 		}
 		c.TCPConn.SetReadDeadline(c.headDeadline)
 	}
@@ -99,12 +115,24 @@
 		c.requestActive = true
 		c.requestFraming = c.scanner.current
 		c.requestComplete = c.scanner.betweenRequests()
+		c.place.SetState(stateWithBody(c.requestComplete))
 	case http.StateIdle:
 		c.requestActive = false
 		c.headDeadline = time.Time{}
+		c.place.SetState(connlimit.Idle)
+	case http.StateClosed:
+		c.place.Release()
 	}
 }
 
+// stateWithBody is the state of a connection whose request has a head.
+func stateWithBody(complete bool) connlimit.State {
+	if complete {
+		return connlimit.Serving
+	}
+	return connlimit.ReceivingBody
+}
+
 // clientConnKey is the context key of a request's clientConn.
 type clientConnKey struct{}
 
@@ -121,15 +149,15 @@
 
 // clientListener wraps the connections that it accepts in clientConn.
 type clientListener struct {
-	*net.TCPListener
-	timeouts func() clientTimeouts
+	*connlimit.Listener
+	limits *clientLimits
 }
 
 // Accept implements net.Listener.
 func (l *clientListener) Accept() (net.Conn, error) {
-	connection, err := l.AcceptTCP()
+	connection, place, err := l.AcceptConn()
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{TCPConn: connection, timeouts: l.timeouts}, nil
+	return &clientConn{TCPConn: connection.(*net.TCPConn), limits: l.limits, place: place}, nil
 }
--- a/internal/node/forward/lifecycle_test.go
+++ b/internal/node/forward/lifecycle_test.go
@@ -441,7 +441,8 @@
 		assert.NilError(t, err)
 		w := newWorld(t, newScriptedRouter())
 		short := func() clientTimeouts { return clientTimeouts{idle: 5 * time.Millisecond, header: 5 * time.Millisecond} }
-		go w.proxy.server.Serve(&clientListener{TCPListener: listener.(*net.TCPListener), timeouts: short})
+		w.proxy.clientLimits.timeouts = short
+		go w.proxy.server.Serve(w.proxy.clientListener(listener.(*net.TCPListener)))
 		socket, err := net.Dial("tcp4", listener.Addr().String())
 		assert.NilError(t, err)
 		assert.NilError(t, socket.SetDeadline(time.Now().Add(testTimeout)))
@@ -471,7 +472,8 @@
 		reads <- struct{}{}
 		return clientTimeouts{idle: 20 * time.Millisecond, header: 20 * time.Millisecond}
 	}
-	go w.proxy.server.Serve(&clientListener{TCPListener: listener.(*net.TCPListener), timeouts: short})
+	w.proxy.clientLimits.timeouts = short
+	go w.proxy.server.Serve(w.proxy.clientListener(listener.(*net.TCPListener)))
 	w.address = listener.Addr().String()
 	c := w.client()
 	c.send(post("/unsafe/a", "r1", "body"))
--- a/internal/node/forward/options.go
+++ b/internal/node/forward/options.go
@@ -41,6 +41,8 @@
 type Bounds struct {
 	// MaxBufferedBytes bounds the bodies of requests that are buffered at the same time.
 	MaxBufferedBytes int64
+	// MaxClientConnections bounds the connections of clients.
+	MaxClientConnections int
 	// MaxBufferedAnswerBytes: answers up to this size are read completely before any of it is
 	// forwarded, so that a truncated one becomes a clean failure or another attempt.
 	MaxBufferedAnswerBytes int
@@ -72,6 +74,7 @@
 // Defaults of Bounds.
 const (
 	DefaultMaxBufferedBytes          = 96 << 20
+	DefaultMaxClientConnections      = 975
 	DefaultMaxBufferedAnswerBytes    = 256 << 10
 	DefaultAnswerGrace               = 150 * time.Millisecond
 	DefaultDisconnectGrace           = 2 * time.Second
@@ -88,6 +91,7 @@
 // withDefaults replaces zero values.
 func (b Bounds) withDefaults() Bounds {
 	b.MaxBufferedBytes = cmp.Or(b.MaxBufferedBytes, DefaultMaxBufferedBytes)
+	b.MaxClientConnections = cmp.Or(b.MaxClientConnections, DefaultMaxClientConnections)
 	b.MaxBufferedAnswerBytes = cmp.Or(b.MaxBufferedAnswerBytes, DefaultMaxBufferedAnswerBytes)
 	b.AnswerGrace = cmp.Or(b.AnswerGrace, DefaultAnswerGrace)
 	b.DisconnectGrace = cmp.Or(b.DisconnectGrace, DefaultDisconnectGrace)
--- a/internal/node/forward/proxy.go
+++ b/internal/node/forward/proxy.go
@@ -19,6 +19,7 @@
 	pool         *upstream.Pool
 	match        matcher
 	server       *http.Server
+	clientLimits *clientLimits
 	draining     atomic.Bool
 	rejectingNew atomic.Bool
 	buffered     atomic.Int64 // bytes of requests' bodies
@@ -36,6 +37,7 @@
 		pool:    upstream.NewPool(options.Upstream),
 		match:   matchRoute,
 	}
+	proxy.clientLimits = proxy.newClientLimits()
 	proxy.server = proxy.newServer()
 	return proxy
 }
--- a/internal/node/forward/server.go
+++ b/internal/node/forward/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kestrelspread/internal/node/config"
+	"kestrelspread/internal/node/connlimit"
 )
 
 // maxServerHeaderBytes bounds what net/http reads of a head; the configuration's bound, which is
@@ -50,13 +51,22 @@
 	if !ok {
 		return fmt.Errorf("forward: clients connect over TCP, not %s", listener.Addr().Network())
 	}
-	err := p.server.Serve(&clientListener{TCPListener: tcp, timeouts: p.clientTimeouts})
+	err := p.server.Serve(p.clientListener(tcp))
 	if err == nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return fmt.Errorf("front server: %w", err)
 }
 
+// newClientLimits returns what the connections of all clients share.
+func (p *Proxy) newClientLimits() *clientLimits { return &clientLimits{timeouts: p.clientTimeouts} }
+
+// clientListener bounds the connections that a listener accepts.
+func (p *Proxy) clientListener(listener *net.TCPListener) *clientListener {
+	limiter := connlimit.New(p.bounds.MaxClientConnections, func() time.Duration { return p.clientTimeouts().idle })
+	return &clientListener{Listener: connlimit.NewListener(listener, limiter), limits: p.clientLimits}
+}
+
 // clientTimeouts returns the time-outs of the configuration in force. They are never shorter than
 // configured (PROTOCOL.md, "The operator's API": clients reuse connections that were idle for up to
 // four fifths of idleTimeoutMs).
--- a/internal/node/forward/upstream/pool.go
+++ b/internal/node/forward/upstream/pool.go
@@ -18,6 +18,8 @@
 type Options struct {
 	// MaxIdle bounds the idle connections to all brokers together.
 	MaxIdle int
+	// MaxOpen bounds the connections to all brokers together, in use, idle and being opened.
+	MaxOpen int
 	// IdleTime is how long a connection may be idle before it is closed.
 	IdleTime time.Duration
 	// UnstatedIdleTime is how long a connection whose broker gave no Keep-Alive time may be idle
@@ -47,6 +49,7 @@
 // Defaults of Options.
 const (
 	DefaultMaxIdle            = 512
+	DefaultMaxOpen            = 2048
 	DefaultIdleTime           = 20 * time.Second
 	DefaultUnstatedIdleTime   = 4 * time.Second
 	DefaultKeepAliveMargin    = 300 * time.Millisecond
@@ -74,6 +77,7 @@
 // withDefaults replaces zero values.
 func (o Options) withDefaults() Options {
 	o.MaxIdle = cmp.Or(o.MaxIdle, DefaultMaxIdle)
+	o.MaxOpen = cmp.Or(o.MaxOpen, DefaultMaxOpen)
 	o.IdleTime = cmp.Or(o.IdleTime, DefaultIdleTime)
 	o.UnstatedIdleTime = cmp.Or(o.UnstatedIdleTime, DefaultUnstatedIdleTime)
 	o.KeepAliveMargin = cmp.Or(o.KeepAliveMargin, DefaultKeepAliveMargin)
@@ -117,6 +121,7 @@
 
 	mutex          sync.Mutex
 	hosts          map[string]*host
+	openCount      int // of all hosts
 	idle           int
 	abandonedDials int // dials whose requests no longer wait
 	sweeping       bool
@@ -218,7 +223,7 @@
 	conn.host.learnedIdleTime = min(conn.host.learnedIdleTime, max(rested/2, minUnstatedIdleTime))
 }
 
-// reserve counts a new connection to the instance, within its bound.
+// reserve counts a new connection to the instance, within its bound and that of all connections.
 func (p *Pool) reserve(target Target) (*host, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -231,10 +236,33 @@
 	if target.MaxConnections > 0 && h.open >= target.MaxConnections {
 		return nil, fmt.Errorf("%w: %d connections to %s are open", ErrExhausted, h.open, target.InstanceID)
 	}
+	if p.openCount >= p.options.MaxOpen && !p.closeLongestIdle() {
+		if h.open == 0 {
+			delete(p.hosts, target.InstanceID)
+		}
+		return nil, fmt.Errorf("%w: %d connections to all brokers are open", ErrExhausted, p.openCount)
+	}
 	h.open++
+	p.openCount++
 	return h, nil
 }
 
+// closeLongestIdle closes the connection that has been idle for longest, to make room for another one. It reports false where none is
+// idle. The mutex must be held.
+func (p *Pool) closeLongestIdle() bool {
+	var longest *host
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 && (longest == nil || h.idle[0].idleSince.Before(longest.idle[0].idleSince)) {
+			longest = h
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	p.closeIdle(longest, 1)
+	return true
+}
+
 // release uncounts a closed connection.
 func (p *Pool) release(h *host) {
 	p.mutex.Lock()
@@ -245,6 +273,7 @@
 // releaseLocked is release with the mutex held. An instance without connections is forgotten.
 func (p *Pool) releaseLocked(h *host) {
 	h.open--
+	p.openCount--
 	if h.open == 0 && p.hosts[h.target.InstanceID] == h {
 		delete(p.hosts, h.target.InstanceID)
 	}
@@ -375,9 +404,5 @@
 func (p *Pool) Connections() Connections {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	count := Connections{Idle: p.idle, Abandoned: p.abandonedDials}
-	for _, h := range p.hosts {
-		count.Open += h.open
-	}
-	return count
+	return Connections{Open: p.openCount, Idle: p.idle, Abandoned: p.abandonedDials}
 }
--- a/internal/node/forward/upstream/pool_test.go
+++ b/internal/node/forward/upstream/pool_test.go
@@ -281,3 +281,22 @@
 	assert.Equal(t, open, idle)
 	assert.Assert(t, idle <= 4)
 }
+
+// TestConnectionsToAllBrokersAreBounded: an idle one gives way to one that is needed; where all are in use none is opened.
+func TestConnectionsToAllBrokersAreBounded(t *testing.T) {
+	p := newPeer(t, ok(""))
+	pool := newPool(t, Options{MaxOpen: 2})
+	idle, err := pool.Get(t.Context(), p.target("i-1"), soon())
+	assert.NilError(t, err)
+	_, err = pool.Get(t.Context(), p.target("i-2"), soon())
+	assert.NilError(t, err)
+	_, err = pool.Get(t.Context(), p.target("i-3"), soon())
+	assert.ErrorIs(t, err, ErrExhausted)
+	assert.Equal(t, VerdictOf(err), verdict.NotRun)
+	finish(t, idle)
+	_, err = pool.Get(t.Context(), p.target("i-3"), soon())
+	assert.NilError(t, err)
+	open, rested := openAndIdle(pool)
+	assert.Equal(t, open, 2)
+	assert.Equal(t, rested, 0)
+}
