forward: heads are kept within the configuration's limit and a budget until they are whole

Callers saw: heads over the limit or without end ended a process, which ran out of memory. 200 clients take a node of 80 MB to 319 MB (short fields), 271 MB (fields without end), 234 MB (a field without end), 144 MB (a request line).

Cause: net/http read up to 1 MiB of a head and parsed it, the scanner kept a partial line of up to 1 MiB beside it, and the configuration's limit was looked at once the head was whole.

Change: clientConn hands a head to net/http only when it is whole and within the limit that is in force at that moment, and refuses it as soon as it is over: 431, then the rest is read for 256 KiB or half a second. Heads that arrive in parts share a budget of a 24th of the memory, which the longest of them leaves to others when it is used up; heads of requests under way share another, counted as parsed: twice their bytes and 192 a field. Beyond it: 503, a promise, as nothing was read of the request. A head that arrives at once is not copied.

Evidence: TestFrontWithstandsClients failed before with these figures; now all of its heads peak at 20 to 32 MB. TestHeadOverTheLimitIsRefusedBeforeItsEnd, TestParsedHeadIsCountedInFull (4,096 fields: 224 KB parsed, 820 KB counted). TestLargestRequestIsServed holds as before. The log case still fails.

--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -35,7 +35,7 @@
 		Startup:       a.startup,
 		ProxyCount:    func() int { return int(a.proxyCount.Load()) },
 		Bounds: forward.Bounds{
-			MaxBufferedBytes: a.maxBufferedBytes(), MaxClientConnections: a.maxClientConnections(),
+			MaxBufferedBytes: a.maxBufferedBytes(), MaxHeadMemory: a.maxHeadMemory(), MaxClientConnections: a.maxClientConnections(),
 		},
 		Log:      a.log,
 		Upstream: upstream.Options{NetworkMap: a.options.NetworkMap, MaxIdle: a.maxIdleUpstream(), MaxOpen: a.maxOpenUpstream()},
@@ -52,6 +52,14 @@
 	return int64(a.settings.Limits.MemoryMB) << 20 / bufferMemoryDivisor
 }
 
+// headMemoryDivisor: heads of clients may take one part in headMemoryDivisor of the memory limit.
+const headMemoryDivisor = 12
+
+// maxHeadMemory bounds the memory of clients' heads, in bytes; 0, the proxy's own default, where no memory limit is known.
+func (a *Agent) maxHeadMemory() int64 {
+	return int64(a.settings.Limits.MemoryMB) << 20 / headMemoryDivisor
+}
+
 const (
 	// reservedDescriptors of the limit are for files outside the disk folder (DEPLOY.md, "Memory and descriptors").
 	reservedDescriptors = 200
--- a/internal/node/forward/clientconn.go
+++ b/internal/node/forward/clientconn.go
@@ -10,14 +10,21 @@
 	"kestrelspread/internal/node/connlimit"
 )
 
-// clientConn is a client's connection as net/http reads it. It follows the framing of requests, and
-// applies the time-outs for an idle client and for a head. They come from the configuration, which
-// may change while the connection is open, and so can't be given to http.Server.
+// clientConn is a client's connection as net/http reads it. It follows the framing of requests, hands
+// over only complete heads, and applies the time-outs for an idle client and for a head. They and the
+// bound on heads come from the configuration, which may change while the connection is open, and so
+// can't be given to http.Server.
 type clientConn struct {
 	*net.TCPConn
 	limits *clientLimits
 	place  *connlimit.Conn
 
+	// head is a head that arrives in several reads, of which net/http has headTaken bytes.
+	head      []byte
+	headTaken int
+	// keptBytes and parsedBytes are what the head counts in clientLimits.
+	keptBytes, parsedBytes int64
+
 	scanner   requestScanner
 	pipelined []byte // read from the socket; belongs to requests after the current one
 	readErr   error
@@ -34,7 +41,13 @@
 
 // clientLimits are what the connections of all clients share.
 type clientLimits struct {
-	timeouts func() clientTimeouts
+	timeouts     func() clientTimeouts
+	maxHeadBytes func() int
+	partialHeads budget // heads that have not arrived completely
+	parsedHeads  budget // heads of requests under way
+	retryAfter   time.Duration
+	// refused counts an answer to a head that was not handed over.
+	refused func(status int)
 }
 
 // clientTimeouts are how long a client may be idle between requests, and how long the head of a
@@ -47,9 +60,15 @@
 	if len(into) == 0 {
 		return 0, nil
 	}
+	if c.headTaken < len(c.head) && c.scanner.current.headComplete {
+		return c.takeHead(into)
+	}
 	if c.readErr != nil {
 		return 0, c.readErr
 	}
+	if !c.requestActive && c.scanner.inHead() {
+		return c.readHead(into)
+	}
 	c.applyReadDeadline()
 	count, err := c.fetch(into)
 	if count == 0 {
@@ -58,9 +77,6 @@
 	taken, scanErr := c.scanner.scan(into[:count])
 	c.unread(into[taken:count])
 	c.checkScan(scanErr)
-	if !c.requestActive && !c.scanner.betweenRequests() {
-		c.place.SetState(connlimit.ReceivingHead)
-	}
 	return taken, nil
 }
 
@@ -119,8 +135,11 @@
 	case http.StateIdle:
 		c.requestActive = false
 		c.headDeadline = time.Time{}
+		c.releaseParsedHead()
 		c.place.SetState(connlimit.Idle)
 	case http.StateClosed:
+		c.releaseKeptHead()
+		c.releaseParsedHead()
 		c.place.Release()
 	}
 }
--- a/internal/node/forward/framing.go
+++ b/internal/node/forward/framing.go
@@ -11,6 +11,9 @@
 	// inside it.
 	malformed bool
 	headBytes int
+	headLines int
+	// headComplete: the end of the head has arrived.
+	headComplete bool
 }
 
 // errChunks says that a chunked body violates the grammar of chunks.
@@ -40,15 +43,17 @@
 	started bool // a byte of the request has arrived
 
 	line      []byte // the start of a line whose end hasn't arrived
-	headLines int
 	hasLength bool
 	length    int64
 	hasChunks bool
 	bodyLeft  int64
 }
 
-// maxLineBytes bounds a line that arrives in several reads; net/http bounds the complete head.
-const maxLineBytes = 1 << 20
+// maxTrailerLineBytes bounds a line after the last chunk; clientConn bounds heads.
+const maxTrailerLineBytes = 4 << 10
+
+// maxKeptLineBytes is the size up to which the space for a line is kept for later lines.
+const maxKeptLineBytes = 512
 
 // maxChunkLineBytes bounds the line with the size of a chunk.
 const maxChunkLineBytes = 256
@@ -98,9 +103,19 @@
 
 // startNext starts the next request.
 func (s *requestScanner) startNext() {
-	*s = requestScanner{current: s.current, line: s.line[:0]}
+	line := s.line[:0]
+	if cap(line) > maxKeptLineBytes {
+		line = nil
+	}
+	*s = requestScanner{current: s.current, line: line}
 }
 
+// headBytesSoFar is how much of the current head has arrived, the start of a line included.
+func (s *requestScanner) headBytesSoFar() int { return s.current.headBytes + len(s.line) }
+
+// inHead reports whether a head is expected or has arrived in part.
+func (s *requestScanner) inHead() bool { return s.state == scanHead }
+
 // nextLine returns the next line with its end, and how many bytes of data it took. complete is
 // false where the end has not arrived.
 func (s *requestScanner) nextLine(data []byte) (line []byte, taken int, complete bool) {
@@ -123,7 +138,8 @@
 
 // checkPartialLine bounds a line whose end has not arrived.
 func (s *requestScanner) checkPartialLine() error {
-	if s.state == scanChunkSize && len(s.line) > maxChunkLineBytes || len(s.line) > maxLineBytes {
+	tooLong := s.state == scanChunkSize && len(s.line) > maxChunkLineBytes || s.state == scanTrailer && len(s.line) > maxTrailerLineBytes
+	if tooLong {
 		return errChunks
 	}
 	return nil
@@ -170,14 +186,14 @@
 	if !crlf || bytes.IndexByte(content, '\r') >= 0 {
 		s.current.malformed = true
 	}
-	if len(content) == 0 && s.headLines == 0 && crlf {
+	if len(content) == 0 && s.current.headLines == 0 && crlf {
 		return false // an empty line before the request line
 	}
 	if len(bytes.TrimRight(content, "\r\n")) == 0 {
 		return s.endHead()
 	}
-	s.headLines++
-	if s.headLines == 1 {
+	s.current.headLines++
+	if s.current.headLines == 1 {
 		return false
 	}
 	if content[0] == ' ' || content[0] == '\t' {
@@ -230,6 +246,7 @@
 	if s.hasLength && s.hasChunks {
 		s.current.malformed = true
 	}
+	s.current.headComplete = true
 	switch {
 	case s.current.malformed:
 		s.state = scanRejected
--- a/internal/node/forward/options.go
+++ b/internal/node/forward/options.go
@@ -41,6 +41,8 @@
 type Bounds struct {
 	// MaxBufferedBytes bounds the bodies of requests that are buffered at the same time.
 	MaxBufferedBytes int64
+	// MaxHeadMemory bounds the memory of clients' heads, one half while they arrive, the other from then to the end of their requests.
+	MaxHeadMemory int64
 	// MaxClientConnections bounds the connections of clients.
 	MaxClientConnections int
 	// MaxBufferedAnswerBytes: answers up to this size are read completely before any of it is
@@ -74,7 +76,9 @@
 // Defaults of Bounds.
 const (
 	DefaultMaxBufferedBytes          = 96 << 20
+	DefaultMaxHeadMemory             = 32 << 20
 	DefaultMaxClientConnections      = 975
+	DefaultMaxHeaderBytes            = 64 << 10 // until a configuration has a bound
 	DefaultMaxBufferedAnswerBytes    = 256 << 10
 	DefaultAnswerGrace               = 150 * time.Millisecond
 	DefaultDisconnectGrace           = 2 * time.Second
@@ -91,6 +95,7 @@
 // withDefaults replaces zero values.
 func (b Bounds) withDefaults() Bounds {
 	b.MaxBufferedBytes = cmp.Or(b.MaxBufferedBytes, DefaultMaxBufferedBytes)
+	b.MaxHeadMemory = cmp.Or(b.MaxHeadMemory, DefaultMaxHeadMemory)
 	b.MaxClientConnections = cmp.Or(b.MaxClientConnections, DefaultMaxClientConnections)
 	b.MaxBufferedAnswerBytes = cmp.Or(b.MaxBufferedAnswerBytes, DefaultMaxBufferedAnswerBytes)
 	b.AnswerGrace = cmp.Or(b.AnswerGrace, DefaultAnswerGrace)
--- a/internal/node/forward/server.go
+++ b/internal/node/forward/server.go
@@ -13,8 +13,8 @@
 	"kestrelspread/internal/node/connlimit"
 )
 
-// maxServerHeaderBytes bounds what net/http reads of a head; the configuration's bound, which is
-// lower, is checked afterwards.
+// maxServerHeaderBytes bounds what net/http reads of a head. clientConn hands over only heads within the
+// configuration's bound, and within this one.
 const maxServerHeaderBytes = 1 << 20
 
 // idleMargin is how much longer than configured clients may be idle, as a fraction of that time:
@@ -59,7 +59,33 @@
 }
 
 // newClientLimits returns what the connections of all clients share.
-func (p *Proxy) newClientLimits() *clientLimits { return &clientLimits{timeouts: p.clientTimeouts} }
+func (p *Proxy) newClientLimits() *clientLimits {
+	limits := &clientLimits{
+		timeouts: p.clientTimeouts, maxHeadBytes: p.maxHeadBytes, retryAfter: p.bounds.UnreadyRetryAfter, refused: p.countRefusedHead,
+	}
+	limits.partialHeads.max = p.bounds.MaxHeadMemory / 2
+	limits.parsedHeads.max = p.bounds.MaxHeadMemory / 2
+	return limits
+}
+
+// maxHeadBytes bounds a head, with its request line and line ends.
+func (p *Proxy) maxHeadBytes() int {
+	limit := DefaultMaxHeaderBytes
+	if compiled := p.options.Configuration(); compiled != nil && compiled.Limits.MaxHeaderBytes > 0 {
+		limit = compiled.Limits.MaxHeaderBytes
+	}
+	return min(limit, maxServerHeaderBytes) + headSlackBytes
+}
+
+// countRefusedHead counts an answer to a head that net/http has not seen.
+func (p *Proxy) countRefusedHead(status int) {
+	p.counters.requests.Add(1)
+	if status == http.StatusServiceUnavailable {
+		p.counters.rejected.Add(1)
+		return
+	}
+	p.counters.denied.Add(1)
+}
 
 // clientListener bounds the connections that a listener accepts.
 func (p *Proxy) clientListener(listener *net.TCPListener) *clientListener {
