forward: lines that clients can cause come once a second

Callers with a key saw nothing; on-call did: clients whose streams outlast their own deadline wrote a line each, 32 KB in two seconds from 50 connections.

Cause: 'forward: answer broken off' was written for each request.

Change: limitedLog writes one line of a message a second, with the number of those left out. 'forward: head refused' is new and bounded likewise.

--- a/internal/node/forward/proxy.go
+++ b/internal/node/forward/proxy.go
@@ -19,6 +19,7 @@
 	pool         *upstream.Pool
 	match        matcher
 	server       *http.Server
+	log          *limitedLog
 	clientLimits *clientLimits
 	draining     atomic.Bool
 	rejectingNew atomic.Bool
@@ -36,6 +37,7 @@
 		bounds:  options.Bounds.withDefaults(),
 		pool:    upstream.NewPool(options.Upstream),
 		match:   matchRoute,
+		log:     newLimitedLog(options.Log),
 	}
 	proxy.clientLimits = proxy.newClientLimits()
 	proxy.server = proxy.newServer()
--- a/internal/node/forward/reply.go
+++ b/internal/node/forward/reply.go
@@ -107,7 +107,7 @@
 func (c *call) abort(reason error) {
 	c.proxy.counters.aborted.Add(1)
 	if !errors.Is(reason, errClient) && !c.clientGone() {
-		c.proxy.options.Log.Warn("forward: answer broken off", "request", c.intake.id, "error", reason)
+		c.proxy.log.warn("forward: answer broken off", "request", c.intake.id, "error", reason)
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/node/forward/server.go
+++ b/internal/node/forward/server.go
@@ -80,6 +80,7 @@
 // countRefusedHead counts an answer to a head that net/http has not seen.
 func (p *Proxy) countRefusedHead(status int) {
 	p.counters.requests.Add(1)
+	p.log.warn("forward: head refused", "status", status)
 	if status == http.StatusServiceUnavailable {
 		p.counters.rejected.Add(1)
 		return
