controlapi: readiness has few connections, small heads and short time-outs

Callers saw: 300 silent clients at the readiness address held 324 descriptors of 200, ones that connect again 590, and each was let be for 15 to 30 s.

Cause: the server for the platform's checks had the bounds of the control API, and none on its connections.

Change: NewReadinessServer: 32 connections by connlimit, heads of 4 KiB, 2 s for a request and its answer. The platform's checks are a few lines, once a second.

--- a/internal/node/agent/lifecycle.go
+++ b/internal/node/agent/lifecycle.go
@@ -155,8 +155,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
-	started.readiness = controlapi.NewServer(controlapi.ReadinessHandler(a.ready))
-	go func() { _ = started.readiness.Serve(listener) }()
+	server, limited := controlapi.NewReadinessServer(listener, a.ready)
+	started.readiness = server
+	go func() { _ = server.Serve(limited) }()
 	return nil
 }
 
