protocol: empty lines before a request are bounded

Callers saw: while 200 clients send empty lines without end, and for more than 30 s after they are gone, no search is answered.

Cause: feedHead skipped them without a bound and moved its whole buffer for each byte, in the one loop that serves everybody.

Change: they are skipped where they stand, and more than 64 bytes of them are an error: 400, and the connection closes. RFC 9112 asks to skip one.

--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -48,6 +48,7 @@
 	expectsResponse  bool // responses are parsed, not requests
 	chunked          bool // the body has a chunked transfer coding
 	closesConnection bool // the sender closes the connection after this message
+	emptyLines       int  // bytes of empty lines before this message
 }
 
 // Limits on received data, in bytes.
@@ -55,6 +56,7 @@
 	MaxHead         = 8 << 10  // request or status line and headers
 	MaxBody         = 64 << 10 // body that is buffered
 	maxChunkFraming = 256      // chunk-size line with its extensions, or all trailers together
+	maxEmptyLines   = 64       // bytes of empty lines before a message
 	maxLine         = 4 << 20  // line of a discovery stream: a list of thousands of servers is one line
 )
 
@@ -95,6 +97,7 @@
 // Reset discards the current message and prepares the parser for the next one.
 func (m *Message) Reset() {
 	m.buf, m.state, m.headLength, m.closesConnection, m.chunked = m.buf[:0], inHead, 0, false, false
+	m.emptyLines = 0
 }
 
 // Body returns the bytes of the body received so far. They are valid until the next call of Reset or
@@ -136,16 +139,31 @@
 	return used, Incomplete, nil
 }
 
-// feedHead buffers bytes of the head and parses it once it is complete. It skips empty lines before a
+// skipEmptyLines returns how many bytes of empty lines b begins with, before a message. RFC 9112, section 2.2,
+// asks for one such line; more than maxEmptyLines bytes are an error, as they cost their sender nothing.
+func (m *Message) skipEmptyLines(b []byte) (skipped int, err error) {
+	for skipped < len(b) && (b[skipped] == '\r' || b[skipped] == '\n') {
+		skipped++
+	}
+	if m.emptyLines += skipped; m.emptyLines > maxEmptyLines {
+		return skipped, newRequestError(400, "no request line")
+	}
+	return skipped, nil
+}
+
+// feedHead buffers bytes of the head and parses it once it is complete. It skips a few empty lines before a
 // message.
 func (m *Message) feedHead(b []byte) (used int, step Progress, err error) {
 	from := len(m.buf)
+	if from == 0 {
+		used, err = m.skipEmptyLines(b)
+		if err != nil {
+			return used, Incomplete, err
+		}
+		b = b[used:]
+	}
 	take := min(len(b), MaxHead-from)
 	m.buf = append(m.buf, b[:take]...)
-	for from == 0 && len(m.buf) > 0 && (m.buf[0] == '\r' || m.buf[0] == '\n') {
-		m.buf = append(m.buf[:0], m.buf[1:]...)
-		used, take = used+1, take-1
-	}
 	searchFrom := max(from-len(headEnd)+1, 0)
 	end := bytes.Index(m.buf[searchFrom:], []byte(headEnd))
 	if end < 0 {
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -335,3 +335,28 @@
 		t.Errorf("got %d lists, want 1", lists)
 	}
 }
+
+// TestEmptyLinesWithoutEndAreAnError: each of their bytes moved the buffer, and none of them counted.
+func TestEmptyLinesWithoutEndAreAnError(t *testing.T) {
+	const request = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
+	for _, test := range []struct {
+		bytes   int
+		refused bool
+	}{{0, false}, {2, false}, {maxEmptyLines, false}, {maxEmptyLines + 2, true}, {1 << 20, true}} {
+		for _, part := range []int{1, 1 << 21} {
+			var m Message
+			m.SetBuffer(make([]byte, 0, MaxHead+MaxBody))
+			text := []byte(strings.Repeat("\r\n", test.bytes/2) + request)
+			var err error
+			step := Incomplete
+			for len(text) > 0 && err == nil && step != Complete {
+				var used int
+				used, step, err = m.Feed(text[:min(part, len(text))])
+				text = text[used:]
+			}
+			if (err != nil) != test.refused || !test.refused && step != Complete {
+				t.Errorf("%d bytes in parts of %d: step %d, error %v", test.bytes, part, step, err)
+			}
+		}
+	}
+}
