grpcproxy: closing connections count, and clients that waste their place give way

Callers saw: 200 clients at the gRPC address take an aggregator of 256 descriptors to 636; past them no client is accepted and no server reached.

Cause: a connection that was refused, or had ended, waited two seconds for its client to close and counted nowhere; HTTP's share of the descriptors left none to the gRPC front, which had half as many again on top.

Change: HTTP leaves half as many connections as its own to each further front.

--- a/internal/aggregator/engine/accept.go
+++ b/internal/aggregator/engine/accept.go
@@ -30,11 +30,12 @@
 	}
 }
 
-// maxClients returns how many client connections may be open. It leaves two descriptors for each
-// server.
+// maxClients returns how many client connections of HTTP may be open. It leaves two descriptors for each
+// server, and half as many as its own for each further front end.
 func (e *Engine) maxClients() int {
 	serverDescriptors := min(max(minServerDescriptors, 2*len(e.serverList.indexOf)), e.config.maxDescriptors/2)
-	return max(e.config.maxDescriptors-reservedSockets-serverDescriptors, 1)
+	available := e.config.maxDescriptors - reservedSockets - serverDescriptors
+	return max(2*available/(2+len(e.frontends)), 1)
 }
 
 // AcceptFailed implements transport.Handler. No descriptor was left for a client.
--- a/internal/grpcproxy/clientconn.go
+++ b/internal/grpcproxy/clientconn.go
@@ -24,6 +24,7 @@
 	partialSince  float64      // since when a part of a frame waits for its rest; 0: none does
 	timer         engine.Timer // checks nextTimeout
 	timerAt       float64      // 0: no timer
+	hasCalled     bool         // it has begun a call
 	readStopped   bool         // what still comes is ignored, and the connection closes
 	closed        bool
 	bufferedBytes int // of its calls
@@ -151,7 +152,6 @@
 // closeGracefully closes the connection once all that was written has arrived.
 func (c *clientConn) closeGracefully() {
 	c.teardown()
-	c.proxy.closingConns++
 	c.proxy.router.SetHandler(c.conn, (*closingConn)(c))
 	c.proxy.router.FinishConn(c.conn)
 	// A rejected client may go on sending at full speed for long. It isn't read any more, so that it
@@ -159,6 +159,7 @@
 	c.proxy.router.SetReading(c.conn, false)
 	c.timer = c.proxy.router.AfterFunc(c.proxy.settings.Limits.HandshakeTimeout, func() { (*closingConn)(c).abort() })
 	c.closed = false
+	c.proxy.addClosing((*closingConn)(c))
 }
 
 // closingConn is a client connection that only waits for the client to close it.
@@ -186,6 +187,7 @@
 		return
 	}
 	c.closed = true
+	c.proxy.router.CancelTimer(c.timer)
 	c.proxy.closingConns--
 	c.proxy.router.CloseConn(c.conn)
 }
@@ -249,6 +251,7 @@
 		k.dataFromClient(nil, end)
 		return
 	}
+	c.hasCalled = true
 	c.startCall(s, fields, end)
 }
 
--- a/internal/grpcproxy/proxy.go
+++ b/internal/grpcproxy/proxy.go
@@ -33,8 +33,9 @@
 	serverConns []*serverConn // by the pool's identifier
 
 	clientConns  map[*clientConn]bool
-	clientOrder  []*clientConn // as they came; some are closed
-	closingConns int           // that wait for the client to close
+	clientOrder  []*clientConn  // as they came; some are closed
+	closingConns int            // that wait for the client to close
+	closingOrder []*closingConn // as they came; some are closed
 
 	openCalls       int
 	callsByCustomer map[int]int // open ones
@@ -129,7 +130,7 @@
 	return append([]*clientConn(nil), open...)
 }
 
-// Accepted takes a new client connection. Over the limit it is rejected by a GOAWAY.
+// Accepted takes a new client connection, within the limits of admit.
 func (p *Proxy) Accepted(conn transport.Conn) {
 	p.Counters.Accepted++
 	c := &clientConn{proxy: p, conn: conn, idleSince: p.router.Now()}
@@ -140,11 +141,9 @@
 	if len(p.clientOrder) > 2*len(p.clientConns)+16 {
 		p.clientsInOrder() // forgets those that are closed
 	}
-	maxConnections := min(p.settings.Limits.MaxConnections, p.router.MaxFrontendClients())
-	if len(p.clientConns) > maxConnections || p.stoppedAccepting {
-		p.Counters.ConnectionsRejected++
-		c.http2.GoAway(http2.ErrCodeEnhanceYourCalm)
-		c.readStopped = true
+	p.admit(c)
+	if c.closed || c.readStopped {
+		return
 	}
 	if !math.IsInf(p.killAt, 1) {
 		c.http2.StartGracefulShutdown()
