--- a/internal/harness/processfaults/inject.go
+++ b/internal/harness/processfaults/inject.go
@@ -38,6 +38,7 @@
 		GoneKillAll:     (*run).deregisterAndKillAll,
 		WeightsUpdate:   (*run).updateWeights,
 		BrokerReplace:   (*run).replaceBroker,
+		ClientCrowd:     (*run).startClientCrowd,
 	}
 }
 
--- a/internal/harness/processfaults/plan.go
+++ b/internal/harness/processfaults/plan.go
@@ -67,6 +67,7 @@
 	HangUpSeries    FaultKind = "sighups"         // several SIGHUPs to a node or to all
 	DrainKillAll    FaultKind = "drain_kill_all"  // SIGKILL of all nodes just after a draining was acknowledged
 	GoneKillAll     FaultKind = "gone_kill_all"   // the same after a deregistration without a draining
+	ClientCrowd     FaultKind = "client_crowd"    // clients that don't stay inside the limits, at a node's front
 )
 
 // weightedKinds are the kinds that plans draw from; those that stand twice come twice as often.
@@ -103,6 +104,7 @@
 		})
 	}
 	plan.addProcessFaults(random, between)
+	plan.addClientCrowds(random, between)
 	if seed%largeEvery == largeEvery-1 {
 		plan.makeLarge()
 	}
@@ -133,6 +135,20 @@
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.StartMs, b.StartMs) })
 }
 
+// clientCrowds is how many crowds of clients each plan has.
+const clientCrowds = 2
+
+// addClientCrowds adds clients that don't stay inside the limits, which overlap with all other faults.
+func (p *Plan) addClientCrowds(random *rand.Rand, between func(minimum, maximum time.Duration) int) {
+	for range clientCrowds {
+		p.Faults = append(p.Faults, Fault{
+			StartMs: between(0, FaultPhase), DurationMs: between(minFaultDuration, maxFaultDuration), Kind: ClientCrowd,
+			Node: random.IntN(selectors), Peer: random.IntN(selectors),
+		})
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.StartMs, b.StartMs) })
+}
+
 const (
 	// largeEvery: one seed in so many plays a large fleet.
 	largeEvery = 25
--- a/internal/harness/processfaults/processfaults_test.go
+++ b/internal/harness/processfaults/processfaults_test.go
@@ -118,6 +118,7 @@
 		}
 		assert.Equal(t, count(leavingKinds...), 1)
 		assert.Equal(t, count(signalKinds...), signalFaults)
+		assert.Equal(t, count(ClientCrowd), clientCrowds)
 		if plan.Nodes > 0 {
 			large++
 		}
