grpcproxy: the metadata of open calls is bounded together

Callers saw nothing yet: by the limits, 1,000 open calls of 16 KB of metadata each hold 16 MB as text beside held-kb, in a process of 64 MB.

Cause: held-kb counted messages alone.

Change: while the metadata of open calls takes up a quarter of held-kb, beside it, further calls are shed with UNAVAILABLE and a pushback time.

--- a/internal/grpcproxy/call.go
+++ b/internal/grpcproxy/call.go
@@ -23,6 +23,7 @@
 	deadline       float64
 	deadlineTimer  engine.Timer
 	requestHeaders []h2.Field
+	metadataBytes  int // of requestHeaders, as MaxMetadataBytes counts
 	search         *engine.Search
 
 	request        byteQueue
--- a/internal/grpcproxy/callend.go
+++ b/internal/grpcproxy/callend.go
@@ -167,6 +167,8 @@
 		k.answered.discardResponse()
 	}
 	k.addBuffered(-k.request.size())
+	p.metadataBytes -= k.metadataBytes
+	invariant.Check(p.metadataBytes >= 0, "the metadata of calls is accounted for")
 	k.request.clear()
 }
 
--- a/internal/grpcproxy/clients_test.go
+++ b/internal/grpcproxy/clients_test.go
@@ -106,6 +106,27 @@
 	s.closeAndCheck(c)
 }
 
+// TestMetadataOfCallsIsLimited: it counted nowhere, so that calls that no server answers held the metadata of a thousand.
+func TestMetadataOfCallsIsLimited(t *testing.T) {
+	s := newHarness(t, 23, 2, "")
+	s.settings.Limits.MaxBufferedBytes = 64 << 10
+	s.scriptAll(func(_ *p.ServerCall) []p.Action { return nil })
+	c := p.Dial(s.world, 1)
+	metadata := []string{"x-filler", strings.Repeat("y", 7<<10)}
+	for range 20 {
+		c.Call(&p.ClientCall{Path: quickPath, TimeoutMs: 900, Fields: metadata, Body: [][]byte{p.EncodeMessage("q")}})
+	}
+	s.world.Run(100)
+	if s.proxy.metadataBytes > 64<<10/metadataDivisor+8<<10 || s.proxy.Counters.OverBufferLimit < 10 {
+		t.Errorf("%d bytes of metadata, %d calls rejected", s.proxy.metadataBytes, s.proxy.Counters.OverBufferLimit)
+	}
+	s.world.Run(1500)
+	s.closeAndCheck(c)
+	if s.proxy.metadataBytes != 0 {
+		t.Errorf("%d bytes of metadata of no call", s.proxy.metadataBytes)
+	}
+}
+
 func TestCallsAndBufferedBytesAreLimited(t *testing.T) {
 	s := newHarness(t, 21, 2, "")
 	s.settings.Limits.MaxCalls, s.settings.Limits.MaxCallsPerCustomer = 10, 6
--- a/internal/grpcproxy/proxy.go
+++ b/internal/grpcproxy/proxy.go
@@ -40,6 +40,7 @@
 	openCalls       int
 	callsByCustomer map[int]int // open ones
 	bufferedBytes   int         // of all calls
+	metadataBytes   int         // of all calls
 	deferredCredit  []*call     // to be credited once less is buffered
 
 	pendingFlush []flusher
--- a/internal/grpcproxy/settings.go
+++ b/internal/grpcproxy/settings.go
@@ -91,6 +91,9 @@
 	// softLimitRatio of MaxBufferedBytes is the soft limit: above it no client is credited and no
 	// call accepted.
 	softLimitRatio = 0.75
+	// metadataDivisor: while the metadata of open calls takes up one part in metadataDivisor of MaxBufferedBytes, beside it, no further
+	// call is accepted.
+	metadataDivisor = 4
 	// maxUnsentBytes that the network hasn't taken end a connection. Its streams stay far below; who
 	// gets there sends frames that must be answered, and reads nothing.
 	maxUnsentBytes = 1 << 20
--- a/internal/grpcproxy/startcall.go
+++ b/internal/grpcproxy/startcall.go
@@ -41,6 +41,8 @@
 	}
 	k.stream = s
 	k.requestHeaders = append([]h2.Field(nil), fields...)
+	k.metadataBytes = metadataSize(fields)
+	p.metadataBytes += k.metadataBytes
 	k.requestEnded = end
 	s.UserData = k
 	p.openCalls++
@@ -50,6 +52,14 @@
 	k.start(shard, metadata)
 }
 
+// metadataSize is the size of a header list, as MaxMetadataBytes counts.
+func metadataSize(fields []h2.Field) (bytes int) {
+	for _, field := range fields {
+		bytes += int(field.Size())
+	}
+	return bytes
+}
+
 // httpRejection returns the HTTP status for what can't be a gRPC call, or "".
 func httpRejection(fields []h2.Field) string {
 	method, _ := grpcwire.FirstValue(fields, ":method")
@@ -126,7 +136,7 @@
 	case limits.MaxCallsPerCustomer > 0 && p.callsByCustomer[customer] >= limits.MaxCallsPerCustomer:
 		return &rejection{&counters.OverCustomerLimit, grpcwire.ResourceExhausted,
 			"too many calls of this customer are open", p.retryPushback()}
-	case p.aboveSoftLimit():
+	case p.aboveSoftLimit(), p.metadataBytes > limits.MaxBufferedBytes/metadataDivisor:
 		return &rejection{&counters.OverBufferLimit, grpcwire.Unavailable, "too much is held", p.retryPushback()}
 	}
 	return nil
