forward: bodies over 16 KB are counted as they arrive, not as they are announced

Callers saw: while clients announce bodies that they don't send, others with a body get 503; on the smallest machine 12 clients with 4 MB each suffice.

Cause: a body of a stated length was counted in full, and its buffer allocated, when its head had arrived; pooled buffers of up to 128 KB counted by the bodies in them.

Change: bodies over 16 KB take the path of those in chunks, up to the length that is stated; pooled buffers have 32 KB at most.

--- a/internal/node/forward/bodymemory_test.go
+++ b/internal/node/forward/bodymemory_test.go
@@ -35,7 +35,7 @@
 	for limit := int64(1000); limit < 4*length; limit += 7001 {
 		memory := &countedMemory{limit: limit}
 		b := new(buffer)
-		err := b.readChunked(iotest.OneByteReader(strings.NewReader(body)), length, memory)
+		err := b.readCounted(iotest.OneByteReader(strings.NewReader(body)), -1, length, memory)
 		assert.Equal(t, memory.used, int64(cap(b.bytes)))
 		if err != nil {
 			assert.Assert(t, errors.Is(err, errNoBuffer))
@@ -44,7 +44,7 @@
 		}
 		assert.Equal(t, string(b.bytes), body)
 	}
-	assert.Assert(t, errors.Is(new(buffer).readChunked(strings.NewReader(body), length-1, &countedMemory{limit: 1 << 30}), errTooLarge))
+	assert.Assert(t, errors.Is(new(buffer).readCounted(strings.NewReader(body), -1, length-1, &countedMemory{limit: 1 << 30}), errTooLarge))
 }
 
 // TestBurstOfChunkedBodiesIsBounded guards against processes over their memory limit: bodies in chunks were counted once they had
@@ -74,6 +74,20 @@
 	w.awaitBuffered(func(count int64) bool { return count == 0 }, "memory of requests that have ended is counted")
 }
 
+// TestAnnouncedBodiesKeepNobodyOut: they were counted in full when they were announced, so that a few that never came took all memory for
+// bodies (docs/incidents/announced.md).
+func TestAnnouncedBodiesKeepNobodyOut(t *testing.T) {
+	only := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
+	w := newWorld(t, newScriptedRouter(only.instance), func(_ *world, options *Options) { options.Bounds.MaxBufferedBytes = 400_000 })
+	for i := range 5 {
+		w.client().send(requestText("POST", "/unsafe/a", fmt.Sprint("a", i), "", "Content-Length: 300000") + "x")
+	}
+	w.awaitBuffered(func(count int64) bool { return count >= 5*minReadSize }, "bodies that arrive aren't counted")
+	body := strings.Repeat("a", 150_000)
+	assert.Equal(t, w.do(post("/unsafe/a", "r1", body)).StatusCode, 200)
+	assert.Equal(t, only.next().body, body)
+}
+
 // awaitBuffered waits until the memory that is counted for bodies fulfils a condition; otherwise says what is wrong.
 func (w *world) awaitBuffered(condition func(count int64) bool, otherwise string) {
 	w.t.Helper()
--- a/internal/node/forward/buffer.go
+++ b/internal/node/forward/buffer.go
@@ -7,7 +7,7 @@
 )
 
 // maxPooledBytes is the size up to which buffers are pooled.
-const maxPooledBytes = 128 << 10
+const maxPooledBytes = 32 << 10
 
 // buffer is a byte slice that is reused for later requests.
 type buffer struct{ bytes []byte }
@@ -52,22 +52,25 @@
 	releaseBuffer(count int64)
 }
 
-// readChunked reads a body of unknown length to io.EOF into an empty buffer, at most maxBytes:
-// errTooLarge where there is more. All the memory that the buffer has at any time, also while it is
+// readCounted reads a body to io.EOF into an empty buffer, at most maxBytes: errTooLarge where there is
+// more. length is -1 if it is unknown. All the memory that the buffer has at any time, also while it is
 // copied to a larger one, is counted in the account before it is allocated: errNoBuffer where the
 // account has no room. What the buffer has in the end stays counted.
-func (b *buffer) readChunked(source io.Reader, maxBytes int64, account bufferAccount) error {
-	return b.readToEnd(source, maxBytes, func() error { return b.growCounted(account) })
+func (b *buffer) readCounted(source io.Reader, length, maxBytes int64, account bufferAccount) error {
+	return b.readToEnd(source, maxBytes, func() error { return b.growCounted(length, account) })
 }
 
-// growCounted makes room for a read, half as much again as there is. The larger buffer is counted while
-// the smaller one still is.
-func (b *buffer) growCounted(account bufferAccount) error {
+// growCounted makes room for a read, half as much again as there is, but no more than a known length
+// needs. The larger buffer is counted while the smaller one still is.
+func (b *buffer) growCounted(length int64, account bufferAccount) error {
 	if cap(b.bytes) > len(b.bytes) {
 		return nil
 	}
 	former := cap(b.bytes)
 	capacity := former + max(former/2, minReadSize)
+	if length >= int64(former) {
+		capacity = min(capacity, int(length)+1)
+	}
 	if !account.reserveBuffer(int64(capacity)) {
 		return errNoBuffer
 	}
--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -129,7 +129,7 @@
 	if maxBytes <= 0 {
 		maxBytes = c.proxy.bounds.MaxBufferedBytes
 	}
-	if !c.reserveBuffer(max(c.request.ContentLength, 0)) {
+	if c.hasSmallBody() && !c.reserveBuffer(c.request.ContentLength) {
 		return c.reject(c.proxy.bounds.UnreadyRetryAfter)
 	}
 	c.setBodyDeadline()
@@ -149,15 +149,24 @@
 	}
 }
 
-// readBodyBytes reads the body into a buffer that is counted in proxy.buffered: at once where its
-// length is known, else as the buffer grows.
+// maxSmallBodyBytes is the length up to which a body is counted when it is announced. Clients that announce more and don't send it
+// must not keep others out.
+const maxSmallBodyBytes = 16 << 10
+
+// hasSmallBody reports whether the body has a small length that is known.
+func (c *call) hasSmallBody() bool {
+	return c.request.ContentLength >= 0 && c.request.ContentLength <= maxSmallBodyBytes
+}
+
+// readBodyBytes reads the body into a buffer that is counted in proxy.buffered: at once where the body
+// is small, else as the buffer grows.
 func (c *call) readBodyBytes(maxBytes int64) error {
-	if c.request.ContentLength >= 0 {
+	if c.hasSmallBody() {
 		c.body = takeBuffer()
 		return c.body.readAll(c.request.Body, c.request.ContentLength, maxBytes)
 	}
 	c.body = new(buffer) // its size is counted from the first byte on, unlike that of a pooled one
-	return c.body.readChunked(c.request.Body, maxBytes, c)
+	return c.body.readCounted(c.request.Body, c.request.ContentLength, maxBytes, c)
 }
 
 // reserveBuffer counts bytes of a body against MaxBufferedBytes. It reports false where they exceed
