forward: denials in a row on a connection are slowed down

Cause: a denial costs its client nothing, and connections full of requests that are denied kept the node's one processor busy.

Change: from the ninth denial in a row on a connection waits 0.1 s for each, and may give way meanwhile. A request that is let through ends the row.

--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -223,6 +223,7 @@
 	}
 	if c.client != nil {
 		c.client.place.MarkServed()
+		c.client.denials = 0
 	}
 	c.connLimit = c.proxy.connectionShare(c.intake.compiled.Services[c.intake.service])
 	c.setAnswerDeadline()
--- a/internal/node/forward/clientconn.go
+++ b/internal/node/forward/clientconn.go
@@ -33,6 +33,9 @@
 	// headDeadline is when a head that has started to arrive must be complete.
 	headDeadline time.Time
 
+	// denials are the latest requests in a row that were denied. The handler counts them.
+	denials int
+
 	// requestFraming is the framing of the request that the handler has.
 	requestFraming framing
 	// requestComplete: the complete request had arrived when the handler started.
--- a/internal/node/forward/intake_test.go
+++ b/internal/node/forward/intake_test.go
@@ -66,6 +66,26 @@
 	assert.Equal(t, w.do(chunked("/unsafe/a", "r1", body, 100<<10)).StatusCode, 200)
 }
 
+// TestDenialsInARowAreSlowedDown: a client whose requests are all denied took the processor by sending them ahead.
+func TestDenialsInARowAreSlowedDown(t *testing.T) {
+	only := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
+	w := newWorld(t, newScriptedRouter(only.instance))
+	c := w.client()
+	const further = 3
+	begunAt := time.Now()
+	for i := range promptDenials + further {
+		c.send(get("/none/a", fmt.Sprint("r", i)))
+	}
+	for range promptDenials + further {
+		assert.Equal(t, c.read("GET").StatusCode, 404)
+	}
+	assert.Assert(t, time.Since(begunAt) >= further*denialPause)
+	c.send(get("/safe/a", "served"))
+	assert.Equal(t, c.read("GET").StatusCode, 200)
+	c.send(get("/none/a", "again"))
+	assert.Equal(t, c.read("GET").StatusCode, 404)
+}
+
 // TestKeysAreChecked checks who a request belongs to (RULES.md, UNASKED and DENIED).
 func TestKeysAreChecked(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/node/forward/reply.go
+++ b/internal/node/forward/reply.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"kestrelspread/internal/node/connlimit"
 	"kestrelspread/internal/node/forward/upstream"
 )
 
@@ -55,6 +56,7 @@
 	if why == deniedFraming {
 		c.proxy.counters.badFraming.Add(1)
 	}
+	c.slowDenial()
 	header := c.newHeader()
 	if why.closeConnection {
 		header["Connection"] = []string{"close"}
@@ -63,6 +65,32 @@
 	return false
 }
 
+const (
+	// promptDenials of a connection in a row are answered at once.
+	promptDenials = 8
+	// denialPause is the time before each further one.
+	denialPause = 100 * time.Millisecond
+)
+
+// slowDenial waits where one denial follows another on a connection: a client that sends requests ahead, none of which is accepted, must
+// not take the processor from others. Meanwhile its connection may give way to another one.
+func (c *call) slowDenial() {
+	if c.client == nil {
+		return
+	}
+	c.client.denials++
+	if c.client.denials <= promptDenials {
+		return
+	}
+	c.setClientState(connlimit.Idle)
+	timer := time.NewTimer(denialPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.request.Context().Done():
+	}
+}
+
 // reject answers 503: the request has not run and never will, and may be retried after the time
 // given. It returns false, for the caller to return.
 func (c *call) reject(retryAfter time.Duration) bool {
