--- a/internal/node/forward/clientconn.go
+++ b/internal/node/forward/clientconn.go
@@ -141,8 +141,7 @@
 		c.releaseParsedHead()
 		c.place.SetState(connlimit.Idle)
 	case http.StateClosed:
-		c.releaseKeptHead()
-		c.releaseParsedHead()
+		c.releaseCounts()
 		c.place.Release()
 	}
 }
--- a/internal/node/forward/headreader.go
+++ b/internal/node/forward/headreader.go
@@ -113,6 +113,14 @@
 	c.parsedBytes = 0
 }
 
+// releaseCounts ends all counting at the end of the connection. It leaves the head itself alone: net/http may still be reading in the
+// background, which looks at it, but counts nothing.
+func (c *clientConn) releaseCounts() {
+	c.limits.partialHeads.give(c.keptBytes)
+	c.keptBytes = 0
+	c.releaseParsedHead()
+}
+
 // refuse answers a head that is not handed to net/http, and reads what the client still sends for a bounded time. It returns the error
 // that ends the connection.
 func (c *clientConn) refuse(refused *refusal, scratch []byte) error {
