--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -31,6 +31,7 @@
 
 // cases are the cases by name.
 var cases = map[string]caseFunc{
+	"alone":       alone,
 	"last-tenant": lastTenant,
 }
 
