--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]caseFunc{
 	"alone":       alone,
 	"last-tenant": lastTenant,
+	"wall":        wall,
 }
 
 // environment is what a case is given.
