registry: an answer without present brokers completes no first synchronisation

Cause: an answer that held nothing but a broker that had left ended a node's first synchronisation, so that it served as if the fleet had no other broker.

Change: only an answer with a broker that is not gone completes it; else the next nodes are polled at once, for two seconds at the most as before.

Measured: TestAnswerWithoutPresentBrokersCompletesNoSync failed before.

--- a/internal/node/registry/antientropy.go
+++ b/internal/node/registry/antientropy.go
@@ -44,7 +44,7 @@
 }
 
 // pollInitial requests a full sync from initialPollPeers nodes. It is repeated until one answers with
-// brokers, or maxInitialPolls rounds have passed.
+// brokers that are not gone, or maxInitialPolls rounds have passed.
 func (r *Registry) pollInitial(now core.Time) {
 	r.nextPoll = now + initialPollInterval
 	r.initialPolls++
@@ -186,13 +186,14 @@
 	r.requestTopics(from.Address, r.differingDigests(snapshot.Topics))
 }
 
-// recordInitialAnswer completes the initial full sync with the first answer that has brokers. An empty
-// answer may come from a node that has just started too, so the next nodes are polled at once.
+// recordInitialAnswer completes the initial full sync with the first answer that has brokers which are
+// not gone. An answer without any may come from a node that has just started too, and knows no more
+// than one that has left: the next nodes are polled at once.
 func (r *Registry) recordInitialAnswer(now core.Time, snapshot *nodepb.RegistrySnapshot) {
 	if r.synced {
 		return
 	}
-	if len(snapshot.Instances) == 0 {
+	if !slices.ContainsFunc(snapshot.Instances, isPresent) {
 		r.nextPoll = min(r.nextPoll, now)
 		return
 	}
@@ -200,6 +201,9 @@
 	r.nextPoll = now + pollInterval
 }
 
+// isPresent reports whether a broker is not gone.
+func isPresent(instance *nodepb.Instance) bool { return instance.State != nodepb.InstanceState_GONE }
+
 // mergeSnapshotEntry merges one broker of an answer. Only the home of its topic knows its liveness.
 func (r *Registry) mergeSnapshotEntry(now core.Time, from core.Peer, instance *nodepb.Instance) {
 	if instance.Id == "" {
--- a/internal/node/registry/antientropy_test.go
+++ b/internal/node/registry/antientropy_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"kestrelspread/internal/node/core"
 	"kestrelspread/internal/node/nodepb"
 )
 
@@ -52,6 +53,25 @@
 	}
 }
 
+// TestAnswerWithoutPresentBrokersCompletesNoSync: a node that knew no more than a broker which had left ended the full sync of another
+// one, which then refused requests as if the fleet had no brokers.
+func TestAnswerWithoutPresentBrokersCompletesNoSync(t *testing.T) {
+	c := newCluster(t, 21, 4, "a")
+	c.broker("1", "llm", "a").heartbeat(c.nodes[0])
+	c.network.Run(time.Second)
+	fresh := c.start()
+	gone := &nodepb.Instance{Id: "2", Service: "llm", Zone: "a", State: nodepb.InstanceState_GONE}
+	fresh.Do(func(now core.Time) []core.Output {
+		return fresh.registry.Receive(now, core.Peer{NodeID: "node-9", Address: "10.0.0.9:7000"}, &nodepb.Envelope{
+			Body: &nodepb.Envelope_RegistrySnapshot{RegistrySnapshot: &nodepb.RegistrySnapshot{Instances: []*nodepb.Instance{gone}}}})
+	})
+	assert.Assert(t, !fresh.registry.Synced())
+	c.publishMembers()
+	c.within(300*time.Millisecond, "it knows the broker", func() bool {
+		return fresh.registry.Synced() && fresh.registry.Table().ByID["1"] != nil
+	})
+}
+
 func TestAntiEntropyRepairsLostUpdates(t *testing.T) {
 	for seed := range uint64(10) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
