control: a confirmation from before the process's start keeps its age

Cause: such a confirmation was taken for one of the process's first nanosecond. With globalRevocation a node whose only confirmation came from an upstream that had just lost the core trusted keys longer than revokeMs, by the age at the start.

Change: the time stays negative; 0 alone stands for none.

--- a/internal/node/control/propagate.go
+++ b/internal/node/control/propagate.go
@@ -72,6 +72,16 @@
 	return addresses
 }
 
+// confirmation returns the time of a confirmation as Node keeps it. One from before the process's start
+// is negative: taken for one of the start it would be trusted for longer than its age allows. 0 stands
+// for none.
+func confirmation(confirmedAt core.Time) core.Time {
+	if confirmedAt == 0 {
+		return -1
+	}
+	return confirmedAt
+}
+
 // propagateConfirmation hands the tail's own barriers to distribution, and records how fresh the state
 // held here is.
 func (n *Node) propagateConfirmation(now core.Time) {
@@ -81,6 +91,6 @@
 		}
 	}
 	if confirmedAt, ok := n.distribution.ConfirmedAt(); ok {
-		n.confirmedAt = max(confirmedAt, 1)
+		n.confirmedAt = confirmation(confirmedAt)
 	}
 }
