node: a configuration that may be old shares no tenant's cached prefixes

Cause: the salt of a request names the tenant if the configuration held here isolates it, however old that is.

Change: beyond half of ackMs since its newest confirmation a proxy keeps every tenant apart, asked at the receipt and again as the head is written; a change that isolates a tenant is acknowledged only once that time has passed since the commit. A second attempt takes the salt that is right by then. Why it works: a proxy without the change was confirmed before its commit.

--- a/internal/harness/fleet/checks.go
+++ b/internal/harness/fleet/checks.go
@@ -28,8 +28,9 @@
 	modelOrders       []llmbroker.OrderArrival
 	ackedWeights      []fleetoperator.Acknowledgement // of versions of the weights
 	drains            []drainedBroker
-	crashedBrokers    []string // IDs
-	core              []string // names of the nodes with a disk
+	crashedBrokers    []string  // IDs
+	isolatedAt        time.Time // of tenantLater; zero: it is not
+	core              []string  // names of the nodes with a disk
 	nodeFaults        []NodeFault
 	linkFaults        []LinkFault
 	violations        []Violation
@@ -57,7 +58,7 @@
 	defer f.mutex.Unlock()
 	e := &evidence{
 		bounds: f.options.Bounds, attempts: load.Attempts.All(), arrivals: f.ArrivalLog.Arrivals(), modelOrders: f.ArrivalLog.Orders(),
-		drains: f.drainedBrokers, crashedBrokers: f.crashedBrokers,
+		drains: f.drainedBrokers, crashedBrokers: f.crashedBrokers, isolatedAt: f.isolatedAt,
 	}
 	for _, acknowledgement := range f.Operator.Acknowledged() {
 		if acknowledgement.Model != "" {
@@ -128,6 +129,7 @@
 	e.checkCallsOff()
 	e.checkWeights()
 	e.checkSalts()
+	e.checkIsolation()
 	e.checkOrders()
 	e.checkBudget()
 }
--- a/internal/harness/fleet/client.go
+++ b/internal/harness/fleet/client.go
@@ -85,6 +85,15 @@
 	}
 }
 
+// sendOnce makes one attempt, on the kept connection if there is one, and returns how it ended.
+func (c *client) sendOnce(p plannedRequest) Outcome {
+	started := time.Now()
+	attempt := c.attempt(p, started, started.Add(p.deadline), 0)
+	attempt.Phase = probePhase
+	c.load.Attempts.add(attempt)
+	return attempt.Outcome
+}
+
 // awaitRetry waits before a retry, and reports whether there is time for one.
 func (c *client) awaitRetry(until time.Time, requested time.Duration) bool {
 	left := time.Until(until)
--- a/internal/harness/fleet/fleet.go
+++ b/internal/harness/fleet/fleet.go
@@ -71,7 +71,8 @@
 
 	mutex          sync.Mutex // guards Brokers and what follows
 	drainedBrokers []drainedBroker
-	crashedBrokers []string // IDs of brokers that ended without draining
+	crashedBrokers []string  // IDs of brokers that ended without draining
+	isolatedAt     time.Time // when the isolation of tenantLater was acknowledged; zero: never
 }
 
 // Start starts the nodes and the brokers. They have no configuration yet, see Bootstrap.
--- a/internal/harness/fleet/load.go
+++ b/internal/harness/fleet/load.go
@@ -30,7 +30,7 @@
 
 // StartLoad starts clients that send requests of the three kinds until Stop.
 func (f *Fleet) StartLoad(interval time.Duration) *Load {
-	load := &Load{Attempts: &AttemptLog{}, Interval: interval, fleet: f, apiKeys: []string{keyShared, keyIsolated}}
+	load := &Load{Attempts: &AttemptLog{}, Interval: interval, fleet: f, apiKeys: []string{keyShared, keyIsolated, keyLater}}
 	ctx, end := context.WithCancel(f.lifetime)
 	load.cancel = end
 	for i := range clientCount {
--- a/internal/harness/fleet/modelchecks.go
+++ b/internal/harness/fleet/modelchecks.go
@@ -47,6 +47,35 @@
 	}
 }
 
+// checkIsolation checks that requests of the tenant that was isolated later, sent after the acknowledgement of that, neither use cached
+// prefixes that requests of others have made nor leave any for them: brokers find prefixes under one salt. It holds for all nodes, in
+// touch or not (RULES.md, WALL).
+func (e *evidence) checkIsolation() {
+	if e.isolatedAt.IsZero() {
+		return
+	}
+	isolated := map[string]bool{} // requests
+	for i := range e.attempts {
+		r := &e.attempts[i]
+		if tenantOf(r.Key) == tenantLater && r.FirstAttemptAt.After(e.isolatedAt) {
+			isolated[r.ID] = true
+		}
+	}
+	others := map[string]*llmbroker.Arrival{} // runs of other tenants by salt
+	for i := range e.arrivals {
+		if arrival := &e.arrivals[i]; arrival.Ran() && arrival.Version != 0 && arrival.Tenant != tenantLater {
+			others[arrival.Salt] = arrival
+		}
+	}
+	for i := range e.arrivals {
+		arrival := &e.arrivals[i]
+		if other := others[arrival.Salt]; isolated[arrival.Request] && arrival.Ran() && arrival.Version != 0 && other != nil {
+			e.report("WALL", "request %s of tenant %s, isolated, ran at %s under salt %q, as request %s of tenant %s did",
+				arrival.Request, arrival.Tenant, arrival.Instance, arrival.Salt, other.Request, other.Tenant)
+		}
+	}
+}
+
 // checkOrders checks that a fencing token has one lease holder, and that a broker receives no orders of two holders within one lease.
 // Brokers check fencing tokens here, so that a lower one after a higher does no harm.
 func (e *evidence) checkOrders() {
--- a/internal/harness/fleet/services.go
+++ b/internal/harness/fleet/services.go
@@ -93,11 +93,18 @@
 const (
 	tenantShared   = "north"
 	tenantIsolated = "south"
+	tenantLater    = "west" // shares prefixes until a later configuration isolates it
 	keyShared      = "key-north-1"
 	keyRevoked     = "key-north-2" // a later configuration revokes it
 	keyIsolated    = "key-south-1"
+	keyLater       = "key-west-1"
 )
 
+// IsolatedLater is the tenant that shares prefixes in the first configuration, as a later one isolates it.
+func IsolatedLater() config.Tenant {
+	return config.Tenant{Name: tenantLater, APIKeys: []string{keyLater}, Isolated: true}
+}
+
 // SharedKeyPrefix begins API keys that changes give to SharedTenant.
 const SharedKeyPrefix = "order-"
 
@@ -108,6 +115,8 @@
 		return tenantShared
 	case key == keyIsolated:
 		return tenantIsolated
+	case key == keyLater:
+		return tenantLater
 	default:
 		return ""
 	}
@@ -121,6 +130,7 @@
 		Tenants: []config.Tenant{
 			{Name: tenantShared, APIKeys: []string{keyShared, keyRevoked}},
 			{Name: tenantIsolated, APIKeys: []string{keyIsolated}, Isolated: true},
+			{Name: tenantLater, APIKeys: []string{keyLater}},
 		},
 	}
 	for _, prefix := range []string{prefixLookup, prefixPrint, prefixDraft, prefixVerdict, prefixOld} {
@@ -282,6 +292,15 @@
 	return f.Drain(ctx, broker)
 }
 
+// RecordIsolation records that the configuration was acknowledged which isolates the tenant of IsolatedLater. It stays isolated.
+func (f *Fleet) RecordIsolation(ackedAt time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.isolatedAt.IsZero() || ackedAt.Before(f.isolatedAt) {
+		f.isolatedAt = ackedAt
+	}
+}
+
 // recordLeaving records that a drain or deregistration was acknowledged.
 func (f *Fleet) recordLeaving(broker *llmbroker.Broker, ackedAt time.Time) {
 	f.mutex.Lock()
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -76,6 +76,8 @@
 	// coreUnable: the core is reached but can't confirm the published state, which is not served then.
 	coreUnable atomic.Bool
 	stopping   atomic.Bool
+	// isolation holds acknowledgements back until no proxy can share a newly isolated tenant's cached prefixes any longer.
+	isolation  isolation
 	proxyCount atomic.Int64 // nodes that serve clients, at least 1
 
 	progress     nodeProgress
@@ -153,6 +155,7 @@
 		startedAt: time.Now(),
 		inbox:     make(chan func(core.Time), inboxCapacity),
 		requests:  newPendingRequests(),
+		isolation: newIsolation(),
 	}
 	a.self = &nodepb.Member{
 		NodeId:          loaded.NodeName + "/" + incarnationID,
@@ -177,7 +180,7 @@
 func (a *Agent) bounds() control.Bounds {
 	bounds := a.settings.Bounds
 	return control.Bounds{
-		Contact:          bounds.Contact(),
+		Contact: bounds.Contact(), Ack: bounds.Ack(),
 		GlobalRevocation: bounds.GlobalRevocation, Revoke: bounds.Revoke(),
 		Lease: bounds.Lease(), Thaw: bounds.Thaw(), Version: bounds.Version(),
 	}
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -32,6 +32,7 @@
 		Clock:         a.now,
 		Configuration: a.compiled.Load,
 		MayServe:      a.mayServe,
+		Confirmed:     a.configurationConfirmed,
 		Startup:       a.startup,
 		ProxyCount:    func() int { return int(a.proxyCount.Load()) },
 		Bounds: forward.Bounds{
@@ -116,6 +117,12 @@
 	return a.bounds().ConfigurationLeaseValid(now, core.Time(a.confirmedAt.Load()))
 }
 
+// configurationConfirmed reports whether the published configuration was confirmed recently enough to say which tenants share cached
+// prefixes. Source: RULES.md, WALL.
+func (a *Agent) configurationConfirmed(now core.Time) bool {
+	return a.bounds().IsolationLeaseValid(now, core.Time(a.confirmedAt.Load()))
+}
+
 // ready is the readiness that the platform is told: a confirmed configuration that may be served, and
 // no shutdown under way.
 func (a *Agent) ready() bool {
@@ -147,9 +154,10 @@
 // publishState publishes a new control state to the data plane.
 func (a *Agent) publishState(now core.Time) {
 	compiled := a.control.Compiled()
-	a.compiled.Store(compiled)
+	before := a.compiled.Swap(compiled)
 	a.prompts.sourcesStale = true
 	a.router.SetConfig(now, compiled)
+	a.isolation.record(now, before, compiled)
 }
 
 // publishTable publishes the registry's table of brokers to the data plane.
--- a/internal/node/agent/requests.go
+++ b/internal/node/agent/requests.go
@@ -120,7 +120,14 @@
 	reply, err := b.command(ctx, func(now core.Time, request uint64) []core.Output {
 		return b.agent.control.Submit(now, request, command)
 	})
-	return reply.Result, err
+	change := command.GetConfigChange()
+	if err != nil || reply.Result.GetCode() != nodepb.ResultCode_TAKEN || change.GetBaseVersion() == 0 {
+		return reply.Result, err // nobody held a configuration before the first one
+	}
+	if err := b.agent.awaitIsolation(ctx, reply.Result.GetVersion()); err != nil {
+		return nil, err
+	}
+	return reply.Result, nil
 }
 
 // Fetch implements controlapi.Backend.
--- /dev/null
+++ b/internal/node/config/isolation.go
@@ -0,0 +1,21 @@
+package config
+
+// Isolates reports whether the configuration isolates a caller that shared cached prefixes under the
+// one before: an API key of an isolated tenant that belonged to another tenant or one that was not
+// isolated, or any isolated tenant where there were no tenants, as callers were not told apart then.
+// before may be nil: what nodes held is not known.
+func (c *Compiled) Isolates(before *Compiled) bool {
+	for key, tenant := range c.Tenants {
+		if !tenant.Isolated {
+			continue
+		}
+		if before == nil || !before.TenantsInUse {
+			return true
+		}
+		previous := before.Tenants[key]
+		if previous != nil && (!previous.Isolated || previous.Name != tenant.Name) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/control/node.go
+++ b/internal/node/control/node.go
@@ -59,6 +59,8 @@
 type Bounds struct {
 	// Contact is how long a machine must have been free of faults to count as in touch.
 	Contact time.Duration
+	// Ack is how long the acknowledgement of an operator's change may take.
+	Ack time.Duration
 	// GlobalRevocation: a revoked key is refused within Revoke also on machines that are partitioned.
 	GlobalRevocation bool
 	// Revoke is the time from the acknowledged revocation of a key until it is refused everywhere.
--- a/internal/node/forward/attempt.go
+++ b/internal/node/forward/attempt.go
@@ -100,6 +100,9 @@
 	head := takeBuffer()
 	defer head.release()
 	now := c.now()
+	if !c.proxy.confirmed(now) {
+		a.isolate()
+	}
 	head.bytes = a.appendHead(head.bytes, now)
 	head.grow(min(len(c.bodyBytes()), upstream.MaxJoinedBytes))
 	if c.clientGone() || now >= c.intake.deadline || !c.proxy.mayServe(now, c.intake.route.Public) {
@@ -108,6 +111,18 @@
 	return conn.Send(head.bytes, c.bodyBytes(), c.answerDeadline())
 }
 
+// isolate keeps the request's prefixes apart from those of other tenants: the process may have stood
+// still since the router chose the salt, and the tenant may be isolated by now. A source of parts under
+// the salt that all share is not asked.
+func (a *attempt) isolate() {
+	if a.planned.Salt == a.planned.IsolatedSalt {
+		return
+	}
+	isolated := *a.planned
+	isolated.Salt, isolated.FetchFrom, isolated.SaveTo = isolated.IsolatedSalt, "", ""
+	a.planned = &isolated
+}
+
 // attachConn makes the connection visible to those who may interrupt the attempt. It reports false
 // where that has happened before.
 func (a *attempt) attachConn(conn *upstream.Conn) bool {
--- a/internal/node/forward/call.go
+++ b/internal/node/forward/call.go
@@ -109,8 +109,11 @@
 	return true
 }
 
-// resolve finds the request's route and tenant, or why it is denied.
+// resolve finds the request's route and tenant, or why it is denied. Whether the configuration is
+// confirmed is asked before it is loaded: a newer one may take its place in between, and the
+// confirmation is then that of the newer one.
 func (c *call) resolve() *denial {
+	c.intake.unconfirmed = !c.proxy.confirmed(c.now())
 	return c.intake.resolve(c.request, c.proxy.configuration(), c.proxy.match, c.proxy.options.Seed)
 }
 
--- a/internal/node/forward/intake.go
+++ b/internal/node/forward/intake.go
@@ -44,8 +44,10 @@
 	route    *config.Route
 	service  string
 	tenant   *config.Tenant // nil: none
-	received core.Time
-	deadline core.Time
+	// unconfirmed: compiled may have been replaced by one that isolates the tenant.
+	unconfirmed bool
+	received    core.Time
+	deadline    core.Time
 }
 
 // checkRequest checks what doesn't depend on the configuration, and extracts id and path.
@@ -214,5 +216,6 @@
 		TokensOut:     tokensOut,
 		BodyBytes:     bodyBytes,
 		ResumesStream: firstValue(header, headerLastEventID) != "",
+		Unconfirmed:   in.unconfirmed,
 	}
 }
--- a/internal/node/forward/intake_test.go
+++ b/internal/node/forward/intake_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -326,6 +327,50 @@
 	assert.Equal(t, w.do(get("/safe/a", "r1")).StatusCode, 503)
 }
 
+// TestUnconfirmedConfigurationKeepsTenantsApart guards against WALL: a proxy that had stood still, or been cut off, while a tenant became
+// isolated sent its requests under the salt that all tenants share. The process may stand still between the choice of the salt and the
+// sending as well.
+func TestUnconfirmedConfigurationKeepsTenantsApart(t *testing.T) {
+	for name, c := range map[string]struct {
+		atReceipt, atSending bool // is the configuration confirmed
+		salt, fetch          string
+	}{
+		"confirmed":          {true, true, "m|1", "10.0.0.1:80"},
+		"old at the sending": {true, false, "m|1|acme", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
+			port := newScriptedRouter(b.instance)
+			var confirmed atomic.Bool
+			confirmed.Store(c.atReceipt)
+			port.attempt = func(attempt *routing.Attempt) {
+				attempt.Salt, attempt.IsolatedSalt, attempt.FetchFrom = "m|1", "m|1|acme", "10.0.0.1:80"
+				confirmed.Store(c.atSending)
+			}
+			w := newWorld(t, port, func(_ *world, options *Options) {
+				options.Confirmed = func(core.Time) bool { return confirmed.Load() }
+			})
+			assert.Equal(t, w.do(post("/unsafe/a", "r1", "body")).StatusCode, 200)
+			arrived := b.next()
+			assert.Equal(t, arrived.request.Header.Get(headerSalt), c.salt)
+			assert.Equal(t, arrived.request.Header.Get(headerFetch), c.fetch)
+			assert.Equal(t, port.requests[0].Unconfirmed, !c.atReceipt)
+		})
+	}
+}
+
+// TestRouterIsToldOfAnUnconfirmedConfiguration: a confirmation that comes after the configuration was loaded is that of a newer one.
+func TestRouterIsToldOfAnUnconfirmedConfiguration(t *testing.T) {
+	b := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
+	port := newScriptedRouter(b.instance)
+	var asked atomic.Int32
+	w := newWorld(t, port, func(_ *world, options *Options) {
+		options.Confirmed = func(core.Time) bool { return asked.Add(1) > 1 }
+	})
+	assert.Equal(t, w.do(post("/unsafe/a", "r1", "body")).StatusCode, 200)
+	assert.Assert(t, port.requests[0].Unconfirmed)
+}
+
 // TestPermissionIsAskedAgainWhenSending: it may end between the receipt and the sending (RULES.md, CONFIG).
 func TestPermissionIsAskedAgainWhenSending(t *testing.T) {
 	b := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
--- a/internal/node/forward/options.go
+++ b/internal/node/forward/options.go
@@ -23,6 +23,9 @@
 	// forwarded, whether it still may: not without a confirmed configuration, nor where keys can be
 	// revoked everywhere and the last confirmation is too old.
 	MayServe func(now core.Time, public bool) bool
+	// Confirmed reports whether the configuration was confirmed recently enough to say which tenants
+	// share cached prefixes; nil: it always was.
+	Confirmed func(now core.Time) bool
 	// Startup says what the process still lacks after its start; nil: nothing.
 	Startup *Startup
 	// ProxyCount returns how many proxies share the connections that a broker accepts; nil: this
--- a/internal/node/forward/proxy.go
+++ b/internal/node/forward/proxy.go
@@ -58,6 +58,11 @@
 // mayServe reports whether a request may be accepted, or forwarded, now.
 func (p *Proxy) mayServe(now core.Time, public bool) bool { return p.options.MayServe(now, public) }
 
+// confirmed reports whether the configuration says which tenants share cached prefixes.
+func (p *Proxy) confirmed(now core.Time) bool {
+	return p.options.Confirmed == nil || p.options.Confirmed(now)
+}
+
 // connectionShare returns how many connections to one broker of the service this proxy may open; 0:
 // no bound.
 func (p *Proxy) connectionShare(service *config.Service) int {
--- a/internal/node/routing/api.go
+++ b/internal/node/routing/api.go
@@ -47,6 +47,7 @@
 	Instance      *registry.Instance // the broker
 	ExpectVersion uint64             // header Expect-Version; 0: not sent
 	Salt          string             // header Cache-Salt; empty: not sent
+	IsolatedSalt  string             // takes the place of Salt where the tenant must share nothing; the same where it shares nothing anyway
 	FetchFrom     string             // header Kv-Fetch; empty: not sent
 	SaveTo        string             // header Kv-Save; empty: not sent
 	Priority      int                // header Priority, 0 to 9, 0 is the most urgent
--- a/internal/node/routing/cachesalt/cachesalt_test.go
+++ b/internal/node/routing/cachesalt/cachesalt_test.go
@@ -16,7 +16,7 @@
 	apart := &config.Tenant{Name: "c", Isolated: true}
 	var isolated IsolatedTenants
 	salt := func(tenant *config.Tenant, model string, version uint64) string {
-		return Text(model, version, isolated.SaltTenant(tenant))
+		return Text(model, version, isolated.SaltTenant(tenant, false))
 	}
 	for _, c := range []struct {
 		name   string
@@ -42,8 +42,10 @@
 	var isolated IsolatedTenants
 	former := &config.Tenant{Name: "c", Isolated: true}
 	isolated.Observe(&config.Compiled{Tenants: map[string]*config.Tenant{"key": former}})
-	assert.Equal(t, isolated.SaltTenant(&config.Tenant{Name: "c"}), "c")
-	assert.Equal(t, isolated.SaltTenant(&config.Tenant{Name: "d"}), "")
+	assert.Equal(t, isolated.SaltTenant(&config.Tenant{Name: "c"}, false), "c")
+	assert.Equal(t, isolated.SaltTenant(&config.Tenant{Name: "d"}, false), "")
+	assert.Equal(t, isolated.SaltTenant(&config.Tenant{Name: "d"}, true), "d", "it may be isolated by now")
+	assert.Equal(t, isolated.SaltTenant(nil, true), "", "there is no tenant to keep apart")
 }
 
 // Different triples of model, version and tenant have different texts, whatever characters the
--- a/internal/node/routing/cachesalt/tenants.go
+++ b/internal/node/routing/cachesalt/tenants.go
@@ -25,11 +25,19 @@
 	t.names[tenant] = true
 }
 
+// TenantName returns the name of a request's tenant; empty: it has none.
+func TenantName(tenant *config.Tenant) string {
+	if tenant == nil {
+		return ""
+	}
+	return tenant.Name
+}
+
 // SaltTenant returns the tenant that the salt of a request must contain: the request's own tenant
-// if it is or ever was isolated, else "", which stands for the prefixes that all other tenants
-// share.
-func (t *IsolatedTenants) SaltTenant(tenant *config.Tenant) string {
-	if tenant == nil || !tenant.Isolated && !t.names[tenant.Name] {
+// if it is or ever was isolated, or if the configuration that names it is unconfirmed, so that it may
+// be isolated by now; else "", which stands for the prefixes that all other tenants share.
+func (t *IsolatedTenants) SaltTenant(tenant *config.Tenant, unconfirmed bool) string {
+	if tenant == nil || !tenant.Isolated && !t.names[tenant.Name] && !unconfirmed {
 		return ""
 	}
 	return tenant.Name
--- a/internal/node/routing/hedge.go
+++ b/internal/node/routing/hedge.go
@@ -57,6 +57,7 @@
 	if pool.FleetSlow() && !faulty {
 		return Decision{}
 	}
+	r.updateIsolation(req)
 	found := r.finder.Find(now, &req.Request)
 	if len(found.Eligible) == 0 {
 		return Decision{}
--- a/internal/node/routing/inflight/inflight.go
+++ b/internal/node/routing/inflight/inflight.go
@@ -32,6 +32,9 @@
 	BodyBytes  int
 	// ResumesStream is set if the client resumes an event stream with Last-Event-Id.
 	ResumesStream bool
+	// Unconfirmed is set if the configuration that named the tenant may have been replaced by one that
+	// isolates it.
+	Unconfirmed bool
 }
 
 // TimeLeft returns how long the client waits in total, counted from the receipt: as it said, or
--- a/internal/node/routing/prefill_test.go
+++ b/internal/node/routing/prefill_test.go
@@ -6,7 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/node/routing/cachesalt"
+	"kestrelspread/internal/node/verdict"
 )
 
 // Parts that another proxy has just sent to a broker count as in prefill there: they aren't prefilled at
@@ -42,6 +44,26 @@
 	}
 }
 
+// TestUnconfirmedTenantHasASaltOfItsOwn: the configuration may have been replaced by one that isolates it. A second attempt is kept
+// apart as well if a configuration that isolates the tenant comes between the two.
+func TestUnconfirmedTenantHasASaltOfItsOwn(t *testing.T) {
+	f := newFixture(t, instances(3))
+	q := f.prompt(safeRoute, 5)
+	q.Tenant = &config.Tenant{Name: "acme"}
+	q.Unconfirmed = true
+	assert.Equal(t, f.mustBegin(q).Salt, cachesalt.Text(model, 1, "acme"))
+	q.Unconfirmed = false
+	first := f.mustBegin(q)
+	assert.Equal(t, first.Salt, cachesalt.Text(model, 1, ""))
+	assert.Equal(t, first.IsolatedSalt, cachesalt.Text(model, 1, "acme"))
+	isolating := configOf(nil)
+	isolating.Tenants = map[string]*config.Tenant{"key": {Name: "acme", Isolated: true}}
+	f.SetConfig(f.now, isolating)
+	second := f.AttemptEnded(f.now, first.Request, first.Number, Outcome{Verdict: verdict.NotRun, ConnectFailed: true}, false).Attempt
+	assert.Assert(t, second != nil)
+	assert.Equal(t, second.Salt, cachesalt.Text(model, 1, "acme"))
+}
+
 // Parts that were sent under another salt, here that of other weights, don't count.
 func TestPartsUnderAnotherSalt(t *testing.T) {
 	f := newFixture(t, instances(9))
--- a/internal/node/routing/request.go
+++ b/internal/node/routing/request.go
@@ -62,7 +62,7 @@
 	if r.runsModels(received.Service) && received.Model != "" {
 		req.ServedModel = received.Model
 		req.Oversized = r.oversized(&received)
-		req.IsolatedTenant = r.isolatedTenants.SaltTenant(req.Tenant)
+		r.updateIsolation(req)
 	}
 	req.Class.RecordPromptTokens(req.TokensIn)
 	req.FirstTry = req.Class.FirstTry(now, req.TimeLeft())
@@ -73,6 +73,14 @@
 	return req
 }
 
+// updateIsolation determines whether the request may share cached prefixes by what is known now. A
+// configuration that came since the last attempt may have isolated its tenant.
+func (r *Router) updateIsolation(req *request) {
+	if req.ServedModel != "" {
+		req.IsolatedTenant = r.isolatedTenants.SaltTenant(req.Tenant, req.Unconfirmed)
+	}
+}
+
 // runsModels reports whether the brokers of a service run models, so that they have versions of
 // weights and cached prompts.
 func (r *Router) runsModels(service string) bool {
--- a/internal/node/routing/retry.go
+++ b/internal/node/routing/retry.go
@@ -16,6 +16,7 @@
 	}
 	reason := r.retryObstacle(now, req)
 	if reason == "" {
+		r.updateIsolation(req)
 		found := r.finder.Find(now, &req.Request)
 		if len(found.Eligible) > 0 {
 			choice := r.choose(now, req, found)
--- a/internal/node/routing/send.go
+++ b/internal/node/routing/send.go
@@ -65,6 +65,7 @@
 func (r *Router) setModelHeaders(now core.Time, req *request, found *candidate.Set, chosen *candidate.Candidate, attempt *Attempt) {
 	attempt.ExpectVersion = chosen.Version
 	attempt.Salt = cachesalt.Text(req.ServedModel, chosen.Version, req.IsolatedTenant)
+	attempt.IsolatedSalt = cachesalt.Text(req.ServedModel, chosen.Version, cachesalt.TenantName(req.Tenant))
 	if attempt.FetchFrom = r.cache.FetchSource(now, &req.Request, found.Eligible, chosen); attempt.FetchFrom != "" {
 		r.counters.Fetches++
 	}
