config: an empty list of tenants asks for keys, and there is none

Cause: a list of tenants without items counted as no list.

Change: the list is in use if the configuration has it. An update that removes a tenant from a configuration without the list makes none. What is stored, sent and read back is as before, where absent and empty were apart already.

--- a/internal/node/config/compile.go
+++ b/internal/node/config/compile.go
@@ -19,7 +19,7 @@
 		Routes:        compileRoutes(previous.Routes, compiledFrom.routes, s.document.routes),
 		Services:      previous.Services,
 		Tenants:       compileTenants(previous.Tenants, compiledFrom.tenants, s.document.tenants),
-		TenantsInUse:  len(s.document.tenants.list()) > 0,
+		TenantsInUse:  s.document.tenants != nil,
 		Limits:        s.document.limits,
 		ModelVersions: s.compileModelVersions(previous.ModelVersions),
 		Stores:        previous.Stores,
--- a/internal/node/config/compile_test.go
+++ b/internal/node/config/compile_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -69,6 +70,45 @@
 	assert.Assert(t, !r.Compile().TenantsInUse)
 }
 
+// TestRemovalOfTheLastTenantOpensNothing guards against CONFIG and ROUTE: the removal of the last tenant, which takes the last key away,
+// opened all routes to everybody. A list of tenants and none stay apart in what is read back, and in what is restored.
+func TestRemovalOfTheLastTenantOpensNothing(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		command func(r *replica)
+		inUse   bool
+	}{
+		{"removed by updates", func(r *replica) {
+			r.mustTake(replaceCommand(0, `{"version":1,"tenants":[{"name":"a","apiKeys":["k"]},{"name":"b","apiKeys":["l"]}]}`))
+			r.mustTake(updateCommand(1, `{"version":2,"remove":{"tenants":["a"]}}`))
+			r.mustTake(updateCommand(2, `{"version":3,"remove":{"tenants":["b"]}}`))
+		}, true},
+		{"sent empty", func(r *replica) { r.mustTake(replaceCommand(0, `{"version":3,"tenants":[]}`)) }, true},
+		{"sent without", func(r *replica) { r.mustTake(replaceCommand(0, `{"version":3}`)) }, false},
+		{"sent as null", func(r *replica) { r.mustTake(replaceCommand(0, `{"version":3,"tenants":null}`)) }, false},
+		{"a name removed that was not there", func(r *replica) {
+			r.mustTake(replaceCommand(0, `{"version":1}`))
+			r.mustTake(updateCommand(1, `{"version":3,"remove":{"tenants":["a"]}}`))
+		}, false},
+		{"replaced by one without", func(r *replica) {
+			r.mustTake(replaceCommand(0, `{"version":1,"tenants":[{"name":"a","apiKeys":["k"]}]}`))
+			r.mustTake(replaceCommand(1, `{"version":3}`))
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newReplica(t)
+			c.command(r)
+			compiled := r.Compile()
+			assert.Equal(t, compiled.TenantsInUse, c.inUse)
+			assert.Assert(t, compiled.Tenant("k") == nil)
+			assert.Equal(t, strings.Contains(string(r.Fetch()), `"tenants":[]`), c.inUse)
+			restored := newReplica(t)
+			assert.NilError(t, restored.Restore(r.Snapshot()))
+			assert.Equal(t, restored.Compile().TenantsInUse, c.inUse)
+		})
+	}
+}
+
 func TestRestoreSharesUnchangedItems(t *testing.T) {
 	r := configured(t)
 	first := r.Compile()
--- a/internal/node/config/compiled.go
+++ b/internal/node/config/compiled.go
@@ -7,8 +7,8 @@
 	Routes   *RouteTable
 	Services map[string]*Service
 	Tenants  map[string]*Tenant // by API key
-	// TenantsInUse reports whether the configuration has tenants. Without any, no API key is
-	// required.
+	// TenantsInUse reports whether the configuration has a list of tenants, also an empty one. Only
+	// without a list no API key is required: removing the last tenant takes the last key away.
 	TenantsInUse bool
 	Limits       Limits
 	// ModelVersions has the newest named version of each model; a model that is missing is at
--- a/internal/node/config/section.go
+++ b/internal/node/config/section.go
@@ -122,9 +122,10 @@
 }
 
 // withUpdates returns the section without the items named in remove and with those in upsert: each
-// replaces the item with its name, or is appended. It returns s itself where both are empty.
+// replaces the item with its name, or is appended. It returns s itself where both are empty. A section
+// that the configuration does not have comes into being with its first item alone.
 func (s *section[T]) withUpdates(upsert []*item[T], remove []string) *section[T] {
-	if len(upsert) == 0 && len(remove) == 0 {
+	if len(upsert) == 0 && (s == nil || len(remove) == 0) {
 		return s
 	}
 	items := slices.Clone(s.list())
