processfaults: a kill may end a node before it is frozen

Change: that is no violation where the process has ended; the node is started again at the end of the fault, as before.

--- a/internal/harness/processfaults/isolation.go
+++ b/internal/harness/processfaults/isolation.go
@@ -63,7 +63,7 @@
 func (r *run) isolateWhileFrozen(fault Fault) func() {
 	return r.isolateWhile(fault, func(node *fleet.Node) func() {
 		heal := r.cutFromNodes(node)
-		if err := node.Freeze(); err != nil {
+		if err := node.Freeze(); err != nil && node.Running() { // else a kill of all processes has ended it since it was reserved
 			r.fail("freeze %s: %v", node.Name, err)
 		}
 		return func() {
