controlapi: the connections of the control address are bounded

Cause: the front and the readiness address had a bound, this one had none.

Change: the same limiter, with half as many connections as clients may have.

--- a/internal/harness/clientfaults/node_test.go
+++ b/internal/harness/clientfaults/node_test.go
@@ -92,9 +92,32 @@
 	}
 }
 
+// TestControlWithstandsClients: the control address had no bound on its connections, so that others took all descriptors of the machine.
+func TestControlWithstandsClients(t *testing.T) {
+	_, node := startFleet(t)
+	for _, behaviour := range inShort(HTTPHeads("GET /kestrelspread/status HTTP/1.1\r\nHost: x\r\n\r\n")) {
+		t.Run(behaviour.Name, func(t *testing.T) {
+			p := restartNode(t, node)
+			lookup := p.ask
+			p.ask = func(ctx context.Context) error { return errors.Join(answersStatus(ctx, node), lookup(ctx)) }
+			p.withstands(t, node.Control(), behaviour)
+		})
+	}
+}
+
+// answersStatus makes a call at a node's control address once.
+func answersStatus(ctx context.Context, node *fleet.Node) error {
+	return requireOK(ctx, "http://"+node.Control()+"/kestrelspread/status")
+}
+
 // isReady checks the readiness of a node once.
 func isReady(ctx context.Context, node *fleet.Node) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.Readiness()+"/kestrelspread/readyz", nil)
+	return requireOK(ctx, "http://"+node.Readiness()+"/kestrelspread/readyz")
+}
+
+// requireOK makes a call on a connection of its own, which must be answered with 200.
+func requireOK(ctx context.Context, url string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
@@ -104,7 +127,7 @@
 		return err
 	}
 	if answer.StatusCode != http.StatusOK {
-		return fmt.Errorf("readiness: status %d", answer.StatusCode)
+		return fmt.Errorf("%s: status %d", url, answer.StatusCode)
 	}
 	return answer.Body.Close()
 }
--- a/internal/node/agent/dataplane.go
+++ b/internal/node/agent/dataplane.go
@@ -65,8 +65,10 @@
 	// reservedDescriptors of the limit are for files outside the disk folder (DEPLOY.md, "Memory and descriptors").
 	reservedDescriptors = 200
 	// descriptorShares: of the other descriptors clients may have one part in descriptorShares, and connections to brokers two, half of
-	// which may be idle. The rest is for peers, callers of the control API and the disk.
+	// which may be idle. Callers of the control API may have half a part; the rest is for peers and the disk.
 	descriptorShares = 4
+	// defaultControlConnections bounds callers of the control API where no limit on descriptors is known.
+	defaultControlConnections = 512
 	// clientMemoryDivisor: their connections may take one part in clientMemoryDivisor of the memory limit, of clientConnectionBytes
 	// each without heads and bodies.
 	clientMemoryDivisor   = 4
@@ -87,6 +89,14 @@
 	}
 }
 
+// maxControlConnections bounds the connections of brokers and operators.
+func (a *Agent) maxControlConnections() int {
+	if share := a.descriptorShare(); share > 0 {
+		return share / 2
+	}
+	return defaultControlConnections
+}
+
 // maxIdleUpstream bounds the idle connections to brokers; 0, the pool's own default, where no limit is known.
 func (a *Agent) maxIdleUpstream() int {
 	if share := a.descriptorShare(); share > 0 {
--- a/internal/node/agent/lifecycle.go
+++ b/internal/node/agent/lifecycle.go
@@ -138,10 +138,10 @@
 	if err != nil {
 		return fmt.Errorf("listen for brokers and operators: %w", err)
 	}
-	started.control = controlapi.NewServer(controlapi.Handler(backend{a}, controlapi.Options{
-		Log: a.log, MaxBodyBytes: int64(a.maxConfigurationBytes()),
-	}))
-	go func() { _ = started.control.Serve(listener) }()
+	handler := controlapi.Handler(backend{a}, controlapi.Options{Log: a.log, MaxBodyBytes: int64(a.maxConfigurationBytes())})
+	server, limited := controlapi.NewControlServer(listener, handler, a.maxControlConnections())
+	started.control = server
+	go func() { _ = server.Serve(limited) }()
 	return nil
 }
 
--- a/internal/node/controlapi/server.go
+++ b/internal/node/controlapi/server.go
@@ -30,9 +30,21 @@
 	server := NewServer(ReadinessHandler(ready))
 	server.ReadHeaderTimeout, server.ReadTimeout, server.WriteTimeout = readinessTimeout, readinessTimeout, readinessTimeout
 	server.MaxHeaderBytes = readinessMaxHeaderBytes
+	return server, limitConnections(server, listener, readinessMaxConnections)
+}
+
+// NewControlServer returns a server for a control address, and the listener that it must serve: one that bounds the connections of another.
+// Beyond the bound silent connections give way first, then heads without end and connections without a call; a call under way never does.
+func NewControlServer(listener net.Listener, handler http.Handler, maxConnections int) (*http.Server, net.Listener) {
+	server := NewServer(handler)
+	return server, limitConnections(server, listener, maxConnections)
+}
+
+// limitConnections bounds the connections that a server has of a listener.
+func limitConnections(server *http.Server, listener net.Listener, maxConnections int) net.Listener {
 	server.ConnState = connlimit.ConnState
-	limiter := connlimit.New(readinessMaxConnections, func() time.Duration { return idleTimeout })
-	return server, connlimit.NewListener(listener, limiter)
+	limiter := connlimit.New(maxConnections, func() time.Duration { return idleTimeout })
+	return connlimit.NewListener(listener, limiter)
 }
 
 // NewServer returns a server for a handler of this package.
