processfaults: a tenant is isolated only once its node can't hear of it

Cause: the isolation was asked for before the node was frozen or cut off, while connections to it were being opened, so that most runs showed nothing: the node had heard of it. Found by a mutant that trusts a configuration of any age, which its plan did not detect.

Change: the order is asked for after the disturbance began. That mutant is in the list; cutting a node from the others stands once, in package fleet, as do the aimed calls and the refusals in the registry's tests.

--- a/internal/harness/fleet/isolation_test.go
+++ b/internal/harness/fleet/isolation_test.go
@@ -8,7 +8,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"kestrelspread/internal/harness/links"
 	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/standin/fleetoperator"
 )
@@ -38,22 +37,6 @@
 	s.RecordIsolation(acknowledged.ReceivedAt)
 }
 
-// cutFromNodes cuts a node from all others, but not from the brokers.
-func (s *scenario) cutFromNodes(node *Node) (end func()) {
-	cut := links.Conditions{Partitioned: true}
-	var ends []func()
-	for _, other := range s.Nodes {
-		if other != node {
-			ends = append(ends, s.Network.Inject(links.Fault{Source: node.Name, Destination: other.Name, Forward: cut, Reverse: cut}), s.BeginLinkFault(other))
-		}
-	}
-	return func() {
-		for _, end := range ends {
-			end()
-		}
-	}
-}
-
 // TestIsolatedTenantSharesNoPrefixes guards against WALL: a node that was frozen or cut off while a tenant became isolated ran the
 // tenant's requests, sent long after the acknowledgement, on cached prefixes of other tenants (docs/incidents/isolated.md).
 func TestIsolatedTenantSharesNoPrefixes(t *testing.T) {
@@ -62,7 +45,7 @@
 			s.must(node.Freeze())
 			return func() { s.must(node.Thaw()) }
 		},
-		"cut off": (*scenario).cutFromNodes,
+		"cut off": func(s *scenario, node *Node) func() { return s.CutFromNodes(node) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newScenarioOf(t, Options{Relayed: true}, func(b *Bounds) { b.GlobalRevocation = false })
--- a/internal/harness/fleet/relays.go
+++ b/internal/harness/fleet/relays.go
@@ -65,6 +65,24 @@
 	return relayed, nil
 }
 
+// CutFromNodes cuts a node from all others, but not from the brokers, and records that for each of them. The fleet must be relayed.
+func (f *Fleet) CutFromNodes(node *Node) (heal func()) {
+	cut := links.Conditions{Partitioned: true}
+	ends := []func(){f.BeginLinkFault(node)}
+	for _, other := range f.Nodes {
+		if other == node {
+			continue
+		}
+		fault := links.Fault{Source: node.Name, Destination: other.Name, Forward: cut, Reverse: cut}
+		ends = append(ends, f.Network.Inject(fault), f.BeginLinkFault(other))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
 // LinkFault is a fault of the links of a node.
 type LinkFault struct {
 	Node      string
--- a/internal/harness/fleet/services.go
+++ b/internal/harness/fleet/services.go
@@ -276,22 +276,29 @@
 
 // DeregisterAt is Deregister with the first call to one node, as soon as that listens. It is to be called as its process is started.
 func (f *Fleet) DeregisterAt(ctx context.Context, broker *llmbroker.Broker, node *Node) (time.Time, error) {
-	if err := node.AwaitListening(ctx); err != nil {
+	if err := preferStarted(ctx, broker, node); err != nil {
 		return time.Time{}, err
 	}
-	broker.Prefer(node.Control())
 	return f.Deregister(ctx, broker)
 }
 
 // DrainAt is Drain in the same way.
 func (f *Fleet) DrainAt(ctx context.Context, broker *llmbroker.Broker, node *Node) (time.Time, error) {
-	if err := node.AwaitListening(ctx); err != nil {
+	if err := preferStarted(ctx, broker, node); err != nil {
 		return time.Time{}, err
 	}
-	broker.Prefer(node.Control())
 	return f.Drain(ctx, broker)
 }
 
+// preferStarted has the broker's next call go to a node that is starting, as soon as that listens.
+func preferStarted(ctx context.Context, broker *llmbroker.Broker, node *Node) error {
+	if err := node.AwaitListening(ctx); err != nil {
+		return err
+	}
+	broker.Prefer(node.Control())
+	return nil
+}
+
 // RecordIsolation records that the configuration was acknowledged which isolates the tenant of IsolatedLater. It stays isolated.
 func (f *Fleet) RecordIsolation(ackedAt time.Time) {
 	f.mutex.Lock()
--- a/internal/harness/processfaults/isolation.go
+++ b/internal/harness/processfaults/isolation.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"kestrelspread/internal/harness/fleet"
-	"kestrelspread/internal/harness/links"
 )
 
 const (
@@ -22,6 +21,7 @@
 // isolation is the order that isolates a tenant, which the first operator sends with its next change.
 type isolation struct {
 	mutex     sync.Mutex
+	reserved  bool // a fault will ask for it
 	requested bool
 	ackedAt   chan time.Time // gets the time of the acknowledgement, once
 	done      bool
@@ -29,15 +29,22 @@
 
 func newIsolationOrder() *isolation { return &isolation{ackedAt: make(chan time.Time, 1)} }
 
-// request asks for the isolation. It reports false if that was done before.
-func (i *isolation) request() bool {
+// reserve gives the right to ask for the isolation to the first fault that wants it.
+func (i *isolation) reserve() bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	first := !i.requested
-	i.requested = true
+	first := !i.reserved
+	i.reserved = true
 	return first
 }
 
+// request asks for the isolation, once nothing reaches the node any more that is not to hear of it.
+func (i *isolation) request() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.requested = true
+}
+
 // wanted reports whether the next change is to isolate the tenant. All later ones do so too: an order without a clear answer may not
 // be in force.
 func (i *isolation) wanted() bool {
@@ -89,18 +96,10 @@
 
 // cutFromNodes cuts a node from all others, but not from the brokers, if the fleet has relays.
 func (r *run) cutFromNodes(node *fleet.Node) (heal func()) {
-	var ends []func()
-	for _, other := range r.fleet.Nodes {
-		if other != node && r.plan.relayed() {
-			ends = append(ends, r.injectLinks(
-				links.Fault{Source: node.Name, Destination: other.Name, Forward: partitioned, Reverse: partitioned}, node, other))
-		}
-	}
-	return func() {
-		for _, end := range ends {
-			end()
-		}
+	if !r.plan.relayed() {
+		return func() {}
 	}
+	return r.fleet.CutFromNodes(node)
 }
 
 // isolateWhile disturbs a node, has a tenant isolated meanwhile, and sends requests of the tenant on open connections to the node
@@ -111,7 +110,7 @@
 	if !r.claims.claim(node) {
 		return nil
 	}
-	if !r.isolation.request() {
+	if !r.isolation.reserve() {
 		r.claims.release(node)
 		return nil
 	}
@@ -121,6 +120,7 @@
 			r.logf("%v", err)
 		}
 		end := disturb(node)
+		r.isolation.request()
 		r.sendAfterIsolation(kept)
 		end()
 		if !node.Running() { // a kill of all processes has ended it
--- a/internal/harness/processfaults/processfaults_test.go
+++ b/internal/harness/processfaults/processfaults_test.go
@@ -219,6 +219,12 @@
 		plan:      Plan{Seed: 1, Faults: []Fault{{StartMs: 2500, DurationMs: 700, Kind: GoneKillAll, Peer: 30}}},
 		violation: "DRAIN",
 	},
+	{
+		name:      "a configuration is trusted to say who shares prefixes whatever its age",
+		Mutation:  mutant.Mutation{File: "control/isolationlease.go", Original: "	return confirmed != 0 && now-confirmed < b.IsolationLease()\n", Mutated: "	return true\n"},
+		plan:      Plan{Seed: 1, Faults: []Fault{{StartMs: 1500, Kind: CutIsolation}}},
+		violation: "WALL",
+	},
 	{
 		name:      "answers to idempotent requests are awaited as long as others",
 		Mutation:  mutant.Mutation{File: "forward/call.go", Original: "		return c.proxy.bounds.IdempotentDisconnectGrace\n", Mutated: "		return c.proxy.bounds.DisconnectGrace\n"},
--- a/internal/node/registry/cluster_test.go
+++ b/internal/node/registry/cluster_test.go
@@ -239,6 +239,13 @@
 	assert.Assert(c.t, c.network.RunUntil(span, condition), "not within %v: %s", span, what)
 }
 
+// requireRefused requires that a node answers a call within a second, and does not accept it.
+func (c *cluster) requireRefused(node *clusterNode, request uint64) {
+	c.t.Helper()
+	c.within(time.Second, "an answer", func() bool { return node.answers[request].at > 0 })
+	assert.Assert(c.t, !node.answers[request].Accepted)
+}
+
 // home returns the home of a topic by the members known to the first running node.
 func (c *cluster) home(service, zone string) *clusterNode {
 	for _, node := range c.nodes {
--- a/internal/node/registry/persistence_test.go
+++ b/internal/node/registry/persistence_test.go
@@ -280,9 +280,7 @@
 	for _, node := range c.nodes {
 		node.registry.SetVoters(nil)
 	}
-	request := b.deregister(c.nodes[0])
-	c.within(time.Second, "an answer", func() bool { return c.nodes[0].answers[request].at > 0 })
-	assert.Assert(t, !c.nodes[0].answers[request].Accepted)
+	c.requireRefused(c.nodes[0], b.deregister(c.nodes[0]))
 }
 
 // TestStartedNodeAcknowledgesNoLeaving guards against DRAIN: a node that has just been started, and knows no other because its
@@ -295,14 +293,10 @@
 			b.heartbeat(c.nodes[0])
 			c.network.Run(time.Second)
 			started := c.startAt(len(c.nodes))
-			request := leave(b, started)
-			c.within(time.Second, "an answer", func() bool { return started.answers[request].at > 0 })
-			assert.Assert(t, !started.answers[request].Accepted)
+			c.requireRefused(started, leave(b, started))
 			// It does not become one that may by waiting, either.
 			c.network.Run(time.Minute)
-			request = leave(b, started)
-			c.within(time.Second, "an answer", func() bool { return started.answers[request].at > 0 })
-			assert.Assert(t, !started.answers[request].Accepted)
+			c.requireRefused(started, leave(b, started))
 		})
 	}
 }
@@ -320,9 +314,7 @@
 	for _, voters := range [][]string{c.voters, nil} {
 		isolated.registry.SetVoters(voters)
 		c.network.Run(time.Minute)
-		request := b.deregister(isolated)
-		c.within(time.Second, "an answer", func() bool { return isolated.answers[request].at > 0 })
-		assert.Assert(t, !isolated.answers[request].Accepted)
+		c.requireRefused(isolated, b.deregister(isolated))
 	}
 }
 
