config, forward: keys stay revoked once a configuration drops the list of tenants

Cause: without the list no key is required, and one that came along all the same was not looked at.

A request that carries a key is then answered 401 on routes that aren't public.

--- a/internal/node/config/change.go
+++ b/internal/node/config/change.go
@@ -63,7 +63,7 @@
 			return s.invalidResult(err)
 		}
 	}
-	s.document = prepared.next
+	s.setDocument(prepared.next)
 	s.takenChanges.add(takenChange{digest: change.digest, version: s.document.version, index: s.index})
 	return s.takenResult(s.index, s.document.version)
 }
--- a/internal/node/config/compile.go
+++ b/internal/node/config/compile.go
@@ -20,6 +20,7 @@
 		Services:      previous.Services,
 		Tenants:       compileTenants(previous.Tenants, compiledFrom.tenants, s.document.tenants),
 		TenantsInUse:  s.document.tenants != nil,
+		KeysWithdrawn: s.document.tenants == nil && (s.tenantsListed || previous.TenantsInUse || previous.KeysWithdrawn),
 		Limits:        s.document.limits,
 		ModelVersions: s.compileModelVersions(previous.ModelVersions),
 		Stores:        previous.Stores,
--- a/internal/node/config/compiled.go
+++ b/internal/node/config/compiled.go
@@ -10,7 +10,10 @@
 	// TenantsInUse reports whether the configuration has a list of tenants, also an empty one. Only
 	// without a list no API key is required: removing the last tenant takes the last key away.
 	TenantsInUse bool
-	Limits       Limits
+	// KeysWithdrawn reports that there is no list of tenants, though an earlier configuration had one:
+	// no API key is required, and each that was ever given out has been revoked.
+	KeysWithdrawn bool
+	Limits        Limits
 	// ModelVersions has the newest named version of each model; a model that is missing is at
 	// version 1.
 	ModelVersions map[string]uint64
--- a/internal/node/config/restore.go
+++ b/internal/node/config/restore.go
@@ -44,6 +44,8 @@
 		return s.restoreGrant(f.bytes)
 	case fieldDrain:
 		return s.restoreDrain(f.bytes)
+	case fieldTenantsListed:
+		s.tenantsListed = s.tenantsListed || protowire.DecodeBool(f.value)
 	}
 	return nil
 }
@@ -60,7 +62,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: configuration: %w", ErrSnapshot, err)
 	}
-	s.document = document
+	s.setDocument(document)
 	return nil
 }
 
--- a/internal/node/config/snapshot.go
+++ b/internal/node/config/snapshot.go
@@ -28,7 +28,9 @@
 	fieldModelVersion protowire.Number = 4
 	fieldGrant        protowire.Number = 5
 	fieldDrain        protowire.Number = 6
-	firstNested       protowire.Number = 1 // fields of nested messages, numbered in order
+	// fieldTenantsListed, a bool, is written only where the configuration has no list of tenants.
+	fieldTenantsListed protowire.Number = 7
+	firstNested        protowire.Number = 1 // fields of nested messages, numbered in order
 
 	fieldGrantTarget    protowire.Number = 5 // in a fieldGrant, repeated: claimed instances
 	fieldGrantInherited protowire.Number = 6 // in a fieldGrant, repeated: claims inherited from a previous holder
@@ -57,6 +59,9 @@
 	for _, drain := range s.DrainIntents() {
 		text = appendBytes(text, fieldDrain, encodeFields(drain.GetSubject(), drain.GetKind(), drain.GetDeadlineMs()))
 	}
+	if s.tenantsListed && s.document.tenants == nil {
+		text = appendNumber(text, fieldTenantsListed, protowire.EncodeBool(true))
+	}
 	return protowire.AppendFixed32(text, crc32.Checksum(text, castagnoli))
 }
 
--- a/internal/node/config/state.go
+++ b/internal/node/config/state.go
@@ -17,6 +17,7 @@
 	sizeLimit     int     // of a configuration and of the body of a change, in bytes; for Check alone
 	index         uint64
 	document      *document
+	tenantsListed bool // document, or one before it, has a list of tenants
 	takenChanges  *takenChanges
 	modelVersions map[string]NamedVersion
 	grants        map[string]*nodepb.LeaseChange
@@ -43,6 +44,7 @@
 func (s *State) reset() {
 	s.index = 0
 	s.document = emptyDocument
+	s.tenantsListed = false
 	s.takenChanges = newTakenChanges()
 	s.modelVersions = map[string]NamedVersion{}
 	s.grants = map[string]*nodepb.LeaseChange{}
@@ -98,6 +100,12 @@
 	}
 }
 
+// setDocument puts a version of the configuration in force.
+func (s *State) setDocument(next *document) {
+	s.document = next
+	s.tenantsListed = s.tenantsListed || next.tenants != nil
+}
+
 // Fetch returns the current configuration in full, as JSON; nil before the first.
 func (s *State) Fetch() []byte {
 	if s.document == emptyDocument {
--- /dev/null
+++ b/internal/node/config/tenantlist_test.go
@@ -0,0 +1,51 @@
+package config_test
+
+import (
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestKeysAreWithdrawnWithTheListOfTenants guards against CONFIG: a configuration without the list, which takes all keys away, let
+// requests with these keys run. It is remembered across snapshots, and forgotten by none of the configurations after it.
+func TestKeysAreWithdrawnWithTheListOfTenants(t *testing.T) {
+	const tenants = `"tenants":[{"name":"a","apiKeys":["k"]}]`
+	for _, c := range []struct {
+		name      string
+		bodies    []string // whole configurations, one after the other
+		withdrawn bool
+	}{
+		{"never a list", []string{`{"version":1}`, `{"version":2}`}, false},
+		{"a list", []string{`{"version":1,` + tenants + `}`}, false},
+		{"a list, then none", []string{`{"version":1,` + tenants + `}`, `{"version":2}`}, true},
+		{"a list, then none twice", []string{`{"version":1,` + tenants + `}`, `{"version":2}`, `{"version":3}`}, true},
+		{"an empty list, then none", []string{`{"version":1,"tenants":[]}`, `{"version":2}`}, true},
+		{"a list again", []string{`{"version":1,` + tenants + `}`, `{"version":2}`, `{"version":3,` + tenants + `}`}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newReplica(t)
+			for i, body := range c.bodies {
+				r.mustTake(replaceCommand(uint64(i), body))
+			}
+			assert.Equal(t, r.Compile().KeysWithdrawn, c.withdrawn)
+			restored := newReplica(t)
+			assert.NilError(t, restored.Restore(r.Snapshot()))
+			assert.Equal(t, restored.Compile().KeysWithdrawn, c.withdrawn)
+			sameState(t, restored.Snapshot(), r.Snapshot())
+			assert.Equal(t, bytes.Contains(r.Snapshot(), wireNumber(7, 1)), c.withdrawn)
+		})
+	}
+}
+
+// TestCompiledConfigurationRemembersKeys: a node that held keys knows of them, also where the snapshot comes from a version that
+// doesn't record that there were any.
+func TestCompiledConfigurationRemembersKeys(t *testing.T) {
+	r, other := newReplica(t), newReplica(t)
+	r.mustTake(replaceCommand(0, `{"version":1,"tenants":[{"name":"a","apiKeys":["k"]}]}`))
+	assert.Assert(t, !r.Compile().KeysWithdrawn)
+	other.mustTake(replaceCommand(0, `{"version":2}`))
+	assert.NilError(t, r.Restore(other.Snapshot()))
+	assert.Assert(t, r.Compile().KeysWithdrawn)
+	assert.Assert(t, r.Compile().KeysWithdrawn)
+}
--- a/internal/node/forward/intake.go
+++ b/internal/node/forward/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -103,13 +104,27 @@
 	if in.route == nil {
 		return deniedRoute
 	}
-	if compiled.TenantsInUse && !in.route.Public {
-		in.tenant = compiled.Tenants[bearerKey(r.Header)]
+	if !in.route.Public {
+		if why := in.resolveTenant(r.Header); why != nil {
+			return why
+		}
+	}
+	in.service = chooseService(in.route, seed, in.id)
+	return nil
+}
+
+// resolveTenant finds the tenant that has the request's API key. Where the configuration has no list of tenants no key is required,
+// but a key that an earlier list had was revoked with it. Source: RULES.md, "API keys".
+func (in *intake) resolveTenant(header http.Header) *denial {
+	switch {
+	case in.compiled.TenantsInUse:
+		in.tenant = in.compiled.Tenants[bearerKey(header)]
 		if in.tenant == nil {
 			return deniedKey
 		}
+	case in.compiled.KeysWithdrawn && carriesKey(header):
+		return deniedKey
 	}
-	in.service = chooseService(in.route, seed, in.id)
 	return nil
 }
 
@@ -128,7 +143,17 @@
 	if len(values) != 1 {
 		return ""
 	}
-	scheme, key, found := strings.Cut(values[0], " ")
+	return parseBearer(values[0])
+}
+
+// carriesKey reports whether any Authorization header has an API key.
+func carriesKey(header http.Header) bool {
+	return slices.ContainsFunc(header["Authorization"], func(value string) bool { return parseBearer(value) != "" })
+}
+
+// parseBearer returns the key of a value of Authorization; empty: it has none.
+func parseBearer(value string) string {
+	scheme, key, found := strings.Cut(value, " ")
 	if !found || !strings.EqualFold(scheme, "Bearer") {
 		return ""
 	}
--- a/internal/node/forward/intake_test.go
+++ b/internal/node/forward/intake_test.go
@@ -128,6 +128,37 @@
 	}
 }
 
+// TestWithdrawnKeysAreRefused guards against CONFIG: where a configuration has taken the list of tenants away no key is required, but
+// a request with one of the keys that went with it ran.
+func TestWithdrawnKeysAreRefused(t *testing.T) {
+	for _, test := range []struct {
+		name, path string
+		withdrawn  bool
+		headers    []string
+		status     int
+	}{
+		{"a key", "/safe/a", true, []string{"Authorization: Bearer key-1"}, 401},
+		{"one of two", "/safe/a", true, []string{"Authorization: Basic key-1", "Authorization: Bearer key-1"}, 401},
+		{"no key", "/safe/a", true, nil, 200},
+		{"empty key", "/safe/a", true, []string{"Authorization: Bearer "}, 200},
+		{"another scheme", "/safe/a", true, []string{"Authorization: Basic key-1"}, 200},
+		{"public with a key", "/public/a", true, []string{"Authorization: Bearer key-1"}, 200},
+		{"a key where there never were any", "/safe/a", false, []string{"Authorization: Bearer key-1"}, 200},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBroker(t, "i-1", func(e *exchange) { e.answer(200, "ok") })
+			w := newWorld(t, newScriptedRouter(b.instance), func(w *world, _ *Options) {
+				public := route("public", "/public/", config.KindSafe)
+				public.Public = true
+				w.config.routes = append(w.config.routes, public)
+				w.config.compiled.KeysWithdrawn = test.withdrawn
+			})
+			assert.Equal(t, w.do(get(test.path, "r1", test.headers...)).StatusCode, test.status)
+			assert.Equal(t, b.arrived() > 0, test.status == 200)
+		})
+	}
+}
+
 // TestRouterReceivesRequestAttributes of a request.
 func TestRouterReceivesRequestAttributes(t *testing.T) {
 	urgent := 0
