config: null in place of the list of tenants is refused

What callers saw: a configuration whose list of tenants was sent as null, as programs write an empty list, opened every route.

Cause: null counted as left out, whatever stood there before.

Change: where the configuration in force has the list, the head of the chain answers 400 and names the member. What is committed is carried out as before.

--- a/internal/node/config/change.go
+++ b/internal/node/config/change.go
@@ -42,6 +42,9 @@
 	if size := max(len(request.GetBody()), prepared.next.renderedSize()); size > s.sizeLimit {
 		return s.tooLargeResult(size), false
 	}
+	if err := checkTenantList(change, prepared); err != nil {
+		return s.invalidResult(err), false
+	}
 	if err := s.checkPrepared(prepared); err != nil {
 		return s.invalidResult(err), false
 	}
--- a/internal/node/config/tenantlist_test.go
+++ b/internal/node/config/tenantlist_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"kestrelspread/internal/node/nodepb"
 )
 
 // TestKeysAreWithdrawnWithTheListOfTenants guards against CONFIG: a configuration without the list, which takes all keys away, let
@@ -49,3 +52,19 @@
 	assert.Assert(t, r.Compile().KeysWithdrawn)
 	assert.Assert(t, r.Compile().KeysWithdrawn)
 }
+
+// TestNullTakesNoListOfTenantsAway guards against ROUTE: an operator whose program writes an empty list as null opened all routes.
+func TestNullTakesNoListOfTenantsAway(t *testing.T) {
+	r := newReplica(t)
+	r.mustTake(replaceCommand(0, `{"version":1,"tenants":null}`))
+	r.mustTake(replaceCommand(1, `{"version":2,"tenants":[{"name":"a","apiKeys":["k"]}]}`))
+	before := r.Snapshot()
+	result := r.take(replaceCommand(2, `{"version":3,"tenants":null}`))
+	assert.Equal(t, result.GetCode(), nodepb.ResultCode_INVALID)
+	assert.Assert(t, strings.HasPrefix(result.GetText(), "tenants: "), result.GetText())
+	sameState(t, r.Snapshot(), before)
+	r.mustTake(updateCommand(2, `{"version":3,"upsert":{"tenants":null},"remove":{"tenants":null}}`))
+	assert.Assert(t, r.Compile().Tenant("k") != nil)
+	r.mustTake(replaceCommand(3, `{"version":4,"tenants":[]}`))
+	r.mustTake(replaceCommand(4, `{"version":5}`))
+}
