--- a/internal/node/config/section.go
+++ b/internal/node/config/section.go
@@ -122,10 +122,11 @@
 }
 
 // withUpdates returns the section without the items named in remove and with those in upsert: each
-// replaces the item with its name, or is appended. It returns s itself where both are empty. A section
-// that the configuration does not have comes into being with its first item alone.
+// replaces the item with its name, or is appended. It returns s itself where both are empty. Committed
+// updates are carried out alike by all versions of the program: a removal makes an empty section of one
+// that the configuration does not have (checkTenantList refuses that of the tenants).
 func (s *section[T]) withUpdates(upsert []*item[T], remove []string) *section[T] {
-	if len(upsert) == 0 && (s == nil || len(remove) == 0) {
+	if len(upsert) == 0 && len(remove) == 0 {
 		return s
 	}
 	items := slices.Clone(s.list())
--- a/internal/node/config/tenantlist_test.go
+++ b/internal/node/config/tenantlist_test.go
@@ -68,3 +68,24 @@
 	r.mustTake(replaceCommand(3, `{"version":4,"tenants":[]}`))
 	r.mustTake(replaceCommand(4, `{"version":5}`))
 }
+
+// TestUpdateMakesNoEmptyListOfTenants guards against DENIED: the removal of a name from a configuration without a list made one in some
+// versions of the program, which shuts every route, and none in others. Now the head refuses it, and once committed it is carried out as
+// by the version of the first golden files.
+func TestUpdateMakesNoEmptyListOfTenants(t *testing.T) {
+	r := newReplica(t)
+	r.mustTake(replaceCommand(0, `{"version":1}`))
+	removal := updateCommand(1, `{"version":3,"remove":{"tenants":["a"]}}`)
+	result := r.take(removal)
+	assert.Equal(t, result.GetCode(), nodepb.ResultCode_INVALID)
+	assert.Assert(t, strings.HasPrefix(result.GetText(), "remove.tenants: "), result.GetText())
+	assert.Equal(t, r.Version(), uint64(1))
+
+	other := newReplica(t)
+	assert.NilError(t, other.Restore(r.Snapshot()))
+	other.mustTake(updateCommand(1, `{"version":3,"remove":{"tenants":["a"]},"upsert":{"tenants":[{"name":"b"}]}}`))
+	assert.Assert(t, other.Compile().TenantsInUse)
+
+	assert.Equal(t, r.apply(removal).GetCode(), taken)
+	assert.Equal(t, string(r.Fetch()), `{"version":3,"tenants":[]}`)
+}
