config: the first isolated tenant after an empty list may have shared before

Found in reading.

Cause: Isolates asked whether there was a list, not whether callers were told apart.

Change: where no tenant had a key before, an isolated one counts as one that shared; its acknowledgement waits for the isolation lease.

Result: the new case of TestIsolatesNamesCallersThatSharedBefore failed before.

--- a/internal/node/config/isolation.go
+++ b/internal/node/config/isolation.go
@@ -2,14 +2,15 @@
 
 // Isolates reports whether the configuration isolates a caller that shared cached prefixes under the
 // one before: an API key of an isolated tenant that belonged to another tenant or one that was not
-// isolated, or any isolated tenant where there were no tenants, as callers were not told apart then.
+// isolated, or any isolated tenant where no tenant had a key, as callers were not told apart then (an
+// empty list of tenants required no key in earlier versions of the program).
 // before may be nil: what nodes held is not known.
 func (c *Compiled) Isolates(before *Compiled) bool {
 	for key, tenant := range c.Tenants {
 		if !tenant.Isolated {
 			continue
 		}
-		if before == nil || !before.TenantsInUse {
+		if before == nil || len(before.Tenants) == 0 {
 			return true
 		}
 		previous := before.Tenants[key]
--- a/internal/node/config/isolation_test.go
+++ b/internal/node/config/isolation_test.go
@@ -24,6 +24,7 @@
 		{"a key is passed on to an isolated tenant", of(map[string]*Tenant{"k": {Name: "b", Isolated: true}}), of(map[string]*Tenant{"k": isolated}), true},
 		{"the first tenants, one of them isolated", of(nil), of(map[string]*Tenant{"k": isolated}), true},
 		{"the first tenants, none isolated", of(nil), of(map[string]*Tenant{"k": shared}), false},
+		{"the first keys after a list without any", &Compiled{TenantsInUse: true}, of(map[string]*Tenant{"k": isolated}), true},
 		{"what was before is not known", nil, of(map[string]*Tenant{"k": isolated}), true},
 		{"no tenants", of(map[string]*Tenant{"k": isolated}), of(nil), false},
 	} {
