processfaults: a series takes tenants' keys away, judged by what brokers ran

Change: each plan has one of six kinds (last_key, moved_key, all_tenants, empty_tenants, last_tenant, no_tenants), by its seed in turn, beside a freeze, a cut, a kill of all processes or a lost disk; two operators go on changing the configuration. Clients use open connections to the disturbed node, and new ones to all nodes, with the keys that were taken away, with one that never was and with none. Then comes a list with another tenant, then the first one again. What brokers ran is judged by package keyhistory in all runs of package fleet: this replaces the fixed table of tenants, which it contains. Clients keep a connection after a complete 4xx, as they may. The freeze and the cut of the isolation, and the loss of a disk, stand once.

--- a/internal/harness/fleet/checks.go
+++ b/internal/harness/fleet/checks.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"kestrelspread/internal/harness/keyhistory"
 	"kestrelspread/internal/standin/fleetoperator"
 	"kestrelspread/internal/standin/llmbroker"
 )
@@ -30,7 +31,8 @@
 	drains            []drainedBroker
 	crashedBrokers    []string  // IDs
 	isolatedAt        time.Time // of tenantLater; zero: it is not
-	core              []string  // names of the nodes with a disk
+	keys              *keyhistory.History
+	core              []string // names of the nodes with a disk
 	nodeFaults        []NodeFault
 	linkFaults        []LinkFault
 	violations        []Violation
@@ -58,7 +60,7 @@
 	defer f.mutex.Unlock()
 	e := &evidence{
 		bounds: f.options.Bounds, attempts: load.Attempts.All(), arrivals: f.ArrivalLog.Arrivals(), modelOrders: f.ArrivalLog.Orders(),
-		drains: f.drainedBrokers, crashedBrokers: f.crashedBrokers, isolatedAt: f.isolatedAt,
+		drains: f.drainedBrokers, crashedBrokers: f.crashedBrokers, isolatedAt: f.isolatedAt, keys: f.keyHistory(),
 	}
 	for _, acknowledgement := range f.Operator.Acknowledged() {
 		if acknowledgement.Model != "" {
@@ -227,9 +229,7 @@
 	if run.Method != r.Method || run.URI != r.URI {
 		e.report("UNASKED", "request %s: %s %s was sent, %s %s has run", r.ID, r.Method, r.URI, run.Method, run.URI)
 	}
-	if tenant := tenantOf(r.Key); run.Tenant != tenant {
-		e.report("UNASKED", "request %s of tenant %q has run for tenant %q", r.ID, tenant, run.Tenant)
-	}
+	e.checkKey(r, run)
 	if service := route(r.Prefix).Service; run.Service != service {
 		e.report("ROUTE", "request %s on %s has run at service %s", r.ID, r.Prefix, run.Service)
 	}
--- a/internal/harness/fleet/checks_test.go
+++ b/internal/harness/fleet/checks_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"kestrelspread/internal/harness/keyhistory"
+	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/standin/fleetoperator"
 	"kestrelspread/internal/standin/llmbroker"
 )
@@ -16,10 +18,23 @@
 
 func after(ms int) time.Time { return evidenceStart.Add(time.Duration(ms) * time.Millisecond) }
 
+// firstKeys is the history of API keys with the first configuration alone.
+func firstKeys() *keyhistory.History {
+	history := &keyhistory.History{}
+	history.Add(keyhistory.Order{Version: FirstVersion, Tenants: FirstTenants(), SentAt: after(-8000), AcknowledgedAt: after(-7900)})
+	return history
+}
+
+// addTenants adds a configuration with other tenants, acknowledged at a time.
+func (e *evidence) addTenants(tenants []config.Tenant, at int) {
+	e.keys.Add(keyhistory.Order{Version: FirstVersion + 1, Tenants: tenants, SentAt: after(at), AcknowledgedAt: after(at)})
+}
+
 // validEvidence is evidence without a violation: one unsafe request, and one stream.
 func validEvidence() *evidence {
 	return &evidence{
 		bounds: DefaultBounds(),
+		keys:   firstKeys(),
 		attempts: []Attempt{
 			{ID: "p", Kind: Unsafe, Prefix: prefixPrint, Method: "POST", URI: "/print/a", Key: keyShared, Node: "node-1",
 				FirstAttemptAt: after(0), SentAt: after(0), EndedAt: after(40), Outcome: Answered, Status: 200},
@@ -124,6 +139,24 @@
 	{"another path", func(e *evidence) { e.arrivals[0].URI = "/print/b" }, "UNASKED"},
 	{"another method", func(e *evidence) { e.arrivals[0].Method = "GET" }, "UNASKED"},
 	{"another tenant", func(e *evidence) { e.arrivals[0].Tenant = tenantIsolated }, "UNASKED"},
+	{"a key that no configuration has", func(e *evidence) { e.attempts[0].Key = "key" }, "ROUTE"},
+	{"no key", func(e *evidence) { e.attempts[0].Key, e.arrivals[0].Tenant = "", "" }, "UNASKED"},
+	{"no key where none is required", func(e *evidence) {
+		e.attempts[0].Key, e.arrivals[0].Tenant = "", ""
+		e.addTenants(nil, -200)
+	}, ""},
+	{"a key that was revoked a moment ago", func(e *evidence) { e.addTenants(FirstTenants()[1:], -4900) }, ""},
+	{"a key that was revoked long ago", func(e *evidence) { e.addTenants(FirstTenants()[1:], -5100) }, "CONFIG"},
+	{"a key of a list that was taken away", func(e *evidence) {
+		e.attempts = e.attempts[:1]
+		e.arrivals = e.arrivals[:1]
+		e.arrivals[0].Tenant = ""
+		e.addTenants(nil, -5100)
+	}, "CONFIG"},
+	{"a key that was revoked long ago, where revocation is not global", func(e *evidence) {
+		e.bounds.GlobalRevocation = false
+		e.addTenants(FirstTenants()[1:], -5100)
+	}, ""},
 	{"an ID that no client sent", func(e *evidence) {
 		e.repeatArrival(0, func(a *llmbroker.Arrival) { a.Request = "x" })
 	}, "UNASKED"},
--- a/internal/harness/fleet/client.go
+++ b/internal/harness/fleet/client.go
@@ -148,11 +148,10 @@
 	attempt.Node, attempt.KeptAlive = conn.node.Name, conn.requestCount > 0
 	sending := p.request
 	left := time.Until(until)
-	sending.headers = append([]header{
+	sending.headers = append(append([]header{
 		{llmbroker.HeaderRequestID, attempt.ID},
 		{llmbroker.HeaderDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10)},
-		{"Authorization", "Bearer " + p.key},
-	}, sending.headers...)
+	}, authorization(p.key)...), sending.headers...)
 	answer, sentAt, err := conn.exchange(&sending, until.Add(responseSlack))
 	attempt.SentAt = sentAt
 	if err != nil {
@@ -166,6 +165,14 @@
 	return withEnd(attempt)
 }
 
+// authorization is the header with an API key; none where that is empty.
+func authorization(key string) []header {
+	if key == "" {
+		return nil
+	}
+	return []header{{"Authorization", "Bearer " + key}}
+}
+
 // withEnd sets the end of an attempt to now.
 func withEnd(r Attempt) Attempt {
 	r.EndedAt = time.Now()
@@ -214,7 +221,7 @@
 		return
 	}
 	attempt.retryAfter = parseRetryAfter(answer)
-	if conn.finishExchange(answer) && c.keepsConnection && attempt.Outcome == Answered {
+	if conn.finishExchange(answer) && c.keepsConnection && (attempt.Outcome == Answered || attempt.Outcome == ClientError) {
 		c.keptConnection = conn
 		return
 	}
--- a/internal/harness/fleet/fleet.go
+++ b/internal/harness/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"kestrelspread/internal/harness/keyhistory"
 	"kestrelspread/internal/harness/links"
 	"kestrelspread/internal/node/nodestatus"
 	"kestrelspread/internal/standin/fleetoperator"
@@ -73,6 +74,7 @@
 	drainedBrokers []drainedBroker
 	crashedBrokers []string  // IDs of brokers that ended without draining
 	isolatedAt     time.Time // when the isolation of tenantLater was acknowledged; zero: never
+	orders         []keyhistory.Order
 }
 
 // Start starts the nodes and the brokers. They have no configuration yet, see Bootstrap.
--- a/internal/harness/fleet/isolation_test.go
+++ b/internal/harness/fleet/isolation_test.go
@@ -51,7 +51,7 @@
 			s := newScenarioOf(t, Options{Relayed: true}, func(b *Bounds) { b.GlobalRevocation = false })
 			node := s.Nodes[nodeCount-1]
 			time.Sleep(s.options.Bounds.ConfigApply)
-			kept, err := s.load.OpenKept(node, keptConnections, 1)
+			kept, err := s.load.OpenKept(node, keyLater, keptConnections, 1)
 			s.must(err)
 			defer kept.Close()
 			end := disturb(s, node)
--- a/internal/harness/fleet/keptclients.go
+++ b/internal/harness/fleet/keptclients.go
@@ -16,9 +16,9 @@
 	random  *rand.Rand
 }
 
-// OpenKept opens connections of the tenant of IsolatedLater to a node, and has each carry a request.
-func (l *Load) OpenKept(node *Node, count int, seed uint64) (*KeptClients, error) {
-	k := &KeptClients{key: keyLater, random: rand.New(rand.NewPCG(seed, keptStream))}
+// OpenKept opens connections to a node, and has each carry a request with an API key.
+func (l *Load) OpenKept(node *Node, key string, count int, seed uint64) (*KeptClients, error) {
+	k := &KeptClients{key: key, random: rand.New(rand.NewPCG(seed, keptStream))}
 	for number := range count {
 		conn, err := connect(node)
 		if err != nil {
--- a/internal/harness/fleet/load.go
+++ b/internal/harness/fleet/load.go
@@ -131,7 +131,7 @@
 	}
 }
 
-// Probe sends one request on a safe route with an API key to one node, and returns the status; 0: no answer.
+// Probe sends one request on a safe route with an API key, or none if that is empty, to one node, and returns the status; 0: no answer.
 func (l *Load) Probe(node *Node, prefix, key string) int {
 	p := routeRequest(prefix)
 	p.request.uri = prefix + "probe"
@@ -143,8 +143,8 @@
 	defer func() { _ = conn.Close() }()
 	attempt := Attempt{ID: newID(), Prefix: prefix, Method: p.request.method, URI: p.request.uri, Key: key, Node: node.Name,
 		FirstAttemptAt: time.Now(), Phase: probePhase}
-	p.request.headers = []header{{llmbroker.HeaderRequestID, attempt.ID}, {"Authorization", "Bearer " + key},
-		{llmbroker.HeaderDeadline, strconv.FormatInt(p.deadline.Milliseconds(), 10)}}
+	p.request.headers = append([]header{{llmbroker.HeaderRequestID, attempt.ID},
+		{llmbroker.HeaderDeadline, strconv.FormatInt(p.deadline.Milliseconds(), 10)}}, authorization(key)...)
 	answer, sentAt, err := conn.exchange(&p.request, time.Now().Add(p.deadline))
 	attempt.SentAt = sentAt
 	if err == nil {
--- a/internal/harness/fleet/services.go
+++ b/internal/harness/fleet/services.go
@@ -27,6 +27,8 @@
 	ModelName    = modelName
 	PlainService = servicePlain
 	SharedTenant = tenantShared
+	// KeyIsolatedLater is the API key of the tenant of IsolatedLater.
+	KeyIsolatedLater = keyLater
 )
 
 // SharedKeys are the API keys of SharedTenant in the first configuration.
@@ -100,6 +102,15 @@
 	keyLater       = "key-west-1"
 )
 
+// FirstTenants are the tenants of the first configuration.
+func FirstTenants() []config.Tenant {
+	return []config.Tenant{
+		{Name: tenantShared, APIKeys: []string{keyShared, keyRevoked}},
+		{Name: tenantIsolated, APIKeys: []string{keyIsolated}, Isolated: true},
+		{Name: tenantLater, APIKeys: []string{keyLater}},
+	}
+}
+
 // IsolatedLater is the tenant that shares prefixes in the first configuration, as a later one isolates it.
 func IsolatedLater() config.Tenant {
 	return config.Tenant{Name: tenantLater, APIKeys: []string{keyLater}, Isolated: true}
@@ -127,11 +138,7 @@
 	c := fleetoperator.Configuration{
 		Version: FirstVersion,
 		Limits:  config.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
-		Tenants: []config.Tenant{
-			{Name: tenantShared, APIKeys: []string{keyShared, keyRevoked}},
-			{Name: tenantIsolated, APIKeys: []string{keyIsolated}, Isolated: true},
-			{Name: tenantLater, APIKeys: []string{keyLater}},
-		},
+		Tenants: FirstTenants(),
 	}
 	for _, prefix := range []string{prefixLookup, prefixPrint, prefixDraft, prefixVerdict, prefixOld} {
 		c.Routes = append(c.Routes, route(prefix))
--- a/internal/harness/processfaults/inject.go
+++ b/internal/harness/processfaults/inject.go
@@ -43,6 +43,12 @@
 		StartedGone:     (*run).deregisterAtStartedNode,
 		FrozenIsolation: (*run).isolateWhileFrozen,
 		CutIsolation:    (*run).isolateWhileCut,
+		LastKey:         withdrawing(keySeries{before: grantKey, withdrawal: takeLastKey, keys: []string{movedKey}}),
+		MovedKey:        withdrawing(keySeries{before: grantKey, withdrawal: moveKey, keys: []string{movedKey}}),
+		AllTenants:      withdrawing(keySeries{withdrawal: removeTenants, keys: firstKeys(), after: otherKeys}),
+		LastTenant:      withdrawing(keySeries{withdrawal: removeNext, keys: firstKeys(), after: otherKeys}),
+		EmptyTenants:    withdrawing(keySeries{withdrawal: emptyList, keys: firstKeys(), after: otherKeys}),
+		NoTenants:       withdrawing(keySeries{withdrawal: leaveOutList, keys: firstKeys(), after: otherKeys}),
 	}
 }
 
@@ -148,11 +154,7 @@
 		if err := node.Thaw(); err != nil {
 			r.fail("thaw %s: %v", node.Name, err)
 		}
-		if !node.Running() { // a kill of all processes has ended it
-			r.restart(node)
-			return
-		}
-		r.claims.release(node)
+		r.releaseOrRestart(node)
 	}
 }
 
@@ -179,10 +181,7 @@
 	if !r.coreComplete() || !r.claims.claim(node) {
 		return nil
 	}
-	node.Kill()
-	if err := os.RemoveAll(node.DataDir()); err != nil {
-		r.fail("wipe %s: %v", node.Name, err)
-	}
+	r.killAndLoseDisk(node)
 	return func() { r.restart(node) }
 }
 
--- a/internal/harness/processfaults/isolation.go
+++ b/internal/harness/processfaults/isolation.go
@@ -1,7 +1,6 @@
 package processfaults
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -13,9 +12,8 @@
 	isolationConnections = 16
 	// sentAfterIsolation is when they send on these, after the acknowledgement. WALL has no bound in time.
 	sentAfterIsolation = 200 * time.Millisecond
-	// heldAfterSending is how long the node then stays frozen, and cutAfterThaw how long it is cut off after that.
+	// heldAfterSending is how long the node then stays frozen.
 	heldAfterSending = 100 * time.Millisecond
-	cutAfterThaw     = 300 * time.Millisecond
 )
 
 // isolation is the order that isolates a tenant, which the first operator sends with its next change.
@@ -65,42 +63,13 @@
 	return true
 }
 
-// isolateWhileFrozen has a tenant isolated while a node is frozen. Where links can be cut it is cut off as well, for a little longer:
-// what it serves first must not depend on what waits for it in its sockets.
+// isolateWhileFrozen has a tenant isolated while a node is frozen and cut off.
 func (r *run) isolateWhileFrozen(fault Fault) func() {
-	return r.isolateWhile(fault, func(node *fleet.Node) func() {
-		heal := r.cutFromNodes(node)
-		if err := node.Freeze(); err != nil && node.Running() { // else a kill of all processes has ended it since it was reserved
-			r.fail("freeze %s: %v", node.Name, err)
-		}
-		return func() {
-			if err := node.Thaw(); err != nil {
-				r.fail("thaw %s: %v", node.Name, err)
-			}
-			_ = r.sleep(cutAfterThaw)
-			heal()
-		}
-	})
+	return r.isolateWhile(fault, r.freezeAndCut)
 }
 
 // isolateWhileCut has a tenant isolated while a node is cut from the others, but not from the brokers.
-func (r *run) isolateWhileCut(fault Fault) func() {
-	return r.isolateWhile(fault, func(node *fleet.Node) func() {
-		heal := r.cutFromNodes(node)
-		return func() {
-			_ = r.sleep(cutAfterThaw)
-			heal()
-		}
-	})
-}
-
-// cutFromNodes cuts a node from all others, but not from the brokers, if the fleet has relays.
-func (r *run) cutFromNodes(node *fleet.Node) (heal func()) {
-	if !r.plan.relayed() {
-		return func() {}
-	}
-	return r.fleet.CutFromNodes(node)
-}
+func (r *run) isolateWhileCut(fault Fault) func() { return r.isolateWhile(fault, r.cutOff) }
 
 // isolateWhile disturbs a node, has a tenant isolated meanwhile, and sends requests of the tenant on open connections to the node
 // after that was acknowledged.
@@ -115,7 +84,7 @@
 		return nil
 	}
 	r.actions.Go(func() {
-		kept, err := r.load.OpenKept(node, isolationConnections, r.plan.Seed)
+		kept, err := r.load.OpenKept(node, fleet.KeyIsolatedLater, isolationConnections, r.plan.Seed)
 		if err != nil {
 			r.logf("%v", err)
 		}
@@ -123,11 +92,7 @@
 		r.isolation.request()
 		r.sendAfterIsolation(kept)
 		end()
-		if !node.Running() { // a kill of all processes has ended it
-			r.restart(node)
-			return
-		}
-		r.claims.release(node)
+		r.releaseOrRestart(node)
 	})
 	return nil
 }
@@ -135,13 +100,10 @@
 // sendAfterIsolation waits for the acknowledgement and sends requests on the kept connections; nil: there are none. It returns while
 // the answers are still awaited.
 func (r *run) sendAfterIsolation(kept *fleet.KeptClients) {
-	ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
-	defer cancel()
-	select {
-	case ackedAt := <-r.isolation.ackedAt:
+	if ackedAt, acknowledged := r.await(r.isolation.ackedAt); acknowledged {
 		r.logf("the isolation of a tenant is acknowledged")
 		_ = r.sleep(time.Until(ackedAt.Add(sentAfterIsolation)))
-	case <-ctx.Done():
+	} else {
 		r.logf("the isolation of a tenant is not acknowledged")
 	}
 	if kept == nil {
--- a/internal/harness/processfaults/leaving.go
+++ b/internal/harness/processfaults/leaving.go
@@ -54,7 +54,7 @@
 			return
 		}
 		r.logf("%s: leaving acknowledged, all processes are killed %v later", leaving.ID(), time.Since(ackedAt).Round(time.Millisecond))
-		r.killAll(min(max(fault.Duration(), minDownTime), maxDownTime))
+		r.killAll(downTime(fault))
 	})
 	return nil
 }
--- a/internal/harness/processfaults/operator.go
+++ b/internal/harness/processfaults/operator.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,8 +28,15 @@
 	readsPerChange      = 3 // one call in so many is a read
 )
 
+// markerService is a service without routes and brokers, whose health check names the order of a configuration where no key does.
+const (
+	markerService = "order"
+	markerPrefix  = "/" // of the health check, before the order's ID
+)
+
 // operator submits changes and reads, one after another, and records them. Each change replaces the API key of the order that it
-// builds on by its own, so that a configuration names its order, and a key is revoked with each change.
+// builds on by its own, so that a configuration names its order, and a key is revoked with each change. Where a fault has the tenants
+// taken away, markerService names the order.
 type operator struct {
 	run     *run
 	number  int
@@ -108,24 +116,28 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
 	defer cancel()
-	tenants := []config.Tenant{{Name: fleet.SharedTenant, APIKeys: append(fleet.SharedKeys(), orderKeyPrefix+id)}}
-	isolates := o.run.isolation.wanted()
-	if isolates {
-		tenants = append(tenants, fleet.IsolatedLater())
-	}
-	acknowledged, err := o.client.Update(ctx, before, fleetoperator.Update{Version: change.Version, Upsert: fleetoperator.Items{Tenants: tenants}})
+	step, isolates := o.run.tenants.current(), o.run.isolation.wanted()
+	order := newOrder(before, change.Version, id, step, isolates)
+	sentAt := time.Now()
+	acknowledged, err := order.send(ctx, o.client, before)
 	change.ReturnedAt = o.now()
 	change.Status = statusOf(err)
 	o.changes = append(o.changes, change)
 	o.run.logf("operator %d: %s on version %d as %d: %d", o.number, id, change.BaseVersion, change.Version, change.Status)
+	if err == nil || errors.Is(err, fleetoperator.ErrUnclear) {
+		o.run.fleet.RecordOrder(order.made, sentAt, acknowledged.ReceivedAt)
+	}
 	switch {
 	case err == nil:
 		o.acknowledged++
 		o.known = acknowledged.Configuration
-		if isolates && o.run.isolation.acknowledged(acknowledged.ReceivedAt) {
+		if isolates && isIsolated(o.known) && o.run.isolation.acknowledged(acknowledged.ReceivedAt) {
 			o.run.fleet.RecordIsolation(acknowledged.ReceivedAt)
 		}
-		o.run.keys.replaced(orderKey(before), orderKeyPrefix+id, acknowledged.ReceivedAt)
+		if replaced, key := orderKey(before), orderKey(o.known); replaced != key {
+			o.run.keys.replaced(replaced, key, acknowledged.ReceivedAt)
+		}
+		o.run.tenants.acknowledged(step, o.known, acknowledged.ReceivedAt)
 	case errors.Is(err, fleetoperator.ErrConflict), errors.Is(err, fleetoperator.ErrUnclear):
 		o.read(o.ctx)
 	default:
@@ -153,9 +165,19 @@
 	if key := orderKey(c); key != "" {
 		id = strings.TrimPrefix(key, orderKeyPrefix)
 	}
+	for _, service := range c.Services {
+		if service.Name == markerService {
+			id = strings.TrimPrefix(service.HealthCheck, markerPrefix)
+		}
+	}
 	return confighistory.Document{Version: c.Version, OrderID: id}
 }
 
+// isIsolated reports whether a configuration isolates the tenant of fleet.IsolatedLater.
+func isIsolated(c fleetoperator.Configuration) bool {
+	return slices.ContainsFunc(c.Tenants, func(tenant config.Tenant) bool { return equalTenants(tenant, fleet.IsolatedLater()) })
+}
+
 // orderKey is the API key of the order that made a configuration; empty: the first one has none.
 func orderKey(c fleetoperator.Configuration) string {
 	for _, tenant := range c.Tenants {
--- a/internal/harness/processfaults/plan.go
+++ b/internal/harness/processfaults/plan.go
@@ -72,6 +72,12 @@
 	StartedGone     FaultKind = "started_gone"    // the same with a deregistration
 	FrozenIsolation FaultKind = "frozen_isolated" // a tenant becomes isolated while a node is frozen and cut off that clients have connections to
 	CutIsolation    FaultKind = "cut_isolated"    // the same with a node that is cut from the others
+	LastKey         FaultKind = "last_key"        // a tenant loses its last key, beside a disturbance of processes (see keyDisturbances)
+	MovedKey        FaultKind = "moved_key"       // the key is given to another tenant
+	AllTenants      FaultKind = "all_tenants"     // all tenants are removed by one update; later there is another one, then the first ones
+	LastTenant      FaultKind = "last_tenant"     // the tenants are removed one after another
+	EmptyTenants    FaultKind = "empty_tenants"   // a whole configuration has an empty list of tenants
+	NoTenants       FaultKind = "no_tenants"      // a whole configuration has no list of tenants
 )
 
 // weightedKinds are the kinds that plans draw from; those that stand twice come twice as often.
@@ -110,6 +116,7 @@
 	plan.addProcessFaults(random, between)
 	plan.addClientCrowds(random, between)
 	plan.addAimedFaults(random, between)
+	plan.addKeySeries(random, between)
 	switch {
 	case seed%largeEvery == largeEvery-1:
 		plan.makeLarge()
@@ -174,6 +181,21 @@
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.StartMs, b.StartMs) })
 }
 
+// keyKinds take the keys of tenants away. Seeds in a row draw all of them.
+var keyKinds = []FaultKind{LastKey, MovedKey, AllTenants, EmptyTenants, LastTenant, NoTenants}
+
+// earliestKeySeries is when a series of keyKinds begins: clients are refused while it lasts, and are needed for the other faults.
+const earliestKeySeries = 3 * time.Second
+
+// addKeySeries adds a fault that takes the keys of tenants away, beside a disturbance that its peer selects.
+func (p *Plan) addKeySeries(random *rand.Rand, between func(minimum, maximum time.Duration) int) {
+	p.Faults = append(p.Faults, Fault{
+		StartMs: between(earliestKeySeries, FaultPhase), DurationMs: between(minFaultDuration, maxFaultDuration),
+		Kind: keyKinds[p.Seed%uint64(len(keyKinds))], Node: random.IntN(selectors), Peer: random.IntN(selectors),
+	})
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.StartMs, b.StartMs) })
+}
+
 const (
 	// largeEvery: one seed in so many plays a large fleet.
 	largeEvery = 25
--- a/internal/harness/processfaults/processfaults_test.go
+++ b/internal/harness/processfaults/processfaults_test.go
@@ -120,6 +120,7 @@
 		assert.Equal(t, count(signalKinds...), signalFaults)
 		assert.Equal(t, count(ClientCrowd), clientCrowds)
 		assert.Equal(t, count(startedKinds...), 1)
+		assert.Equal(t, count(keyKinds[seed%uint64(len(keyKinds))]), 1)
 		switch plan.Nodes {
 		case largeNodes:
 			large++
@@ -225,6 +226,18 @@
 		plan:      Plan{Seed: 1, Faults: []Fault{{StartMs: 1500, Kind: CutIsolation}}},
 		violation: "WALL",
 	},
+	{
+		name:      "an empty list of tenants asks for no key",
+		Mutation:  mutant.Mutation{File: "config/compile.go", Original: "s.document.tenants != nil,", Mutated: "len(s.document.tenants.list()) > 0,"},
+		plan:      Plan{Seed: 1, Faults: []Fault{{StartMs: 500, Kind: LastTenant, Peer: 2}}},
+		violation: "CONFIG",
+	},
+	{
+		name:      "keys are forgotten with the list of tenants",
+		Mutation:  mutant.Mutation{File: "forward/intake.go", Original: "in.compiled.KeysWithdrawn && carriesKey(header)", Mutated: "false"},
+		plan:      Plan{Seed: 1, Faults: []Fault{{StartMs: 500, Kind: NoTenants, Peer: 2}}},
+		violation: "CONFIG",
+	},
 	{
 		name:      "answers to idempotent requests are awaited as long as others",
 		Mutation:  mutant.Mutation{File: "forward/call.go", Original: "		return c.proxy.bounds.IdempotentDisconnectGrace\n", Mutated: "		return c.proxy.bounds.DisconnectGrace\n"},
--- a/internal/harness/processfaults/run.go
+++ b/internal/harness/processfaults/run.go
@@ -56,12 +56,14 @@
 	keys           *revokedKeys
 	claims         *claims // by faults of processes that last
 	isolation      *isolation
+	tenants        *tenantOrder
 	weightsVersion uint64
 	actions        sync.WaitGroup // faults that end by themselves
 	background     sync.WaitGroup
 
 	mutex      sync.Mutex // guards what follows
 	violations []string
+	seriesSent int // requests of series that take keys away
 }
 
 // Play starts a fleet and plays the plan. The error says that the fleet could not be started, or that ctx has ended.
@@ -75,7 +77,8 @@
 	}
 	defer started.Close()
 	r := &run{
-		plan: plan, options: options, fleet: started, startedAt: time.Now(), claims: newClaims(), isolation: newIsolationOrder(), weightsVersion: 1,
+		plan: plan, options: options, fleet: started, startedAt: time.Now(), claims: newClaims(), isolation: newIsolationOrder(),
+		tenants: &tenantOrder{}, weightsVersion: 1,
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -194,9 +197,9 @@
 	}
 	counts := r.fleet.Count(r.load, 1)
 	result.Tally = counts.Total()
-	result.Probes = r.keys.count()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	result.Probes = r.keys.count() + r.seriesSent
 	result.Violations = r.violations
 }
 
--- a/internal/standin/fleetoperator/configuration.go
+++ b/internal/standin/fleetoperator/configuration.go
@@ -12,7 +12,7 @@
 	Routes   []config.Route   `json:"routes"`
 	Services []config.Service `json:"services"`
 	Limits   config.Limits    `json:"limits"`
-	Tenants  []config.Tenant  `json:"tenants,omitempty"`
+	Tenants  []config.Tenant  `json:"tenants,omitzero"` // nil: without the list
 }
 
 // Items are what an update adds or replaces, by name.
@@ -36,8 +36,8 @@
 	Remove  Names  `json:"remove"`
 }
 
-// apply is the configuration after an update.
-func (c Configuration) apply(update Update) Configuration {
+// Apply returns the configuration after an update.
+func (c Configuration) Apply(update Update) Configuration {
 	c.Version = update.Version
 	c.Routes = applyItems(c.Routes, update.Upsert.Routes, update.Remove.Routes, func(r config.Route) string { return r.Name })
 	c.Services = applyItems(c.Services, update.Upsert.Services, update.Remove.Services, func(s config.Service) string { return s.Name })
--- a/internal/standin/fleetoperator/operator.go
+++ b/internal/standin/fleetoperator/operator.go
@@ -55,7 +55,7 @@
 
 // Update changes named items of the configuration before.
 func (o *Operator) Update(ctx context.Context, before Configuration, update Update) (Acknowledgement, error) {
-	return o.change(ctx, pathUpdate, before.Version, update, before.apply(update))
+	return o.change(ctx, pathUpdate, before.Version, update, before.Apply(update))
 }
 
 // change sends a change whose acknowledgement puts a configuration in force.
@@ -131,6 +131,13 @@
 	return slices.Clone(o.acknowledged)
 }
 
+// Unclear returns the configurations of changes without a definite answer: each may or may not be in force.
+func (o *Operator) Unclear() []Configuration {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return slices.Clone(o.unclear)
+}
+
 // Current is the newest acknowledged configuration; version 0: there is none.
 func (o *Operator) Current() Configuration {
 	o.mutex.Lock()
--- a/internal/standin/fleetoperator/operator_test.go
+++ b/internal/standin/fleetoperator/operator_test.go
@@ -137,7 +137,7 @@
 
 // Source: RULES.md, CONFIG.
 func TestCheckReadBackDetectsLostChanges(t *testing.T) {
-	second := firstConfiguration.apply(Update{
+	second := firstConfiguration.Apply(Update{
 		Version: 5,
 		Upsert:  Items{Routes: []config.Route{{Name: "r", Host: "h.example", PathPrefix: "/b/", TimeoutMs: 1, Service: "s"}, {Name: "new"}}},
 		Remove:  Names{Services: []string{"gone"}},
