Rename: partitions and groups of clients in the harness by the field's words

Cause: crowd, cut, whole and held are house words. The kinds of faults keep their texts in plans, so that old plans replay.

--- a/internal/harness/clientfaults/clientfaults_test.go
+++ b/internal/harness/clientfaults/clientfaults_test.go
@@ -31,11 +31,11 @@
 }
 
 const (
-	// crowdSize is the clients of a crowd, crowdTime how long they go on.
-	crowdSize = 200
-	crowdTime = 2 * time.Second
-	// silentCrowdSize is more than the descriptors that the processes of these tests may have.
-	silentCrowdSize = 300
+	// groupSize is the clients of a group, groupTime how long they go on.
+	groupSize = 200
+	groupTime = 2 * time.Second
+	// silentGroupSize is more than the descriptors that the processes of these tests may have.
+	silentGroupSize = 300
 	// maxLoggedBytes is what a process may log meanwhile.
 	maxLoggedBytes = 16 << 10
 	// answerTimeout bounds the time until an ordinary request is answered; it only keeps a test from hanging.
@@ -54,18 +54,18 @@
 	ask func(context.Context) error
 }
 
-// withstands plays a crowd on an address of the target, and checks that the process lives within its limits and that one ordinary
+// withstands plays a group on an address of the target, and checks that the process lives within its limits and that one ordinary
 // request is answered afterwards.
 func (p *target) withstands(t *testing.T, address string, behaviour Behaviour) {
 	t.Helper()
-	clients := crowdSize
+	clients := groupSize
 	if behaviour.Name == Silent.Name {
-		clients = silentCrowdSize
+		clients = silentGroupSize
 	}
 	loggedBefore, watch := p.loggedBytes(), p.process.Watch()
-	crowd := StartCrowd(t.Context(), address, clients, behaviour)
-	pause(t.Context(), crowdTime)
-	crowd.Stop()
+	group := StartGroup(t.Context(), address, clients, behaviour)
+	pause(t.Context(), groupTime)
+	group.Stop()
 	answered := p.awaitAnswer(t.Context())
 	usage, err := watch.Stop()
 	assert.NilError(t, err)
--- a/internal/harness/fleet/isolation_test.go
+++ b/internal/harness/fleet/isolation_test.go
@@ -45,7 +45,7 @@
 			s.must(node.Freeze())
 			return func() { s.must(node.Thaw()) }
 		},
-		"cut off": func(s *scenario, node *Node) func() { return s.CutFromNodes(node) },
+		"cut off": func(s *scenario, node *Node) func() { return s.PartitionFromNodes(node) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newScenarioOf(t, Options{Relayed: true}, func(b *Bounds) { b.GlobalRevocation = false })
--- a/internal/harness/fleet/keychecks.go
+++ b/internal/harness/fleet/keychecks.go
@@ -46,7 +46,7 @@
 		e.report("UNASKED", "request %s at %s without a key has run for tenant %q", r.ID, r.Node, run.Tenant)
 		return
 	}
-	if r.Key != "" && !e.keys.Held(r.Key) {
+	if r.Key != "" && !e.keys.Known(r.Key) {
 		e.report("ROUTE", "request %s at %s ran at %s with key %q, which no configuration has", r.ID, r.Node, run.Instance, r.Key)
 		return
 	}
--- a/internal/harness/fleet/relays.go
+++ b/internal/harness/fleet/relays.go
@@ -65,15 +65,15 @@
 	return relayed, nil
 }
 
-// CutFromNodes cuts a node from all others, but not from the brokers, and records that for each of them. The fleet must be relayed.
-func (f *Fleet) CutFromNodes(node *Node) (heal func()) {
-	cut := links.Conditions{Partitioned: true}
+// PartitionFromNodes cuts a node from all others, but not from the brokers, and records that for each of them. The fleet must be relayed.
+func (f *Fleet) PartitionFromNodes(node *Node) (heal func()) {
+	partitioned := links.Conditions{Partitioned: true}
 	ends := []func(){f.BeginLinkFault(node)}
 	for _, other := range f.Nodes {
 		if other == node {
 			continue
 		}
-		fault := links.Fault{Source: node.Name, Destination: other.Name, Forward: cut, Reverse: cut}
+		fault := links.Fault{Source: node.Name, Destination: other.Name, Forward: partitioned, Reverse: partitioned}
 		ends = append(ends, f.Network.Inject(fault), f.BeginLinkFault(other))
 	}
 	return func() {
--- a/internal/harness/keyhistory/keyhistory.go
+++ b/internal/harness/keyhistory/keyhistory.go
@@ -27,8 +27,8 @@
 // Add adds an order.
 func (h *History) Add(order Order) { h.orders = append(h.orders, order) }
 
-// Held reports whether any configuration has an API key.
-func (h *History) Held(key string) bool {
+// Known reports whether any configuration has an API key.
+func (h *History) Known(key string) bool {
 	for i := range h.orders {
 		if _, ok := h.orders[i].owner(key); ok {
 			return true
--- a/internal/harness/keyhistory/keyhistory_test.go
+++ b/internal/harness/keyhistory/keyhistory_test.go
@@ -90,6 +90,6 @@
 	passedOn.Add(order(2, 10, tenant("b", "k")))
 	_, allowed = passedOn.CheckKey(Run{Key: "k", SentAt: at(30), StartedAt: at(30)}, bound)
 	assert.Assert(t, allowed)
-	assert.Assert(t, history.Held("k") && !history.Held("l"))
+	assert.Assert(t, history.Known("k") && !history.Known("l"))
 	assert.Assert(t, history.Belonged("k", "a") && !history.Belonged("k", "b"))
 }
--- a/internal/harness/processfaults/disturbance.go
+++ b/internal/harness/processfaults/disturbance.go
@@ -8,12 +8,12 @@
 	"kestrelspread/internal/harness/fleet"
 )
 
-// cutAfterThaw is how long a node stays cut off after its thaw: what it serves first must not depend on what waits for it in its sockets.
-const cutAfterThaw = 300 * time.Millisecond
+// partitionedAfterThaw is how long a node stays cut off after its thaw: what it serves first must not depend on what waits for it in its sockets.
+const partitionedAfterThaw = 300 * time.Millisecond
 
-// freezeAndCut freezes a node. Where links can be cut it is cut off from the others as well, for a little longer.
-func (r *run) freezeAndCut(node *fleet.Node) (end func()) {
-	heal := r.cutFromNodes(node)
+// freezeAndPartition freezes a node. Where links can be cut it is cut off from the others as well, for a little longer.
+func (r *run) freezeAndPartition(node *fleet.Node) (end func()) {
+	heal := r.partitionFromOthers(node)
 	if err := node.Freeze(); err != nil && node.Running() { // else a kill of all processes has ended it since it was reserved
 		r.fail("freeze %s: %v", node.Name, err)
 	}
@@ -21,26 +21,26 @@
 		if err := node.Thaw(); err != nil {
 			r.fail("thaw %s: %v", node.Name, err)
 		}
-		_ = r.sleep(cutAfterThaw)
+		_ = r.sleep(partitionedAfterThaw)
 		heal()
 	}
 }
 
-// cutOff cuts a node from the others, but not from the brokers.
-func (r *run) cutOff(node *fleet.Node) (end func()) {
-	heal := r.cutFromNodes(node)
+// partition cuts a node from the others, but not from the brokers.
+func (r *run) partition(node *fleet.Node) (end func()) {
+	heal := r.partitionFromOthers(node)
 	return func() {
-		_ = r.sleep(cutAfterThaw)
+		_ = r.sleep(partitionedAfterThaw)
 		heal()
 	}
 }
 
-// cutFromNodes cuts a node from all others, but not from the brokers, if the fleet has relays.
-func (r *run) cutFromNodes(node *fleet.Node) (heal func()) {
+// partitionFromOthers cuts a node from all others, but not from the brokers, if the fleet has relays.
+func (r *run) partitionFromOthers(node *fleet.Node) (heal func()) {
 	if !r.plan.relayed() {
 		return func() {}
 	}
-	return r.fleet.CutFromNodes(node)
+	return r.fleet.PartitionFromNodes(node)
 }
 
 // releaseOrRestart gives a node free, and starts it again if a kill of all processes has ended it.
--- a/internal/harness/processfaults/isolation.go
+++ b/internal/harness/processfaults/isolation.go
@@ -12,8 +12,8 @@
 	isolationConnections = 16
 	// sentAfterIsolation is when they send on these, after the acknowledgement. WALL has no bound in time.
 	sentAfterIsolation = 200 * time.Millisecond
-	// heldAfterSending is how long the node then stays frozen.
-	heldAfterSending = 100 * time.Millisecond
+	// frozenAfterSending is how long the node then stays frozen.
+	frozenAfterSending = 100 * time.Millisecond
 )
 
 // isolation is the order that isolates a tenant, which the first operator sends with its next change.
@@ -65,11 +65,11 @@
 
 // isolateWhileFrozen has a tenant isolated while a node is frozen and cut off.
 func (r *run) isolateWhileFrozen(fault Fault) func() {
-	return r.isolateWhile(fault, r.freezeAndCut)
+	return r.isolateWhile(fault, r.freezeAndPartition)
 }
 
-// isolateWhileCut has a tenant isolated while a node is cut from the others, but not from the brokers.
-func (r *run) isolateWhileCut(fault Fault) func() { return r.isolateWhile(fault, r.cutOff) }
+// isolateWhilePartitioned has a tenant isolated while a node is cut from the others, but not from the brokers.
+func (r *run) isolateWhilePartitioned(fault Fault) func() { return r.isolateWhile(fault, r.partition) }
 
 // isolateWhile disturbs a node, has a tenant isolated meanwhile, and sends requests of the tenant on open connections to the node
 // after that was acknowledged.
@@ -114,5 +114,5 @@
 		sent, answered := kept.SendAll()
 		r.logf("%d requests of the isolated tenant on open connections to a node that has not heard of it, %d answered", sent, answered)
 	})
-	_ = r.sleep(heldAfterSending)
+	_ = r.sleep(frozenAfterSending)
 }
--- a/internal/harness/processfaults/keyseries.go
+++ b/internal/harness/processfaults/keyseries.go
@@ -68,7 +68,7 @@
 		r.logf("the withdrawal of %v is not acknowledged", series.keys)
 	}
 	r.background.Go(func() { r.sendOnKept(kept) })
-	_ = r.sleep(heldAfterSending)
+	_ = r.sleep(frozenAfterSending)
 	end()
 	r.probeKeys(series.keys)
 	if series.after != firstTenants && r.takeStep(series.after) {
@@ -178,8 +178,8 @@
 }
 
 var keyDisturbances = []keyDisturbance{
-	{"freeze", whileClaimed((*run).freezeAndCut), noDisturbance},
-	{"cut", whileClaimed((*run).cutOff), noDisturbance},
+	{"freeze", whileClaimed((*run).freezeAndPartition), noDisturbance},
+	{"cut", whileClaimed((*run).partition), noDisturbance},
 	{"kill of all", notBefore, func(r *run, fault Fault) { r.killAll(downTime(fault)) }},
 	{"lost disk", notBefore, func(r *run, fault Fault) { r.wipeCoreNode(fault.Node, downTime(fault)) }},
 }
--- a/internal/harness/processfaults/order.go
+++ b/internal/harness/processfaults/order.go
@@ -10,9 +10,9 @@
 
 // configurationOrder is a change of the configuration that an operator sends: a whole configuration, or an update.
 type configurationOrder struct {
-	made   fleetoperator.Configuration // the configuration that it makes
-	whole  bool
-	update fleetoperator.Update
+	made     fleetoperator.Configuration // the configuration that it makes
+	replaces bool
+	update   fleetoperator.Update
 }
 
 // newOrder returns the order of a step on a configuration. It names its ID by an API key or, where no tenant has one, by the marker.
@@ -27,11 +27,11 @@
 		update.Upsert.Services = []config.Service{{Name: markerService, HealthCheck: markerPrefix + id}}
 	}
 	made := before.Apply(update)
-	if step.isWhole() {
+	if step.replacesAll() {
 		made.Tenants = tenants
 	}
-	whole := step.isWhole() && (made.Tenants == nil) != (before.Tenants == nil) || step == emptyList && len(before.Tenants) > 0
-	return configurationOrder{made: made, whole: whole, update: update}
+	replaces := step.replacesAll() && (made.Tenants == nil) != (before.Tenants == nil) || step == emptyList && len(before.Tenants) > 0
+	return configurationOrder{made: made, replaces: replaces, update: update}
 }
 
 // markersOf returns the name of the marker if a configuration has it.
@@ -44,7 +44,7 @@
 
 // send sends the order, which builds on a configuration, until it has a definite answer or ctx ends.
 func (o *configurationOrder) send(ctx context.Context, operator *fleetoperator.Operator, before fleetoperator.Configuration) (fleetoperator.Acknowledgement, error) {
-	if o.whole {
+	if o.replaces {
 		return operator.Replace(ctx, before.Version, o.made)
 	}
 	return operator.Update(ctx, before, o.update)
--- a/internal/harness/processfaults/plan.go
+++ b/internal/harness/processfaults/plan.go
@@ -46,38 +46,38 @@
 
 // The kinds of faults. Those of links hold in both directions unless they say otherwise.
 const (
-	NodePartition   FaultKind = "cut"             // a node from all others and from all brokers
-	PairPartition   FaultKind = "pair_cut"        // a node from one other
-	OneWayPartition FaultKind = "one_way"         // what a node sends to the others is lost; what they send arrives
-	CorePartition   FaultKind = "halves"          // one core node from the other core nodes; proxies reach all
-	BrokerPartition FaultKind = "broker_cut"      // a node from one broker
-	LinkDelay       FaultKind = "delay"           // of a node's links
-	LinkLoss        FaultKind = "loss"            // half of what passes a node's links is retransmitted
-	LinkReset       FaultKind = "reset"           // all connections of a node, in the middle of their calls
-	SlowLink        FaultKind = "slow_link"       // a node's links pass few bytes
-	ProcessFreeze   FaultKind = "freeze"          // SIGSTOP, then SIGCONT
-	KillKeepDisk    FaultKind = "kill"            // SIGKILL, and a start on the same disk
-	KillWipeDisk    FaultKind = "kill_wiped"      // SIGKILL, and a start on an empty disk
-	KillFullDisk    FaultKind = "kill_full"       // SIGKILL, and a start on a disk that takes nothing; later on the same disk
-	CoreKill        FaultKind = "kill_core"       // SIGKILL of all core nodes, and a start on their disks
-	WeightsUpdate   FaultKind = "weights"         // a new version of the weights is named
-	BrokerReplace   FaultKind = "broker_replaced" // a broker starts, another drains and leaves
-	GracefulStop    FaultKind = "sigterm"         // SIGTERM, and a start once the process is gone
-	RollingRestart  FaultKind = "rolling"         // SIGTERM to one node after another, with overlaps
-	HangUpSeries    FaultKind = "sighups"         // several SIGHUPs to a node or to all
-	DrainKillAll    FaultKind = "drain_kill_all"  // SIGKILL of all nodes just after a draining was acknowledged
-	GoneKillAll     FaultKind = "gone_kill_all"   // the same after a deregistration without a draining
-	ClientCrowd     FaultKind = "client_crowd"    // clients that don't stay inside the limits, at a node's front
-	StartedDrain    FaultKind = "started_drain"   // a broker drains at a node that has just been started, while its seeds are down
-	StartedGone     FaultKind = "started_gone"    // the same with a deregistration
-	FrozenIsolation FaultKind = "frozen_isolated" // a tenant becomes isolated while a node is frozen and cut off that clients have connections to
-	CutIsolation    FaultKind = "cut_isolated"    // the same with a node that is cut from the others
-	LastKey         FaultKind = "last_key"        // a tenant loses its last key, beside a disturbance of processes (see keyDisturbances)
-	MovedKey        FaultKind = "moved_key"       // the key is given to another tenant
-	AllTenants      FaultKind = "all_tenants"     // all tenants are removed by one update; later there is another one, then the first ones
-	LastTenant      FaultKind = "last_tenant"     // the tenants are removed one after another
-	EmptyTenants    FaultKind = "empty_tenants"   // a whole configuration has an empty list of tenants
-	NoTenants       FaultKind = "no_tenants"      // a whole configuration has no list of tenants
+	NodePartition      FaultKind = "cut"             // a node from all others and from all brokers
+	PairPartition      FaultKind = "pair_cut"        // a node from one other
+	OneWayPartition    FaultKind = "one_way"         // what a node sends to the others is lost; what they send arrives
+	CorePartition      FaultKind = "halves"          // one core node from the other core nodes; proxies reach all
+	BrokerPartition    FaultKind = "broker_cut"      // a node from one broker
+	LinkDelay          FaultKind = "delay"           // of a node's links
+	LinkLoss           FaultKind = "loss"            // half of what passes a node's links is retransmitted
+	LinkReset          FaultKind = "reset"           // all connections of a node, in the middle of their calls
+	SlowLink           FaultKind = "slow_link"       // a node's links pass few bytes
+	ProcessFreeze      FaultKind = "freeze"          // SIGSTOP, then SIGCONT
+	KillKeepDisk       FaultKind = "kill"            // SIGKILL, and a start on the same disk
+	KillWipeDisk       FaultKind = "kill_wiped"      // SIGKILL, and a start on an empty disk
+	KillFullDisk       FaultKind = "kill_full"       // SIGKILL, and a start on a disk that takes nothing; later on the same disk
+	CoreKill           FaultKind = "kill_core"       // SIGKILL of all core nodes, and a start on their disks
+	WeightsUpdate      FaultKind = "weights"         // a new version of the weights is named
+	BrokerReplace      FaultKind = "broker_replaced" // a broker starts, another drains and leaves
+	GracefulStop       FaultKind = "sigterm"         // SIGTERM, and a start once the process is gone
+	RollingRestart     FaultKind = "rolling"         // SIGTERM to one node after another, with overlaps
+	HangUpSeries       FaultKind = "sighups"         // several SIGHUPs to a node or to all
+	DrainKillAll       FaultKind = "drain_kill_all"  // SIGKILL of all nodes just after a draining was acknowledged
+	GoneKillAll        FaultKind = "gone_kill_all"   // the same after a deregistration without a draining
+	ClientGroup        FaultKind = "client_crowd"    // clients that don't stay inside the limits, at a node's front
+	StartedDrain       FaultKind = "started_drain"   // a broker drains at a node that has just been started, while its seeds are down
+	StartedGone        FaultKind = "started_gone"    // the same with a deregistration
+	FrozenIsolation    FaultKind = "frozen_isolated" // a tenant becomes isolated while a node is frozen and cut off that clients have connections to
+	PartitionIsolation FaultKind = "cut_isolated"    // the same with a node that is cut from the others
+	LastKey            FaultKind = "last_key"        // a tenant loses its last key, beside a disturbance of processes (see keyDisturbances)
+	MovedKey           FaultKind = "moved_key"       // the key is given to another tenant
+	AllTenants         FaultKind = "all_tenants"     // all tenants are removed by one update; later there is another one, then the first ones
+	LastTenant         FaultKind = "last_tenant"     // the tenants are removed one after another
+	EmptyTenants       FaultKind = "empty_tenants"   // a whole configuration has an empty list of tenants
+	NoTenants          FaultKind = "no_tenants"      // a whole configuration has no list of tenants
 )
 
 // weightedKinds are the kinds that plans draw from; those that stand twice come twice as often.
@@ -114,7 +114,7 @@
 		})
 	}
 	plan.addProcessFaults(random, between)
-	plan.addClientCrowds(random, between)
+	plan.addClientGroups(random, between)
 	plan.addAimedFaults(random, between)
 	plan.addKeySeries(random, between)
 	switch {
@@ -150,14 +150,14 @@
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.StartMs, b.StartMs) })
 }
 
-// clientCrowds is how many crowds of clients each plan has.
-const clientCrowds = 2
+// clientGroups is how many groups of clients each plan has.
+const clientGroups = 2
 
-// addClientCrowds adds clients that don't stay inside the limits, which overlap with all other faults.
-func (p *Plan) addClientCrowds(random *rand.Rand, between func(minimum, maximum time.Duration) int) {
-	for range clientCrowds {
+// addClientGroups adds clients that don't stay inside the limits, which overlap with all other faults.
+func (p *Plan) addClientGroups(random *rand.Rand, between func(minimum, maximum time.Duration) int) {
+	for range clientGroups {
 		p.Faults = append(p.Faults, Fault{
-			StartMs: between(0, FaultPhase), DurationMs: between(minFaultDuration, maxFaultDuration), Kind: ClientCrowd,
+			StartMs: between(0, FaultPhase), DurationMs: between(minFaultDuration, maxFaultDuration), Kind: ClientGroup,
 			Node: random.IntN(selectors), Peer: random.IntN(selectors),
 		})
 	}
@@ -166,7 +166,7 @@
 
 var (
 	startedKinds   = []FaultKind{StartedDrain, StartedGone}
-	isolationKinds = []FaultKind{FrozenIsolation, CutIsolation}
+	isolationKinds = []FaultKind{FrozenIsolation, PartitionIsolation}
 )
 
 // addAimedFaults adds what needs a call at a certain moment at a certain node: a broker that leaves at a node as that starts, and a
@@ -224,7 +224,7 @@
 // ofLinks reports whether a kind is a fault of links.
 func (k FaultKind) ofLinks() bool {
 	switch k {
-	case NodePartition, PairPartition, OneWayPartition, CorePartition, BrokerPartition, LinkDelay, LinkLoss, LinkReset, SlowLink, CutIsolation:
+	case NodePartition, PairPartition, OneWayPartition, CorePartition, BrokerPartition, LinkDelay, LinkLoss, LinkReset, SlowLink, PartitionIsolation:
 		return true
 	default:
 		return false
--- a/internal/harness/processfaults/processfaults_test.go
+++ b/internal/harness/processfaults/processfaults_test.go
@@ -118,7 +118,7 @@
 		}
 		assert.Equal(t, count(leavingKinds...), 1)
 		assert.Equal(t, count(signalKinds...), signalFaults)
-		assert.Equal(t, count(ClientCrowd), clientCrowds)
+		assert.Equal(t, count(ClientGroup), clientGroups)
 		assert.Equal(t, count(startedKinds...), 1)
 		assert.Equal(t, count(keyKinds[seed%uint64(len(keyKinds))]), 1)
 		switch plan.Nodes {
@@ -223,7 +223,7 @@
 	{
 		name:      "a configuration is trusted to say who shares prefixes whatever its age",
 		Mutation:  mutant.Mutation{File: "control/isolationlease.go", Original: "	return confirmed != 0 && now-confirmed < b.IsolationLease()\n", Mutated: "	return true\n"},
-		plan:      Plan{Seed: 1, Faults: []Fault{{StartMs: 1500, Kind: CutIsolation}}},
+		plan:      Plan{Seed: 1, Faults: []Fault{{StartMs: 1500, Kind: PartitionIsolation}}},
 		violation: "WALL",
 	},
 	{
--- a/internal/harness/processfaults/tenantorder.go
+++ b/internal/harness/processfaults/tenantorder.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// isWhole reports whether a step takes a whole configuration.
-func (s tenantStep) isWhole() bool { return s == emptyList || s == leaveOutList }
+// replacesAll reports whether a step takes a whole configuration.
+func (s tenantStep) replacesAll() bool { return s == emptyList || s == leaveOutList }
 
 // tenantUpdate returns the update from one list of tenants to another one, none of which is nil unless both are.
 func tenantUpdate(before, after []config.Tenant) (upsert []config.Tenant, remove []string) {
--- a/internal/harness/processfaults/tenantorder_test.go
+++ b/internal/harness/processfaults/tenantorder_test.go
@@ -48,7 +48,7 @@
 	current := fleetoperator.Configuration{Version: 1, Tenants: fleet.FirstTenants()}
 	for left := len(current.Tenants) - 1; left >= 0; left-- {
 		order := newOrder(current, current.Version+1, "0.1", removeNext, false)
-		assert.Assert(t, !order.whole)
+		assert.Assert(t, !order.replaces)
 		current = order.made
 		assert.Equal(t, len(current.Tenants), left)
 	}
--- a/internal/node/config/tenantlist_test.go
+++ b/internal/node/config/tenantlist_test.go
@@ -53,8 +53,8 @@
 	assert.Assert(t, r.Compile().KeysWithdrawn)
 }
 
-// TestNullTakesNoListOfTenantsAway guards against ROUTE: an operator whose program writes an empty list as null opened all routes.
-func TestNullTakesNoListOfTenantsAway(t *testing.T) {
+// TestNullKeepsTheListOfTenants guards against ROUTE: an operator whose program writes an empty list as null opened all routes.
+func TestNullKeepsTheListOfTenants(t *testing.T) {
 	r := newReplica(t)
 	r.mustTake(replaceCommand(0, `{"version":1,"tenants":null}`))
 	r.mustTake(replaceCommand(1, `{"version":2,"tenants":[{"name":"a","apiKeys":["k"]}]}`))
