processfaults: faults of tenants in turn, and clients that need no key

A partition of a node without a disk is recorded for that node alone: the others keep their paths to the core and stay in touch, so that more is judged.

--- a/internal/harness/fleet/checks_test.go
+++ b/internal/harness/fleet/checks_test.go
@@ -141,6 +141,10 @@
 	{"another tenant", func(e *evidence) { e.arrivals[0].Tenant = tenantIsolated }, "UNASKED"},
 	{"a key that no configuration has", func(e *evidence) { e.attempts[0].Key = "key" }, "ROUTE"},
 	{"no key", func(e *evidence) { e.attempts[0].Key, e.arrivals[0].Tenant = "", "" }, "UNASKED"},
+	{"no key on a public route", func(e *evidence) {
+		e.attempts[0].Prefix, e.attempts[0].Kind, e.attempts[0].Key, e.arrivals[0].Tenant = prefixStatus, Safe, "", ""
+	}, ""},
+	{"a tenant on a public route", func(e *evidence) { e.attempts[0].Prefix, e.attempts[0].Kind = prefixStatus, Safe }, "UNASKED"},
 	{"no key where none is required", func(e *evidence) {
 		e.attempts[0].Key, e.arrivals[0].Tenant = "", ""
 		e.addTenants(nil, -200)
--- a/internal/harness/fleet/client.go
+++ b/internal/harness/fleet/client.go
@@ -21,6 +21,7 @@
 	number          int
 	zone            string
 	keepsConnection bool
+	public          bool // requests are for the public route, and have no key
 	random          *mathrand.Rand
 	keptConnection  *connection
 }
@@ -34,7 +35,11 @@
 // run sends requests until ctx ends.
 func (c *client) run(ctx context.Context) {
 	defer c.closeKept()
-	repeat(ctx, c.random, c.load.Interval, func() { c.send(c.load.drawRequest(c.random)) })
+	draw := c.load.drawRequest
+	if c.public {
+		draw = c.load.drawPublicRequest
+	}
+	repeat(ctx, c.random, c.load.Interval, func() { c.send(draw(c.random)) })
 }
 
 // repeat calls send at once and again after random pauses, until ctx ends. interval is their mean.
--- a/internal/harness/fleet/fleet.go
+++ b/internal/harness/fleet/fleet.go
@@ -36,7 +36,8 @@
 	Bounds Bounds
 	// Nodes is the number of nodes, from 5 to MaxNodes; 0: 5.
 	Nodes int
-	// LeavingClients: a few clients leave before brokers have answered, on a route to brokers that take long.
+	// LeavingClients: a few clients leave before brokers have answered, on a public route to brokers that take long. Others use a public
+	// route as well.
 	LeavingClients bool
 	// Relayed has each node reach each other node and each broker through a link of its own, and brokers the nodes likewise;
 	// faults are injected with Fleet.Network.
--- a/internal/harness/fleet/keychecks.go
+++ b/internal/harness/fleet/keychecks.go
@@ -42,6 +42,12 @@
 // global, it had not been taken away for longer than the bound when the request was sent; that holds for all nodes, in touch or not.
 // Source: RULES.md, "API keys".
 func (e *evidence) checkKey(r *Attempt, run *llmbroker.Arrival) {
+	if route(r.Prefix).Public {
+		if run.Tenant != "" {
+			e.report("UNASKED", "request %s on the public route %s has run for tenant %q", r.ID, r.Prefix, run.Tenant)
+		}
+		return
+	}
 	if r.Key == "" && !e.keys.Belonged("", run.Tenant) {
 		e.report("UNASKED", "request %s at %s without a key has run for tenant %q", r.ID, r.Node, run.Tenant)
 		return
--- a/internal/harness/fleet/leavingclient.go
+++ b/internal/harness/fleet/leavingclient.go
@@ -46,9 +46,9 @@
 func (c *leavingClient) send(stay time.Duration) {
 	p := routeRequest(prefixReport)
 	p.request.uri = prefixReport + strconv.FormatUint(c.random.Uint64(), 36)
-	p.key, p.deadline = keyShared, 3*time.Second
+	p.deadline = 3 * time.Second
 	attempt := Attempt{
-		ID: newID(), Kind: p.kind, Prefix: p.prefix, Method: p.request.method, URI: p.request.uri, Key: p.key,
+		ID: newID(), Kind: p.kind, Prefix: p.prefix, Method: p.request.method, URI: p.request.uri,
 		FirstAttemptAt: time.Now(), Outcome: Unsent, Phase: probePhase,
 	}
 	defer func() { c.load.Attempts.add(withEnd(attempt)) }()
@@ -59,7 +59,7 @@
 	defer func() { _ = conn.Close() }()
 	attempt.Node = conn.node.Name
 	p.request.headers = []header{
-		{llmbroker.HeaderRequestID, attempt.ID}, {"Authorization", "Bearer " + p.key},
+		{llmbroker.HeaderRequestID, attempt.ID},
 		{llmbroker.HeaderDeadline, strconv.FormatInt(p.deadline.Milliseconds(), 10)},
 	}
 	limit := p.deadline + responseSlack
--- a/internal/harness/fleet/load.go
+++ b/internal/harness/fleet/load.go
@@ -25,8 +25,12 @@
 	stopOnce sync.Once
 }
 
-// clientCount is the number of concurrent clients.
-const clientCount = 24
+// clientCount is the number of concurrent clients, publicClientCount that of those without keys in fleets with clients that leave.
+const (
+	clientCount       = 24
+	publicClientCount = 8
+	publicStream      = 17 // of their random sources
+)
 
 // StartLoad starts clients that send requests of the three kinds until Stop.
 func (f *Fleet) StartLoad(interval time.Duration) *Load {
@@ -41,6 +45,13 @@
 		load.clients.Go(func() { c.run(ctx) })
 	}
 	if f.options.LeavingClients {
+		for i := range publicClientCount {
+			c := &client{
+				load: load, number: i, zone: Zones[i%len(Zones)], keepsConnection: i%2 == 0, public: true,
+				random: rand.New(rand.NewPCG(uint64(i), publicStream)),
+			}
+			load.clients.Go(func() { c.run(ctx) })
+		}
 		for i := range leavingClientCount {
 			c := &leavingClient{load: load, number: i, random: rand.New(rand.NewPCG(uint64(i), leavingStream))}
 			load.clients.Go(func() { c.run(ctx) })
@@ -102,6 +113,13 @@
 	return p
 }
 
+// drawPublicRequest draws a request on a public route, without a key.
+func (l *Load) drawPublicRequest(random *rand.Rand) plannedRequest {
+	p := routeRequest(prefixStatus)
+	p.request.uri = prefixStatus + strconv.FormatUint(random.Uint64(), 36)
+	return p
+}
+
 // routeRequest is what the requests of a route have in common.
 func routeRequest(prefix string) plannedRequest {
 	r := route(prefix)
--- a/internal/harness/fleet/relays.go
+++ b/internal/harness/fleet/relays.go
@@ -65,7 +65,8 @@
 	return relayed, nil
 }
 
-// PartitionFromNodes cuts a node from all others, but not from the brokers, and records that for each of them. The fleet must be relayed.
+// PartitionFromNodes cuts a node from all others, but not from the brokers, and records that. The others stay in touch unless the node has
+// a disk: they keep their paths to the core (RULES.md, "In touch"). The fleet must be relayed.
 func (f *Fleet) PartitionFromNodes(node *Node) (heal func()) {
 	partitioned := links.Conditions{Partitioned: true}
 	ends := []func(){f.BeginLinkFault(node)}
@@ -74,7 +75,10 @@
 			continue
 		}
 		fault := links.Fault{Source: node.Name, Destination: other.Name, Forward: partitioned, Reverse: partitioned}
-		ends = append(ends, f.Network.Inject(fault), f.BeginLinkFault(other))
+		ends = append(ends, f.Network.Inject(fault))
+		if node.HasDisk {
+			ends = append(ends, f.BeginLinkFault(other))
+		}
 	}
 	return func() {
 		for _, end := range ends {
--- a/internal/harness/fleet/services.go
+++ b/internal/harness/fleet/services.go
@@ -66,7 +66,8 @@
 	prefixVerdict = "/verdict/" // a stream that may not be resumed
 	prefixOld     = "/old/"     // safe; a later configuration removes it
 	prefixNew     = "/new/"     // safe; a later configuration adds it
-	prefixReport  = "/report/"  // safe, to the slow brokers, without hedges or retries
+	prefixReport  = "/report/"  // safe and public, to the slow brokers, without hedges or retries
+	prefixStatus  = "/status/"  // safe and public
 )
 
 // FirstVersion is the version of the first configuration.
@@ -80,7 +81,9 @@
 	}
 	switch prefix {
 	case prefixReport:
-		r.Service, r.TimeoutMs, r.MaxAttempts = serviceSlow, 4000, 1
+		r.Service, r.TimeoutMs, r.MaxAttempts, r.Public = serviceSlow, 4000, 1, true
+	case prefixStatus:
+		r.Public = true
 	case prefixPrint:
 		r.Kind, r.MaxAttempts, r.Priority = config.KindUnsafe, 2, 0
 	case prefixDraft, prefixVerdict:
@@ -153,7 +156,7 @@
 			LinkMbps: brokerLinkMbps, MaxConcurrency: maxConcurrency},
 	}
 	if f.options.LeavingClients {
-		c.Routes = append(c.Routes, route(prefixReport))
+		c.Routes = append(c.Routes, route(prefixReport), route(prefixStatus))
 		c.Services = append(c.Services, config.Service{Name: serviceSlow, HealthCheck: "/healthz", MaxConnections: connections, Protocol: "h1"})
 	}
 	return c
--- a/internal/harness/processfaults/keyseries.go
+++ b/internal/harness/processfaults/keyseries.go
@@ -51,6 +51,8 @@
 // withdrawKeys plays a series: the keys are taken away beside a disturbance, sent on open connections to the disturbed node and on new
 // ones to all nodes once they must not be served any more, and again after another list of tenants has come.
 func (r *run) withdrawKeys(series keySeries, fault Fault, node *fleet.Node) {
+	r.tenantFault.Lock()
+	defer r.tenantFault.Unlock()
 	defer r.takeStep(firstTenants)
 	if series.before != firstTenants && !r.takeStep(series.before) {
 		return
--- a/internal/harness/processfaults/run.go
+++ b/internal/harness/processfaults/run.go
@@ -57,6 +57,7 @@
 	claims         *claims // by faults of processes that last
 	isolation      *isolation
 	tenants        *tenantOrder
+	tenantFault    sync.Mutex // held by the fault that has operators change the tenants: each is to take effect by itself
 	weightsVersion uint64
 	actions        sync.WaitGroup // faults that end by themselves
 	background     sync.WaitGroup
