--- a/internal/harness/fleet/checks.go
+++ b/internal/harness/fleet/checks.go
@@ -32,6 +32,7 @@
 	crashedBrokers    []string  // IDs
 	isolatedAt        time.Time // of tenantLater; zero: it is not
 	keys              *keyhistory.History
+	logs              map[string]string // of nodes, by name
 	core              []string // names of the nodes with a disk
 	nodeFaults        []NodeFault
 	linkFaults        []LinkFault
@@ -61,6 +62,7 @@
 	e := &evidence{
 		bounds: f.options.Bounds, attempts: load.Attempts.All(), arrivals: f.ArrivalLog.Arrivals(), modelOrders: f.ArrivalLog.Orders(),
 		drains: f.drainedBrokers, crashedBrokers: f.crashedBrokers, isolatedAt: f.isolatedAt, keys: f.keyHistory(),
+		logs: map[string]string{},
 	}
 	for _, acknowledgement := range f.Operator.Acknowledged() {
 		if acknowledgement.Model != "" {
@@ -70,6 +72,7 @@
 	e.linkFaults = f.linkFaults.all()
 	for _, node := range f.Nodes {
 		e.nodeFaults = append(e.nodeFaults, node.Faults()...)
+		e.logs[node.Name] = node.Log()
 		if node.HasDisk {
 			e.core = append(e.core, node.Name)
 		}
@@ -188,11 +191,26 @@
 		e.report("ANSWER", "%s (request %s on %s at %s)", r.Defect, r.ID, r.Prefix, r.Node)
 	}
 	if e.lost(r) {
-		e.report("LOST", "request %s on %s at %s, sent %s, closed %v later without a complete answer (status %d, connection reused %v, at brokers: %s)",
-			r.ID, r.Prefix, r.Node, formatTime(r.SentAt), r.EndedAt.Sub(r.SentAt).Round(time.Millisecond), r.Status, r.KeptAlive, e.describeArrivals(r.ID))
+		e.report("LOST", "request %s on %s at %s, sent %s, closed %v later without a complete answer (status %d, connection reused %v, at brokers: %s, logged: %s)",
+			r.ID, r.Prefix, r.Node, formatTime(r.SentAt), r.EndedAt.Sub(r.SentAt).Round(time.Millisecond), r.Status, r.KeptAlive, e.describeArrivals(r.ID),
+			e.loggedAbout(r))
 	}
 }
 
+// loggedAbout returns the lines in the log of an attempt's node that name it: why an answer was broken off.
+func (e *evidence) loggedAbout(r *Attempt) string {
+	var lines []string
+	for line := range strings.Lines(e.logs[r.Node]) {
+		if strings.Contains(line, r.ID) {
+			lines = append(lines, strings.TrimSpace(line))
+		}
+	}
+	if len(lines) == 0 {
+		return "nothing"
+	}
+	return strings.Join(lines, "; ")
+}
+
 // describeArrivals says what brokers did with an attempt.
 func (e *evidence) describeArrivals(id string) string {
 	var described []string
