--- a/internal/harness/fleet/checks.go
+++ b/internal/harness/fleet/checks.go
@@ -33,7 +33,7 @@
 	isolatedAt        time.Time // of tenantLater; zero: it is not
 	keys              *keyhistory.History
 	logs              map[string]string // of nodes, by name
-	core              []string // names of the nodes with a disk
+	core              []string          // names of the nodes with a disk
 	nodeFaults        []NodeFault
 	linkFaults        []LinkFault
 	violations        []Violation
