scenario: the disks of processes under test are in memory

The voters' disks were in a temporary directory on the machine's disk, whose syncs wait for what other processes write.

No check or time changes. Faulty disks have tests of their own.

--- a/internal/harness/scenario/scenario_test.go
+++ b/internal/harness/scenario/scenario_test.go
@@ -10,6 +10,7 @@
 
 	"kestrelspread/internal/aggregator/extensions"
 	aggregator "kestrelspread/internal/aggregator/server"
+	"kestrelspread/internal/harness/testdisk"
 )
 
 // TestMain runs a broker if the test program is started as one: scenarios have several processes.
@@ -50,7 +51,7 @@
 // runScenario runs a scenario, requires that no rule is broken, and checks the counts.
 func runScenario(t *testing.T, f *File) *Report {
 	t.Helper()
-	dir := t.TempDir()
+	dir := testdisk.Dir(t)
 	r, err := Play(context.Background(), f, Options{Program: []string{os.Args[0], "broker"}, Dir: dir, Printf: t.Logf})
 	if err != nil {
 		t.Fatal(err)
