harness: the path of memory stands in test files alone

Change: clientfaults, fleet and processfaults are as before; the scenario tests have a directory of their own in the same form.

--- a/internal/harness/clientfaults/aggregator_test.go
+++ b/internal/harness/clientfaults/aggregator_test.go
@@ -20,7 +20,6 @@
 
 	"kestrelspread/internal/harness"
 	"kestrelspread/internal/harness/searchclient"
-	"kestrelspread/internal/harness/testdisk"
 	"kestrelspread/internal/standin/fakeservers"
 )
 
@@ -94,7 +93,7 @@
 // startAggregator starts the aggregator in service, or, where the gRPC front is wanted, the one that has it, and waits until it serves.
 func (b *backends) startAggregator(t *testing.T, memoryMB int, withGRPC bool) *aggregator {
 	t.Helper()
-	directory := testdisk.Dir(t)
+	directory := workDir(t)
 	configPath := filepath.Join(directory, "config.json")
 	config := fmt.Sprintf(`{"name":"a","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",`+
 		`"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":{"generation":0,"reset":true,"instances":[]},"settings":%s}`,
--- a/internal/harness/clientfaults/clientfaults_test.go
+++ b/internal/harness/clientfaults/clientfaults_test.go
@@ -105,3 +105,17 @@
 	}
 	return picked
 }
+
+// memoryDir is a file system in memory, if the machine has one.
+const memoryDir = "/dev/shm"
+
+// workDir creates a directory for the files of processes.
+func workDir(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp(memoryDir, "clientfaults")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	return dir
+}
--- a/internal/harness/clientfaults/node_test.go
+++ b/internal/harness/clientfaults/node_test.go
@@ -12,7 +12,6 @@
 	"gotest.tools/v3/assert"
 
 	"kestrelspread/internal/harness/fleet"
-	"kestrelspread/internal/harness/testdisk"
 )
 
 const (
@@ -33,7 +32,7 @@
 	bounds := fleet.DefaultBounds()
 	bounds.Heartbeat = 500 * time.Millisecond
 	started, err := fleet.Start(fleet.Options{
-		Binary: nodeBinary, Dir: testdisk.Dir(t), Bounds: bounds, MemoryMB: nodeMemoryMB, Descriptors: nodeMaxFDs,
+		Binary: nodeBinary, Dir: workDir(t), Bounds: bounds, MemoryMB: nodeMemoryMB, Descriptors: nodeMaxFDs,
 	})
 	assert.NilError(t, err)
 	t.Cleanup(started.Close)
--- a/internal/harness/fleet/catchup_test.go
+++ b/internal/harness/fleet/catchup_test.go
@@ -12,7 +12,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"kestrelspread/internal/harness/testdisk"
 	"kestrelspread/internal/node/config"
 	"kestrelspread/internal/standin/fleetoperator"
 )
@@ -57,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), catchUpTimeout)
 	defer cancel()
 	started, err := Start(Options{
-		Binary: binary, Dir: testdisk.Dir(t), Bounds: testBounds(), DiskMB: catchUpDiskMB, MemoryMB: catchUpMemoryMB,
+		Binary: binary, Dir: diskDir(t), Bounds: testBounds(), DiskMB: catchUpDiskMB, MemoryMB: catchUpMemoryMB,
 	})
 	assert.NilError(t, err)
 	defer started.Close()
--- a/internal/harness/fleet/demo_test.go
+++ b/internal/harness/fleet/demo_test.go
@@ -7,8 +7,6 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
-
-	"kestrelspread/internal/harness/testdisk"
 )
 
 // TestDemoCompletesWithoutViolations: the output names each phase and kind.
@@ -19,7 +17,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*testTimeout)
 	t.Cleanup(cancel)
 	var out bytes.Buffer
-	violations, err := Demo(ctx, &out, DemoOptions{Binary: binary, Dir: testdisk.Dir(t), Seconds: 6})
+	violations, err := Demo(ctx, &out, DemoOptions{Binary: binary, Dir: diskDir(t), Seconds: 6})
 	t.Log(out.String())
 	assert.NilError(t, err)
 	assert.Equal(t, len(violations), 0, "%v", violations)
--- a/internal/harness/fleet/fleet_test.go
+++ b/internal/harness/fleet/fleet_test.go
@@ -9,7 +9,6 @@
 	"gotest.tools/v3/assert"
 
 	"kestrelspread/internal/harness/nodeprogram"
-	"kestrelspread/internal/harness/testdisk"
 )
 
 // binary is kestrelnode, built once for all tests.
@@ -63,7 +62,7 @@
 	if alter != nil {
 		alter(&bounds)
 	}
-	options.Binary, options.Dir, options.Bounds = binary, testdisk.Dir(t), bounds
+	options.Binary, options.Dir, options.Bounds = binary, diskDir(t), bounds
 	started, err := Start(options)
 	assert.NilError(t, err)
 	s := &scenario{Fleet: started, t: t, ctx: ctx}
@@ -73,6 +72,21 @@
 	return s
 }
 
+// memoryDir is a file system in memory, if the machine has one.
+const memoryDir = "/dev/shm"
+
+// diskDir creates a directory for the nodes' disks, in memory if possible: a busy machine takes seconds for a sync now and then, which
+// would be a fault that the test does not inject. Faulty disks have tests of their own in package journal.
+func diskDir(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp(memoryDir, "kestrelfleet")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	return dir
+}
+
 // must ends the test on an error.
 func (s *scenario) must(err error) {
 	s.t.Helper()
--- a/internal/harness/processfaults/processfaults_test.go
+++ b/internal/harness/processfaults/processfaults_test.go
@@ -17,7 +17,6 @@
 
 	"kestrelspread/internal/harness/mutant"
 	"kestrelspread/internal/harness/nodeprogram"
-	"kestrelspread/internal/harness/testdisk"
 )
 
 var runMutants = flag.Bool("planted", false, "build kestrelnode without a guard and require that a run detects it, a minute each")
@@ -40,11 +39,26 @@
 	var trace strings.Builder
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
 	defer cancel()
-	result, err := Play(ctx, plan, Options{Binary: program, Dir: testdisk.Dir(t), Trace: &trace})
+	result, err := Play(ctx, plan, Options{Binary: program, Dir: diskDir(t), Trace: &trace})
 	assert.NilError(t, err)
 	return result, trace.String()
 }
 
+// memoryDir is a file system in memory, if the machine has one.
+const memoryDir = "/dev/shm"
+
+// diskDir creates a directory for the nodes' disks, in memory if possible: a busy machine takes seconds for a sync now and then, which
+// would be a fault that the test does not inject. Faulty disks have tests of their own in package journal.
+func diskDir(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp(memoryDir, "kestrelfleet")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	return dir
+}
+
 // TestShortPlanHolds injects one fault of a process, of a disk and of links each.
 func TestShortPlanHolds(t *testing.T) {
 	plan := &Plan{Seed: 1, Faults: []Fault{
--- a/internal/harness/scenario/scenario_test.go
+++ b/internal/harness/scenario/scenario_test.go
@@ -10,7 +10,6 @@
 
 	"kestrelspread/internal/aggregator/extensions"
 	aggregator "kestrelspread/internal/aggregator/server"
-	"kestrelspread/internal/harness/testdisk"
 )
 
 // TestMain runs a broker if the test program is started as one: scenarios have several processes.
@@ -48,10 +47,25 @@
 	return f
 }
 
+// memoryDir is a file system in memory, if the machine has one.
+const memoryDir = "/dev/shm"
+
+// diskDir creates a directory for the disks of processes, in memory if possible: a busy disk takes up to seconds for a sync, which would be
+// a fault that the test does not inject. Faulty disks have tests of their own.
+func diskDir(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp(memoryDir, "scenario")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	return dir
+}
+
 // runScenario runs a scenario, requires that no rule is broken, and checks the counts.
 func runScenario(t *testing.T, f *File) *Report {
 	t.Helper()
-	dir := testdisk.Dir(t)
+	dir := diskDir(t)
 	r, err := Play(context.Background(), f, Options{Program: []string{os.Args[0], "broker"}, Dir: dir, Printf: t.Logf})
 	if err != nil {
 		t.Fatal(err)
